Lay out the workspace, the shared types and the interfaces

Cause: an empty repository; every part needs the same ids, fleet file and messages before it can be built side by side with the others.

--- /dev/null
+++ b/sesamebeam/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the parts land.
--- /dev/null
+++ b/sesamebeam/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/sesamebeam_bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load generator, policy replay and capacity table.
+
+fn main() {}
--- /dev/null
+++ b/sesamebeam_core/src/message/peer.rs
@@ -0,0 +1,56 @@
+//! Messages between entries.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    control::{
+        FleetChange,
+        Live, //
+    },
+    server::Announcement, //
+};
+use crate::ids::{
+    Digest,
+    DomainId,
+    InstanceId,
+    Revision,
+    VersionId, //
+};
+
+/// What one entry tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Backend servers that are new or changed, within the failure domain.
+    Servers(Vec<Announcement>),
+    /// Every backend server the asker should know, wanted after a start.
+    WantServers,
+    /// The highest configuration known, wanted by an entry that starts cut off.
+    WantConfig,
+    /// The highest configuration known.
+    Config {
+        /// Revision of the file.
+        revision: Revision,
+        /// The file, always whole.
+        fleet: FleetChange,
+        /// State beside the file.
+        live: Live,
+    },
+    /// Versions that this entry's own test holds, and fingerprints that it
+    /// suspects, before the control group has them.
+    Alarm {
+        /// Versions held locally.
+        held: Vec<VersionId>,
+        /// Fingerprints with a crash.
+        suspects: Vec<Digest>,
+    },
+    /// The entry is stopping: it takes no new requests.
+    Leaving {
+        /// Name of the entry.
+        instance: InstanceId,
+        /// Failure domain of the entry.
+        domain: DomainId,
+    },
+}
