--- a/sesamebeam_core/src/lib.rs
+++ b/sesamebeam_core/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod fleet;
 pub mod ids;
 pub mod message;
+pub mod policy;
--- /dev/null
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -0,0 +1,317 @@
+//! Choice of the cheapest plan that meets the quality target.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::quality::{
+    Moments,
+    Quality,
+    share_above, //
+};
+use crate::{
+    fleet::{
+        Class,
+        Priority,
+        Target, //
+    },
+    ids::VersionId,
+};
+
+/// Settings of the choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlanConfig {
+    /// Whether cascades are considered.
+    pub cascades: bool,
+    /// Share of eligible requests that go to a cheaper version that may yet
+    /// prove good enough; 0 turns it off.
+    pub explore: f64,
+    /// Least probability of meeting the target that is worth a trial.
+    pub explore_floor: f64,
+    /// Share of good answers that the rating service accepts.
+    pub rater_accepts_good: f64,
+    /// Share of bad answers that the rating service accepts.
+    pub rater_accepts_bad: f64,
+    /// Quality of the stronger version on what the first one failed, relative
+    /// to its quality overall: hard requests are hard for both.
+    pub hard_factor: f64,
+    /// Cost of one rating, in the unit of versions.
+    pub rating_cost: f64,
+}
+
+impl Default for PlanConfig {
+    fn default() -> Self {
+        Self {
+            cascades: true,
+            explore: 0.02,
+            explore_floor: 0.1,
+            rater_accepts_good: 0.95,
+            rater_accepts_bad: 0.05,
+            hard_factor: 0.97,
+            rating_cost: 0.02,
+        }
+    }
+}
+
+/// How a request is run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// By one version.
+    Single(VersionId),
+    /// By a cheap version first; if the rating service finds its answer bad,
+    /// by a stronger one.
+    Cascade {
+        /// Version that answers first.
+        first: VersionId,
+        /// Version that answers if the first answer is bad.
+        then: VersionId,
+    },
+}
+
+impl Plan {
+    /// Gives the version that runs first.
+    pub fn first(&self) -> &VersionId {
+        match self {
+            Self::Single(version) => version,
+            Self::Cascade { first, .. } => first,
+        }
+    }
+}
+
+/// A version that a request may use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Full name.
+    pub version: VersionId,
+    /// Cost of 1000 generated tokens.
+    pub cost: f64,
+    /// Expected time until the whole answer; zero if unknown.
+    pub takes: Duration,
+}
+
+/// What the choice is made from.
+#[derive(Clone, Debug)]
+pub struct PlanInput<'a> {
+    /// Class of the request.
+    pub class: &'a Class,
+    /// The organisation's objective, if it has one.
+    pub target: Option<&'a Target>,
+    /// Versions allowed, loaded, not withdrawn and let through by exposure.
+    pub candidates: &'a [Candidate],
+    /// Time left until the deadline.
+    pub left: Duration,
+    /// Whether the rating service answers at once at present.
+    pub rater_answers: bool,
+    /// Point in [0, 1) from a hash of the request, for trials.
+    pub draw: f64,
+}
+
+/// Why a plan was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The cheapest that meets the target.
+    Cheapest,
+    /// None meets the target; this one is the likeliest to.
+    BestAvailable,
+    /// A trial of a cheaper version.
+    Trial,
+}
+
+/// One plan that was considered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scored {
+    /// The plan.
+    pub plan: Plan,
+    /// Expected cost of 1000 tokens of the answer.
+    pub cost: f64,
+    /// Expected share of good answers.
+    pub quality: f64,
+    /// Probability that the target is met.
+    pub confidence: f64,
+    /// Whether it fits in the time left.
+    pub fits: bool,
+    /// Whether it meets the target at the stated confidence.
+    pub meets: bool,
+}
+
+/// The plan chosen, with what it was chosen from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// The plan.
+    pub plan: Plan,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// Everything that was considered, in order.
+    pub scored: Vec<Scored>,
+}
+
+/// Chooses plans.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    cfg: PlanConfig,
+}
+
+impl Planner {
+    /// Takes the settings.
+    pub fn new(cfg: PlanConfig) -> Self {
+        Self { cfg }
+    }
+
+    /// Chooses the cheapest plan that meets the target, or the best available;
+    /// none if there is no candidate.
+    pub fn plan(&self, quality: &Quality, input: &PlanInput<'_>) -> Option<Planned> {
+        let scored = self.score(quality, input);
+        let (at, reason) = self.choose(input, &scored)?;
+        Some(Planned {
+            plan: scored[at].plan.clone(),
+            reason,
+            scored,
+        })
+    }
+
+    fn score(&self, quality: &Quality, input: &PlanInput<'_>) -> Vec<Scored> {
+        let (target, wanted) = goal(input.target);
+        let moments: Vec<Moments> = input
+            .candidates
+            .iter()
+            .map(|candidate| quality.moments(&input.class.name, &candidate.version))
+            .collect();
+        let mut scored = Vec::with_capacity(input.candidates.len() * 2);
+        for (candidate, moments) in input.candidates.iter().zip(&moments) {
+            scored.push(Scored::new(
+                Plan::Single(candidate.version.clone()),
+                candidate.cost,
+                *moments,
+                (target, wanted),
+                candidate.takes <= input.left,
+            ));
+        }
+        if !self.may_cascade(quality, input) {
+            return scored;
+        }
+        for (first, first_moments) in input.candidates.iter().zip(&moments) {
+            for (then, then_moments) in input.candidates.iter().zip(&moments) {
+                if first.cost >= then.cost || first_moments.mean >= then_moments.mean {
+                    continue;
+                }
+                let (moments, rejected) = self.cascade(*first_moments, *then_moments);
+                scored.push(Scored::new(
+                    Plan::Cascade {
+                        first: first.version.clone(),
+                        then: then.version.clone(),
+                    },
+                    first.cost + self.cfg.rating_cost + rejected * then.cost,
+                    moments,
+                    (target, wanted),
+                    first.takes + then.takes <= input.left,
+                ));
+            }
+        }
+        scored
+    }
+
+    /// Tells whether a request may be run by a second version.
+    ///
+    /// A non-idempotent one never is: its first run may already have had its
+    /// effect. Without a trusted rating service nobody could tell a bad first
+    /// answer, so the plan falls back to single versions.
+    fn may_cascade(&self, quality: &Quality, input: &PlanInput<'_>) -> bool {
+        self.cfg.cascades
+            && input.class.cascade
+            && input.class.idempotent
+            && input.rater_answers
+            && !quality.rater_distrusted()
+    }
+
+    /// Gives the quality of a cascade and the share of first answers rejected.
+    fn cascade(&self, first: Moments, then: Moments) -> (Moments, f64) {
+        let (hit, miss) = (self.cfg.rater_accepts_good, self.cfg.rater_accepts_bad);
+        let strong = then.mean * self.cfg.hard_factor;
+        let rejected = 1.0 - first.mean * hit - (1.0 - first.mean) * miss;
+        let mean = first.mean * hit + rejected * strong;
+        let by_first = hit - (hit - miss) * strong;
+        let by_then = rejected * self.cfg.hard_factor;
+        let var = by_first * by_first * first.var + by_then * by_then * then.var;
+        (Moments { mean, var }, rejected)
+    }
+
+    fn choose(&self, input: &PlanInput<'_>, scored: &[Scored]) -> Option<(usize, Reason)> {
+        let cheapest = least(scored, |s| s.meets && s.fits, |s| s.cost);
+        let Some(best) = cheapest else {
+            let at = least(scored, |s| s.fits, |s| -s.confidence)
+                .or_else(|| least(scored, |_| true, |s| -s.confidence))?;
+            return Some((at, Reason::BestAvailable));
+        };
+        let trial = |s: &Scored| {
+            matches!(s.plan, Plan::Single(_))
+                && s.fits
+                && s.cost < scored[best].cost
+                && s.confidence >= self.cfg.explore_floor
+        };
+        if self.may_try(input)
+            && let Some(at) = least(scored, trial, |s| s.cost)
+        {
+            return Some((at, Reason::Trial));
+        }
+        Some((best, Reason::Cheapest))
+    }
+
+    /// Tells whether this request may try a version not yet known to be good
+    /// enough. Without trials a cheap version that had bad luck early would
+    /// never be rated again and the cost would stay high.
+    fn may_try(&self, input: &PlanInput<'_>) -> bool {
+        input.draw < self.cfg.explore
+            && input.class.idempotent
+            && input.class.priority != Priority::Urgent
+    }
+}
+
+impl Scored {
+    fn new(
+        plan: Plan,
+        cost: f64,
+        moments: Moments,
+        (target, wanted): (f64, f64),
+        fits: bool,
+    ) -> Self {
+        let confidence = confidence(moments, target);
+        Self {
+            plan,
+            cost,
+            quality: moments.mean,
+            confidence,
+            fits,
+            meets: confidence >= wanted,
+        }
+    }
+
+    /// Gives the plan's name for people, such as `a@1 > b@2`.
+    pub fn label(&self) -> SmolStr {
+        match &self.plan {
+            Plan::Single(version) => version.clone(),
+            Plan::Cascade { first, then } => smol_str::format_smolstr!("{first} > {then}"),
+        }
+    }
+}
+
+/// Fits a Beta distribution to mean and variance and asks it for the target.
+fn confidence(moments: Moments, target: f64) -> f64 {
+    let mean = moments.mean.clamp(1e-6, 1.0 - 1e-6);
+    let n = (mean * (1.0 - mean) / moments.var.max(1e-12) - 1.0).max(1e-3);
+    share_above(mean * n, (1.0 - mean) * n, target)
+}
+
+fn goal(target: Option<&Target>) -> (f64, f64) {
+    target.map_or((0.0, 0.0), |target| (target.quality, target.confidence))
+}
+
+/// Finds the first of the least among those that a filter lets through.
+fn least(
+    scored: &[Scored],
+    keep: impl Fn(&Scored) -> bool,
+    key: impl Fn(&Scored) -> f64,
+) -> Option<usize> {
+    (0..scored.len())
+        .filter(|&at| keep(&scored[at]))
+        .min_by(|&a, &b| key(&scored[a]).total_cmp(&key(&scored[b])))
+}
