Lay out the replicated log's interface and the disk's

Cause: the control core and the daemon are built beside the replicated log and need its types now. Ruled out: carrying the message bytes opaquely; typed enums let the harness of the users drive replicas without a codec. Conclusion: interface only; the bodies follow.

--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder until the parts land.
+//! The edges of sesamebeam and its thin daemons.
+
+pub mod disk;
--- a/sesamebeam_core/src/lib.rs
+++ b/sesamebeam_core/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod ids;
 pub mod message;
 pub mod policy;
+pub mod replica;
