Add the replicated state with claims, bills, pins and roll-outs

Cause: the control group needs one deterministic state machine behind its log. Ruled out: judging dispatch windows inside the state, since only a leader's clock tells them; a retake is a command of its own that names the opening the leader judged, so that a claim granted anew in between makes it void. Ruled out also: expiry by wall clock or settings of each replica; time and retention are commands of the log, so that replicas cannot differ.

--- a/sesamebeam_core/src/lib.rs
+++ b/sesamebeam_core/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod message;
 pub mod policy;
 pub mod replica;
+pub mod state;
--- a/sesamebeam_core/src/message/command.rs
+++ b/sesamebeam_core/src/message/command.rs
@@ -7,6 +7,7 @@
     Serialize, //
 };
 use smol_str::SmolStr;
+use thiserror::Error;
 
 use super::record::{
     ClaimReply,
@@ -24,6 +25,7 @@
         Digest,
         Fencing,
         InstanceId,
+        LogIndex,
         Revision,
         ServerAddr,
         UnixMillis,
@@ -57,6 +59,104 @@
     Rollout(RolloutStep),
     /// An order to an engine, written before it is sent.
     Order(Order),
+    /// A claim that replaces an open one whose claimant is gone.
+    Retake(Retake),
+    /// Suspects that ran to their end on another backend server.
+    Cleared(Vec<Digest>),
+    /// A revision that the leader found to be in force at every entry.
+    InForce(Revision),
+    /// How long records are kept, as the leader's settings say.
+    Retention(Retention),
+}
+
+/// A claim that replaces an open one.
+///
+/// Only the leader can tell by its clock that the dispatch window of the open
+/// claim is over and that its claimant is gone. It states for which opening of
+/// the claim it found that out, so that an opening which comes between the
+/// finding and this command makes the command void.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retake {
+    /// The new claim.
+    pub claim: ClaimRequest,
+    /// Log position at which the claim that it replaces was last opened.
+    pub opened: LogIndex,
+}
+
+/// How long records are kept and how many, the same on every replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retention {
+    /// Time that a claim is kept after it ended, and after which an open claim
+    /// counts as unknown.
+    pub claims: Duration,
+    /// Time that a pin is kept after its last use.
+    pub pins: Duration,
+    /// Time that a charged or void billing entry is kept; an open one is kept
+    /// until it is settled.
+    pub bills: Duration,
+    /// Time that a verdict is kept.
+    pub verdicts: Duration,
+    /// Time that a crash counts against the requests that it took down.
+    pub crashes: Duration,
+    /// Time that a fingerprint stays quarantined.
+    pub quarantine: Duration,
+    /// Most claims kept; a further one is denied.
+    pub max_claims: u32,
+    /// Most pins kept; a further one is denied.
+    pub max_pins: u32,
+    /// Most billing entries kept; a further claim is denied.
+    pub max_bills: u32,
+    /// Most verdicts kept; the oldest goes first.
+    pub max_verdicts: u32,
+    /// Largest answer body kept, in bytes.
+    pub body_cap: u32,
+    /// Bytes of answer bodies kept together; the oldest goes first.
+    pub bodies_cap: u64,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        Self {
+            claims: Duration::from_hours(24),
+            pins: Duration::from_hours(24),
+            bills: Duration::from_hours(24 * 7),
+            verdicts: Duration::from_hours(24),
+            crashes: Duration::from_hours(1),
+            quarantine: Duration::from_hours(24),
+            max_claims: 20_000,
+            max_pins: 20_000,
+            max_bills: 40_000,
+            max_verdicts: 12_000,
+            body_cap: 16 << 10,
+            bodies_cap: 4 << 20,
+        }
+    }
+}
+
+/// Why a command wrote nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+pub enum Denial {
+    /// As many claims or billing entries are kept as the settings allow.
+    #[error("as many claims or bills are kept as the settings allow")]
+    ClaimsFull,
+    /// As many pins are kept as the settings allow.
+    #[error("as many pins are kept as the settings allow")]
+    PinsFull,
+    /// The claim to be replaced is no longer kept.
+    #[error("the claim to be replaced is no longer kept")]
+    ClaimExpired,
+    /// The dispatch window is longer than the group allows.
+    #[error("the dispatch window is longer than the group allows")]
+    WindowTooLong,
+    /// The organisation does not exist or may not use the version.
+    #[error("the organisation may not use the version")]
+    NotAllowed,
+    /// The version takes no new work.
+    #[error("the version is withdrawn")]
+    Withdrawn,
+    /// The pin is of another model than the version proposed.
+    #[error("the version is of another model")]
+    OtherModel,
 }
 
 /// An operator's change: a whole file and the revision it was made from.
@@ -178,4 +278,6 @@
     Quarantined(Vec<Digest>),
     /// Order with its fencing number.
     Ordered(Order),
+    /// Nothing was written.
+    Denied(Denial),
 }
--- a/sesamebeam_core/src/message/control.rs
+++ b/sesamebeam_core/src/message/control.rs
@@ -11,6 +11,7 @@
 use super::{
     command::{
         Change,
+        Denial,
         Evidence,
         RolloutState,
         Verdict, //
@@ -89,6 +90,8 @@
     Settle(SettleRequest),
     /// Replaces a replica whose disk is lost.
     Replace(Replace),
+    /// Suspects of crashes that ran to their end on another backend server.
+    Cleared(Vec<Digest>),
 }
 
 /// An entry's renewal of its configuration lease.
@@ -156,6 +159,24 @@
     pub rollouts: Vec<Rollout>,
     /// Names of what is gone.
     pub gone: Vec<Gone>,
+    /// Orders of lists that changes, removals and additions at the end alone
+    /// would not give.
+    pub orders: Vec<ListOrder>,
+}
+
+/// The whole order of one list of a fleet file, by name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListOrder {
+    /// Of the pools.
+    Pools(Vec<SmolStr>),
+    /// Of the models.
+    Models(Vec<SmolStr>),
+    /// Of the classes.
+    Classes(Vec<SmolStr>),
+    /// Of the organisations.
+    Organisations(Vec<SmolStr>),
+    /// Of the roll-outs.
+    Rollouts(Vec<SmolStr>),
 }
 
 /// Name of a part that a new fleet file no longer has.
@@ -247,6 +268,8 @@
     Unavailable(SmolStr),
     /// The request is refused for good.
     Refused(SmolStr),
+    /// The group agreed to write nothing.
+    Denied(Denial),
 }
 
 /// State of the group and of the entries, for operators.
--- a/sesamebeam_core/src/message/record.rs
+++ b/sesamebeam_core/src/message/record.rs
@@ -133,6 +133,7 @@
 
 /// Answer to a [`ClaimRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[expect(clippy::large_enum_variant, reason = "a reply lives for one message")]
 pub enum ClaimReply {
     /// The claim is the asker's, with its generation.
     Granted(Generation),
--- /dev/null
+++ b/sesamebeam_core/tests/state/claims.rs
@@ -0,0 +1,145 @@
+//! Claims: the first wins, an end is final, and a retake is compare-and-set.
+
+use sesamebeam_core::message::{
+    command::{
+        Command,
+        Denial,
+        Outcome,
+        Retake, //
+    },
+    record::{
+        ClaimEnd,
+        ClaimReply,
+        ClaimState,
+        CompleteReply, //
+    },
+};
+use yare::parameterized;
+
+use crate::make::{
+    Group,
+    claim,
+    end,
+    key,
+    whole, //
+};
+
+fn granted(generation: u32) -> Outcome {
+    Outcome::Claim(ClaimReply::Granted(generation))
+}
+
+fn existing(outcome: &Outcome) -> (u32, ClaimState) {
+    match outcome {
+        Outcome::Claim(ClaimReply::Existing(view)) => (view.generation, view.state.clone()),
+        other => panic!("expected an existing claim, got {other:?}"),
+    }
+}
+
+#[test]
+fn first_wins() {
+    let mut group = Group::with_fleet();
+    assert_eq!(group.apply(&Command::Claim(claim(1, 0))), granted(1));
+    let second = group.apply(&Command::Claim(claim(2, 0)));
+    assert_eq!(existing(&second), (1, ClaimState::Open));
+    group.restart();
+    let third = group.apply(&Command::Claim(claim(3, 0)));
+    assert_eq!(existing(&third), (1, ClaimState::Open));
+}
+
+#[test]
+fn other_body() {
+    let mut group = Group::with_fleet();
+    group.apply(&Command::Claim(claim(1, 0)));
+    let mut other = claim(2, 0);
+    other.digest = 8;
+    let outcome = group.apply(&Command::Claim(other));
+    assert_eq!(outcome, Outcome::Claim(ClaimReply::Conflict));
+}
+
+/// The leader dies between granting a claim and answering. The entry asks the
+/// next leader for the very same claim, and must be told that it is its own.
+#[test]
+fn answer_lost() {
+    let mut group = Group::with_fleet();
+    group.apply(&Command::Claim(claim(1, 0)));
+    let first = group.state.opening(&key("sheet"));
+    assert_eq!(group.apply(&Command::Claim(claim(1, 0))), granted(1));
+    assert_ne!(group.state.opening(&key("sheet")), first);
+}
+
+/// An abandoned claim is taken by the next entry; a late copy of the first
+/// entry's question must not take it back, since nobody waits for its answer.
+#[test]
+fn abandoned_then_late_copy() {
+    let mut group = Group::with_fleet();
+    group.apply(&Command::Claim(claim(1, 0)));
+    group.apply(&Command::Complete(end(1, 1, ClaimEnd::Abandoned)));
+    let copy = group.apply(&Command::Claim(claim(1, 0)));
+    assert_eq!(existing(&copy), (1, ClaimState::Abandoned));
+    assert_eq!(group.apply(&Command::Claim(claim(2, 1))), granted(2));
+    let copy = group.apply(&Command::Claim(claim(1, 0)));
+    assert_eq!(existing(&copy), (2, ClaimState::Open));
+    let late = group.apply(&Command::Complete(end(1, 1, whole("late"))));
+    assert_eq!(late, Outcome::Complete(CompleteReply::Superseded));
+}
+
+#[parameterized(
+    open = { None },
+    completed = { Some(whole("done")) },
+    unknown = { Some(ClaimEnd::Unknown) },
+)]
+fn no_retake_by_claim(ended: Option<ClaimEnd>) {
+    let mut group = Group::with_fleet();
+    group.apply(&Command::Claim(claim(1, 0)));
+    if let Some(ended) = ended {
+        group.apply(&Command::Complete(end(1, 1, ended)));
+    }
+    let outcome = group.apply(&Command::Claim(claim(2, 1)));
+    assert_eq!(existing(&outcome).0, 1);
+}
+
+/// Two entries find the claimant gone and both ask for its claim. One of them
+/// gets it; the other must find it taken, or the sheet is filed twice.
+#[test]
+fn retakes_race() {
+    let mut group = Group::with_fleet();
+    group.apply(&Command::Claim(claim(1, 0)));
+    let opened = group.state.opening(&key("sheet")).unwrap().opened;
+    let retake = |entry| {
+        Command::Retake(Retake {
+            claim: claim(entry, 1),
+            opened,
+        })
+    };
+    assert_eq!(group.apply(&retake(2)), granted(2));
+    assert_eq!(existing(&group.apply(&retake(3))).0, 2);
+}
+
+/// The claimant was frozen, not gone: its question comes again, through the next
+/// leader, and is granted anew with a new window. A retake that was judged on
+/// the old window comes just behind it in the log. With both granted, the sheet
+/// is filed twice.
+#[parameterized(
+    safeguard_on = { false },
+    safeguard_off = { true },
+)]
+fn retake_of_old_opening(fault: bool) {
+    let mut group = Group::with_fleet();
+    group.state.faults.retake_any_opening = fault;
+    group.apply(&Command::Claim(claim(1, 0)));
+    let opened = group.state.opening(&key("sheet")).unwrap().opened;
+    assert_eq!(group.apply(&Command::Claim(claim(1, 0))), granted(1));
+    let retake = Retake {
+        claim: claim(2, 1),
+        opened,
+    };
+    let both_granted = group.apply(&Command::Retake(retake)) == granted(2);
+    assert_eq!(both_granted, fault);
+}
+
+#[test]
+fn expired_claim() {
+    let mut group = Group::with_fleet();
+    let outcome = group.apply(&Command::Claim(claim(2, 1)));
+    assert_eq!(outcome, Outcome::Denied(Denial::ClaimExpired));
+}
