Link our own processes over QUIC with mutual TLS

Cause: entries, control replicas and operators need one authenticated way to call each other and to send heartbeats, within bounds of memory and time.

Ruled out: a server name per process (the caller would have to know who stands behind an address before it connects; every server certificate carries the fleet's name instead and the role is read from the certificate after the chain is verified); a stream for each one-way message (keeps no order); session tickets (a resumed session would outlive its certificate); reconnecting from the same UDP port after silence (a device that lost track of the flow drops the new connection as well).

--- /dev/null
+++ b/sesamebeam/src/keys/credentials.rs
@@ -0,0 +1,148 @@
+//! What a process shows to its peers and checks them by.
+
+use std::{
+    path::Path,
+    sync::Arc, //
+};
+
+use quinn::crypto::rustls::{
+    QuicClientConfig,
+    QuicServerConfig, //
+};
+use rustls::{
+    ClientConfig, RootCertStore, ServerConfig,
+    crypto::CryptoProvider,
+    pki_types::{
+        CertificateDer,
+        PrivateKeyDer,
+        pem::PemObject, //
+    },
+    server::WebPkiClientVerifier,
+    version::TLS13,
+};
+
+use super::{
+    CA_FILE,
+    CERT_FILE,
+    FleetCa,
+    KEY_FILE,
+    KeyError,
+    Role,
+    read, //
+};
+
+/// Protocol name in the TLS handshake, so that no other QUIC service answers.
+const ALPN: &[u8] = b"sesamebeam/1";
+
+/// The CA's certificate, a process's own certificate and its private key.
+pub struct Credentials {
+    role: Role,
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Credentials {
+    /// Reads `ca.pem`, `cert.pem` and `key.pem` from a folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file is missing or does not hold what its name says, or if
+    /// the certificate names no role.
+    pub fn load(folder: &Path) -> Result<Self, KeyError> {
+        let ca = folder.join(CA_FILE);
+        let cert = folder.join(CERT_FILE);
+        let key = folder.join(KEY_FILE);
+        let ca_der = certificates(&read(&ca)?, &ca)?;
+        let cert_der = certificates(&read(&cert)?, &cert)?;
+        let key_der = private_key(&read(&key)?, &key)?;
+        Self::new(ca_der, cert_der, key_der)
+    }
+
+    /// Issues credentials in memory, for processes that share an address space.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the role's name cannot stand in a certificate.
+    pub fn from_fleet(ca: &FleetCa, role: &Role) -> Result<Self, KeyError> {
+        let issued = ca.issue(role)?;
+        let ca_der = certificates(ca.cert_pem(), Path::new(CA_FILE))?;
+        let cert_der = certificates(&issued.cert_pem, Path::new(CERT_FILE))?;
+        let key_der = private_key(&issued.key_pem, Path::new(KEY_FILE))?;
+        Self::new(ca_der, cert_der, key_der)
+    }
+
+    /// Returns the role that the certificate vouches for.
+    pub fn role(&self) -> &Role {
+        &self.role
+    }
+
+    /// Makes the TLS settings for connecting to peers.
+    pub(crate) fn client(&self) -> Result<QuicClientConfig, KeyError> {
+        let mut cfg = ClientConfig::builder_with_provider(provider())
+            .with_protocol_versions(&[&TLS13])?
+            .with_root_certificates(Arc::clone(&self.roots))
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())?;
+        cfg.alpn_protocols = vec![ALPN.to_vec()];
+        Ok(QuicClientConfig::try_from(cfg)?)
+    }
+
+    /// Makes the TLS settings for accepting peers, which must show a
+    /// certificate of the same fleet.
+    pub(crate) fn server(&self) -> Result<QuicServerConfig, KeyError> {
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(Arc::clone(&self.roots), provider())
+                .build()?;
+        let mut cfg = ServerConfig::builder_with_provider(provider())
+            .with_protocol_versions(&[&TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())?;
+        cfg.alpn_protocols = vec![ALPN.to_vec()];
+        // A resumed session would keep an identity whose certificate has
+        // expired since; a full handshake a connection is cheap enough.
+        cfg.send_tls13_tickets = 0;
+        Ok(QuicServerConfig::try_from(cfg)?)
+    }
+
+    fn new(
+        ca: Vec<CertificateDer<'static>>,
+        chain: Vec<CertificateDer<'static>>,
+        key: PrivateKeyDer<'static>,
+    ) -> Result<Self, KeyError> {
+        let mut roots = RootCertStore::empty();
+        for cert in ca {
+            roots.add(cert)?;
+        }
+        let own = chain.first().ok_or(KeyError::NoRole)?;
+        Ok(Self {
+            role: Role::from_certificate(own)?,
+            roots: Arc::new(roots),
+            chain,
+            key,
+        })
+    }
+}
+
+fn provider() -> Arc<CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
+
+fn certificates(pem: &str, path: &Path) -> Result<Vec<CertificateDer<'static>>, KeyError> {
+    let certs: Vec<_> = CertificateDer::pem_slice_iter(pem.as_bytes())
+        .collect::<Result<_, _>>()
+        .unwrap_or_default();
+    if certs.is_empty() {
+        return Err(KeyError::Pem {
+            path: path.to_owned(),
+            wanted: "certificate",
+        });
+    }
+    Ok(certs)
+}
+
+fn private_key(pem: &str, path: &Path) -> Result<PrivateKeyDer<'static>, KeyError> {
+    PrivateKeyDer::from_pem_slice(pem.as_bytes()).map_err(|_| KeyError::Pem {
+        path: path.to_owned(),
+        wanted: "private key",
+    })
+}
--- /dev/null
+++ b/sesamebeam/src/link/peer.rs
@@ -0,0 +1,303 @@
+//! One connection to another process.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use futures::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
+use quinn::{
+    Connection,
+    ConnectionError,
+    ReadToEndError,
+    RecvStream,
+    SendStream,
+    VarInt, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use sesamebeam_core::message::wire::{
+    self,
+    MAX_MESSAGE, //
+};
+use tokio::{
+    sync::{
+        Mutex,
+        mpsc, //
+    },
+    task::AbortHandle,
+    time::timeout,
+};
+
+use super::{
+    LinkCounters,
+    LinkError,
+    Role,
+    role_of, //
+};
+
+/// Messages of one peer that wait for [`Peer::next`]. When they are not
+/// fetched, flow control slows the peer down.
+const INCOMING_QUEUE: usize = 64;
+
+/// Longest time in which a request must arrive whole once its stream is open.
+/// A peer that opens streams and sends nothing would else hold them for good.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bytes of the length in front of each one-way message.
+const LENGTH_BYTES: usize = size_of::<u32>();
+
+/// Stream error code for a message that is too long or torn.
+const BROKEN: VarInt = VarInt::from_u32(1);
+
+/// Stream error code for a call that gets no answer.
+const NO_ANSWER: VarInt = VarInt::from_u32(2);
+
+/// A connection to another process of the fleet.
+///
+/// Dropping it ends the connection once answers under way are sent.
+pub struct Peer {
+    connection: Connection,
+    role: Role,
+    /// Stream of one-way messages; none before the first and after a failure.
+    one_way: Mutex<Option<SendStream>>,
+    incoming: Mutex<mpsc::Receiver<Incoming>>,
+    driver: AbortHandle,
+}
+
+/// What a peer sent.
+#[derive(Debug)]
+pub enum Incoming {
+    /// A call that wants an answer.
+    Call {
+        /// The encoded request.
+        bytes: Vec<u8>,
+        /// Takes the answer.
+        reply: Replier,
+    },
+    /// A one-way message, encoded.
+    Message(Vec<u8>),
+}
+
+/// Takes the answer to one call. Dropped, it tells the caller that none comes.
+#[derive(Debug)]
+pub struct Replier {
+    stream: Option<SendStream>,
+}
+
+impl Peer {
+    pub(super) fn new(
+        connection: Connection,
+        counters: Arc<LinkCounters>,
+    ) -> Result<Self, LinkError> {
+        let role = role_of(&connection)?;
+        let (tx, rx) = mpsc::channel(INCOMING_QUEUE);
+        let driver = tokio::spawn(receive_all(connection.clone(), tx, counters)).abort_handle();
+        Ok(Self {
+            connection,
+            role,
+            one_way: Mutex::new(None),
+            incoming: Mutex::new(rx),
+            driver,
+        })
+    }
+
+    /// Returns who the peer is, out of its certificate.
+    pub fn role(&self) -> &Role {
+        &self.role
+    }
+
+    /// Returns the peer's address.
+    pub fn remote(&self) -> SocketAddr {
+        self.connection.remote_address()
+    }
+
+    /// Sends a request on a stream of its own and waits for the answer.
+    ///
+    /// There is no deadline here: see [`super::Caller::call`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends, the peer gives no answer, or a message
+    /// cannot be encoded or decoded.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(&self, req: &Q) -> Result<A, LinkError> {
+        let buf = wire::encode(req)?;
+        let (mut tx, mut rx) = self.connection.open_bi().await?;
+        tx.write_all(&buf).await?;
+        // It fails only if the stream was finished before.
+        let _ = tx.finish();
+        match rx.read_to_end(MAX_MESSAGE).await {
+            Ok(answer) => Ok(wire::decode(&answer)?),
+            Err(ReadToEndError::TooLong) => Err(wire::WireError::TooLong(MAX_MESSAGE + 1).into()),
+            Err(ReadToEndError::Read(quinn::ReadError::ConnectionLost(e))) => Err(e.into()),
+            Err(ReadToEndError::Read(_)) => Err(LinkError::NoAnswer),
+        }
+    }
+
+    /// Sends a one-way message after those that were sent before it.
+    ///
+    /// It waits for room on the connection, never for the peer's reading of the
+    /// message; a message is lost if the connection ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended or the message is too long.
+    pub async fn send<M: Serialize>(&self, msg: &M) -> Result<(), LinkError> {
+        let body = wire::encode(msg)?;
+        let mut buf = Vec::with_capacity(LENGTH_BYTES + body.len());
+        // INVARIANT: `encode` refuses what is longer than MAX_MESSAGE, which
+        // fits in 32 bits.
+        buf.extend_from_slice(&(body.len() as u32).to_be_bytes());
+        buf.extend_from_slice(&body);
+        let mut slot = self.one_way.lock().await;
+        // The stream is out of its slot during the write. If this future is
+        // dropped halfway, or the write fails, the torn stream goes with it and
+        // the next message opens a new one; were it kept, the rest of this
+        // message would be read as the length of the next.
+        let mut stream = match slot.take() {
+            Some(stream) => stream,
+            None => self.connection.open_uni().await?,
+        };
+        stream.write_all(&buf).await?;
+        *slot = Some(stream);
+        Ok(())
+    }
+
+    /// Waits for what the peer sends next. May be dropped and called again
+    /// without losing anything.
+    ///
+    /// # Errors
+    ///
+    /// Fails once the connection has ended and everything was fetched.
+    pub async fn next(&self) -> Result<Incoming, LinkError> {
+        match self.incoming.lock().await.recv().await {
+            Some(incoming) => Ok(incoming),
+            None => Err(self.connection.closed().await.into()),
+        }
+    }
+
+    /// Waits until the connection has ended.
+    pub async fn closed(&self) -> LinkError {
+        self.connection.closed().await.into()
+    }
+
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Ends the connection at once, with all that is under way on it.
+    pub fn close(&self) {
+        self.connection.close(VarInt::from_u32(0), b"closed");
+    }
+
+    /// Returns the number of datagrams received, to tell a silent connection
+    /// from a slow peer.
+    pub(super) fn received(&self) -> u64 {
+        self.connection.stats().udp_rx.datagrams
+    }
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Replier {
+    /// Sends the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is too long or the caller is gone.
+    pub async fn reply<A: Serialize>(mut self, answer: &A) -> Result<(), LinkError> {
+        let buf = wire::encode(answer)?;
+        let Some(mut stream) = self.stream.take() else {
+            return Err(LinkError::NoAnswer);
+        };
+        stream.write_all(&buf).await?;
+        // It fails only if the stream was finished before.
+        let _ = stream.finish();
+        Ok(())
+    }
+}
+
+impl Drop for Replier {
+    fn drop(&mut self) {
+        if let Some(mut stream) = self.stream.take() {
+            // It fails only if the stream was finished before.
+            let _ = stream.reset(NO_ANSWER);
+        }
+    }
+}
+
+/// Reads every stream of a connection into one queue, until it ends.
+async fn receive_all(
+    connection: Connection,
+    tx: mpsc::Sender<Incoming>,
+    counters: Arc<LinkCounters>,
+) -> ConnectionError {
+    let mut calls = FuturesUnordered::new();
+    let mut one_ways = FuturesUnordered::new();
+    loop {
+        tokio::select! {
+            stream = connection.accept_bi() => match stream {
+                Ok((send, recv)) => calls.push(read_call(send, recv, &tx, &counters)),
+                Err(e) => return e,
+            },
+            stream = connection.accept_uni() => match stream {
+                Ok(recv) => one_ways.push(read_one_way(recv, &tx, &counters)),
+                Err(e) => return e,
+            },
+            Some(()) = calls.next() => {}
+            Some(()) = one_ways.next() => {}
+        }
+    }
+}
+
+async fn read_call(
+    send: SendStream,
+    mut recv: RecvStream,
+    tx: &mpsc::Sender<Incoming>,
+    counters: &LinkCounters,
+) {
+    let reply = Replier { stream: Some(send) };
+    match timeout(READ_TIMEOUT, recv.read_to_end(MAX_MESSAGE)).await {
+        Ok(Ok(bytes)) => {
+            // The queue is gone only with the peer.
+            let _ = tx.send(Incoming::Call { bytes, reply }).await;
+        }
+        Ok(Err(ReadToEndError::TooLong)) => counters.broken(),
+        Ok(Err(ReadToEndError::Read(_))) | Err(_) => {}
+    }
+}
+
+/// Reads one-way messages until their stream ends.
+async fn read_one_way(mut recv: RecvStream, tx: &mpsc::Sender<Incoming>, counters: &LinkCounters) {
+    loop {
+        let mut length = [0_u8; LENGTH_BYTES];
+        if recv.read_exact(&mut length).await.is_err() {
+            return;
+        }
+        let length = u32::from_be_bytes(length) as usize;
+        if length > MAX_MESSAGE {
+            counters.broken();
+            let _ = recv.stop(BROKEN);
+            return;
+        }
+        let mut buf = vec![0; length];
+        if recv.read_exact(&mut buf).await.is_err() {
+            counters.broken();
+            return;
+        }
+        if tx.send(Incoming::Message(buf)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/sesamebeam/tests/keys.rs
@@ -0,0 +1,85 @@
+//! Keys and certificates.
+
+use std::os::unix::fs::PermissionsExt;
+
+use sesamebeam::keys::{
+    Credentials,
+    FleetCa,
+    KeyError,
+    Role,
+    Secret,
+    hash_of, //
+};
+use yare::parameterized;
+
+#[test]
+fn saved_credentials() {
+    let folder = tempfile::tempdir().unwrap();
+    let ca = FleetCa::make("vazna").unwrap();
+    ca.save(folder.path()).unwrap();
+    let ca = FleetCa::load(folder.path()).unwrap();
+
+    let own = tempfile::tempdir().unwrap();
+    let role = Role::Entry("hall-devin-1".into());
+    ca.issue(&role).unwrap().save(own.path(), &ca).unwrap();
+
+    let creds = Credentials::load(own.path()).unwrap();
+    assert_eq!(*creds.role(), role);
+    let mode = own.path().join("key.pem").metadata().unwrap().permissions();
+    assert_eq!(mode.mode() & 0o777, 0o600);
+}
+
+#[test]
+fn nothing_replaced() {
+    let folder = tempfile::tempdir().unwrap();
+    let ca = FleetCa::make("vazna").unwrap();
+    ca.save(folder.path()).unwrap();
+    let again = FleetCa::make("vazna").unwrap().save(folder.path());
+    assert!(matches!(again, Err(KeyError::Write { .. })), "{again:?}");
+    let kept = std::fs::read_to_string(folder.path().join("ca.pem")).unwrap();
+    assert_eq!(kept, ca.cert_pem());
+}
+
+#[parameterized(
+    entry = { "entry.lima-ate-1", Some(Role::Entry("lima-ate-1".into())) },
+    control = { "control.3", Some(Role::Control(3)) },
+    operator = { "operator.rosa", Some(Role::Operator("rosa".into())) },
+    other_kind = { "runner.1", None },
+    no_number = { "control.one", None },
+    two_labels = { "entry.a.b", None },
+    capital = { "entry.Lima", None },
+    empty = { "entry.", None },
+    hyphen_first = { "entry.-a", None },
+)]
+fn role_names(text: &str, expected: Option<Role>) {
+    let role = text.parse::<Role>().ok();
+    assert_eq!(role, expected);
+    if let Some(role) = role {
+        assert_eq!(role.to_string(), text);
+    }
+}
+
+#[test]
+fn bad_name_refused() {
+    let ca = FleetCa::make("vazna").unwrap();
+    let issued = ca.issue(&Role::Entry("two words".into()));
+    assert!(matches!(issued, Err(KeyError::Name(_))));
+}
+
+#[test]
+fn missing_file_named() {
+    let folder = tempfile::tempdir().unwrap();
+    let e = Credentials::load(folder.path()).err().unwrap();
+    assert!(e.to_string().contains("ca.pem"), "{e}");
+}
+
+#[test]
+fn secrets_hashed() {
+    let secret = Secret::make("sbo");
+    assert_eq!(secret.hash(), hash_of(secret.reveal()));
+    assert_ne!(secret.hash(), Secret::make("sbo").hash());
+    assert_eq!(
+        hash_of("abc"),
+        "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"
+    );
+}
