Add the core of an entry: arrival, claims, attempts, leases, explanations

Ruled out: timers and streams inside the core (a token would then cost an event); the edge reports only starts, breaks, stalls and ends. Conclusion: one enum of events in, one of actions out; the policy modules decide, this core keeps the promises round them. Not yet driven by tests.

--- /dev/null
+++ b/sesamebeam_core/src/entry/hedge.rs
@@ -0,0 +1,56 @@
+//! Hedges: a second attempt at an urgent idempotent request that is late.
+
+use super::{
+    EntryCore,
+    event::DispatchKind,
+    request::Phase, //
+};
+use crate::ids::{
+    MonoTime,
+    RequestId, //
+};
+
+impl EntryCore {
+    /// Sends second attempts where the first gave nothing in the usual time.
+    pub(super) fn tick_hedges(&mut self, now: MonoTime) {
+        let late: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, req)| matches!(req.phase, Phase::Running) && !req.once)
+            .filter(|(_, req)| req.running.len() == 1 && !req.running[0].first)
+            .filter(|(_, req)| req.running[0].kind == DispatchKind::Run)
+            .filter(|(_, req)| {
+                let delay = self
+                    .view
+                    .class(Some(&req.class), None)
+                    .and_then(|class| self.hedges.delay(class));
+                delay.is_some_and(|delay| now.saturating_sub(req.running[0].since) > delay)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.hedge(now, id);
+        }
+    }
+
+    fn hedge(&mut self, now: MonoTime, id: RequestId) {
+        let Some(req) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let first = req.running[0].server;
+        let allowed = self
+            .view
+            .class(Some(&req.class), None)
+            .is_some_and(|class| self.hedges.try_hedge(class));
+        if !allowed {
+            return;
+        }
+        req.avoid.push(first);
+        req.attempts += 1;
+        let at = req.next_id();
+        let version = req.version().cloned();
+        if let Some(server) = self.pick(now, id) {
+            self.dispatch_as(now, id, server, at, version, DispatchKind::Hedge);
+        }
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/entry/members.rs
@@ -0,0 +1,259 @@
+//! Backend servers: announcements, deaths, crashes, and what other entries say.
+
+use super::{
+    EntryCore,
+    ask::AskFor,
+    event::{
+        Audience,
+        EntryAction,
+        Notice, //
+    }, //
+};
+use crate::{
+    ids::{
+        Digest,
+        InstanceId,
+        MonoTime, //
+    },
+    message::{
+        control::{
+            ControlRequest,
+            FleetChange,
+            Update, //
+        },
+        peer::{
+            Alive,
+            PeerMessage, //
+        },
+        record::ServerLife,
+        server::Announcement, //
+    },
+    policy::servers::{
+        Announced,
+        ServerEvent, //
+    },
+};
+
+impl EntryCore {
+    /// Takes an announcement; `own` if the backend server came here with it.
+    pub(super) fn announced(&mut self, now: MonoTime, announcement: &Announcement, own: bool) {
+        let announced = self.servers.announce(now, announcement);
+        let life = ServerLife {
+            addr: announcement.addr,
+            incarnation: announcement.incarnation,
+        };
+        match announced {
+            Announced::Old => return,
+            Announced::Ignored(fault) => {
+                let why = smol_str::format_smolstr!(
+                    "announcement of {}: unknown {fault:?}",
+                    announcement.addr
+                );
+                return self.out.push(EntryAction::Notice(Notice::Ignored { why }));
+            }
+            Announced::Restarted { old } => {
+                let old = ServerLife {
+                    addr: announcement.addr,
+                    incarnation: old,
+                };
+                self.died(now, old);
+            }
+            Announced::New | Announced::Back => {
+                self.out.push(EntryAction::Notice(Notice::ServerUp {
+                    server: life,
+                    pool: announcement.pool.clone(),
+                }));
+            }
+            Announced::Changed | Announced::Leaving | Announced::Refreshed => {}
+        }
+        if let Some(known) = self.servers.get(announcement.addr).cloned() {
+            self.balance.upsert(now, &known);
+        }
+        self.set_capacities();
+        if own && announced == Announced::Refreshed {
+            self.alive.insert(announcement.addr, alive_of(announcement));
+        }
+        if own {
+            self.spread();
+        } else {
+            // Told by a peer, who told the others too.
+            self.servers.take_deltas();
+        }
+        self.pump_wanted = true;
+    }
+
+    /// Takes a message of another entry.
+    pub(super) fn peer(&mut self, now: MonoTime, from: InstanceId, message: PeerMessage) {
+        match message {
+            PeerMessage::Servers(list) => {
+                for announcement in &list {
+                    self.announced(now, announcement, false);
+                }
+            }
+            PeerMessage::Alive(list) => self.heard_alive(now, &list),
+            PeerMessage::WantServers => {
+                let list: Vec<Announcement> = self.servers.all().cloned().collect();
+                self.tell(Audience::One(from), PeerMessage::Servers(list));
+            }
+            PeerMessage::WantConfig => self.give_config(from),
+            PeerMessage::Config {
+                revision,
+                fleet,
+                live,
+            } => self.peer_config(now, revision, fleet, live),
+            PeerMessage::Alarm { held, suspects } => {
+                for version in &held {
+                    self.exposure.hold(now, version);
+                }
+                self.suspects.alarm(now, suspects);
+            }
+            PeerMessage::Leaving { .. } => {}
+        }
+    }
+
+    /// A backend server refused a connection or was not reached.
+    pub(super) fn server_unreachable(&mut self, now: MonoTime, life: &ServerLife, refused: bool) {
+        self.balance.avoid(now, life.addr);
+        if refused {
+            self.died(now, *life);
+        }
+    }
+
+    /// Drops backend servers whose lease is over.
+    pub(super) fn tick_servers(&mut self, now: MonoTime) {
+        for event in self.servers.tick(now) {
+            let (server, why) = match event {
+                ServerEvent::Out(addr) => (addr, "silent for a lease"),
+                ServerEvent::Unreachable(addr) => (addr, "behind a cut"),
+                ServerEvent::Cut(_) => continue,
+            };
+            self.balance.remove(server);
+            self.out.push(EntryAction::Notice(Notice::ServerDown {
+                server,
+                why: why.into(),
+            }));
+        }
+        self.set_capacities();
+        if !self.alive.is_empty() && now >= self.next_alive {
+            self.next_alive = now + self.cfg.alive_every;
+            let list = std::mem::take(&mut self.alive).into_values().collect();
+            self.tell(Audience::All, PeerMessage::Alive(list));
+        }
+    }
+
+    /// Takes the death of a backend server's life, which is proved by a new
+    /// life or a refused connection, once.
+    fn died(&mut self, now: MonoTime, life: ServerLife) {
+        if self.dead.contains(&life) {
+            return;
+        }
+        self.dead.push_back(life);
+        super::keep_newest(&mut self.dead, super::MAX_LOST);
+        let on_board = self.on_board(&life);
+        let Some(report) = self.suspects.died(now, life, &on_board) else {
+            return;
+        };
+        let suspects = report.suspects.clone();
+        self.ask(
+            AskFor::Report,
+            ControlRequest::Crash(report),
+            self.cfg.claim_timeout,
+        );
+        self.tell(
+            Audience::All,
+            PeerMessage::Alarm {
+                held: Vec::new(),
+                suspects,
+            },
+        );
+    }
+
+    /// Fingerprints of the requests that a life ran when it died: those still
+    /// under way and those that broke off there shortly before.
+    fn on_board(&self, life: &ServerLife) -> Vec<Digest> {
+        let running = self
+            .requests
+            .values()
+            .filter(|req| req.running.iter().any(|run| run.server == *life))
+            .map(|req| req.arrival.digest);
+        let lost = self
+            .lost
+            .iter()
+            .filter(|(_, server, _)| server == life)
+            .map(|(_, _, digest)| *digest);
+        running.chain(lost).collect()
+    }
+
+    fn heard_alive(&mut self, now: MonoTime, list: &[Alive]) {
+        let mut unknown = false;
+        for alive in list {
+            match self.servers.get(alive.addr) {
+                Some(known) if known.incarnation == alive.incarnation => {
+                    self.servers.heard(now, alive.addr);
+                }
+                _ => unknown = true,
+            }
+        }
+        if unknown && now >= self.next_want {
+            self.next_want = now + self.cfg.alive_every;
+            self.tell(Audience::Domain, PeerMessage::WantServers);
+        }
+    }
+
+    fn spread(&mut self) {
+        let deltas = self.servers.take_deltas();
+        if !deltas.is_empty() {
+            self.tell(Audience::All, PeerMessage::Servers(deltas));
+        }
+    }
+
+    fn give_config(&mut self, to: InstanceId) {
+        if self.view.revision() == 0 {
+            return;
+        }
+        let message = PeerMessage::Config {
+            revision: self.view.revision(),
+            fleet: FleetChange::Whole(Box::new(self.view.fleet().clone())),
+            live: self.view.live().clone(),
+        };
+        self.tell(Audience::One(to), message);
+    }
+
+    /// A configuration from another entry counts only while this one is cut
+    /// off from the control group, and only if it is newer.
+    fn peer_config(
+        &mut self,
+        now: MonoTime,
+        revision: u64,
+        fleet: FleetChange,
+        live: crate::message::control::Live,
+    ) {
+        if self.view.lease_held(now) {
+            return;
+        }
+        let update = Update {
+            revision,
+            fleet: Some(fleet),
+            live: Some(live),
+        };
+        self.take_update(update);
+    }
+
+    pub(super) fn set_capacities(&mut self) {
+        for pool in &self.view.fleet().pools {
+            let slots = self.balance.capacity(&pool.name);
+            self.admission.set_capacity(&pool.name, slots);
+        }
+    }
+
+    pub(super) fn tell(&mut self, to: Audience, message: PeerMessage) {
+        self.out.push(EntryAction::Tell { to, message });
+    }
+}
+
+fn alive_of(announcement: &Announcement) -> Alive {
+    Alive {
+        addr: announcement.addr,
+        incarnation: announcement.incarnation,
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/entry/view.rs
@@ -0,0 +1,281 @@
+//! The configuration in force at an entry: file, live state and lease.
+
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
+
+use smol_str::SmolStr;
+
+use crate::{
+    fleet::{
+        Class,
+        Fleet,
+        Organisation,
+        Pool,
+        PoolKind,
+        Rollout,
+        Version,
+        VersionState,
+        WhenCut, //
+    },
+    ids::{
+        ClassId,
+        Digest,
+        MonoTime,
+        OrgId,
+        PoolId,
+        Revision,
+        VersionId, //
+    },
+    message::{
+        command::RolloutState,
+        control::{
+            FleetChange,
+            Live,
+            Update, //
+        }, //
+    },
+};
+
+/// Whether an organisation's request may run on a version now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Usable {
+    /// In full use.
+    Settled,
+    /// Rolling out, for this share of eligible requests.
+    Rolling(f64),
+    /// Held fleet-wide by evidence: sessions that have it stay, nothing new.
+    Held,
+    /// Rolling out, and the configuration lease has ended here.
+    CutOff,
+    /// Withdrawn, or no longer in the file.
+    Withdrawn,
+    /// Not in the organisation's list.
+    NotAllowed,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigView {
+    /// Revision of the file; 0 before the first.
+    revision: Revision,
+    /// The file.
+    fleet: Fleet,
+    /// State beside the file.
+    live: Live,
+    /// End of the configuration lease; none before the first.
+    lease_until: Option<MonoTime>,
+    /// Positions by name, so that a decision does not grow with their number.
+    index: Index,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Index {
+    orgs: IndexMap<OrgId, (usize, IndexSet<VersionId>)>,
+    keys: IndexMap<SmolStr, usize>,
+    classes: IndexMap<ClassId, usize>,
+    pools: IndexMap<PoolId, usize>,
+    versions: IndexMap<VersionId, (usize, usize)>,
+    rollouts: IndexMap<VersionId, usize>,
+    quarantine: IndexSet<Digest>,
+}
+
+impl ConfigView {
+    /// Revision in force; 0 before the first.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The file in force.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The state beside the file.
+    pub fn live(&self) -> &Live {
+        &self.live
+    }
+
+    /// Takes an update whole. Returns whether anything became new.
+    ///
+    /// An answer that was long under way may bring an older configuration than
+    /// the one in force. Taking it would let a withdrawn version run again, so
+    /// neither number ever goes back.
+    pub fn take(&mut self, update: Update) -> bool {
+        let mut new = false;
+        if update.revision > self.revision
+            && let Some(fleet) = update.fleet.and_then(|change| self.changed(change))
+        {
+            self.fleet = fleet;
+            self.revision = update.revision;
+            new = true;
+        }
+        if let Some(live) = update.live
+            && live.at > self.live.at
+        {
+            self.live = live;
+            new = true;
+        }
+        if new {
+            self.index = Index::of(&self.fleet, &self.live);
+        }
+        new
+    }
+
+    /// Notes a renewed lease.
+    pub fn renew(&mut self, until: MonoTime) {
+        self.lease_until = self.lease_until.max(Some(until));
+    }
+
+    /// Tells whether the configuration lease is held.
+    pub fn lease_held(&self, now: MonoTime) -> bool {
+        self.lease_until.is_some_and(|until| now < until)
+    }
+
+    /// Finds an organisation.
+    pub fn organisation(&self, name: &str) -> Option<&Organisation> {
+        let (at, _) = self.index.orgs.get(name)?;
+        self.fleet.organisations.get(*at)
+    }
+
+    /// Finds the organisation whose key has this hash.
+    pub fn organisation_by_key(&self, key_sha256: &str) -> Option<&Organisation> {
+        let at = self.index.keys.get(key_sha256)?;
+        self.fleet.organisations.get(*at)
+    }
+
+    /// Finds a class; none asks for the first one that the pool serves.
+    pub fn class(&self, name: Option<&str>, service: Option<&str>) -> Option<&Class> {
+        match name {
+            Some(name) => self
+                .index
+                .classes
+                .get(name)
+                .and_then(|at| self.fleet.classes.get(*at)),
+            None => self
+                .fleet
+                .classes
+                .iter()
+                .find(|class| class.service.as_deref() == service),
+        }
+    }
+
+    /// Finds a pool.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.fleet.pools.get(*self.index.pools.get(name)?)
+    }
+
+    /// Finds a pool of plain services.
+    pub fn service(&self, name: &str) -> Option<&Pool> {
+        self.pool(name)
+            .filter(|pool| pool.kind == PoolKind::Service)
+    }
+
+    /// Finds a version and the pool that loads it.
+    pub fn version(&self, full: &str) -> Option<(&Version, &PoolId)> {
+        let (model, version) = *self.index.versions.get(full)?;
+        let model = self.fleet.models.get(model)?;
+        Some((model.versions.get(version)?, &model.pool))
+    }
+
+    /// Finds the roll-out of a version.
+    pub fn rollout(&self, full: &str) -> Option<&Rollout> {
+        self.fleet.rollouts.get(*self.index.rollouts.get(full)?)
+    }
+
+    /// Tells whether a fingerprint is quarantined.
+    pub fn quarantined(&self, fingerprint: Digest) -> bool {
+        self.index.quarantine.contains(&fingerprint)
+    }
+
+    /// Tells whether an organisation's request may run on a version now.
+    pub fn usable(&self, now: MonoTime, org: &str, full: &str) -> Usable {
+        let Some((at, allowed)) = self.index.orgs.get(org) else {
+            return Usable::NotAllowed;
+        };
+        if !allowed.contains(full) {
+            return Usable::NotAllowed;
+        }
+        let Some((version, _)) = self.version(full) else {
+            return Usable::Withdrawn;
+        };
+        match version.state {
+            VersionState::Withdrawn => Usable::Withdrawn,
+            _ if self.live.held.iter().any(|held| held == full) => Usable::Held,
+            VersionState::Settled => Usable::Settled,
+            VersionState::Rolling => self.rolling(now, *at, full),
+        }
+    }
+
+    /// Share of a rolling version. A version still rolling out is the kind that
+    /// turns bad and gets withdrawn, and a cut-off entry would not hear of it:
+    /// so it is refused once the lease has ended, unless the organisation wants
+    /// it otherwise.
+    fn rolling(&self, now: MonoTime, org: usize, full: &str) -> Usable {
+        let when_cut = self.fleet.organisations[org].when_cut;
+        if !self.lease_held(now) && when_cut == WhenCut::SettledOnly {
+            return Usable::CutOff;
+        }
+        let Some(view) = self.live.rollouts.iter().find(|r| r.version == full) else {
+            return Usable::Rolling(0.0);
+        };
+        match view.state {
+            RolloutState::Done => Usable::Settled,
+            RolloutState::Held => Usable::Held,
+            RolloutState::Loading => Usable::Rolling(0.0),
+            RolloutState::At(_) => Usable::Rolling(view.share),
+        }
+    }
+
+    /// Versions that an organisation may use, in the order of its list.
+    pub fn allowed(&self, org: &str) -> impl Iterator<Item = &VersionId> {
+        self.index
+            .orgs
+            .get(org)
+            .into_iter()
+            .flat_map(|(_, set)| set)
+    }
+
+    fn changed(&self, change: FleetChange) -> Option<Fleet> {
+        match change {
+            FleetChange::Whole(fleet) => Some(*fleet),
+            FleetChange::Delta(delta) if delta.base == self.revision => {
+                crate::state::delta::apply(&self.fleet, &delta).ok()
+            }
+            // A difference from another base is of no use; the next renewal
+            // names our revision and brings what fits.
+            FleetChange::Delta(_) => None,
+        }
+    }
+}
+
+impl Index {
+    fn of(fleet: &Fleet, live: &Live) -> Self {
+        let mut index = Self {
+            quarantine: live.quarantine.iter().copied().collect(),
+            ..Self::default()
+        };
+        for (at, org) in fleet.organisations.iter().enumerate() {
+            let allowed = org.allow.iter().cloned().collect();
+            index.orgs.insert(org.name.clone(), (at, allowed));
+            index.keys.insert(org.key_sha256.clone(), at);
+        }
+        for (at, class) in fleet.classes.iter().enumerate() {
+            index.classes.insert(class.name.clone(), at);
+        }
+        for (at, pool) in fleet.pools.iter().enumerate() {
+            index.pools.insert(pool.name.clone(), at);
+        }
+        for (m, model) in fleet.models.iter().enumerate() {
+            for (v, version) in model.versions.iter().enumerate() {
+                let full = crate::ids::join_version(&model.name, &version.name);
+                index.versions.insert(full, (m, v));
+            }
+        }
+        for (at, rollout) in fleet.rollouts.iter().enumerate() {
+            index.rollouts.insert(rollout.version.clone(), at);
+        }
+        index
+    }
+}
