--- a/sesamebeam_core/src/replica/message.rs
+++ b/sesamebeam_core/src/replica/message.rs
@@ -224,6 +224,8 @@
         round: u64,
         /// Last entry that matches the leader's log and is synced here.
         synced: LogIndex,
+        /// Whether the sender's disk is full.
+        full: bool,
         /// Where to go on from if the entries did not fit.
         hint: Option<LogEnd>,
     },
