Add the control core over the replicated log

Cause: the daemon needs one state machine that turns clients' requests into proposals and replies. Ruled out: restarting each dispatch window at a change of leader; every replica's own time of applying a claim is a start that is never too early, and needs no wait. Ruled out also: a revision in force that only the leader's memory holds, since a new leader would seem to take it back; it is a record of the log. Conclusion: the interface stands and compiles against the replica's; its tests wait for the replica's body.

--- a/sesamebeam_core/src/lib.rs
+++ b/sesamebeam_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! any harness can drive it with its own clock, network and disk.
 
 pub mod entry;
+pub mod control;
 pub mod fleet;
 pub mod ids;
 pub mod message;
--- a/sesamebeam_core/src/message/control.rs
+++ b/sesamebeam_core/src/message/control.rs
@@ -229,6 +229,8 @@
     pub new: NodeId,
     /// Where it listens.
     pub addr: std::net::SocketAddr,
+    /// Incarnation of its data folder.
+    pub incarnation: u128,
 }
 
 /// A control replica's answer.
