Test verdicts, deltas, roll-outs, crashes and retention of the state

Cause: the state's features stood without tests. Found on the way: the judge of crashes quarantined every one of three requests that shared crashes in pairs, bystanders among them. Ruled out: weighing all crashes at once, which cannot tell that an earlier crash was explained already; the crashes are gone through in their order now, which still lets a late report lift a quarantine. Conclusion: each safeguard of the state has a test that sees it fail when it is switched off.

--- a/sesamebeam_core/src/state/crash.rs
+++ b/sesamebeam_core/src/state/crash.rs
@@ -4,15 +4,15 @@
 //! them are suspects. The guilty one is in each further crash; a bystander that
 //! was sent again often shares one further crash with it, seldom two.
 //!
-//! The rule, worked out anew from the crashes that are kept whenever one is
+//! The rule, worked out anew over the kept crashes in their order whenever one is
 //! reported, so that a late report can also lift a quarantine:
 //!
-//! 1. A crash in which a quarantined fingerprint took part is explained by it
+//! 1. A crash in which a fingerprint found guilty took part is explained by it
 //!    and counts against nobody else.
-//! 2. A fingerprint is quarantined when it is the only one that took part in
-//!    each of the two or more unexplained crashes it was in.
-//! 3. Several that took part in the same crashes are quarantined together only
-//!    from the third crash on.
+//! 2. Of the suspects of a crash, the one with the most unexplained crashes is
+//!    guilty if these are two or more and no other suspect has as many.
+//! 3. Several with as many are found guilty together only from the third crash
+//!    on: a further crash or a clearing mostly tells them apart before.
 //! 4. A suspect that runs to its end elsewhere is cleared of earlier crashes.
 
 use std::{
@@ -49,10 +49,10 @@
 /// Most fingerprints quarantined; the oldest goes first.
 const MAX_QUARANTINED: usize = 1024;
 
-/// Crashes that quarantine a fingerprint which no other shares.
+/// Crashes from which a fingerprint is guilty that no other suspect equals.
 const ALONE: usize = 2;
 
-/// Crashes that quarantine fingerprints which share all of them.
+/// Crashes from which several equal suspects are guilty together.
 const TOGETHER: usize = 3;
 
 /// The crashes that are kept, and what follows from them.
@@ -128,20 +128,12 @@
     }
 
     fn judge(&mut self, clock: Duration, bystanders: bool) {
-        let mut guilty = BTreeSet::new();
-        loop {
-            let found = self.guilty_besides(&guilty, bystanders);
-            if found.is_empty() {
-                break;
-            }
-            guilty.extend(found);
-        }
+        let guilty = self.guilty(bystanders);
         let in_kept = self.kept.iter().flat_map(|crash| &crash.suspects);
         let in_kept: BTreeSet<_> = in_kept.copied().collect();
         // What no kept crash speaks of any more keeps its quarantine to the end.
-        self.quarantine.retain(|fingerprint, _| {
-            guilty.contains(fingerprint) || !in_kept.contains(fingerprint)
-        });
+        self.quarantine
+            .retain(|print, _| guilty.contains(print) || !in_kept.contains(print));
         for fingerprint in guilty {
             self.quarantine.entry(fingerprint).or_insert(clock);
         }
@@ -154,32 +146,41 @@
         }
     }
 
-    /// Finds who is guilty of the crashes that `known` does not explain: those
-    /// in most of them first, so that they explain the rest.
-    fn guilty_besides(&self, known: &BTreeSet<Digest>, bystanders: bool) -> Vec<Digest> {
+    /// Goes through the crashes as they happened and finds who is guilty.
+    fn guilty(&self, bystanders: bool) -> BTreeSet<Digest> {
+        let mut guilty = BTreeSet::new();
+        let mut explained = BTreeSet::new();
         let mut lives: BTreeMap<Digest, Vec<usize>> = BTreeMap::new();
         for (at, crash) in self.kept.iter().enumerate() {
-            let explained = !crash.suspects.is_disjoint(known);
-            if explained && !bystanders {
+            if !bystanders && !crash.suspects.is_disjoint(&guilty) {
+                explained.insert(at);
                 continue;
             }
-            for suspect in crash.suspects.difference(known) {
-                lives.entry(*suspect).or_default().push(at);
+            let mut counts = Vec::new();
+            for suspect in &crash.suspects {
+                let crashes = lives.entry(*suspect).or_default();
+                crashes.push(at);
+                let open = crashes.iter().filter(|at| !explained.contains(*at));
+                counts.push((open.count(), *suspect));
             }
-        }
-        let most = lives.values().map(Vec::len).max().unwrap_or(0);
-        if most < ALONE {
-            return Vec::new();
-        }
-        let mut tied: BTreeMap<&[usize], Vec<Digest>> = BTreeMap::new();
-        for (fingerprint, crashes) in &lives {
-            if crashes.len() == most || (bystanders && crashes.len() >= ALONE) {
-                tied.entry(crashes).or_default().push(*fingerprint);
+            for fingerprint in most_suspect(&counts, bystanders) {
+                guilty.insert(fingerprint);
+                explained.extend(lives.get(&fingerprint).into_iter().flatten());
             }
         }
-        let sets = tied.into_iter();
-        sets.filter(|(crashes, group)| bystanders || group.len() == 1 || crashes.len() >= TOGETHER)
-            .flat_map(|(_, group)| group)
-            .collect()
+        guilty
+    }
+}
+
+/// Picks who is guilty of one crash, by the unexplained crashes of each suspect.
+fn most_suspect(counts: &[(usize, Digest)], bystanders: bool) -> Vec<Digest> {
+    let most = counts.iter().map(|(count, _)| *count).max().unwrap_or(0);
+    let least = if bystanders { ALONE } else { most.max(ALONE) };
+    let found = counts.iter().filter(|(count, _)| *count >= least);
+    let found: Vec<Digest> = found.map(|(_, fingerprint)| *fingerprint).collect();
+    if bystanders || found.len() == 1 || most >= TOGETHER {
+        found
+    } else {
+        Vec::new()
     }
 }
--- a/sesamebeam_core/tests/state/main.rs
+++ b/sesamebeam_core/tests/state/main.rs
@@ -2,5 +2,10 @@
 
 mod billing;
 mod claims;
+mod crashes;
+mod deltas;
 mod make;
 mod pins;
+mod retention;
+mod rollouts;
+mod verdicts;
