Learn the second answers of cascades apart

Ruled out: a fixed factor for hard requests; it stays as the prior only. Conclusion: Rated::Counted tells whether it was a redo.

--- a/sesamebeam_core/src/policy/balance.rs
+++ b/sesamebeam_core/src/policy/balance.rs
@@ -347,20 +347,23 @@
             .is_some_and(|serving| !serving.near.is_empty() || !serving.far.is_empty())
     }
 
-    /// Gives the slots of all backend servers of a pool that take work: near
-    /// ones, or all if there are none near.
-    pub fn capacity(&self, pool: &str) -> u32 {
-        let slots = |near: bool| -> u32 {
-            self.servers
-                .values()
-                .filter(|slot| slot.pool == pool && !slot.leaving && (slot.near || !near))
-                .map(|slot| slot.slots)
-                .sum()
-        };
-        match slots(true) {
-            0 => slots(false),
-            near => near,
+    /// Gives the slots of a pool that this entry may count on: those in its own
+    /// failure domain, and half of what reports leave free in others, which
+    /// other entries may turn to as well.
+    pub fn capacity(&self, now: MonoTime, pool: &str) -> u32 {
+        let mut near = 0.0;
+        let mut far = 0.0;
+        for slot in self.servers.values() {
+            if slot.pool != pool || slot.leaving || slot.avoid_until > now {
+                continue;
+            }
+            let free = slot.free(now, &self.cfg);
+            match slot.near {
+                true => near += free,
+                false => far += free,
+            }
         }
+        (near + far / 2.0) as u32
     }
 
     /// Gives the requests of this entry in flight on a backend server.
--- a/sesamebeam_core/src/policy/balance/table.rs
+++ b/sesamebeam_core/src/policy/balance/table.rs
@@ -122,6 +122,11 @@
         Duration::from_secs_f64(queued + idle * (1.0 + FULL_SLOWDOWN * share))
     }
 
+    /// Gives the slots that the work of other entries leaves to this one.
+    pub(super) fn free(&self, now: MonoTime, cfg: &BalanceConfig) -> f64 {
+        (f64::from(self.slots) - self.others(now, cfg)).max(0.0)
+    }
+
     /// Gives the work of other entries, believed less the older the report is.
     fn others(&self, now: MonoTime, cfg: &BalanceConfig) -> f64 {
         if !cfg.reported_load {
--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -189,12 +189,14 @@
         if !self.may_cascade(quality, input) {
             return scored;
         }
+        let class = &input.class.name;
         for (first, first_moments) in input.candidates.iter().zip(&moments) {
             for (then, then_moments) in input.candidates.iter().zip(&moments) {
                 if first.cost >= then.cost || first_moments.mean >= then_moments.mean {
                     continue;
                 }
-                let (moments, rejected) = self.cascade(*first_moments, *then_moments);
+                let redo = quality.moments_redo(class, &then.version, self.cfg.hard_factor);
+                let (moments, rejected) = self.cascade(*first_moments, redo);
                 scored.push(Scored::new(
                     Plan::Cascade {
                         first: first.version.clone(),
@@ -224,14 +226,14 @@
     }
 
     /// Gives the quality of a cascade and the share of first answers rejected.
-    fn cascade(&self, first: Moments, then: Moments) -> (Moments, f64) {
+    ///
+    /// `redo` is the quality of the stronger version on what the first failed.
+    fn cascade(&self, first: Moments, redo: Moments) -> (Moments, f64) {
         let (hit, miss) = (self.cfg.rater_accepts_good, self.cfg.rater_accepts_bad);
-        let strong = then.mean * self.cfg.hard_factor;
         let rejected = 1.0 - first.mean * hit - (1.0 - first.mean) * miss;
-        let mean = first.mean * hit + rejected * strong;
-        let by_first = hit - (hit - miss) * strong;
-        let by_then = rejected * self.cfg.hard_factor;
-        let var = by_first * by_first * first.var + by_then * by_then * then.var;
+        let mean = first.mean * hit + rejected * redo.mean;
+        let by_first = hit - (hit - miss) * redo.mean;
+        let var = by_first * by_first * first.var + rejected * rejected * redo.var;
         (Moments { mean, var }, rejected)
     }
 
--- a/sesamebeam_core/src/policy/quality.rs
+++ b/sesamebeam_core/src/policy/quality.rs
@@ -86,6 +86,9 @@
     Counted {
         /// Whether the answer was good.
         good: bool,
+        /// Whether the answer was the second of a cascade: the request was a
+        /// hard one, so it says nothing of the version's usual quality.
+        redo: bool,
     },
     /// It was not learnt from.
     Ignored(Ignored),
@@ -135,6 +138,7 @@
 struct Sampled {
     class: ClassId,
     version: VersionId,
+    redo: bool,
     at: MonoTime,
 }
 
@@ -155,6 +159,8 @@
     priors: IndexMap<VersionId, f64>,
     /// Evidence by version, then class.
     cells: IndexMap<VersionId, IndexMap<ClassId, Counts>>,
+    /// Evidence on requests whose first answer in a cascade was bad.
+    redone: IndexMap<VersionId, IndexMap<ClassId, Counts>>,
     sampled: IndexMap<RequestId, Sampled>,
     sampled_order: VecDeque<RequestId>,
     faded_at: MonoTime,
@@ -172,6 +178,7 @@
             cfg,
             priors: IndexMap::new(),
             cells: IndexMap::new(),
+            redone: IndexMap::new(),
             sampled: IndexMap::new(),
             sampled_order: VecDeque::new(),
             faded_at: MonoTime::ZERO,
@@ -194,6 +201,8 @@
         }
         let priors = &self.priors;
         self.cells.retain(|version, _| priors.contains_key(version));
+        self.redone
+            .retain(|version, _| priors.contains_key(version));
         self.generation += 1;
     }
 
@@ -204,6 +213,31 @@
         request: RequestId,
         class: &ClassId,
         version: &VersionId,
+    ) {
+        self.await_rating(now, request, class, version, false);
+    }
+
+    /// Remembers the second answer of a cascade that is sent for rating.
+    ///
+    /// It is learnt from apart: a cascade hands only hard requests on, and
+    /// their ratings would make the stronger version look bad.
+    pub fn sampled_redo(
+        &mut self,
+        now: MonoTime,
+        request: RequestId,
+        class: &ClassId,
+        version: &VersionId,
+    ) {
+        self.await_rating(now, request, class, version, true);
+    }
+
+    fn await_rating(
+        &mut self,
+        now: MonoTime,
+        request: RequestId,
+        class: &ClassId,
+        version: &VersionId,
+        redo: bool,
     ) {
         while self.sampled_order.len() >= MAX_SAMPLED {
             if let Some(oldest) = self.sampled_order.pop_front() {
@@ -213,6 +247,7 @@
         let sampled = Sampled {
             class: class.clone(),
             version: version.clone(),
+            redo,
             at: now,
         };
         self.sampled.insert(request, sampled);
@@ -250,7 +285,7 @@
             self.counts.unknown += 1;
             return Rated::Ignored(Ignored::Unknown);
         }
-        let rated = self.learn(now, class, version, score);
+        let rated = self.learn(now, class, version, score, false);
         match rated {
             Rated::Counted { .. } => self.counts.counted += 1,
             Rated::Ignored(_) => self.counts.distrusted += 1,
@@ -266,11 +301,8 @@
         }
         self.faded_at = now;
         let keep = 0.5f64.powf(step.as_secs_f64() / self.cfg.half_life.as_secs_f64().max(1.0));
-        for counts in self
-            .cells
-            .values_mut()
-            .flat_map(|classes| classes.values_mut())
-        {
+        let cells = self.cells.values_mut().chain(self.redone.values_mut());
+        for counts in cells.flat_map(|classes| classes.values_mut()) {
             counts.good *= keep;
             counts.bad *= keep;
         }
@@ -300,12 +332,24 @@
     /// Gives mean and variance of the share of good answers.
     pub fn moments(&self, class: &str, version: &str) -> Moments {
         let Counts { good, bad } = self.posterior(class, version);
-        let n = good + bad;
-        let mean = good / n;
-        Moments {
-            mean,
-            var: mean * (1.0 - mean) / (n + 1.0),
-        }
+        beta_moments(good, bad)
+    }
+
+    /// Gives mean and variance of the share of good answers to requests whose
+    /// first answer in a cascade was bad. Before evidence, `hard_factor` times
+    /// the usual quality.
+    pub fn moments_redo(&self, class: &str, version: &str, hard_factor: f64) -> Moments {
+        let usual = self.moments(class, version).mean * hard_factor;
+        let weight = self.cfg.prior_weight;
+        let seen = self
+            .redone
+            .get(version)
+            .and_then(|classes| classes.get(class));
+        let seen = seen.copied().unwrap_or_default();
+        beta_moments(
+            usual * weight + seen.good,
+            (1.0 - usual) * weight + seen.bad,
+        )
     }
 
     /// Gives how many ratings the evidence of a version in a class is worth.
@@ -344,24 +388,39 @@
         if sampled.at > now || rating.age > now.saturating_sub(sampled.at) + CLOCK_SLACK {
             return Rated::Ignored(Ignored::Future);
         }
+        let redo = sampled.redo;
         self.sampled.swap_remove(&rating.request);
-        self.learn(now, &rating.class, &rating.version, rating.score)
+        self.learn(now, &rating.class, &rating.version, rating.score, redo)
     }
 
-    fn learn(&mut self, now: MonoTime, class: &ClassId, version: &VersionId, score: f64) -> Rated {
+    fn learn(
+        &mut self,
+        now: MonoTime,
+        class: &ClassId,
+        version: &VersionId,
+        score: f64,
+        redo: bool,
+    ) -> Rated {
         let good = score >= self.cfg.good_score;
-        self.judge_rater(now, class, version, good);
+        if !redo {
+            self.judge_rater(now, class, version, good);
+        }
         if self.distrust_until.is_some() {
             return Rated::Ignored(Ignored::Distrusted);
         }
         if self.cfg.learn {
-            self.add(class, version, good);
+            self.add(class, version, good, redo);
         }
-        Rated::Counted { good }
+        Rated::Counted { good, redo }
     }
 
-    fn add(&mut self, class: &ClassId, version: &VersionId, good: bool) {
-        let classes = self.cells.entry(version.clone()).or_default();
+    fn add(&mut self, class: &ClassId, version: &VersionId, good: bool, redo: bool) {
+        let cells = if redo {
+            &mut self.redone
+        } else {
+            &mut self.cells
+        };
+        let classes = cells.entry(version.clone()).or_default();
         let counts = classes.entry(class.clone()).or_default();
         let n = counts.good + counts.bad;
         if n >= self.cfg.memory {
@@ -448,3 +507,12 @@
     }
     (1.0 - beta_reg(good.max(1e-3), bad.max(1e-3), target)).clamp(0.0, 1.0)
 }
+
+fn beta_moments(good: f64, bad: f64) -> Moments {
+    let n = good + bad;
+    let mean = good / n;
+    Moments {
+        mean,
+        var: mean * (1.0 - mean) / (n + 1.0),
+    }
+}
