Read settings and fleet files, refusing every fault by place

Cause: daemons need typed settings, and an operator's file must be applied as a whole or not at all, with messages that say where to look.

Ruled out: toml_edit for places (the toml crate's own spanned tables give line and column); collecting several unknown keys in one run (serde stops at the first; faults between keys are all told at once); refusing an organisation whose allowed versions are all withdrawn (it would block a withdrawal in an emergency).

--- a/sesamebeam_core/src/fleet/check.rs
+++ b/sesamebeam_core/src/fleet/check.rs
@@ -1,10 +1,28 @@
 //! Checks of a fleet file that look at more than one key.
 
-use std::fmt;
+mod models;
+mod organisations;
+mod rollouts;
+
+use std::{
+    collections::BTreeSet,
+    fmt, //
+};
 
 use smol_str::SmolStr;
 
-use super::Fleet;
+use super::{
+    Class,
+    Fleet,
+    Pool,
+    PoolKind, //
+};
+
+/// Longest name in bytes.
+const MAX_NAME: usize = 63;
+
+/// Similarity from which on a name is suggested for another (Jaro-Winkler, 0 to 1).
+const SIMILAR: f64 = 0.8;
 
 /// A fault in a fleet file.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,7 +36,7 @@
 }
 
 /// One step of a path into a fleet file.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
     /// A key of a table.
     Key(&'static str),
@@ -26,6 +44,24 @@
     At(usize),
 }
 
+impl Fault {
+    /// Makes a fault without a suggestion.
+    pub fn new(path: &[Step], message: impl Into<String>) -> Self {
+        Self {
+            path: path.to_vec(),
+            message: message.into(),
+            suggestion: None,
+        }
+    }
+
+    /// Adds the most similar of `names` to `word`, if one is similar enough.
+    #[must_use]
+    pub fn suggest<'a>(mut self, word: &str, names: impl IntoIterator<Item = &'a str>) -> Self {
+        self.suggestion = nearest(word, names);
+        self
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.message)?;
@@ -36,27 +72,199 @@
     }
 }
 
+/// Finds the most similar of `names` to `word`, if one is similar enough.
+pub fn nearest<'a>(word: &str, names: impl IntoIterator<Item = &'a str>) -> Option<SmolStr> {
+    names
+        .into_iter()
+        .map(|name| (strsim::jaro_winkler(word, name), name))
+        .filter(|(similarity, _)| *similarity >= SIMILAR)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, name)| name.into())
+}
+
 /// Lists every fault of a fleet file; an empty list means that it may be applied.
 pub fn check(fleet: &Fleet) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    for (at, org) in fleet.organisations.iter().enumerate() {
-        for (n, version) in org.allow.iter().enumerate() {
-            if fleet.version(version).is_none() {
-                faults.push(Fault {
-                    path: vec![
-                        Step::Key("organisation"),
-                        Step::At(at),
-                        Step::Key("allow"),
-                        Step::At(n),
-                    ],
-                    message: format!(
-                        "organisation `{}` allows `{version}`, which no model lists",
-                        org.name
-                    ),
-                    suggestion: None,
-                });
-            }
+    let mut faults = Faults::default();
+    check_head(fleet, &mut faults);
+    check_pools(fleet, &mut faults);
+    models::check(fleet, &mut faults);
+    check_classes(fleet, &mut faults);
+    organisations::check(fleet, &mut faults);
+    rollouts::check(fleet, &mut faults);
+    faults.list
+}
+
+/// Faults found so far.
+#[derive(Default)]
+struct Faults {
+    list: Vec<Fault>,
+}
+
+impl Faults {
+    fn add(&mut self, path: &[Step], message: impl Into<String>) {
+        self.list.push(Fault::new(path, message));
+    }
+
+    /// Adds a fault about a name that nothing bears.
+    fn unknown<'a>(
+        &mut self,
+        path: &[Step],
+        message: impl Into<String>,
+        word: &str,
+        names: impl IntoIterator<Item = &'a str>,
+    ) {
+        self.list
+            .push(Fault::new(path, message).suggest(word, names));
+    }
+
+    /// Checks that a name can stand in headers, logs and metrics.
+    fn name(&mut self, path: &[Step], what: &str, name: &str) {
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if name.is_empty() || name.len() > MAX_NAME || !name.chars().all(plain) {
+            self.add(
+                path,
+                format!(
+                    "{what} name `{name}` is not 1 to {MAX_NAME} letters, digits, `-`, `_` or `.`"
+                ),
+            );
+        }
+    }
+
+    /// Checks that a share lies between 0 and 1.
+    fn share(&mut self, path: &[Step], what: &str, value: f64) {
+        // A value that is not a number is in no range.
+        if !(0.0..=1.0).contains(&value) {
+            self.add(path, format!("{what} is {value}, outside 0 to 1"));
+        }
+    }
+}
+
+/// Names seen so far in one list.
+#[derive(Default)]
+struct Seen<'a> {
+    names: BTreeSet<&'a str>,
+}
+
+impl<'a> Seen<'a> {
+    /// Adds a fault if the name was seen before.
+    fn once(&mut self, faults: &mut Faults, path: &[Step], what: &str, name: &'a str) {
+        if !self.names.insert(name) {
+            faults.add(path, format!("{what} `{name}` is listed twice"));
         }
     }
-    faults
+}
+
+fn check_head(fleet: &Fleet, faults: &mut Faults) {
+    faults.name(&[Step::Key("name")], "fleet", &fleet.name);
+    if fleet.domains.is_empty() {
+        faults.add(&[Step::Key("domains")], "no failure domain is listed");
+    }
+    let mut seen = Seen::default();
+    for (at, domain) in fleet.domains.iter().enumerate() {
+        let path = [Step::Key("domains"), Step::At(at)];
+        faults.name(&path, "failure domain", domain);
+        seen.once(faults, &path, "failure domain", domain);
+    }
+}
+
+fn check_pools(fleet: &Fleet, faults: &mut Faults) {
+    let mut seen = Seen::default();
+    for (at, pool) in fleet.pools.iter().enumerate() {
+        let key = |key| [Step::Key("pool"), Step::At(at), Step::Key(key)];
+        faults.name(&key("name"), "pool", &pool.name);
+        seen.once(faults, &key("name"), "pool", &pool.name);
+        if pool.slots == 0 {
+            faults.add(
+                &key("slots"),
+                format!("pool `{}` has zero slots and could run nothing", pool.name),
+            );
+        }
+        check_kind(pool, key, faults);
+    }
+}
+
+fn check_kind(pool: &Pool, key: impl Fn(&'static str) -> [Step; 3], faults: &mut Faults) {
+    match pool.kind {
+        PoolKind::Engine if pool.lookup => faults.add(
+            &key("lookup"),
+            format!(
+                "pool `{}` is of engines; `lookup` is for services",
+                pool.name
+            ),
+        ),
+        PoolKind::Service if pool.checks_fencing => faults.add(
+            &key("checks_fencing"),
+            format!(
+                "pool `{}` is of services; `checks_fencing` is for engines",
+                pool.name
+            ),
+        ),
+        PoolKind::Engine | PoolKind::Service => {}
+    }
+}
+
+fn check_classes(fleet: &Fleet, faults: &mut Faults) {
+    if fleet.classes.is_empty() && !fleet.organisations.is_empty() {
+        faults.add(
+            &[Step::Key("organisation")],
+            "no class of requests is listed, so that no organisation could be served",
+        );
+    }
+    let mut seen = Seen::default();
+    for (at, class) in fleet.classes.iter().enumerate() {
+        let key = |key| [Step::Key("class"), Step::At(at), Step::Key(key)];
+        faults.name(&key("name"), "class", &class.name);
+        seen.once(faults, &key("name"), "class", &class.name);
+        check_class(fleet, class, key, faults);
+    }
+}
+
+fn check_class(
+    fleet: &Fleet,
+    class: &Class,
+    key: impl Fn(&'static str) -> [Step; 3],
+    faults: &mut Faults,
+) {
+    let name = &class.name;
+    if class.deadline.is_zero() {
+        faults.add(
+            &key("deadline"),
+            format!("class `{name}` has a deadline of zero"),
+        );
+    }
+    if class.cascade && !class.idempotent {
+        faults.add(
+            &key("cascade"),
+            format!("class `{name}` is not idempotent, so that a cascade would run it twice"),
+        );
+    }
+    let Some(service) = &class.service else {
+        return;
+    };
+    if class.cascade {
+        faults.add(
+            &key("cascade"),
+            format!("class `{name}` goes to a plain service, which has no versions to cascade"),
+        );
+    }
+    match fleet.pool(service).map(|pool| pool.kind) {
+        Some(PoolKind::Service) => {}
+        Some(PoolKind::Engine) => faults.unknown(
+            &key("service"),
+            format!("class `{name}` goes to pool `{service}`, which is of engines, not services"),
+            service,
+            pools_of(fleet, PoolKind::Service),
+        ),
+        None => faults.unknown(
+            &key("service"),
+            format!("class `{name}` goes to pool `{service}`, which is not listed"),
+            service,
+            pools_of(fleet, PoolKind::Service),
+        ),
+    }
+}
+
+fn pools_of(fleet: &Fleet, kind: PoolKind) -> impl Iterator<Item = &str> {
+    let pools = fleet.pools.iter().filter(move |pool| pool.kind == kind);
+    pools.map(|pool| pool.name.as_str())
 }
