Add the entry's and the control replica's edges and daemons

Cause: the thin path needs processes round the cores: callers' HTTP, streams, announcements, claims over QUIC, the replica's task and its disk thread. Ruled out: a channel hop for each token (the answer's body is polled in the caller's own connection task instead); renewals on the request runtime (they have a thread of their own).

--- /dev/null
+++ b/sesamebeam/src/bin/sesamebeam-control.rs
@@ -0,0 +1,5 @@
+//! The control daemon.
+
+fn main() -> std::process::ExitCode {
+    sesamebeam::daemon::control_main()
+}
--- /dev/null
+++ b/sesamebeam/src/bin/sesamebeam-entry.rs
@@ -0,0 +1,5 @@
+//! The entry daemon.
+
+fn main() -> std::process::ExitCode {
+    sesamebeam::daemon::entry_main()
+}
--- /dev/null
+++ b/sesamebeam/src/daemon.rs
@@ -0,0 +1,244 @@
+//! Command lines of the daemons.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use pico_args::Arguments;
+use thiserror::Error;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{
+        SignalKind,
+        signal, //
+    }, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    control::{
+        Control,
+        ControlError,
+        Start, //
+    },
+    entry::{
+        Entry,
+        EntryError, //
+    },
+    keys::{
+        Credentials,
+        KeyError, //
+    },
+    settings::{
+        ControlSettings,
+        EntrySettings, //
+    },
+    toml_file::FileError,
+};
+
+/// Exit code of a typing error.
+const USAGE: u8 = 2;
+
+const ENTRY_HELP: &str = "\
+sesamebeam-entry - routes requests of callers to backend servers
+
+SYNOPSIS
+    sesamebeam-entry --settings FILE [--check]
+
+DESCRIPTION
+    Runs one entry until SIGTERM or SIGINT, which begin a planned stop: the
+    entry stops being ready, serves on until the balancer has noticed, finishes
+    every request and exits. It needs no disk. A second signal ends it at once.
+
+OPTIONS
+    --settings FILE   Settings in TOML. See docs/OPERATING.md.
+    --check           Reads and checks the settings, then exits.
+    -h, --help        Prints this page.
+
+EXIT CODES
+    0  stopped as planned, or the settings are right
+    1  could not start, or failed
+    2  typing error
+";
+
+const CONTROL_HELP: &str = "\
+sesamebeam-control - keeps configuration and records by quorum
+
+SYNOPSIS
+    sesamebeam-control --settings FILE [--init | --join] [--check]
+
+DESCRIPTION
+    Runs one control replica until SIGTERM or SIGINT. It needs a data folder on
+    a disk of its own.
+
+OPTIONS
+    --settings FILE   Settings in TOML. See docs/OPERATING.md.
+    --init            Makes the data folder of one of the group's first
+                      replicas. Only when the whole group is made anew.
+    --join            Makes the data folder of a replica that replaces a lost
+                      one, and prints its incarnation for `sesamebeam control
+                      replace`.
+    --check           Reads and checks the settings, then exits.
+    -h, --help        Prints this page.
+
+EXIT CODES
+    0  stopped as planned, or the settings are right
+    1  could not start, or failed
+    2  typing error
+";
+
+/// Why a daemon could not start or had to stop.
+#[derive(Debug, Error)]
+enum DaemonError {
+    /// The settings have a fault.
+    #[error(transparent)]
+    Settings(#[from] FileError),
+    /// The keys cannot be read.
+    #[error(transparent)]
+    Keys(#[from] KeyError),
+    /// The entry failed.
+    #[error(transparent)]
+    Entry(#[from] EntryError),
+    /// The control replica failed.
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    /// The operating system refuses a runtime or a signal handler.
+    #[error("cannot start: {0}")]
+    Start(#[from] std::io::Error),
+}
+
+/// What a daemon's command line says.
+struct Args {
+    settings: PathBuf,
+    check: bool,
+    start: Start,
+}
+
+/// Runs the entry daemon.
+pub fn entry_main() -> ExitCode {
+    main_with(ENTRY_HELP, false, run_entry)
+}
+
+/// Runs the control daemon.
+pub fn control_main() -> ExitCode {
+    main_with(CONTROL_HELP, true, run_control)
+}
+
+fn main_with(
+    help: &str,
+    control: bool,
+    run: impl FnOnce(Args) -> Result<(), DaemonError>,
+) -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{help}");
+        return ExitCode::SUCCESS;
+    }
+    let args = match parse(args, control) {
+        Ok(args) => args,
+        Err(e) => {
+            eprintln!("{e}; see --help");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn parse(mut args: Arguments, control: bool) -> Result<Args, String> {
+    let settings = args
+        .value_from_str("--settings")
+        .map_err(|e| e.to_string())?;
+    let check = args.contains("--check");
+    let init = control && args.contains("--init");
+    let join = control && args.contains("--join");
+    if let Some(extra) = args.finish().first() {
+        return Err(format!("unknown argument {}", extra.display()));
+    }
+    let start = match (init, join) {
+        (true, true) => return Err("--init and --join exclude each other".to_owned()),
+        (true, false) => Start::Init,
+        (false, true) => Start::Join,
+        (false, false) => Start::Existing,
+    };
+    Ok(Args {
+        settings,
+        check,
+        start,
+    })
+}
+
+fn run_entry(args: Args) -> Result<(), DaemonError> {
+    let settings = EntrySettings::read(&args.settings)?;
+    if args.check {
+        println!("{}: no fault", args.settings.display());
+        return Ok(());
+    }
+    let _logger = crate::logging::start(&settings.log);
+    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        cancel_on_signal(stop.clone())?;
+        let entry = Entry::start(settings, stop).await?;
+        let addrs = entry.addrs();
+        log::info!(
+            "serving callers={} announcements={} link={}",
+            addrs.callers,
+            addrs.announcements,
+            addrs.link
+        );
+        entry.stopped().await;
+        Ok(())
+    })
+}
+
+fn run_control(args: Args) -> Result<(), DaemonError> {
+    let settings = ControlSettings::read(&args.settings)?;
+    if args.check {
+        println!("{}: no fault", args.settings.display());
+        return Ok(());
+    }
+    let _logger = crate::logging::start(&settings.log);
+    let creds = Credentials::load(&settings.keys)?;
+    if args.start != Start::Existing {
+        let incarnation = Control::make_folder(&settings, &creds, args.start)?;
+        println!("incarnation {incarnation:032x}");
+    }
+    // One thread: the task that owns the core never waits behind other work.
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        cancel_on_signal(stop.clone())?;
+        let control = Control::open(settings, &creds)?;
+        log::info!("serving link={}", control.local_addr()?);
+        control.run(stop).await?;
+        Ok(())
+    })
+}
+
+/// Cancels at the first SIGTERM or SIGINT and exits at the second.
+fn cancel_on_signal(stop: CancellationToken) -> std::io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        for first in [true, false] {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+            if first {
+                stop.cancel();
+            } else {
+                std::process::exit(1);
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/sesamebeam/src/entry/peers.rs
@@ -0,0 +1,179 @@
+//! Messages between entries, and questions of operators.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use sesamebeam_core::{
+    entry::event::{
+        Audience,
+        EntryEvent, //
+    },
+    ids::{
+        DomainId,
+        InstanceId, //
+    },
+    message::{
+        entry::{
+            EntryReply,
+            EntryRequest,
+            EntryState, //
+        },
+        peer::PeerMessage,
+        wire, //
+    },
+};
+use tokio::sync::mpsc::{
+    Receiver,
+    Sender,
+    channel, //
+};
+use tokio_util::sync::CancellationToken;
+
+use super::hub::Hub;
+use crate::{
+    link::{
+        Caller,
+        Incoming,
+        Link,
+        Peer,
+        Pool,
+        Role, //
+    },
+    settings::PeerEntry,
+};
+
+/// Messages waiting for one peer. More are dropped: what they said is told
+/// again by the refreshes that follow.
+const MAX_WAITING: usize = 256;
+
+/// Longest time for sending one message.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Other entries.
+pub(crate) struct Peers {
+    domain: DomainId,
+    peers: Vec<(InstanceId, DomainId, Sender<PeerMessage>)>,
+}
+
+impl Peers {
+    /// Starts a sending task for each of the other entries.
+    pub(crate) fn start(
+        domain: DomainId,
+        peers: &[PeerEntry],
+        pool: &Pool,
+        cancel: &CancellationToken,
+    ) -> Self {
+        let peers = peers
+            .iter()
+            .map(|peer| {
+                let (tx, rx) = channel(MAX_WAITING);
+                let caller = pool.get(peer.addr, Some(Role::Entry(peer.instance.clone())));
+                tokio::spawn(send_all(caller, rx, cancel.clone()));
+                (peer.instance.clone(), peer.domain.clone(), tx)
+            })
+            .collect();
+        Self { domain, peers }
+    }
+
+    /// Tells other entries, without waiting for them.
+    pub(crate) fn tell(&self, to: &Audience, message: &PeerMessage) {
+        for (instance, domain, tx) in &self.peers {
+            let wanted = match to {
+                Audience::All => true,
+                Audience::Domain => *domain == self.domain,
+                Audience::One(name) => name == instance,
+            };
+            if wanted {
+                let _ = tx.try_send(message.clone());
+            }
+        }
+    }
+}
+
+/// Serves connections from other entries and operators until cancelled.
+pub(crate) async fn serve(
+    link: Arc<Link>,
+    hub: Arc<Hub>,
+    me: (InstanceId, DomainId),
+    cancel: CancellationToken,
+) {
+    loop {
+        let peer = tokio::select! {
+            () = cancel.cancelled() => return,
+            peer = link.accept() => peer,
+        };
+        let Some(peer) = peer else {
+            return;
+        };
+        let (hub, me, cancel) = (Arc::clone(&hub), me.clone(), cancel.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = cancel.cancelled() => {}
+                () = serve_one(peer, hub, me) => {}
+            }
+        });
+    }
+}
+
+async fn serve_one(peer: Peer, hub: Arc<Hub>, me: (InstanceId, DomainId)) {
+    while let Ok(incoming) = peer.next().await {
+        match (incoming, peer.role()) {
+            (Incoming::Message(bytes), Role::Entry(from)) => match wire::decode(&bytes) {
+                Ok(message) => hub.event(EntryEvent::Peer {
+                    from: from.clone(),
+                    message,
+                }),
+                Err(e) => log::warn!("message of entry {from} ignored: {e}"),
+            },
+            (Incoming::Call { bytes, reply }, Role::Operator(name)) => {
+                let answer = match wire::decode(&bytes) {
+                    Ok(req) => answer(&hub, &me, req),
+                    Err(e) => {
+                        log::warn!("question of operator {name} ignored: {e}");
+                        EntryReply::Refused("the question does not decode".into())
+                    }
+                };
+                let _ = reply.reply(&answer).await;
+            }
+            // No other role has anything to ask here.
+            (Incoming::Call { reply, .. }, _) => {
+                let refused = EntryReply::Refused("not for this role".into());
+                let _ = reply.reply(&refused).await;
+            }
+            (Incoming::Message(_), _) => {}
+        }
+    }
+}
+
+fn answer(hub: &Hub, me: &(InstanceId, DomainId), req: EntryRequest) -> EntryReply {
+    let now = hub.now();
+    hub.with(|core| match req {
+        EntryRequest::Explain(id) => EntryReply::Explained(core.explanations().find(id).cloned()),
+        EntryRequest::Burn(org) => EntryReply::Burn(core.burn(now, org.as_deref())),
+        EntryRequest::Status => EntryReply::Status(Box::new(EntryState {
+            instance: me.0.clone(),
+            domain: me.1.clone(),
+            revision: core.view().revision(),
+            lease_held: core.view().lease_held(now),
+            in_flight: core.in_flight() as u64,
+            stopping: core.is_stopping(),
+            servers: core.servers().all().cloned().collect(),
+        })),
+    })
+}
+
+async fn send_all(caller: Arc<Caller>, mut rx: Receiver<PeerMessage>, cancel: CancellationToken) {
+    loop {
+        let message = tokio::select! {
+            () = cancel.cancelled() => return,
+            message = rx.recv() => message,
+        };
+        let Some(message) = message else {
+            return;
+        };
+        // A peer that cannot be reached hears the next refresh.
+        let _ = caller.send(&message, SEND_TIMEOUT).await;
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/http/problem.rs
@@ -0,0 +1,93 @@
+//! Problem documents (RFC 9457) for refusals.
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full,
+    combinators::UnsyncBoxBody, //
+};
+use hyper::{
+    Response,
+    StatusCode,
+    header, //
+};
+use serde::Serialize;
+use sesamebeam_core::entry::refusal::Refusal;
+
+/// Body of every answer that an entry gives.
+pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A problem document.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    /// URI that names the kind of problem.
+    r#type: String,
+    /// Short name for people.
+    title: &'a str,
+    /// HTTP status.
+    status: u16,
+    /// One sentence for people.
+    detail: &'a str,
+    /// Whether the request ran.
+    outcome: &'a str,
+    /// When a later call can help, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// Turns a refusal into the text of a problem document.
+pub fn document(refusal: &Refusal) -> Vec<u8> {
+    let name = refusal.reason.name();
+    let problem = Problem {
+        r#type: format!("urn:sesamebeam:problem:{name}"),
+        title: name,
+        status: refusal.reason.status(),
+        detail: &refusal.detail,
+        outcome: refusal.outcome.name(),
+        retry_after_ms: refusal
+            .retry_after
+            .map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX)),
+    };
+    serde_json::to_vec(&problem).unwrap_or_default()
+}
+
+/// Turns a refusal into an answer with its `Retry-After` header.
+pub fn response(refusal: &Refusal) -> Response<AnswerBody> {
+    let mut builder = Response::builder()
+        .status(StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::BAD_GATEWAY))
+        .header(header::CONTENT_TYPE, "application/problem+json");
+    if let Some(after) = refusal.retry_after {
+        let secs = after.as_millis().div_ceil(1000).max(1);
+        builder = builder.header(header::RETRY_AFTER, secs.to_string());
+    }
+    builder
+        .body(full(document(refusal)))
+        .unwrap_or_else(|_| Response::new(full(Vec::new())))
+}
+
+/// Makes an answer to a request that cannot be read, so that it never ran.
+pub fn bad(status: u16, name: &str, detail: &str) -> Response<AnswerBody> {
+    let problem = Problem {
+        r#type: format!("urn:sesamebeam:problem:{name}"),
+        title: name,
+        status,
+        detail,
+        outcome: "not_run",
+        retry_after_ms: None,
+    };
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut answer = Response::new(full(body));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+    answer.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/problem+json"),
+    );
+    answer
+}
+
+/// Makes a body of known length.
+pub fn full(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
--- a/sesamebeam/src/keys/credentials.rs
+++ b/sesamebeam/src/keys/credentials.rs
@@ -21,6 +21,8 @@
     version::TLS13,
 };
 
+use xxhash_rust::xxh3::xxh3_128;
+
 use super::{
     CA_FILE,
     CERT_FILE,
@@ -37,11 +39,25 @@
 /// The CA's certificate, a process's own certificate and its private key.
 pub struct Credentials {
     role: Role,
+    /// Digest of the fleet's certificate authority.
+    fleet: u128,
     roots: Arc<RootCertStore>,
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
 }
 
+impl Clone for Credentials {
+    fn clone(&self) -> Self {
+        Self {
+            role: self.role.clone(),
+            fleet: self.fleet,
+            roots: Arc::clone(&self.roots),
+            chain: self.chain.clone(),
+            key: self.key.clone_key(),
+        }
+    }
+}
+
 impl Credentials {
     /// Reads `ca.pem`, `cert.pem` and `key.pem` from a folder.
     ///
@@ -77,6 +93,11 @@
         &self.role
     }
 
+    /// Returns a number that all processes of one fleet share and no other has.
+    pub fn fleet(&self) -> u128 {
+        self.fleet
+    }
+
     /// Makes the TLS settings for connecting to peers.
     pub(crate) fn client(&self) -> Result<QuicClientConfig, KeyError> {
         let mut cfg = ClientConfig::builder_with_provider(provider())
@@ -110,12 +131,14 @@
         key: PrivateKeyDer<'static>,
     ) -> Result<Self, KeyError> {
         let mut roots = RootCertStore::empty();
+        let fleet = ca.first().map_or(0, |cert| xxh3_128(cert));
         for cert in ca {
             roots.add(cert)?;
         }
         let own = chain.first().ok_or(KeyError::NoRole)?;
         Ok(Self {
             role: Role::from_certificate(own)?,
+            fleet,
             roots: Arc::new(roots),
             chain,
             key,
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -1,10 +1,15 @@
 //! The edges of sesamebeam: sockets, files, timers, settings, logs and keys
 //! round the core that decides.
 
+pub mod control;
+pub mod daemon;
 pub mod disk;
+pub mod entry;
 pub mod fleet_file;
+pub mod http;
 pub mod keys;
 pub mod limit;
 pub mod link;
+pub mod logging;
 pub mod settings;
 pub mod toml_file;
--- a/sesamebeam_core/src/entry/finish.rs
+++ b/sesamebeam_core/src/entry/finish.rs
@@ -77,7 +77,11 @@
             self.observe(now, &version, &class, Observation::Whole { took, tokens });
         }
         if self.samples(id) && finished.answer.body.is_some() {
-            self.quality.sampled(now, id, &class, &version);
+            if self.requests[&id].second {
+                self.quality.sampled_redo(now, id, &class, &version);
+            } else {
+                self.quality.sampled(now, id, &class, &version);
+            }
             if self.sampled.len() >= MAX_SAMPLED {
                 self.sampled.shift_remove_index(0);
             }
@@ -93,12 +97,16 @@
     /// Learns from a late rating.
     pub(super) fn rated(&mut self, now: MonoTime, rating: &Rating) {
         match self.quality.rate(now, rating) {
-            Rated::Counted { good } => {
+            Rated::Counted { good, redo } => {
                 if let Some((org, class)) = self.sampled.swap_remove(&rating.request) {
                     self.burn.rated(now, &org, &class, good);
                 }
-                let seen = Observation::Rated { good };
-                self.observe(now, &rating.version, &rating.class, seen);
+                // Second answers are of hard requests only: they say nothing
+                // of whether the version is bad.
+                if !redo {
+                    let seen = Observation::Rated { good };
+                    self.observe(now, &rating.version, &rating.class, seen);
+                }
             }
             Rated::Ignored(why) => {
                 let why = smol_str::format_smolstr!("rating: {why:?}");
@@ -123,7 +131,7 @@
             return false;
         };
         let class = req.class.clone();
-        if let Rated::Counted { good } = self.quality.rate_now(now, &class, version, score) {
+        if let Rated::Counted { good, .. } = self.quality.rate_now(now, &class, version, score) {
             self.observe(now, version, &class, Observation::Rated { good });
             return good;
         }
--- a/sesamebeam_core/src/entry/lease.rs
+++ b/sesamebeam_core/src/entry/lease.rs
@@ -56,7 +56,7 @@
         // it from after, so it never ends here later than there.
         self.view.renew(asked + renewed.lease);
         if let Some(update) = renewed.update {
-            self.take_update(update);
+            self.take_update(now, update);
         }
         self.next_renew = now;
         if !self.stopping {
@@ -65,13 +65,13 @@
     }
 
     /// Takes a configuration whole.
-    pub(super) fn take_update(&mut self, update: Update) {
+    pub(super) fn take_update(&mut self, now: MonoTime, update: Update) {
         let before = self.view.revision();
         if !self.view.take(update) {
             return;
         }
         if self.view.revision() != before {
-            self.take_fleet();
+            self.take_fleet(now);
         }
         self.exposure.live(self.view.live());
         self.suspects
@@ -110,7 +110,7 @@
         }
     }
 
-    fn take_fleet(&mut self) {
+    fn take_fleet(&mut self, now: MonoTime) {
         let fleet = self.view.fleet();
         self.quality.configure(fleet);
         self.exposure.configure(fleet);
@@ -121,7 +121,7 @@
         for addr in gone {
             self.balance.remove(addr);
         }
-        self.set_capacities();
+        self.set_capacities(now);
         self.out.push(EntryAction::Notice(Notice::InForce {
             revision: self.view.revision(),
         }));
--- a/sesamebeam_core/src/entry/members.rs
+++ b/sesamebeam_core/src/entry/members.rs
@@ -69,7 +69,7 @@
         if let Some(known) = self.servers.get(announcement.addr).cloned() {
             self.balance.upsert(now, &known);
         }
-        self.set_capacities();
+        self.set_capacities(now);
         if own && announced == Announced::Refreshed {
             self.alive.insert(announcement.addr, alive_of(announcement));
         }
@@ -133,7 +133,7 @@
                 why: why.into(),
             }));
         }
-        self.set_capacities();
+        self.set_capacities(now);
         if !self.alive.is_empty() && now >= self.next_alive {
             self.next_alive = now + self.cfg.alive_every;
             let list = std::mem::take(&mut self.alive).into_values().collect();
@@ -236,12 +236,12 @@
             fleet: Some(fleet),
             live: Some(live),
         };
-        self.take_update(update);
+        self.take_update(now, update);
     }
 
-    pub(super) fn set_capacities(&mut self) {
+    pub(super) fn set_capacities(&mut self, now: MonoTime) {
         for pool in &self.view.fleet().pools {
-            let slots = self.balance.capacity(&pool.name);
+            let slots = self.balance.capacity(now, &pool.name);
             self.admission.set_capacity(&pool.name, slots);
         }
     }
--- a/sesamebeam_core/src/lib.rs
+++ b/sesamebeam_core/src/lib.rs
@@ -4,8 +4,8 @@
 //! Each core takes `(now, event)` and answers with a list of actions, so that
 //! any harness can drive it with its own clock, network and disk.
 
-pub mod entry;
 pub mod control;
+pub mod entry;
 pub mod fleet;
 pub mod ids;
 pub mod message;
--- a/sesamebeam_core/src/message.rs
+++ b/sesamebeam_core/src/message.rs
@@ -5,6 +5,7 @@
 
 pub mod command;
 pub mod control;
+pub mod entry;
 pub mod peer;
 pub mod record;
 pub mod server;
