Test the control core over three replicas and hold leadership on full disks

Cause: the control core had no tests, and reads were served by nobody once two of three disks were full: the full leader handed over to the last replica with space, which could not commit its first entry and so answered no reads. Ruled out: letting a new leader answer reads before its first entry is committed, since it cannot know what was committed before. A full leader now hands over only if the other voters with space are a quorum.

--- a/sesamebeam_core/src/replica/leading.rs
+++ b/sesamebeam_core/src/replica/leading.rs
@@ -416,11 +416,26 @@
     ///
     /// With nobody to take over, this replica goes on to serve reads.
     pub(super) fn yield_if_full(&mut self) {
-        if self.full && self.best_successor().is_some() {
+        if self.full && self.quorum_has_space() && self.best_successor().is_some() {
             self.hand_over();
         }
     }
 
+    /// Returns whether the other voters with space on their disks are a quorum.
+    ///
+    /// A new leader answers reads only once its first entry is committed. With
+    /// fewer disks it could not commit that, and what this leader still serves
+    /// would be served by nobody.
+    fn quorum_has_space(&self) -> bool {
+        let Standing::Leader(leader) = &self.standing else {
+            return false;
+        };
+        let has_space =
+            |(node, p): &(&NodeId, &Progress)| self.members().is_voter(**node) && !p.full;
+        let with_space = leader.progress.iter().filter(has_space).count();
+        with_space >= self.members().quorum()
+    }
+
     /// Stops leading and asks the best other replica to stand at once.
     ///
     /// The lease ends here, before the request is sent: otherwise the new
--- /dev/null
+++ b/sesamebeam_core/tests/control/group.rs
@@ -0,0 +1,490 @@
+//! Three control replicas with explicit time, and the links and disks between.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use sesamebeam_core::{
+    control::{
+        ClientTicket,
+        ControlAction,
+        ControlConfig,
+        ControlCore,
+        ControlEvent, //
+    },
+    fleet::{
+        Class,
+        Fleet,
+        Model,
+        Organisation,
+        Pool,
+        PoolKind,
+        Rollout,
+        Version,
+        VersionState, //
+    },
+    ids::{
+        LogIndex,
+        MonoTime,
+        NodeId,
+        Revision, //
+    },
+    message::{
+        command::{
+            Change,
+            Order,
+            Verdict, //
+        },
+        control::{
+            ControlReply,
+            ControlRequest,
+            Renew,
+            Renewed, //
+        },
+        record::{
+            ClaimEnd,
+            ClaimKey,
+            ClaimReply,
+            ClaimRequest,
+            ClaimView,
+            Claimant,
+            CompleteRequest,
+            Completed,
+            ServerLife,
+            Usage, //
+        },
+        server::Announcement,
+    },
+    replica::{
+        Members,
+        ReplicaConfig,
+        Saved, //
+    },
+    state::Faults,
+};
+
+/// Time that a message, or a sync of the disk, takes.
+const HOP: Duration = Duration::from_millis(1);
+
+/// Longest virtual time that a test waits for anything.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// Length of an entry's lease in these tests.
+pub(crate) const ENTRY_LEASE: Duration = Duration::from_secs(6);
+
+/// Network bound in these tests.
+pub(crate) const BOUND: Duration = Duration::from_secs(2);
+
+/// Dispatch window in these tests.
+pub(crate) const WINDOW: Duration = Duration::from_secs(1);
+
+/// One replica with its disk.
+struct Node {
+    cfg: ControlConfig,
+    saved: Saved,
+    core: Option<ControlCore>,
+}
+
+/// Three control replicas.
+pub(crate) struct Group {
+    pub(crate) now: MonoTime,
+    nodes: BTreeMap<NodeId, Node>,
+    events: BTreeMap<(MonoTime, u64), (NodeId, ControlEvent)>,
+    cut: BTreeSet<NodeId>,
+    frozen: BTreeMap<NodeId, Vec<ControlEvent>>,
+    replies: BTreeMap<ClientTicket, (MonoTime, ControlReply)>,
+    /// Orders given, by whom and when.
+    pub(crate) orders: Vec<(NodeId, MonoTime, Order)>,
+    last: u64,
+}
+
+impl Group {
+    pub(crate) fn new(faults: Faults) -> Self {
+        Self::with(faults, |_| {})
+    }
+
+    /// Makes a group with changed settings and elects its first leader.
+    pub(crate) fn with(faults: Faults, change: impl Fn(&mut ControlConfig)) -> Self {
+        let mut group = Self {
+            now: Duration::from_secs(1),
+            nodes: BTreeMap::new(),
+            events: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            frozen: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            orders: Vec::new(),
+            last: 0,
+        };
+        for id in 1..=3 {
+            let mut cfg = ControlConfig::new(replica(id));
+            cfg.entry_lease = ENTRY_LEASE;
+            cfg.dispatch_bound = BOUND;
+            cfg.faults = faults;
+            change(&mut cfg);
+            let node = Node {
+                cfg,
+                saved: Saved::default(),
+                core: None,
+            };
+            group.nodes.insert(id, node);
+            group.start(id);
+        }
+        group.wait_leader();
+        group
+    }
+
+    /// Starts a replica from its disk.
+    pub(crate) fn start(&mut self, id: NodeId) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&id).unwrap();
+        let (core, actions) = ControlCore::new(node.cfg.clone(), node.saved.clone(), now);
+        node.core = Some(core);
+        self.take(id, actions);
+    }
+
+    /// Kills a replica: what it has not synced is gone.
+    pub(crate) fn kill(&mut self, id: NodeId) {
+        self.nodes.get_mut(&id).unwrap().core = None;
+        self.events.retain(|_, (to, _)| *to != id);
+    }
+
+    /// Cuts a replica off from the others, silently.
+    pub(crate) fn cut(&mut self, id: NodeId) {
+        self.cut.insert(id);
+    }
+
+    /// Joins a replica with the others again.
+    pub(crate) fn join(&mut self, id: NodeId) {
+        self.cut.remove(&id);
+    }
+
+    /// Stops a replica's process; what comes for it waits.
+    pub(crate) fn freeze(&mut self, id: NodeId) {
+        self.frozen.insert(id, Vec::new());
+    }
+
+    /// Lets a replica's process go on, with all that came meanwhile.
+    pub(crate) fn thaw(&mut self, id: NodeId) {
+        for event in self.frozen.remove(&id).into_iter().flatten() {
+            self.handle(id, event);
+        }
+    }
+
+    pub(crate) fn core(&self, id: NodeId) -> &ControlCore {
+        self.nodes[&id].core.as_ref().expect("the replica runs")
+    }
+
+    /// Finds the replica that leads under its lease.
+    pub(crate) fn leader(&self) -> Option<NodeId> {
+        let leads = |node: &Node| node.core.as_ref().is_some_and(|c| c.leads(self.now));
+        let mut leaders = self.nodes.iter().filter(|(_, node)| leads(node));
+        leaders.next().map(|(id, _)| *id)
+    }
+
+    pub(crate) fn wait_leader(&mut self) -> NodeId {
+        self.wait(|group| group.leader())
+    }
+
+    /// Waits until another replica leads.
+    pub(crate) fn wait_other_leader(&mut self, old: NodeId) -> NodeId {
+        self.wait(|group| {
+            let mut ids = group.nodes.keys().filter(|id| **id != old);
+            let leads = |id: &&NodeId| {
+                let core = group.nodes[*id].core.as_ref();
+                core.is_some_and(|core| core.leads(group.now))
+            };
+            ids.find(leads).copied()
+        })
+    }
+
+    /// Runs until something is found.
+    pub(crate) fn wait<T>(&mut self, find: impl Fn(&Self) -> Option<T>) -> T {
+        let end = self.now + PATIENCE;
+        loop {
+            if let Some(found) = find(self) {
+                return found;
+            }
+            assert!(self.now < end, "waited in vain");
+            self.step(end);
+        }
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step(end);
+        }
+    }
+
+    /// Sends a request and does not wait.
+    pub(crate) fn send(&mut self, to: NodeId, req: ControlRequest) -> ClientTicket {
+        self.last += 1;
+        let ticket = self.last;
+        self.handle(to, ControlEvent::Client { ticket, req });
+        ticket
+    }
+
+    pub(crate) fn reply(&self, ticket: ClientTicket) -> Option<&ControlReply> {
+        self.replies.get(&ticket).map(|(_, reply)| reply)
+    }
+
+    /// Sends a request to one replica and waits for its answer.
+    pub(crate) fn ask(&mut self, to: NodeId, req: ControlRequest) -> ControlReply {
+        let ticket = self.send(to, req);
+        self.wait(|group| group.reply(ticket).cloned())
+    }
+
+    /// Sends a request to the leader and waits for its answer.
+    pub(crate) fn ask_leader(&mut self, req: ControlRequest) -> ControlReply {
+        let leader = self.wait_leader();
+        self.ask(leader, req)
+    }
+
+    pub(crate) fn accept(&mut self, base: Revision, fleet: Fleet) {
+        let reply = self.ask_leader(ControlRequest::Apply(change(base, 1, fleet)));
+        let accepted = ControlReply::Verdict(Verdict::Accepted(base + 1));
+        assert_eq!(reply, accepted);
+    }
+
+    pub(crate) fn claim(&mut self, req: ClaimRequest) -> ClaimReply {
+        match self.ask_leader(ControlRequest::Claim(req)) {
+            ControlReply::Claim(reply) => reply,
+            other => panic!("expected a claim's reply, got {other:?}"),
+        }
+    }
+
+    pub(crate) fn look(&mut self) -> ClaimView {
+        match self.ask_leader(ControlRequest::Look(key())) {
+            ControlReply::Claimed(Some(view)) => view,
+            other => panic!("expected a claim, got {other:?}"),
+        }
+    }
+
+    pub(crate) fn renew(&mut self, renew: Renew) -> Renewed {
+        match self.ask_leader(ControlRequest::Renew(renew)) {
+            ControlReply::Renewed(renewed) => renewed,
+            other => panic!("expected a renewal, got {other:?}"),
+        }
+    }
+
+    fn step(&mut self, end: MonoTime) {
+        let event = self.events.first_key_value().map(|((at, _), _)| *at);
+        let awake = self
+            .nodes
+            .iter()
+            .filter(|(id, _)| !self.frozen.contains_key(*id));
+        let running = awake.filter_map(|(_, node)| node.core.as_ref());
+        let wake = running.map(ControlCore::next_wake).min();
+        let next = event.into_iter().chain(wake).min().unwrap_or(end).min(end);
+        self.now = self.now.max(next);
+        while let Some(entry) = self.events.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let (to, event) = entry.remove();
+            self.handle(to, event);
+        }
+        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+        for id in ids {
+            let core = self.nodes[&id].core.as_ref();
+            let core = core.filter(|_| !self.frozen.contains_key(&id));
+            if core.is_some_and(|core| core.next_wake() <= self.now) {
+                self.handle(id, ControlEvent::Tick);
+            }
+        }
+    }
+
+    pub(crate) fn handle(&mut self, id: NodeId, event: ControlEvent) {
+        let now = self.now;
+        if let Some(waiting) = self.frozen.get_mut(&id) {
+            waiting.push(event);
+        } else if let Some(core) = &mut self.nodes.get_mut(&id).unwrap().core {
+            let actions = core.handle(now, event);
+            self.take(id, actions);
+        }
+    }
+
+    fn take(&mut self, id: NodeId, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::Send { to, message } => {
+                    if !self.cut.contains(&id) && !self.cut.contains(&to) {
+                        self.later(to, ControlEvent::Peer { from: id, message });
+                    }
+                }
+                ControlAction::Write { write, ops } => {
+                    self.nodes.get_mut(&id).unwrap().saved.write(&ops);
+                    self.later(id, ControlEvent::Synced { write });
+                }
+                ControlAction::Reply { ticket, reply } => {
+                    self.replies.insert(ticket, (self.now, reply));
+                }
+                ControlAction::Order(order) => self.orders.push((id, self.now, order)),
+                ControlAction::Members(_) | ControlAction::Notice(_) => {}
+            }
+        }
+    }
+
+    fn later(&mut self, to: NodeId, event: ControlEvent) {
+        self.last += 1;
+        self.events.insert((self.now + HOP, self.last), (to, event));
+    }
+}
+
+fn replica(id: NodeId) -> ReplicaConfig {
+    ReplicaConfig {
+        id,
+        group: 1,
+        incarnation: u128::from(id),
+        members: Members::of_voters((1..=3).map(|id| (id, u128::from(id)))),
+        heartbeat: Duration::from_millis(50),
+        election: Duration::from_millis(500),
+        lease: Duration::from_millis(500),
+        drift: 0.01,
+        max_batch_bytes: 1 << 20,
+        snapshot_every: 200,
+        snapshot_chunk: 1 << 16,
+        seed: 11,
+        faults: Default::default(),
+    }
+}
+
+pub(crate) fn change(base: Revision, digest: u128, fleet: Fleet) -> Change {
+    Change {
+        base,
+        digest,
+        fleet: Box::new(fleet),
+        operator: "ana".into(),
+        at: 0,
+    }
+}
+
+/// Makes a fleet with `beam@v1` settled and `beam@v2` rolling out.
+pub(crate) fn fleet() -> Fleet {
+    let version = |name: &str, state| Version {
+        name: name.into(),
+        state,
+        cost: 1.0,
+        prior: 0.9,
+        weight_bytes: 10 << 30,
+    };
+    Fleet {
+        name: "vazna".into(),
+        domains: vec!["hall-petrzalka".into(), "hall-ruzinov".into()],
+        pools: vec![Pool {
+            name: "beam-pool".into(),
+            kind: PoolKind::Engine,
+            checks_fencing: false,
+            lookup: false,
+            slots: 8,
+        }],
+        models: vec![Model {
+            name: "beam".into(),
+            pool: "beam-pool".into(),
+            versions: vec![
+                version("v1", VersionState::Settled),
+                version("v2", VersionState::Rolling),
+            ],
+        }],
+        classes: vec![Class {
+            name: "confirmation".into(),
+            service: None,
+            idempotent: false,
+            priority: Default::default(),
+            deadline: Duration::from_secs(5),
+            cascade: false,
+        }],
+        organisations: vec![Organisation {
+            name: "vazna".into(),
+            key_sha256: "00".repeat(32).into(),
+            allow: vec!["beam@v1".into(), "beam@v2".into()],
+            share: 1.0,
+            targets: Vec::new(),
+            when_cut: Default::default(),
+        }],
+        rollouts: vec![Rollout {
+            version: "beam@v2".into(),
+            steps: vec![0.2, 1.0],
+            gate: 10,
+            dwell: Duration::from_secs(10),
+            copies: 2,
+        }],
+    }
+}
+
+pub(crate) fn key() -> ClaimKey {
+    ClaimKey {
+        org: "vazna".into(),
+        key: "slot-7".into(),
+    }
+}
+
+pub(crate) fn entry(n: u64) -> Claimant {
+    Claimant {
+        instance: smol_str::format_smolstr!("entry-{n}"),
+        incarnation: n,
+    }
+}
+
+pub(crate) fn claim(n: u64, replaces: u32) -> ClaimRequest {
+    ClaimRequest {
+        key: key(),
+        digest: 7,
+        request: u128::from(n),
+        claimant: entry(n),
+        target: ServerLife {
+            addr: ([10, 0, 0, 1], 80).into(),
+            incarnation: 1,
+        },
+        version: Some("beam@v1".into()),
+        class: "confirmation".into(),
+        window: WINDOW,
+        replaces,
+    }
+}
+
+pub(crate) fn complete(n: u64, generation: u32) -> ControlRequest {
+    ControlRequest::Complete(CompleteRequest {
+        key: key(),
+        generation,
+        request: u128::from(n),
+        end: ClaimEnd::Completed(Completed {
+            status: 200,
+            content_type: "text/plain".into(),
+            digest: 9,
+            length: 2,
+            body: Some(b"ok".to_vec()),
+        }),
+        usage: Usage::default(),
+        at: 1,
+    })
+}
+
+pub(crate) fn renew(n: u64, revision: Revision, live_at: LogIndex) -> Renew {
+    Renew {
+        entry: entry(n),
+        domain: "hall-petrzalka".into(),
+        revision,
+        live_at,
+        leaving: false,
+    }
+}
+
+/// Makes the announcement of a backend server of `beam-pool`.
+pub(crate) fn announcement(n: u8, seq: u64, versions: &[&str]) -> Announcement {
+    Announcement {
+        pool: "beam-pool".into(),
+        domain: "hall-petrzalka".into(),
+        addr: ([10, 0, 0, n], 80).into(),
+        incarnation: 1,
+        seq,
+        leaving: false,
+        load: Default::default(),
+        versions: versions.iter().map(|v| (*v).into()).collect(),
+        cache: Vec::new(),
+        speed: 50.0,
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/tests/control/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the control core: three replicas, one file a feature.
+
+mod claims;
+mod group;
+mod leases;
+mod orders;
+mod requests;
+mod rollouts;
+mod verdicts;
--- /dev/null
+++ b/sesamebeam_core/tests/control/requests.rs
@@ -0,0 +1,124 @@
+//! Requests: who answers what, and what a replica that cannot serve says.
+
+use std::time::Duration;
+
+use sesamebeam_core::{
+    control::ControlEvent,
+    message::{
+        control::{
+            ControlReply,
+            ControlRequest, //
+        },
+        record::{
+            ClaimKey,
+            PinKey,
+            PinRequest,
+            PinView, //
+        },
+    },
+    state::Faults,
+};
+use yare::parameterized;
+
+use crate::group::{
+    Group,
+    change,
+    claim,
+    complete,
+    fleet,
+    key, //
+};
+
+#[test]
+fn follower_names_leader() {
+    let mut group = Group::new(Faults::default());
+    let leader = group.wait_leader();
+    let follower = leader % 3 + 1;
+    let reply = group.ask(follower, ControlRequest::Current);
+    assert_eq!(reply, ControlReply::NotLeader(Some(leader)));
+    let ControlReply::Status(status) = group.ask(follower, ControlRequest::Status) else {
+        panic!("every replica answers a status");
+    };
+    assert_eq!((status.node, status.leader), (follower, Some(leader)));
+}
+
+#[test]
+fn reads_after_writes() {
+    let mut group = Group::new(Faults::default());
+    group.accept(0, fleet());
+    let ControlReply::Current { revision, fleet: f } = group.ask_leader(ControlRequest::Current)
+    else {
+        panic!("the leader answers");
+    };
+    assert_eq!((revision, *f), (1, fleet()));
+    group.claim(claim(1, 0));
+    group.ask_leader(complete(1, 1));
+    let bills = group.ask_leader(ControlRequest::Bills { from: 1, limit: 5 });
+    assert!(matches!(bills, ControlReply::Bills(bills) if bills.len() == 1));
+    let pin = ControlRequest::Pin(PinRequest {
+        key: PinKey {
+            org: "vazna".into(),
+            session: "s".into(),
+            model: "beam".into(),
+        },
+        version: "beam@v1".into(),
+        replaces: 0,
+    });
+    let pinned = ControlReply::Pin(PinView {
+        generation: 1,
+        version: "beam@v1".into(),
+    });
+    assert_eq!(group.ask_leader(pin), pinned);
+    let other = ControlRequest::Look(ClaimKey {
+        key: "none".into(),
+        ..key()
+    });
+    assert_eq!(group.ask_leader(other), ControlReply::Claimed(None));
+}
+
+/// The leader is cut off, silently. Its clients must hear that it cannot serve,
+/// and not what it last knew: a new leader may have changed that.
+#[test]
+fn cut_leader_is_silent() {
+    let mut group = Group::new(Faults::default());
+    group.accept(0, fleet());
+    let old = group.wait_leader();
+    group.cut(old);
+    let pending = group.send(old, ControlRequest::Apply(change(1, 2, fleet())));
+    group.wait_other_leader(old);
+    for req in [ControlRequest::Current, ControlRequest::Look(key())] {
+        let reply = group.ask(old, req);
+        let honest = matches!(
+            reply,
+            ControlReply::Unavailable(_) | ControlReply::NotLeader(_)
+        );
+        assert!(honest, "{reply:?}");
+    }
+    group.run(Duration::from_secs(10));
+    assert!(matches!(
+        group.reply(pending),
+        Some(ControlReply::Unavailable(_))
+    ));
+}
+
+/// The disks fill one after another. Nothing can be written any more, and what
+/// is known must still be told.
+#[parameterized(
+    leader_first = { 0 },
+    leader_second = { 2 },
+    leader_last = { 1 },
+)]
+fn full_disks(before: u64) {
+    let mut group = Group::new(Faults::default());
+    let leader = group.wait_leader();
+    for n in 0..3 {
+        let id = (leader + before + n - 1) % 3 + 1;
+        group.handle(id, ControlEvent::DiskFull(true));
+        group.run(Duration::from_secs(2));
+    }
+    let leader = group.wait_leader();
+    let reply = group.ask(leader, ControlRequest::Claim(claim(1, 0)));
+    assert!(matches!(reply, ControlReply::Unavailable(_)), "{reply:?}");
+    let read = group.ask(leader, ControlRequest::Current);
+    assert!(matches!(read, ControlReply::Current { .. }), "{read:?}");
+}
