--- a/sesamebeam_core/src/policy/exposure.rs
+++ b/sesamebeam_core/src/policy/exposure.rs
@@ -77,6 +77,9 @@
     pub once_after: u32,
     /// Share of answers of settled versions that is sent for rating.
     pub sample: f64,
+    /// Time within which two versions that cross the same limit have a cause
+    /// outside of them.
+    pub together: Duration,
 }
 
 impl Default for ExposureConfig {
@@ -94,6 +97,7 @@
             urgent_after: 20,
             once_after: 40,
             sample: 0.25,
+            together: Duration::from_secs(60),
         }
     }
 }
@@ -115,7 +119,8 @@
     },
     /// It failed by the version's fault.
     Failed,
-    /// The backend server died while it ran.
+    /// A backend server died while it ran the version. Counted once a death,
+    /// however many requests were on board.
     Crashed,
 }
 
@@ -156,6 +161,11 @@
     Fleet,
 }
 
+impl HoldReason {
+    /// Number of reasons.
+    const COUNT: usize = 4;
+}
+
 /// Trust in every version, at one entry.
 #[derive(Clone, Debug)]
 pub struct Exposure {
@@ -163,6 +173,8 @@
     trials: IndexMap<VersionId, Trial>,
     /// Usual time per token of settled versions, in seconds, by model.
     pace: IndexMap<VersionId, f64>,
+    /// Until when a limit crossed has a cause outside of the versions.
+    outside_until: [MonoTime; HoldReason::COUNT],
 }
 
 impl Exposure {
@@ -172,6 +184,7 @@
             cfg,
             trials: IndexMap::new(),
             pace: IndexMap::new(),
+            outside_until: [MonoTime::ZERO; HoldReason::COUNT],
         }
     }
 
@@ -296,9 +309,39 @@
         } else {
             return None;
         };
-        trial.held = Some((reason, now));
-        trial.report_hold = true;
-        Some(reason)
+        self.cross(now, version, reason)
+    }
+
+    /// Holds a version that crossed a limit, unless the cause lies outside.
+    ///
+    /// An outage fails the requests of every version, and a broken rating
+    /// service rates all of them bad. Held one by one, no version would be left
+    /// to serve. Two versions do not turn bad within a minute: the second one
+    /// to cross the same limit lets the first one go.
+    fn cross(
+        &mut self,
+        now: MonoTime,
+        version: &VersionId,
+        reason: HoldReason,
+    ) -> Option<HoldReason> {
+        let together = self.cfg.together;
+        let lately = |trial: &Trial| matches!(trial.held, Some((why, at)) if why == reason && now.saturating_sub(at) < together);
+        let outside = now < self.outside_until[reason as usize] || self.trials.values().any(lately);
+        if !outside {
+            let trial = self.trials.get_mut(version)?;
+            trial.held = Some((reason, now));
+            trial.report_hold = true;
+            return Some(reason);
+        }
+        self.outside_until[reason as usize] = now + together;
+        for trial in self.trials.values_mut() {
+            if lately(trial) {
+                trial.held = None;
+                trial.report_hold = true;
+            }
+            trial.forget(reason);
+        }
+        None
     }
 
     /// Gives the share of a version's answers that is sent for rating: all of a
--- a/sesamebeam_core/src/policy/exposure/evidence.rs
+++ b/sesamebeam_core/src/policy/exposure/evidence.rs
@@ -89,6 +89,16 @@
         self.slowness = Stream::default();
     }
 
+    /// Starts one kind of bets anew.
+    pub(super) fn forget(&mut self, reason: HoldReason) {
+        match reason {
+            HoldReason::Ratings => self.ratings = Stream::default(),
+            HoldReason::Failures => self.failures = Stream::default(),
+            HoldReason::Slowness => self.slowness = Stream::default(),
+            HoldReason::Fleet => {}
+        }
+    }
+
     pub(super) fn is_held(&self) -> bool {
         self.fleet_hold || self.held.is_some()
     }
