Report backend servers and cleared suspects to the control group; pin sessions of any model

Cause: the control group orders engines by what entries report, and nothing reported; a pin of a session that lets the system choose the model was denied as one of another model. Ruled out: one pin a model for such sessions (the session would have as many versions as models). Conclusion: the sessions' pin stands under the reserved model name auto.

--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -26,7 +26,10 @@
     time::Duration,
 };
 
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 
 use self::{
     ask::{
@@ -139,6 +142,8 @@
     pub alive_every: Duration,
     /// Time between two reports of evidence.
     pub evidence_every: Duration,
+    /// Time between two reports of backend servers to the control group.
+    pub servers_every: Duration,
     /// Requests whose decisions can be explained.
     pub explained: usize,
     /// Settings of the decisions.
@@ -190,6 +195,7 @@
             has_rater: false,
             alive_every: Duration::from_secs(1),
             evidence_every: Duration::from_secs(1),
+            servers_every: Duration::from_secs(2),
             explained: 2048,
             policy: PolicyConfig::default(),
             faults: Faults::default(),
@@ -225,6 +231,8 @@
     dead: VecDeque<ServerLife>,
     /// Backend servers that refreshed their lease here, to be told to others.
     alive: IndexMap<ServerAddr, Alive>,
+    /// Backend servers that announced themselves here since the last report.
+    unreported: IndexSet<ServerAddr>,
     next_ask: AskId,
     next_attempt: Attempt,
     next_renew: MonoTime,
@@ -232,6 +240,7 @@
     next_alive: MonoTime,
     next_want: MonoTime,
     next_evidence: MonoTime,
+    next_servers: MonoTime,
     rater_silent_until: MonoTime,
     renewing: bool,
     lease_was_held: bool,
@@ -268,6 +277,7 @@
             lost: VecDeque::new(),
             dead: VecDeque::new(),
             alive: IndexMap::new(),
+            unreported: IndexSet::new(),
             next_ask: 0,
             next_attempt: 0,
             next_renew: MonoTime::ZERO,
@@ -275,6 +285,7 @@
             next_alive: MonoTime::ZERO,
             next_want: MonoTime::ZERO,
             next_evidence: MonoTime::ZERO,
+            next_servers: MonoTime::ZERO,
             rater_silent_until: MonoTime::ZERO,
             renewing: false,
             lease_was_held: false,
@@ -370,6 +381,9 @@
         if now >= self.next_evidence {
             self.report_evidence(now);
         }
+        if now >= self.next_servers {
+            self.report_servers(now);
+        }
         self.lost
             .retain(|(at, _, _)| now.saturating_sub(*at) < LOST_FOR);
         while self.pins.len() > MAX_PINS {
--- a/sesamebeam_core/src/entry/arrive.rs
+++ b/sesamebeam_core/src/entry/arrive.rs
@@ -23,6 +23,7 @@
 };
 use crate::{
     ids::{
+        ANY_MODEL,
         ModelId,
         MonoTime,
         RequestId,
@@ -40,9 +41,6 @@
     policy::plan::Plan,
 };
 
-/// Name under which a session is pinned that lets the system choose the model.
-pub(super) const ANY_MODEL: &str = "auto";
-
 impl EntryCore {
     /// Takes a caller's request.
     pub(super) fn arrive(&mut self, now: MonoTime, arrival: Arrival) {
--- a/sesamebeam_core/src/entry/choose.rs
+++ b/sesamebeam_core/src/entry/choose.rs
@@ -19,6 +19,7 @@
 };
 use crate::{
     ids::{
+        ANY_MODEL,
         Digest,
         ModelId,
         MonoTime,
@@ -433,7 +434,7 @@
     let model = crate::ids::split_version(full).map(|(model, _)| model);
     match (wanted, session_model) {
         (Wanted::Service(_), _) => false,
-        (Wanted::Auto, Some(name)) => name == super::arrive::ANY_MODEL || model == Some(name),
+        (Wanted::Auto, Some(name)) => name == ANY_MODEL || model == Some(name),
         (Wanted::Auto, None) => true,
         (Wanted::Model(name), _) => model == Some(name),
         (Wanted::Version(name), _) => full == name,
--- a/sesamebeam_core/src/entry/finish.rs
+++ b/sesamebeam_core/src/entry/finish.rs
@@ -2,6 +2,7 @@
 
 use super::{
     EntryCore,
+    ask::AskFor,
     event::{
         DispatchKind,
         Ended,
@@ -22,13 +23,15 @@
         VersionId, //
     },
     message::{
+        control::ControlRequest,
         record::Usage,
         server::Rating, //
     },
     policy::{
         exposure::Observation,
         hash,
-        quality::Rated, //
+        quality::Rated,
+        suspects::Standing, //
     },
 };
 
@@ -67,7 +70,15 @@
         };
         let digest = req.arrival.digest;
         let (class, org) = (req.class.clone(), req.arrival.org.clone());
+        let suspected = self.suspects.standing(digest) != Standing::Clear;
         self.suspects.finished(digest, run.server, true);
+        if suspected {
+            self.ask(
+                AskFor::Report,
+                ControlRequest::Cleared(vec![digest]),
+                self.cfg.claim_timeout,
+            );
+        }
         let Some(version) = run.version.clone() else {
             return;
         };
--- a/sesamebeam_core/src/entry/members.rs
+++ b/sesamebeam_core/src/entry/members.rs
@@ -74,6 +74,7 @@
             self.alive.insert(announcement.addr, alive_of(announcement));
         }
         if own {
+            self.unreported.insert(announcement.addr);
             self.spread();
         } else {
             // Told by a peer, who told the others too.
@@ -141,6 +142,23 @@
         }
     }
 
+    /// Tells the control group of the backend servers that announced themselves
+    /// here: it orders engines to load what a roll-out needs.
+    pub(super) fn report_servers(&mut self, now: MonoTime) {
+        self.next_servers = now + self.cfg.servers_every;
+        let list: Vec<Announcement> = std::mem::take(&mut self.unreported)
+            .iter()
+            .filter_map(|addr| self.servers.get(*addr).cloned())
+            .collect();
+        if !list.is_empty() {
+            self.ask(
+                AskFor::Report,
+                ControlRequest::Servers(list),
+                self.cfg.claim_timeout,
+            );
+        }
+    }
+
     /// Takes the death of a backend server's life, which is proved by a new
     /// life or a refused connection, once.
     fn died(&mut self, now: MonoTime, life: ServerLife) {
--- a/sesamebeam_core/src/ids.rs
+++ b/sesamebeam_core/src/ids.rs
@@ -75,6 +75,10 @@
 /// Number of a claim or pin on one key; the first writer gets 1.
 pub type Generation = u32;
 
+/// Name under which a session is pinned that lets the system choose the model;
+/// no model may have it.
+pub const ANY_MODEL: &str = "auto";
+
 /// Splits a full version name into model and version.
 ///
 /// ```
--- a/sesamebeam_core/src/state/pin.rs
+++ b/sesamebeam_core/src/state/pin.rs
@@ -15,7 +15,10 @@
 
 use super::config::Config;
 use crate::{
-    ids::split_version,
+    ids::{
+        ANY_MODEL,
+        split_version, //
+    },
     message::{
         command::{
             Denial,
@@ -124,7 +127,7 @@
 
 fn check(config: &Config, req: &PinRequest) -> Result<(), Denial> {
     let (model, _) = split_version(&req.version).ok_or(Denial::NotAllowed)?;
-    if model != req.key.model {
+    if model != req.key.model && req.key.model != ANY_MODEL {
         return Err(Denial::OtherModel);
     }
     config.usable(&req.key.org, &req.version)
