Let reported loads give way to their average, not to nothing

Cause: a full backend server looked half idle two seconds after its report, so requests went to full engines of other failure domains. Own requests that had ended since the report were counted as work of others. Ruled out: a longer half-life alone, which trusts stale reports. The traffic's draws are now apart from all others, so that strategies see the same requests.

--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -178,6 +178,9 @@
 pub(crate) struct Replay<'a> {
     setting: &'a Setting,
     deployment: &'a Deployment,
+    /// Draws of the traffic, apart, so that every strategy sees the same.
+    traffic: StdRng,
+    /// All other draws.
     rng: StdRng,
     now: MonoTime,
     heap: BinaryHeap<Reverse<(MonoTime, u64, Event)>>,
@@ -217,7 +220,8 @@
         let mut replay = Self {
             setting,
             deployment,
-            rng: StdRng::seed_from_u64(setting.seed),
+            traffic: StdRng::seed_from_u64(setting.seed),
+            rng: StdRng::seed_from_u64(!setting.seed),
             now: MonoTime::ZERO,
             heap: BinaryHeap::new(),
             order: 0,
@@ -336,7 +340,7 @@
         if !self.going_on() {
             return;
         }
-        let gap = -self.mean_gap * (1.0 - self.rng.random::<f64>()).ln();
+        let gap = -self.mean_gap * (1.0 - self.traffic.random::<f64>()).ln();
         self.after(Duration::from_secs_f64(gap), Event::Arrive);
         let shares: Vec<f64> = self.deployment.traffic.iter().map(|t| t.share).collect();
         let traffic = self.draw(&shares);
@@ -347,7 +351,7 @@
     }
 
     fn draw(&mut self, shares: &[f64]) -> usize {
-        let mut point = self.rng.random::<f64>() * shares.iter().sum::<f64>();
+        let mut point = self.traffic.random::<f64>() * shares.iter().sum::<f64>();
         for (at, share) in shares.iter().enumerate() {
             point -= share;
             if point < 0.0 {
@@ -361,11 +365,11 @@
         let shape = &self.deployment.traffic[traffic];
         let class = self.class_of(shape);
         let org = self.deployment.demand[org].organisation.clone();
-        let id: u128 = self.rng.random();
-        let stretch = 0.5 + self.rng.random::<f64>();
-        let session = (self.rng.random::<f64>() < shape.sessions).then(|| {
+        let id: u128 = self.traffic.random();
+        let stretch = 0.5 + self.traffic.random::<f64>();
+        let session = (self.traffic.random::<f64>() < shape.sessions).then(|| {
             let number = self.requests.len() as u64 / (SESSION_LENGTH * 20);
-            let lane = self.rng.random_range(0..20u32);
+            let lane = self.traffic.random_range(0..20u32);
             format_smolstr!("{org}-{}-{number}-{lane}", shape.class)
         });
         let prefix = match &session {
@@ -595,7 +599,10 @@
         match self.servers[server].send(job) {
             Sent::Runs(length) => self.runs(id, length),
             Sent::Waits => {}
-            Sent::Full => self.refused(id),
+            Sent::Full => {
+                self.router.balance.refused(self.now, addr);
+                self.refused(id);
+            }
             Sent::Down => {
                 self.router.balance.avoid(self.now, addr);
                 self.refused(id);
--- a/sesamebeam_bench/src/policy/world.rs
+++ b/sesamebeam_bench/src/policy/world.rs
@@ -36,8 +36,8 @@
 /// Prefixes that one engine keeps.
 const CACHE: usize = 64;
 
-/// Lag of a load report.
-const LOAD_LAG: Duration = Duration::from_millis(300);
+/// Lag of a load report: that of the last announcement is sent.
+const LOAD_LAG: Duration = Duration::from_secs(1);
 
 /// Number of an attempt in the replay.
 pub(crate) type AttemptId = usize;
--- a/sesamebeam_core/src/policy/balance.rs
+++ b/sesamebeam_core/src/policy/balance.rs
@@ -174,6 +174,8 @@
     prefixes: IndexMap<u64, Vec<ServerAddr>>,
     prefix_cursor: usize,
     stale_lists: bool,
+    /// Time of the last call that told it.
+    clock: MonoTime,
     counts: LoadCounts,
     scratch: Vec<u32>,
 }
@@ -192,6 +194,7 @@
             prefixes: IndexMap::new(),
             prefix_cursor: 0,
             stale_lists: false,
+            clock: MonoTime::ZERO,
             counts: LoadCounts::default(),
             scratch: Vec::new(),
         }
@@ -242,6 +245,7 @@
 
     /// Takes a load report, or counts why it is not believed.
     pub fn load(&mut self, now: MonoTime, addr: ServerAddr, load: Load) {
+        self.clock = self.clock.max(now);
         let absurd = load.running > MAX_LOAD
             || load.waiting > MAX_LOAD
             || !(0.0..=1.0).contains(&load.kv_used);
@@ -274,6 +278,13 @@
         }
     }
 
+    /// Learns that a backend server refused a request for want of room.
+    pub fn refused(&mut self, now: MonoTime, addr: ServerAddr) {
+        if let Some(slot) = self.servers.get_mut(&addr) {
+            slot.refused(now);
+        }
+    }
+
     /// Ends the avoiding of a backend server, because it answered.
     pub fn answered(&mut self, addr: ServerAddr) {
         if let Some(slot) = self.servers.get_mut(&addr) {
@@ -284,7 +295,7 @@
     /// Counts a request that was sent.
     pub fn started(&mut self, addr: ServerAddr, prefix: Option<u64>, alone: bool) {
         if let Some(slot) = self.servers.get_mut(&addr) {
-            slot.own += 1;
+            slot.change_own(self.clock, slot.own + 1);
             slot.reserved += u32::from(alone);
         }
         if let Some(prefix) = prefix {
@@ -297,7 +308,7 @@
         let Some(slot) = self.servers.get_mut(&addr) else {
             return;
         };
-        slot.own = slot.own.saturating_sub(1);
+        slot.change_own(self.clock, slot.own.saturating_sub(1));
         slot.reserved = slot.reserved.saturating_sub(u32::from(alone));
         if let Some(took) = took {
             slot.learn_time(took);
@@ -311,6 +322,7 @@
     /// the least loaded would send every entry to the one that last looked
     /// idle until its next report.
     pub fn pick(&mut self, now: MonoTime, input: &PickInput<'_>) -> Option<Pick> {
+        self.clock = self.clock.max(now);
         self.refresh_lists();
         let mut looked = Vec::with_capacity(self.cfg.choices + HOLDERS);
         self.draw(input, true);
--- a/sesamebeam_core/src/policy/balance/table.rs
+++ b/sesamebeam_core/src/policy/balance/table.rs
@@ -1,6 +1,9 @@
 //! One backend server as the choice sees it.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 use super::{
     BalanceConfig,
@@ -34,6 +37,9 @@
 /// engines honour priorities, yet do not stop what runs.
 const URGENT_QUEUE: f64 = 0.1;
 
+/// Changes of the own work that are remembered, to compare with late reports.
+const HISTORY: usize = 256;
+
 /// Least share of its slots that a new backend server is counted with.
 const SLOW_START_FLOOR: f64 = 0.1;
 
@@ -56,8 +62,12 @@
     /// Not chosen before this time.
     pub(super) avoid_until: MonoTime,
     since: MonoTime,
+    /// Own requests in flight after each of the last changes.
+    history: VecDeque<(MonoTime, u32)>,
     /// Requests of others when the load was measured.
     others: f64,
+    /// Average of that over reports.
+    usual_others: f64,
     measured: MonoTime,
     /// Average time of a request, in seconds.
     usual: f64,
@@ -77,17 +87,47 @@
             reserved: 0,
             avoid_until: MonoTime::ZERO,
             since: now,
+            history: VecDeque::new(),
             others: 0.0,
+            usual_others: 0.0,
             measured: now,
             usual: 1.0,
         }
     }
 
-    /// Takes a load report. What is not ours is the work of other entries.
+    /// Takes a load report. What was not ours when it was measured is the work
+    /// of other entries.
+    ///
+    /// Compared with what is ours now, requests of ours that ended since would
+    /// look like work of others, and the entry would give up slots it has.
     pub(super) fn report(&mut self, now: MonoTime, age: Duration, load: Load) {
+        let measured = now.saturating_sub(age);
         let all = f64::from(load.running) + f64::from(load.waiting);
-        self.others = (all - f64::from(self.own)).max(0.0);
-        self.measured = now.saturating_sub(age);
+        self.others = (all - f64::from(self.own_at(measured))).max(0.0);
+        self.measured = measured;
+        self.usual_others += LEARN * (self.others - self.usual_others);
+    }
+
+    /// Learns that it refused a request because it had no room.
+    pub(super) fn refused(&mut self, now: MonoTime) {
+        let room = f64::from(self.slots) - f64::from(self.own);
+        self.others = self.others.max(room + 1.0);
+        self.measured = now;
+    }
+
+    /// Counts a request that starts or ends.
+    pub(super) fn change_own(&mut self, now: MonoTime, own: u32) {
+        self.own = own;
+        if self.history.len() >= HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((now, own));
+    }
+
+    fn own_at(&self, at: MonoTime) -> u32 {
+        let later = self.history.partition_point(|(change, _)| *change <= at);
+        let last = self.history.get(later.saturating_sub(1));
+        last.map_or(self.own, |(_, own)| *own)
     }
 
     pub(super) fn learn_time(&mut self, took: Duration) {
@@ -127,14 +167,17 @@
         (f64::from(self.slots) - self.others(now, cfg)).max(0.0)
     }
 
-    /// Gives the work of other entries, believed less the older the report is.
+    /// Gives the work of other entries: the last report, which gives way to the
+    /// average the older it is. Given way to nothing instead, a full backend
+    /// server would look idle between two reports.
     fn others(&self, now: MonoTime, cfg: &BalanceConfig) -> f64 {
         if !cfg.reported_load {
             return 0.0;
         }
         let age = now.saturating_sub(self.measured).as_secs_f64();
         let half = cfg.load_half_life.as_secs_f64().max(1e-3);
-        self.others * 0.5f64.powf(age / half)
+        let fresh = 0.5f64.powf(age / half);
+        self.usual_others + (self.others - self.usual_others) * fresh
     }
 
     /// Gives the share of its slots that a backend server is counted with. A
