Run a whole fleet on loopback in one process; say how to drive the cores

Cause: dev, tests and benches need the same fleet of control replicas, entries and fakes; an outside harness needs to know what it owes the cores.

--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod keys;
 pub mod limit;
 pub mod link;
+pub mod local;
 pub mod logging;
 pub mod settings;
 pub mod toml_file;
--- a/sesamebeam/src/local.rs
+++ b/sesamebeam/src/local.rs
@@ -216,7 +216,8 @@
             });
         }
         let keys = folder(root, "operator")?;
-        ca.issue(&Role::Operator("local".into()))?.save(&keys, &ca)?;
+        ca.issue(&Role::Operator("local".into()))?
+            .save(&keys, &ca)?;
         Ok(Self {
             ca,
             controls,
