Serve the whole path between processes, and show it with dev

A question, a job sheet with its resend, a call of a plain service, a withdrawal and the bills go from end to end through three control replicas and three entries. Found on the way: a replacement on the address of a lost replica never caught up (synced 0 after 65 s), since the caller kept for that address still expected the lost replica's certificate; ruled out the membership change, which was committed at once. Callers are now kept by address and expected role. The data folder has its first form: one CRC-framed log, torn tail cut.

--- /dev/null
+++ b/sesamebeam/src/client.rs
@@ -0,0 +1,264 @@
+//! Questions of an operator to the control group and to the entries.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use futures::future::join_all;
+use sesamebeam_core::{
+    ids::NodeId,
+    message::{
+        control::{
+            ControlReply,
+            ControlRequest, //
+        },
+        entry::{
+            EntryReply,
+            EntryRequest, //
+        },
+    },
+};
+use smol_str::SmolStr;
+use thiserror::Error;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+
+use crate::{
+    link::{
+        Credentials,
+        Link,
+        LinkError,
+        Pool,
+        Role, //
+    },
+    settings::{
+        OperatorSettings,
+        PeerEntry,
+        Replica, //
+    },
+};
+
+/// Longest wait for one replica; longer than a leader waits for its quorum.
+const ONE_REPLICA: Duration = Duration::from_secs(4);
+
+/// Pause after every replica was asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Why a question got no answer.
+#[derive(Debug, Error)]
+pub enum AskError {
+    /// No link could be opened.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// Nobody could be reached, so nothing was asked.
+    #[error("no control replica can be reached within {within:?}; the last failure: {last}")]
+    Unreachable {
+        /// Time that was spent.
+        within: Duration,
+        /// What the last replica said.
+        last: SmolStr,
+    },
+    /// It was asked and not answered: it may or may not have been done.
+    #[error(
+        "no answer within {within:?}: it may or may not have been done; the last failure: {last}"
+    )]
+    Unanswered {
+        /// Time that was spent.
+        within: Duration,
+        /// What the last replica said.
+        last: SmolStr,
+    },
+}
+
+/// An operator's connections.
+pub struct Client {
+    pool: Pool,
+    role: Role,
+    control: Vec<Replica>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Opens a link with an operator's credentials.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the credentials cannot be read or no socket can be opened.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn open(settings: &OperatorSettings) -> Result<Self, LinkError> {
+        let creds = Credentials::load(&settings.keys)?;
+        Self::with(settings, &creds)
+    }
+
+    /// Opens a link with credentials in memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be opened.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn with(settings: &OperatorSettings, creds: &Credentials) -> Result<Self, LinkError> {
+        let ip = settings.control.first().map(|replica| replica.addr.ip());
+        let from = match ip {
+            Some(ip) if ip.is_loopback() => SocketAddr::new(ip, 0),
+            Some(ip) if ip.is_ipv6() => SocketAddr::from(([0_u16; 8], 0)),
+            _ => SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        };
+        let link = Arc::new(Link::bind(from, creds)?);
+        Ok(Self {
+            pool: Pool::new(link, rand::random()),
+            role: creds.role().clone(),
+            control: settings.control.clone(),
+            timeout: settings.timeout,
+        })
+    }
+
+    /// Returns who asks.
+    pub fn role(&self) -> &Role {
+        &self.role
+    }
+
+    /// Asks the control group, following it to its leader.
+    ///
+    /// The request is sent again, to the same or another replica, until it is
+    /// answered. That does no harm: a change has an id, and the first verdict
+    /// on it stands; the other requests either read or come to the same end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no replica answers in time.
+    pub async fn ask(&self, req: &ControlRequest) -> Result<ControlReply, AskError> {
+        let until = Instant::now() + self.timeout;
+        let mut search = Search::new(&self.control);
+        while let Some(replica) = search.next(until).await {
+            let left = until.saturating_duration_since(Instant::now());
+            let role = Role::Control(replica.node);
+            let caller = self.pool.get(replica.addr, Some(role));
+            match caller.call(req, left.min(ONE_REPLICA)).await {
+                Ok(ControlReply::NotLeader(leader)) => search.not_leader(replica, leader),
+                Ok(ControlReply::Unavailable(why)) => search.failed(why, true),
+                Ok(reply) => return Ok(reply),
+                Err(e) => search.failed(smol_str::format_smolstr!("{e}"), was_sent(&e)),
+            }
+        }
+        Err(search.error(self.timeout))
+    }
+
+    /// Asks several entries at once.
+    pub async fn ask_entries<'a>(
+        &self,
+        entries: &'a [PeerEntry],
+        req: &EntryRequest,
+    ) -> Vec<(&'a PeerEntry, Result<EntryReply, LinkError>)> {
+        let asks = entries
+            .iter()
+            .map(|entry| async move { (entry, self.ask_entry(entry, req).await) });
+        join_all(asks).await
+    }
+
+    /// Asks one entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry does not answer in time.
+    pub async fn ask_entry(
+        &self,
+        entry: &PeerEntry,
+        req: &EntryRequest,
+    ) -> Result<EntryReply, LinkError> {
+        let role = Role::Entry(entry.instance.clone());
+        let caller = self.pool.get(entry.addr, Some(role));
+        caller.call(req, self.timeout.min(ONE_REPLICA)).await
+    }
+}
+
+/// Returns whether a failed call may have reached the other end.
+fn was_sent(e: &LinkError) -> bool {
+    !matches!(
+        e,
+        LinkError::BackOff(_)
+            | LinkError::Bind { .. }
+            | LinkError::Connect(_)
+            | LinkError::WrongRole { .. }
+    )
+}
+
+/// The search for a replica that answers.
+struct Search<'a> {
+    replicas: &'a [Replica],
+    /// Position of the replica that is asked next.
+    at: usize,
+    /// Replicas asked since the last pause.
+    asked: usize,
+    /// Whether any replica may have acted on the request.
+    sent: bool,
+    last: SmolStr,
+}
+
+impl<'a> Search<'a> {
+    fn new(replicas: &'a [Replica]) -> Self {
+        Self {
+            replicas,
+            at: 0,
+            asked: 0,
+            sent: false,
+            last: "no replica is listed".into(),
+        }
+    }
+
+    /// Returns the replica to be asked next; none when the time is over.
+    async fn next(&mut self, until: Instant) -> Option<&'a Replica> {
+        // A leader that was named and points elsewhere again must not keep the
+        // search going round without a pause.
+        if self.asked > self.replicas.len() {
+            self.asked = 0;
+            sleep_until(until.min(Instant::now() + ROUND_PAUSE)).await;
+        }
+        if Instant::now() >= until {
+            return None;
+        }
+        self.asked += 1;
+        self.replicas.get(self.at)
+    }
+
+    fn failed(&mut self, why: SmolStr, sent: bool) {
+        self.last = why;
+        self.sent |= sent;
+        self.advance();
+    }
+
+    fn not_leader(&mut self, asked: &Replica, leader: Option<NodeId>) {
+        self.last = smol_str::format_smolstr!("replica {} does not lead", asked.node);
+        let named = leader.filter(|node| *node != asked.node);
+        let known = named.and_then(|node| self.replicas.iter().position(|r| r.node == node));
+        match known {
+            Some(at) => self.at = at,
+            None => self.advance(),
+        }
+    }
+
+    fn advance(&mut self) {
+        self.at = (self.at + 1) % self.replicas.len().max(1);
+    }
+
+    fn error(self, within: Duration) -> AskError {
+        let last = self.last;
+        if self.sent {
+            AskError::Unanswered { within, last }
+        } else {
+            AskError::Unreachable { within, last }
+        }
+    }
+}
--- a/sesamebeam/src/disk.rs
+++ b/sesamebeam/src/disk.rs
@@ -1,8 +1,22 @@
 //! The data folder of a control replica.
 
-use std::path::{
-    Path,
-    PathBuf, //
+use std::{
+    fs::{
+        self,
+        File,
+        OpenOptions, //
+    },
+    io::{
+        self,
+        Read,
+        Seek,
+        SeekFrom,
+        Write, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
 };
 
 use sesamebeam_core::{
@@ -64,10 +78,21 @@
     },
 }
 
+/// Name of the file that says whose folder it is.
+const IDENTITY_FILE: &str = "identity";
+
+/// Name of the file that holds everything written, in order.
+const LOG_FILE: &str = "log";
+
+/// Bytes in front of each record: its length and its CRC.
+const HEAD: usize = 8;
+
 /// An open data folder, locked against other processes.
 #[derive(Debug)]
 pub struct Disk {
     identity: Identity,
+    path: PathBuf,
+    log: File,
 }
 
 impl Disk {
@@ -76,8 +101,22 @@
     /// # Errors
     ///
     /// Fails if there is one already or it cannot be written and synced.
-    pub fn create(path: &Path, _identity: &Identity) -> Result<(), DiskError> {
-        Err(DiskError::Exists(path.to_path_buf()))
+    pub fn create(path: &Path, identity: &Identity) -> Result<(), DiskError> {
+        let file = path.join(IDENTITY_FILE);
+        if file.exists() {
+            return Err(DiskError::Exists(path.to_path_buf()));
+        }
+        fs::create_dir_all(path).map_err(|e| failed(path, e))?;
+        let log = path.join(LOG_FILE);
+        File::create(&log)
+            .and_then(|f| f.sync_all())
+            .map_err(|e| failed(&log, e))?;
+        let fields = (identity.group, identity.node, identity.incarnation);
+        let body = postcard::to_stdvec(&fields).unwrap_or_default();
+        File::create(&file)
+            .and_then(|mut f| f.write_all(&frame(&body)).and_then(|()| f.sync_all()))
+            .map_err(|e| failed(&file, e))?;
+        sync_folder(path)
     }
 
     /// Opens a data folder and reads what it holds.
@@ -86,7 +125,30 @@
     ///
     /// Fails if there is none, another process has it, or it is damaged.
     pub fn open(path: impl AsRef<Path>) -> Result<(Disk, Saved), DiskError> {
-        Err(DiskError::Missing(path.as_ref().to_path_buf()))
+        let path = path.as_ref();
+        let identity = read_identity(path)?;
+        let file = path.join(LOG_FILE);
+        let mut log = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .open(&file)
+            .map_err(|e| failed(&file, e))?;
+        log.try_lock()
+            .map_err(|_| DiskError::Locked(path.to_path_buf()))?;
+        let mut buf = Vec::new();
+        log.read_to_end(&mut buf).map_err(|e| failed(&file, e))?;
+        let (saved, end) = replay(&file, &buf)?;
+        // The torn tail was never synced as a whole, so nothing of it counts.
+        log.set_len(end as u64)
+            .and_then(|()| log.seek(SeekFrom::Start(end as u64)))
+            .and_then(|_| log.sync_all())
+            .map_err(|e| failed(&file, e))?;
+        let disk = Disk {
+            identity,
+            path: file,
+            log,
+        };
+        Ok((disk, saved))
     }
 
     /// Returns whose folder it is.
@@ -100,7 +162,82 @@
     ///
     /// After [`DiskError::Full`] the same write may be repeated; after any
     /// other error the folder must be opened again.
-    pub fn write(&mut self, _ops: &[DiskOp]) -> Result<(), DiskError> {
-        Ok(())
+    pub fn write(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
+        let body = postcard::to_stdvec(ops).unwrap_or_default();
+        self.log
+            .write_all(&frame(&body))
+            .and_then(|()| self.log.sync_data())
+            .map_err(|e| failed(&self.path, e))
+    }
+}
+
+/// Reads whole records; returns what they give and where they end.
+fn replay(path: &Path, buf: &[u8]) -> Result<(Saved, usize), DiskError> {
+    let mut saved = Saved::default();
+    let mut at = 0;
+    while let Some((body, next)) = unframe(buf, at) {
+        let ops: Vec<DiskOp> = postcard::from_bytes(body).map_err(|_| DiskError::Damaged {
+            path: path.to_path_buf(),
+            offset: at as u64,
+            what: "a record does not decode",
+        })?;
+        saved.write(&ops);
+        at = next;
+    }
+    Ok((saved, at))
+}
+
+fn read_identity(path: &Path) -> Result<Identity, DiskError> {
+    let file = path.join(IDENTITY_FILE);
+    let buf = match fs::read(&file) {
+        Ok(buf) => buf,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {
+            return Err(DiskError::Missing(path.to_path_buf()));
+        }
+        Err(e) => return Err(failed(&file, e)),
+    };
+    let damaged = || DiskError::Damaged {
+        path: file.clone(),
+        offset: 0,
+        what: "the identity does not read back",
+    };
+    let (body, _) = unframe(&buf, 0).ok_or_else(damaged)?;
+    let (group, node, incarnation) = postcard::from_bytes(body).map_err(|_| damaged())?;
+    Ok(Identity {
+        group,
+        node,
+        incarnation,
+    })
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(HEAD + body.len());
+    buf.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    buf.extend_from_slice(&crc32fast::hash(body).to_le_bytes());
+    buf.extend_from_slice(body);
+    buf
+}
+
+fn unframe(buf: &[u8], at: usize) -> Option<(&[u8], usize)> {
+    let head = buf.get(at..at + HEAD)?;
+    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
+    let crc = u32::from_le_bytes(head[4..].try_into().ok()?);
+    let body = buf.get(at + HEAD..at + HEAD + length)?;
+    (crc32fast::hash(body) == crc).then_some((body, at + HEAD + length))
+}
+
+fn sync_folder(path: &Path) -> Result<(), DiskError> {
+    File::open(path)
+        .and_then(|f| f.sync_all())
+        .map_err(|e| failed(path, e))
+}
+
+fn failed(path: &Path, source: io::Error) -> DiskError {
+    if source.kind() == io::ErrorKind::StorageFull {
+        return DiskError::Full(path.to_path_buf());
+    }
+    DiskError::Io {
+        path: path.to_path_buf(),
+        source,
     }
 }
--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -28,6 +28,7 @@
     },
 };
 
+pub use self::hub::unix_millis;
 use sesamebeam_core::entry::{
     EntryConfig,
     EntryCore,
--- a/sesamebeam/src/entry/driver.rs
+++ b/sesamebeam/src/entry/driver.rs
@@ -337,8 +337,8 @@
 
     fn take_events(&mut self, at: usize, events: Bytes) {
         let up = &mut self.upstreams[at];
-        if !up.first {
-            up.first = true;
+        if up.first.is_none() {
+            up.first = Some(up.sent.elapsed());
             self.headers = up.dispatch.headers.clone();
             let attempt = up.dispatch.attempt;
             self.report(attempt, AttemptReport::Started);
@@ -362,7 +362,7 @@
                 prompt_tokens,
                 completion_tokens,
             },
-            first: up.sent.elapsed(),
+            first: up.first.unwrap_or_default(),
             at: unix_millis(),
         };
         let attempt = up.dispatch.attempt;
--- a/sesamebeam/src/entry/hub.rs
+++ b/sesamebeam/src/entry/hub.rs
@@ -219,7 +219,7 @@
 }
 
 /// Wall-clock time, for records that people read.
-pub(crate) fn unix_millis() -> UnixMillis {
+pub fn unix_millis() -> UnixMillis {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
--- a/sesamebeam/src/entry/upstream.rs
+++ b/sesamebeam/src/entry/upstream.rs
@@ -131,8 +131,8 @@
 pub(crate) struct Upstream {
     /// What was ordered.
     pub(crate) dispatch: Box<Dispatch>,
-    /// Whether an event has arrived.
-    pub(crate) first: bool,
+    /// Time from sending to the first event, once it has arrived.
+    pub(crate) first: Option<Duration>,
     /// When it was sent.
     pub(crate) sent: Instant,
     cutter: EventCutter,
@@ -169,7 +169,7 @@
         );
         Self {
             dispatch,
-            first: false,
+            first: None,
             sent: Instant::now(),
             cutter: EventCutter::after(events),
             stage: Stage::Opening(Box::pin(opening)),
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -1,8 +1,10 @@
 //! The edges of sesamebeam: sockets, files, timers, settings, logs and keys
 //! round the core that decides.
 
+pub mod client;
 pub mod control;
 pub mod daemon;
+pub mod dev;
 pub mod disk;
 pub mod entry;
 pub mod fleet_file;
--- a/sesamebeam/src/link/caller.rs
+++ b/sesamebeam/src/link/caller.rs
@@ -249,11 +249,16 @@
     )
 }
 
+/// An address and the role that is expected there.
+type Expected = (SocketAddr, Option<Role>);
+
 /// Callers by address, one connection each.
 pub struct Pool {
     link: Arc<Link>,
     seed: u64,
-    callers: Mutex<BTreeMap<SocketAddr, Arc<Caller>>>,
+    /// By address and expected role: after a repair another replica listens on
+    /// the address of the lost one, and the old caller would refuse it for good.
+    callers: Mutex<BTreeMap<Expected, Arc<Caller>>>,
 }
 
 impl Pool {
@@ -266,13 +271,13 @@
         }
     }
 
-    /// Returns the caller of an address, making it first if need be. `expect`
-    /// counts when it is made.
+    /// Returns the caller of an address that expects a role, making it first if
+    /// need be.
     pub fn get(&self, addr: SocketAddr, expect: Option<Role>) -> Arc<Caller> {
         let mut callers = self.callers.lock().unwrap_or_else(PoisonError::into_inner);
         let seed = self.seed ^ (callers.len() as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let caller = callers
-            .entry(addr)
+            .entry((addr, expect.clone()))
             .or_insert_with(|| Arc::new(Caller::new(Arc::clone(&self.link), addr, expect, seed)));
         Arc::clone(caller)
     }
@@ -280,6 +285,6 @@
     /// Forgets an address; its connection ends when its last call has.
     pub fn forget(&self, addr: SocketAddr) {
         let mut callers = self.callers.lock().unwrap_or_else(PoisonError::into_inner);
-        callers.remove(&addr);
+        callers.retain(|(at, _), _| *at != addr);
     }
 }
--- /dev/null
+++ b/sesamebeam/tests/real/caller.rs
@@ -0,0 +1,188 @@
+//! A caller of the tests.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    HeaderMap,
+    Request,
+    StatusCode,
+    body::Incoming,
+    header, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use sesamebeam::http::{
+    client::{
+        Client,
+        Lease,
+        Reuse,
+        Terms, //
+    },
+    sse, //
+};
+
+/// Longest wait for the head of an answer.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Calls one entry with one organisation's key.
+pub(crate) struct Caller {
+    addr: SocketAddr,
+    key: String,
+    client: Client,
+}
+
+/// An answer read to its end.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// An answer that is being streamed.
+pub(crate) struct Streaming {
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    _lease: Lease,
+}
+
+impl Caller {
+    pub(crate) fn new(addr: SocketAddr, key: &str) -> Self {
+        Self {
+            addr,
+            key: key.to_owned(),
+            client: Client::new(PATIENCE),
+        }
+    }
+
+    /// Sends a chat request and reads the answer to its end.
+    pub(crate) async fn chat(&self, class: &str, prompt: &str, headers: &[(&str, &str)]) -> Answer {
+        let (body, headers) = chat(class, prompt, headers);
+        self.send("POST", "/v1/chat/completions", &headers, body)
+            .await
+            .expect("an answer")
+    }
+
+    /// Starts a chat request and hands over its stream.
+    pub(crate) async fn stream(
+        &self,
+        class: &str,
+        prompt: &str,
+        headers: &[(&str, &str)],
+    ) -> Streaming {
+        let (body, headers) = chat(class, prompt, headers);
+        let (answer, lease) = self
+            .head("POST", "/v1/chat/completions", &headers, body)
+            .await
+            .expect("a head");
+        assert_eq!(answer.status(), StatusCode::OK);
+        let (parts, body) = answer.into_parts();
+        Streaming {
+            headers: parts.headers,
+            body,
+            _lease: lease,
+        }
+    }
+
+    /// Sends any request; none if the connection broke.
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Option<Answer> {
+        let (answer, lease) = self.head(method, path, headers, body).await?;
+        let (parts, body) = answer.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        lease.give_back();
+        Some(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn head(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Option<(hyper::Response<Incoming>, Lease)> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.addr.to_string())
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let req = builder.body(Full::new(Bytes::from(body))).expect("request");
+        let terms = Terms {
+            reuse: Reuse::Any,
+            patience: PATIENCE,
+            send_by: None,
+        };
+        self.client.send(self.addr, req, terms).await.ok()
+    }
+}
+
+impl Answer {
+    /// Text of a whole streamed answer.
+    pub(crate) fn text(&self) -> String {
+        assert!(
+            self.body.ends_with(b"data: [DONE]\n\n") || self.ends_done(),
+            "not whole: {:?}",
+            String::from_utf8_lossy(&self.body)
+        );
+        sse::assemble(&self.body).text
+    }
+
+    /// The answer as JSON.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("JSON")
+    }
+
+    /// A header's text.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |v| v.to_str().expect("text"))
+    }
+
+    fn ends_done(&self) -> bool {
+        let text = String::from_utf8_lossy(&self.body);
+        text.trim_end()
+            .lines()
+            .rev()
+            .take(2)
+            .any(|line| line == "data: [DONE]")
+    }
+}
+
+fn chat<'a>(
+    class: &'a str,
+    prompt: &str,
+    headers: &[(&'a str, &'a str)],
+) -> (Vec<u8>, Vec<(&'a str, &'a str)>) {
+    let body = json!({
+        "model": "auto",
+        "stream": true,
+        "max_tokens": 24,
+        "messages": [{"role": "user", "content": prompt}],
+    });
+    let mut all = vec![("x-class", class)];
+    all.extend_from_slice(headers);
+    (body.to_string().into_bytes(), all)
+}
--- /dev/null
+++ b/sesamebeam/tests/real/replicas.rs
@@ -0,0 +1,122 @@
+//! Control replicas that are killed, and disks that are lost.
+
+use std::fs;
+
+use sesamebeam::{
+    keys::Role,
+    local::LocalPlan,
+    settings::ControlSettings, //
+};
+use sesamebeam_core::message::control::{
+    ControlReply,
+    ControlRequest,
+    Replace, //
+};
+use sesamebeam_fakes::RunnerConfig;
+use tokio_util::sync::CancellationToken;
+
+use super::fleet::{
+    DOMAINS,
+    Processes,
+    fleet,
+    runs,
+    serving,
+    until, //
+};
+
+/// All three control replicas are killed at once and come back from their
+/// disks. The configuration is the accepted one, and a sheet that was sent
+/// before gets its first answer again: nothing that was acknowledged is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_together() {
+    let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
+    let fleet = fleet();
+    let revision = processes.apply(0, &fleet).await;
+    let cancel = CancellationToken::new();
+    let servers = serving(&processes, &fleet, RunnerConfig::default(), &cancel).await;
+    let prompt = "parte guardado";
+    let key = [("idempotency-key", "parte-3")];
+    let first = processes.caller(0).chat("job-sheet", prompt, &key).await;
+    processes.until(|status| status.bills == 1).await;
+
+    for node in 1..=3 {
+        processes.kill(&format!("control-{node}"));
+    }
+    for control in processes.settings.controls.clone() {
+        processes.start_control(&control, None);
+    }
+    processes
+        .until(|status| status.revision == revision && status.bills == 1)
+        .await;
+    let caller = processes.caller(2);
+    until("the kept answer", async || {
+        let again = caller.chat("job-sheet", prompt, &key).await;
+        again.status == 200 && again.text() == first.text()
+    })
+    .await;
+    assert_eq!(runs(&servers, prompt), 1, "the sheet ran once");
+}
+
+/// A control replica loses its disk and is replaced by one with a new number
+/// and a new folder; right after the repair a second one fails. The group still
+/// has a quorum, with the replacement in it, and still has every record.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_disk() {
+    let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
+    let fleet = fleet();
+    let revision = processes.apply(0, &fleet).await;
+    let lost = processes.settings.controls[2].clone();
+    processes.kill("control-3");
+    fs::remove_dir_all(&lost.data).expect("the disk is lost");
+
+    let new = replacement(&processes, &lost);
+    processes.start_control(&new, Some("--join"));
+    until("the new folder's incarnation", async || {
+        processes.printed("control-4").contains("incarnation ")
+    })
+    .await;
+    let printed = processes.printed("control-4");
+    let hex = printed.split_whitespace().nth(1).expect("a number");
+    let replace = ControlRequest::Replace(Replace {
+        gone: 3,
+        new: 4,
+        addr: new.listen,
+        incarnation: u128::from_str_radix(hex, 16).expect("hex"),
+    });
+    assert_eq!(processes.ask(&replace).await, ControlReply::Done);
+    processes
+        .until(|status| {
+            let voters: Vec<u64> = status
+                .replicas
+                .iter()
+                .filter(|replica| replica.voter)
+                .map(|replica| replica.node)
+                .collect();
+            voters == [1, 2, 4]
+        })
+        .await;
+
+    processes.kill("control-1");
+    let status = processes
+        .until(|status| status.leader.is_some_and(|leader| leader != 1))
+        .await;
+    assert_eq!(status.revision, revision);
+    let mut renamed = fleet.clone();
+    renamed.name = "prueba-2".into();
+    processes.apply(revision, &renamed).await;
+}
+
+/// Settings of the replica that takes the place of a lost one, on its port.
+fn replacement(processes: &Processes, lost: &ControlSettings) -> ControlSettings {
+    let keys = processes.root().join("control-4");
+    fs::create_dir_all(&keys).expect("a folder");
+    let ca = &processes.settings.ca;
+    let issued = ca.issue(&Role::Control(4)).expect("a certificate");
+    issued.save(&keys, ca).expect("written");
+    let mut new = lost.clone();
+    new.node = 4;
+    new.keys = keys;
+    new.data = processes.root().join("data-4");
+    new.replicas[2].node = 4;
+    new
+}
--- /dev/null
+++ b/sesamebeam/tests/real/silence.rs
@@ -0,0 +1,63 @@
+//! Connections that go silent while new ones work.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use sesamebeam::{
+    http::sse,
+    local::LocalPlan, //
+};
+use sesamebeam_fakes::{
+    RunnerConfig,
+    expected_answer_of, //
+};
+use tokio_util::sync::CancellationToken;
+
+use super::fleet::{
+    DOMAINS,
+    Processes,
+    fleet,
+    runs,
+    serving, //
+};
+
+/// In the middle of a job sheet every open connection to the backend servers
+/// goes silent for good, while new ones work. The caller sees a pause; then its
+/// answer goes on where it stopped, because the entry retires the old
+/// connections and resumes the stream on a new one. The sheet ran once.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection() {
+    let mut plan = LocalPlan::small(&DOMAINS);
+    plan.entry.progress_timeout = Duration::from_millis(500);
+    let processes = Processes::start(&plan);
+    let fleet = fleet();
+    processes.apply(0, &fleet).await;
+    let cancel = CancellationToken::new();
+    let base = RunnerConfig {
+        token_delay: Duration::from_millis(50),
+        ..RunnerConfig::default()
+    };
+    let servers = serving(&processes, &fleet, base, &cancel).await;
+
+    let prompt = "parte mudo";
+    let key = [("idempotency-key", "parte-5")];
+    let caller = processes.caller(0);
+    let mut stream = caller.stream("job-sheet", prompt, &key).await;
+    let version = stream.headers["x-version"]
+        .to_str()
+        .expect("text")
+        .to_owned();
+    let mut body = Vec::new();
+    let first = stream.body.frame().await.expect("a piece").expect("whole");
+    body.extend_from_slice(first.data_ref().expect("bytes"));
+    for runner in &servers.runners {
+        runner.silence();
+    }
+    while let Some(frame) = stream.body.frame().await {
+        body.extend_from_slice(frame.expect("whole").data_ref().expect("bytes"));
+    }
+    let text = sse::assemble(&body).text;
+    assert_eq!(text, expected_answer_of(&version, prompt, 24));
+    assert_eq!(runs(&servers, prompt), 1, "the sheet ran once");
+    processes.until(|status| status.bills == 1).await;
+}
