--- a/sesamebeam/tests/real/caller.rs
+++ b/sesamebeam/tests/real/caller.rs
@@ -17,10 +17,7 @@
     body::Incoming,
     header, //
 };
-use serde_json::{
-    Value,
-    json, //
-};
+use serde_json::json;
 use sesamebeam::http::{
     client::{
         Client,
@@ -149,11 +146,6 @@
         sse::assemble(&self.body).text
     }
 
-    /// The answer as JSON.
-    pub(crate) fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).expect("JSON")
-    }
-
     /// A header's text.
     pub(crate) fn header(&self, name: &str) -> &str {
         self.headers
--- a/sesamebeam/tests/real/fleet.rs
+++ b/sesamebeam/tests/real/fleet.rs
@@ -272,7 +272,7 @@
 
 impl Drop for Processes {
     fn drop(&mut self) {
-        for (_, child) in &mut self.children {
+        for child in self.children.values_mut() {
             let _ = child.kill();
             let _ = child.wait();
         }
