Add the fake rating service and weight store

Cause: cascades and exposure need ratings that come late, sampled, silent or wrong; loads need a store whose rate all runners share. Ruled out: keeping one state a request id in the plain service for look-ups (a resend that crashed hid the first run and the look-up said "never"; answers and calls under way are now apart, with a test that opens on it).

--- a/sesamebeam_fakes/src/lib.rs
+++ b/sesamebeam_fakes/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod answer;
 pub mod client;
 pub mod error;
+pub mod rating;
 pub mod runner;
 pub mod service;
+pub mod weights;
 
 mod gate;
 mod reply;
@@ -22,6 +24,10 @@
     expected_answer_of, //
 };
 pub use error::FakeError;
+pub use rating::{
+    RatingConfig,
+    RatingService, //
+};
 pub use runner::{
     Runner,
     config::RunnerConfig, //
@@ -30,3 +36,7 @@
     Service,
     ServiceConfig, //
 };
+pub use weights::{
+    WeightStore,
+    WeightsConfig, //
+};
--- a/sesamebeam_fakes/src/service.rs
+++ b/sesamebeam_fakes/src/service.rs
@@ -148,22 +148,16 @@
 #[derive(Debug, Default)]
 struct State {
     calls: Vec<CallEntry>,
-    /// Calls by request id, with their answer once they have ended.
-    by_request: BTreeMap<SmolStr, watch::Receiver<Ended>>,
+    /// Answers of the calls that had their effect, by request id.
+    answers: BTreeMap<SmolStr, Bytes>,
+    /// Calls under way by request id; true once they have had their effect.
+    under_way: BTreeMap<SmolStr, watch::Receiver<bool>>,
     running: u32,
     leaving: bool,
     faults: Vec<Fault>,
     delay: Duration,
 }
 
-/// How a call ended.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-enum Ended {
-    #[default]
-    Running,
-    Ran(Bytes),
-}
-
 /// Answer of a call.
 #[derive(Serialize)]
 struct CallAnswer<'a> {
@@ -385,7 +379,7 @@
 
 /// Runs a call, also if its caller goes away meanwhile.
 async fn run(inner: Arc<Inner>, life: Life, call: CallEntry, answer: Bytes) -> Response<Body> {
-    let (tx, mut rx) = watch::channel(Ended::Running);
+    let (tx, mut rx) = watch::channel(false);
     let (fault, delay, number) = {
         let mut state = inner.lock();
         let fault = if state.faults.is_empty() {
@@ -394,10 +388,10 @@
             state.faults.remove(0)
         };
         if fault != Fault::Refuse && fault != Fault::CrashBefore {
-            state.by_request.insert(call.request.clone(), rx.clone());
+            state.under_way.insert(call.request.clone(), rx.clone());
             state.running += 1;
         }
-        state.calls.push(call);
+        state.calls.push(call.clone());
         (fault, state.delay, state.calls.len() - 1)
     };
     match fault {
@@ -417,7 +411,9 @@
             let mut state = inner.lock();
             state.calls[number].ran = true;
             state.running = state.running.saturating_sub(1);
-            let _ = tx.send(Ended::Ran(answer));
+            state.answers.insert(call.request, answer);
+            // Nobody may be waiting.
+            let _ = tx.send(true);
             if fault == Fault::CrashAfter {
                 life.token.cancel();
             }
@@ -425,7 +421,7 @@
     };
     life.spawn(effect);
     // An error means that the service crashes: this task ends with it.
-    if rx.wait_for(|ended| *ended != Ended::Running).await.is_err() {
+    if rx.wait_for(|&ran| ran).await.is_err() {
         return std::future::pending().await;
     }
     match fault {
@@ -440,24 +436,23 @@
 /// Looks a call up. A call that still runs is neither `ran` nor `never`: the
 /// answer waits for its end, as a caller told `never` would send it again.
 async fn look_up(inner: &Inner, id: &str) -> Response<Body> {
-    let found = inner.lock().by_request.get(id).cloned();
-    let Some(mut rx) = found else {
+    let under_way = inner.lock().under_way.get(id).cloned();
+    if let Some(mut rx) = under_way {
+        // An error means that a crash came before the effect.
+        let _ = rx.wait_for(|&ran| ran).await;
+    }
+    let Some(body) = inner.lock().answers.get(id).cloned() else {
         return reply::state(StatusCode::OK, "never");
     };
-    let ended = rx.wait_for(|ended| *ended != Ended::Running).await;
-    match ended.map(|ended| ended.clone()) {
-        Ok(Ended::Ran(body)) => reply::json(
-            StatusCode::OK,
-            &LookupAnswer {
-                state: "ran",
-                status: StatusCode::OK.as_u16(),
-                content_type: JSON,
-                body: BASE64_STANDARD.encode(body),
-            },
-        ),
-        // The sender went away with a crash before the effect.
-        Ok(Ended::Running) | Err(_) => reply::state(StatusCode::OK, "never"),
-    }
+    reply::json(
+        StatusCode::OK,
+        &LookupAnswer {
+            state: "ran",
+            status: StatusCode::OK.as_u16(),
+            content_type: JSON,
+            body: BASE64_STANDARD.encode(body),
+        },
+    )
 }
 
 fn text(headers: &HeaderMap, name: &str) -> SmolStr {
--- a/sesamebeam_fakes/tests/announcements.rs
+++ b/sesamebeam_fakes/tests/announcements.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use http_body_util::{
@@ -39,6 +42,9 @@
 
 const KEY: &str = "announce-key";
 
+/// Delay of cache events.
+const CACHE_LAG: Duration = Duration::from_millis(50);
+
 /// Takes announcements as an entry does.
 async fn entry() -> (SocketAddr, mpsc::UnboundedReceiver<Announcement>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -74,6 +80,10 @@
 }
 
 async fn start(entries: Vec<SocketAddr>, fanout: usize) -> Runner {
+    start_with(entries, fanout, RunnerConfig::default()).await
+}
+
+async fn start_with(entries: Vec<SocketAddr>, fanout: usize, cfg: RunnerConfig) -> Runner {
     let cfg = RunnerConfig {
         versions: vec!["beam@v7".into()],
         announce: AnnounceConfig {
@@ -84,7 +94,7 @@
             interval: Duration::from_millis(5),
             fanout,
         },
-        ..RunnerConfig::default()
+        ..cfg
     };
     let runner = Runner::start(cfg, CancellationToken::new()).await;
     runner.expect("loopback has free ports")
@@ -135,6 +145,7 @@
     let (addr, mut rx) = entry().await;
     let runner = start(vec![addr], 1).await;
     runner.set_token_delay(Duration::from_secs(3600));
+    let begin = Instant::now();
     let mut client = Client::connect(runner.addr()).await.unwrap();
     let req = Call::chat("beam@v7", "x", 4, true);
     let _opened = client.open(req).await.unwrap();
@@ -146,4 +157,38 @@
             break;
         }
     }
+    assert!(begin.elapsed() >= Duration::from_millis(250));
+}
+
+/// Twenty prefixes come into the cache. Their events are announced after a lag,
+/// and about half of them never: the loss is drawn from the seed.
+#[tokio::test]
+async fn gappy_cache_events() {
+    let cfg = RunnerConfig {
+        incarnation: Some(1),
+        cache_loss: 0.5,
+        cache_lag: CACHE_LAG,
+        ..RunnerConfig::default()
+    };
+    let (addr, mut rx) = entry().await;
+    let runner = start_with(vec![addr], 1, cfg).await;
+    let mut client = Client::connect(runner.addr()).await.unwrap();
+    let begin = Instant::now();
+    for prefix in 1..=20 {
+        let req = Call::chat("beam@v7", "x", 4, true).header("x-prefix", &format!("{prefix:x}"));
+        client.call(req).await.unwrap();
+    }
+    let end = Instant::now();
+    let mut held = Vec::new();
+    let mut after_lag = 0;
+    // Of the announcements that come after the lag, the third was surely made
+    // after it too, and holds the last event.
+    while after_lag < 3 {
+        let announced = rx.recv().await.unwrap();
+        held.extend(announced.cache.iter().map(|event| event.prefix));
+        assert!(held.is_empty() || begin.elapsed() >= CACHE_LAG);
+        after_lag += usize::from(end.elapsed() >= CACHE_LAG);
+    }
+    assert!(held.is_sorted(), "{held:?}");
+    assert!((1..20).contains(&held.len()), "{held:?}");
 }
--- a/sesamebeam_fakes/tests/service.rs
+++ b/sesamebeam_fakes/tests/service.rs
@@ -106,3 +106,34 @@
     assert_eq!(look_up(&service).await["state"], json!("ran"));
     assert_eq!(service.effects_of_key("sheet-12"), 1);
 }
+
+/// The call has its effect and its answer never comes, while the connection
+/// stays open: the caller can only give up.
+#[tokio::test]
+async fn hanging_answer() {
+    let service = start().await;
+    service.inject([Fault::Hang]);
+    let caller = tokio::spawn(call(service.addr(), sheet()));
+    while service.effects_of_key("sheet-12") == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(look_up(&service).await["state"], json!("ran"));
+    assert!(!caller.is_finished());
+}
+
+/// A call ran, and its resend is lost in a crash. The look-up still says "ran":
+/// the crash of the second says nothing about the first.
+#[tokio::test]
+async fn resend_crashes() {
+    let service = start().await;
+    call(service.addr(), sheet()).await.unwrap();
+    service.set_delay(Duration::from_secs(3600));
+    let resend = tokio::spawn(call(service.addr(), sheet()));
+    while service.calls().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    service.restart().await.unwrap();
+    assert!(resend.await.unwrap().is_err());
+    assert_eq!(look_up(&service).await["state"], json!("ran"));
+    assert_eq!(service.effects_of_key("sheet-12"), 1);
+}
