Build events only while a body shows them, and take speed changes at once

Cause: a trial load run at zero token delay kept the built events of every ended stream for its retention, half a gigabyte after a second; a changed token delay waited for the step under way; two restarts at once could both listen, as the address may be shared. Ruled out: a cap on kept streams (a resume would then find "gone" for reasons no test asked for). Events depend on the request alone, so they are built again.

--- a/sesamebeam_fakes/src/lib.rs
+++ b/sesamebeam_fakes/src/lib.rs
@@ -4,6 +4,28 @@
 //! Each fake is a server on the loopback interface with a typed configuration
 //! and a handle. The handle brings about failures and keeps books of what the
 //! fake really did, so that a test can prove that a request ran at most once.
+//!
+//! ```
+//! use sesamebeam_fakes::{Runner, RunnerConfig, client, expected_answer_of};
+//! use tokio_util::sync::CancellationToken;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let stop = CancellationToken::new();
+//! let cfg = RunnerConfig {
+//!     versions: vec!["beam@v7".into()],
+//!     ..RunnerConfig::default()
+//! };
+//! let runner = Runner::start(cfg, stop.clone()).await?;
+//! let req = client::Call::chat("beam@v7", "where is lock 4?", 8, true).request_id(1);
+//! let reply = client::call(runner.addr(), req).await?;
+//! let text = client::text_of(&reply.events());
+//! assert_eq!(text, expected_answer_of("beam@v7", "where is lock 4?", 8));
+//! assert_eq!(runner.books().request(1).started, 1);
+//! stop.cancel();
+//! # Ok(())
+//! # }
+//! ```
 
 pub mod announce;
 pub mod answer;
--- a/sesamebeam_fakes/src/runner.rs
+++ b/sesamebeam_fakes/src/runner.rs
@@ -195,7 +195,7 @@
         self.inner.announcer.nudge();
     }
 
-    /// Time at which the runner first announced that it was leaving.
+    /// Time at which the runner of this life announced that it was leaving.
     pub fn left_at(&self) -> Option<Instant> {
         *self.inner.left_at.lock().expect("no panic under the lock")
     }
@@ -236,6 +236,7 @@
     /// Changes the time between two tokens when nothing else runs.
     pub fn set_token_delay(&self, delay: Duration) {
         self.knobs().token_delay = delay;
+        self.read(Engine::change_speed);
     }
 
     /// Refuses all new work with 503, or no longer.
@@ -297,6 +298,7 @@
         Arc::clone(&inner.books),
         Arc::clone(&inner.knobs),
     );
+    *inner.left_at.lock().expect("no panic under the lock") = None;
     *inner.engine.lock().expect("no panic under the lock") = Some(Arc::clone(&engine));
     life.spawn(Arc::clone(&engine).run());
     let source = {
--- a/sesamebeam_fakes/src/runner/config.rs
+++ b/sesamebeam_fakes/src/runner/config.rs
@@ -31,7 +31,7 @@
     /// Requests that wait inside the runner before it refuses more.
     pub max_waiting: usize,
     /// Time between two tokens of a stream when nothing else runs; zero gives
-    /// the whole answer at once.
+    /// the whole answer at once. The timer rounds up to milliseconds.
     pub token_delay: Duration,
     /// Tokens that each running stream gains at a step.
     pub tokens_per_step: u32,
--- a/sesamebeam_fakes/src/runner/engine.rs
+++ b/sesamebeam_fakes/src/runner/engine.rs
@@ -87,6 +87,8 @@
     state: Mutex<State>,
     /// Something runs that takes time.
     work: Notify,
+    /// The test has changed the speed: a long pause must not go on.
+    speed: Notify,
 }
 
 /// What an engine forgets when it crashes.
@@ -147,6 +149,7 @@
             knobs,
             state: Mutex::new(state),
             work: Notify::new(),
+            speed: Notify::new(),
         })
     }
 
@@ -251,6 +254,11 @@
         self.measure(&state)
     }
 
+    /// Takes over a changed speed.
+    pub(crate) fn change_speed(&self) {
+        self.speed.notify_one();
+    }
+
     /// Steps through the running requests until the life ends.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
@@ -259,8 +267,10 @@
                 wake.await;
                 continue;
             };
-            tokio::time::sleep(pause).await;
-            self.step();
+            tokio::select! {
+                () = tokio::time::sleep(pause) => self.step(),
+                () = self.speed.notified() => {}
+            }
         }
     }
 
--- a/sesamebeam_fakes/src/runner/stream.rs
+++ b/sesamebeam_fakes/src/runner/stream.rs
@@ -4,7 +4,8 @@
     pin::Pin,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        Weak, //
     },
     task::{
         Context,
@@ -65,8 +66,9 @@
 
 #[derive(Debug, Default)]
 struct Progress {
-    /// Built when the request starts to run, as the usage tells of the cache.
-    script: Option<Arc<Script>>,
+    /// Held by the bodies that show it. A kept stream that nobody reads takes no
+    /// memory for its events: they are built again for a resume.
+    script: Weak<Script>,
     usage: Usage,
     /// Time at which the prompt has been read.
     prefilled: Option<Instant>,
@@ -87,9 +89,7 @@
 
     /// Begins to run.
     pub(crate) fn start(&self, usage: Usage, prefilled: Instant) {
-        let script = Script::new(self.job.id, &self.job.version, self.job.answer, usage);
         let mut progress = self.lock();
-        progress.script = Some(Arc::new(script));
         progress.usage = usage;
         progress.prefilled = Some(prefilled);
     }
@@ -158,6 +158,17 @@
 }
 
 impl Progress {
+    /// Gives the events, building them if no body holds them.
+    fn script(&mut self, job: &Job) -> Arc<Script> {
+        if let Some(script) = self.script.upgrade() {
+            return script;
+        }
+        let script = Script::new(job.id, &job.version, job.answer, self.usage);
+        let script = Arc::new(script);
+        self.script = Arc::downgrade(&script);
+        script
+    }
+
     fn wake(&mut self) {
         self.wakers.drain(..).for_each(Waker::wake);
     }
@@ -173,6 +184,8 @@
 #[derive(Debug)]
 pub(crate) struct EventBody {
     stream: Arc<Stream>,
+    /// Events of the stream, once the first is shown.
+    script: Option<Arc<Script>>,
     /// Events shown, or passed over by the offset.
     shown: usize,
     /// Events after which the connection is cut.
@@ -187,6 +200,7 @@
     pub(crate) fn new(stream: Arc<Stream>, offset: usize, cut: Option<usize>) -> Self {
         Self {
             stream,
+            script: None,
             shown: offset,
             cut_at: cut.map(|cut| offset.saturating_add(cut)),
             flushed: false,
@@ -206,10 +220,12 @@
         let mut progress = stream.lock();
         let limit = self.cut_at.unwrap_or(usize::MAX);
         let upto = progress.produced.min(limit);
-        if let Some(script) = progress.script.as_ref()
-            && upto > self.shown
-        {
-            let bytes = script.slice(self.shown, upto);
+        if upto > self.shown {
+            let from = self.shown;
+            let script = self
+                .script
+                .get_or_insert_with(|| progress.script(&stream.job));
+            let bytes = script.slice(from, upto);
             self.shown = upto;
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
--- a/sesamebeam_fakes/src/site.rs
+++ b/sesamebeam_fakes/src/site.rs
@@ -75,6 +75,9 @@
     _reserve: TcpSocket,
     root: CancellationToken,
     life: Mutex<Life>,
+    /// Held while a life begins. Two restarts at once would both find the last
+    /// life ended, and both listen, as the address may be shared.
+    beginning: tokio::sync::Mutex<()>,
 }
 
 impl Site {
@@ -98,6 +101,7 @@
             _reserve: reserve,
             root,
             life: Mutex::new(life),
+            beginning: tokio::sync::Mutex::default(),
         })
     }
 
@@ -106,6 +110,7 @@
         &self,
         first: Option<Incarnation>,
     ) -> Result<(Life, TcpListener), FakeError> {
+        let _beginning = self.beginning.lock().await;
         if self.root.is_cancelled() {
             return Err(FakeError::Stopped(self.addr));
         }
--- a/sesamebeam_fakes/tests/stream.rs
+++ b/sesamebeam_fakes/tests/stream.rs
@@ -7,6 +7,7 @@
 use sesamebeam_fakes::{
     Runner,
     RunnerConfig,
+    answer::expected_bad_answer,
     client::{
         Call,
         Client,
@@ -152,3 +153,32 @@
     let order: Vec<u128> = runner.books().runs().iter().map(|r| r.request).collect();
     assert_eq!(order, [1, 4, 3, 2]);
 }
+
+/// A version turns bad in the middle of a shift: its answers carry the mark that
+/// the rating service knows, until it is made good again.
+#[tokio::test]
+async fn bad_version() {
+    let runner = start(config()).await;
+    let (addr, prompt) = (runner.addr(), "cargo note");
+    let good = expected_answer_of(VERSION, prompt, 8);
+    let poor = expected_bad_answer(VERSION, prompt, 8);
+    for (bad, expected) in [(false, &good), (true, &poor), (false, &good)] {
+        runner.set_bad(VERSION, bad);
+        let req = Call::chat(VERSION, prompt, 8, true);
+        let reply = call(addr, req).await.unwrap();
+        assert_eq!(text_of(&reply.events()), *expected);
+    }
+}
+
+/// A request that would take hours ends at once when the runner becomes fast.
+#[tokio::test]
+async fn changed_speed() {
+    let runner = start(config()).await;
+    runner.set_token_delay(Duration::from_secs(3600));
+    let mut client = Client::connect(runner.addr()).await.unwrap();
+    let req = Call::chat(VERSION, "x", 8, true);
+    let opened = client.open(req).await.unwrap();
+    assert_eq!(runner.load().running, 1);
+    runner.set_token_delay(Duration::ZERO);
+    assert_eq!(opened.finish().await.events().len(), 10);
+}
