Split the plain service and the rating service by job

Ruled out: none; moved without a change of behaviour, the public names are the same but for rating::quality::Quality and service::config::ServiceConfig (the latter still at the crate's root).

--- a/sesamebeam_fakes/src/lib.rs
+++ b/sesamebeam_fakes/src/lib.rs
@@ -56,7 +56,7 @@
 };
 pub use service::{
     Service,
-    ServiceConfig, //
+    config::ServiceConfig, //
 };
 pub use weights::{
     WeightStore,
--- a/sesamebeam_fakes/src/rating.rs
+++ b/sesamebeam_fakes/src/rating.rs
@@ -1,5 +1,7 @@
 //! Rating service that rates a sample of answers, late.
 
+pub mod quality;
+
 use std::{
     collections::{
         BTreeMap,
@@ -36,11 +38,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::quality::Quality;
 use crate::{
-    answer::{
-        BAD_MARK,
-        share, //
-    },
+    answer::share,
     error::FakeError,
     reply::{
         self,
@@ -55,10 +55,11 @@
 /// Ratings given at once if the reader names no limit.
 const DEFAULT_LIMIT: usize = 1000;
 
-/// Seed offsets, so that the draws of one answer do not depend on each other.
+/// Seed offset of the draw whether an answer is rated.
 const SAMPLE_SEED: u64 = 1;
+
+/// Seed offset of the draw of a rating's lag.
 const LAG_SEED: u64 = 2;
-const NOISE_SEED: u64 = 3;
 
 /// Settings of a rating service.
 #[derive(Clone, Debug)]
@@ -90,64 +91,6 @@
     }
 }
 
-/// True quality of answers: the share of them that is good.
-#[derive(Clone, Debug)]
-pub struct Quality {
-    /// Seed of the draw of each answer.
-    pub seed: u64,
-    /// Share of good answers by class and version.
-    pub by_class: BTreeMap<(ClassId, VersionId), f64>,
-    /// Share of good answers by version, for the classes not listed.
-    pub by_version: BTreeMap<VersionId, f64>,
-    /// Share of good answers of all other versions.
-    pub default: f64,
-    /// Share of good answers among those that a version made bad has marked.
-    pub bad: f64,
-    /// Share of scores that come out the wrong way.
-    pub noise: f64,
-}
-
-impl Default for Quality {
-    fn default() -> Self {
-        Self {
-            seed: 0,
-            by_class: BTreeMap::new(),
-            by_version: BTreeMap::new(),
-            default: 0.9,
-            bad: 0.05,
-            noise: 0.0,
-        }
-    }
-}
-
-impl Quality {
-    /// Share of the answers that is good.
-    pub fn share(&self, class: &str, version: &str) -> f64 {
-        let key = (ClassId::new(class), VersionId::new(version));
-        let listed = self.by_class.get(&key);
-        let listed = listed.or_else(|| self.by_version.get(version));
-        listed.copied().unwrap_or(self.default)
-    }
-
-    /// Whether one answer is good, the same each time.
-    pub fn is_good(&self, class: &str, version: &str, answer: &str) -> bool {
-        let good = if answer.starts_with(BAD_MARK) {
-            self.bad
-        } else {
-            self.share(class, version)
-        };
-        share(self.seed, &[class, version, answer]) < good
-    }
-
-    /// Score of one answer as the service gives it: 1 if it is good, 0 if not,
-    /// the other way round for the share that `noise` says.
-    pub fn score(&self, class: &str, version: &str, answer: &str) -> f64 {
-        let noise = share(self.seed ^ NOISE_SEED, &[class, version, answer]);
-        let good = self.is_good(class, version, answer);
-        f64::from(u8::from(good != (noise < self.noise)))
-    }
-}
-
 /// How the service behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
--- a/sesamebeam_fakes/src/service.rs
+++ b/sesamebeam_fakes/src/service.rs
@@ -1,11 +1,12 @@
 //! A plain service whose calls may not all be repeated.
 
+pub mod config;
+
+mod routes;
+
 use std::{
     collections::BTreeMap,
-    net::{
-        Ipv4Addr,
-        SocketAddr, //
-    },
+    net::SocketAddr,
     sync::{
         Arc,
         Mutex,
@@ -14,19 +15,7 @@
     time::Duration, //
 };
 
-use base64::{
-    Engine as _,
-    prelude::BASE64_STANDARD, //
-};
 use bytes::Bytes;
-use hyper::{
-    HeaderMap,
-    Request,
-    Response,
-    StatusCode,
-    body::Incoming, //
-};
-use serde::Serialize;
 use sesamebeam_core::{
     ids::{
         IdempotencyKey,
@@ -41,57 +30,23 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+pub use self::routes::expected_reply;
+use self::{
+    config::ServiceConfig,
+    routes::route, //
+};
 use crate::{
     announce::{
-        AnnounceConfig,
         AnnounceCounts,
         Announcer, //
     },
-    answer::digest,
     error::FakeError,
-    reply::{
-        self,
-        Body, //
-    },
     site::{
         Life,
         Site, //
     }, //
 };
 
-/// Path under which calls are looked up.
-const LOOKUP: &str = "/lookup/";
-
-/// Content type of every answer.
-const JSON: &str = "application/json";
-
-/// Settings of a plain service.
-#[derive(Clone, Debug)]
-pub struct ServiceConfig {
-    /// Address to listen on; port 0 draws a free one.
-    pub addr: SocketAddr,
-    /// Incarnation of the first life; drawn from the clock by default.
-    pub incarnation: Option<Incarnation>,
-    /// Announcements.
-    pub announce: AnnounceConfig,
-    /// Time that a call takes.
-    pub delay: Duration,
-    /// Whether calls can be looked up by request id.
-    pub lookup: bool,
-}
-
-impl Default for ServiceConfig {
-    fn default() -> Self {
-        Self {
-            addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            incarnation: None,
-            announce: AnnounceConfig::default(),
-            delay: Duration::ZERO,
-            lookup: false,
-        }
-    }
-}
-
 /// What happens to a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -158,31 +113,6 @@
     delay: Duration,
 }
 
-/// Answer of a call.
-#[derive(Serialize)]
-struct CallAnswer<'a> {
-    target: &'a str,
-    digest: &'a str,
-}
-
-/// Answer of a look-up.
-#[derive(Serialize)]
-struct LookupAnswer<'a> {
-    state: &'a str,
-    status: u16,
-    content_type: &'a str,
-    body: String,
-}
-
-/// Answer to a call with that method, path and body.
-pub fn expected_reply(method: &str, path: &str, body: &[u8]) -> Bytes {
-    let answer = CallAnswer {
-        target: &format!("{method} {path}"),
-        digest: &format!("{:032x}", digest(body)),
-    };
-    Bytes::from(serde_json::to_vec(&answer).expect("strings are always JSON"))
-}
-
 impl Service {
     /// Starts a plain service.
     ///
@@ -347,115 +277,3 @@
     inner.site.serve(&life, listener, handler);
     Ok(())
 }
-
-async fn route(inner: Arc<Inner>, life: Life, req: Request<Incoming>) -> Response<Body> {
-    let (head, body) = req.into_parts();
-    if let Some(id) = head.uri.path().strip_prefix(LOOKUP)
-        && inner.cfg.lookup
-    {
-        return look_up(&inner, id).await;
-    }
-    let body = match reply::read(body).await {
-        Ok(body) => body,
-        Err(early) => return *early,
-    };
-    let method = head.method.as_str();
-    let path = head
-        .uri
-        .path_and_query()
-        .map_or(head.uri.path(), |p| p.as_str());
-    let answer = expected_reply(method, path, &body);
-    let call = CallEntry {
-        request: text(&head.headers, "x-request-id"),
-        key: text(&head.headers, "idempotency-key"),
-        target: SmolStr::from(format!("{method} {path}")),
-        body,
-        incarnation: life.incarnation,
-        ran: false,
-        leaving: inner.lock().leaving,
-    };
-    run(inner, life, call, answer).await
-}
-
-/// Runs a call, also if its caller goes away meanwhile.
-async fn run(inner: Arc<Inner>, life: Life, call: CallEntry, answer: Bytes) -> Response<Body> {
-    let (tx, mut rx) = watch::channel(false);
-    let (fault, delay, number) = {
-        let mut state = inner.lock();
-        let fault = if state.faults.is_empty() {
-            Fault::None
-        } else {
-            state.faults.remove(0)
-        };
-        if fault != Fault::Refuse && fault != Fault::CrashBefore {
-            state.under_way.insert(call.request.clone(), rx.clone());
-            state.running += 1;
-        }
-        state.calls.push(call.clone());
-        (fault, state.delay, state.calls.len() - 1)
-    };
-    match fault {
-        Fault::Refuse => return reply::fault(StatusCode::SERVICE_UNAVAILABLE, "not run"),
-        Fault::CrashBefore => {
-            life.token.cancel();
-            return std::future::pending().await;
-        }
-        Fault::None | Fault::CrashAfter | Fault::LoseAnswer | Fault::Hang => {}
-    }
-    let effect = {
-        let (inner, life, answer) = (Arc::clone(&inner), life.clone(), answer.clone());
-        async move {
-            if !delay.is_zero() {
-                tokio::time::sleep(delay).await;
-            }
-            let mut state = inner.lock();
-            state.calls[number].ran = true;
-            state.running = state.running.saturating_sub(1);
-            state.answers.insert(call.request, answer);
-            // Nobody may be waiting.
-            let _ = tx.send(true);
-            if fault == Fault::CrashAfter {
-                life.token.cancel();
-            }
-        }
-    };
-    life.spawn(effect);
-    // An error means that the service crashes: this task ends with it.
-    if rx.wait_for(|&ran| ran).await.is_err() {
-        return std::future::pending().await;
-    }
-    match fault {
-        Fault::LoseAnswer => reply::broken(),
-        Fault::CrashAfter | Fault::Hang => std::future::pending().await,
-        Fault::None | Fault::Refuse | Fault::CrashBefore => {
-            reply::bytes(StatusCode::OK, JSON, answer)
-        }
-    }
-}
-
-/// Looks a call up. A call that still runs is neither `ran` nor `never`: the
-/// answer waits for its end, as a caller told `never` would send it again.
-async fn look_up(inner: &Inner, id: &str) -> Response<Body> {
-    let under_way = inner.lock().under_way.get(id).cloned();
-    if let Some(mut rx) = under_way {
-        // An error means that a crash came before the effect.
-        let _ = rx.wait_for(|&ran| ran).await;
-    }
-    let Some(body) = inner.lock().answers.get(id).cloned() else {
-        return reply::state(StatusCode::OK, "never");
-    };
-    reply::json(
-        StatusCode::OK,
-        &LookupAnswer {
-            state: "ran",
-            status: StatusCode::OK.as_u16(),
-            content_type: JSON,
-            body: BASE64_STANDARD.encode(body),
-        },
-    )
-}
-
-fn text(headers: &HeaderMap, name: &str) -> SmolStr {
-    let value = headers.get(name).and_then(|v| v.to_str().ok());
-    SmolStr::new(value.unwrap_or_default())
-}
--- a/sesamebeam_fakes/tests/rating.rs
+++ b/sesamebeam_fakes/tests/rating.rs
@@ -17,8 +17,8 @@
     },
     rating::{
         Mode,
-        Quality,
-        RatingPage, //
+        RatingPage,
+        quality::Quality, //
     }, //
 };
 use tokio_util::sync::CancellationToken;
