Try likely versions more, rate thin evidence in full, let the oracle cascade

Cause: a version expected to meet the target was never tried in classes that are not idempotent, so expensive versions stayed; the oracle knew no cascades and ratings of cascades cost nothing. Ruled out: trials of unlikely versions on anything but routine work.

--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -62,6 +62,7 @@
         Run, //
     },
     router::{
+        RATING_COST,
         Router,
         Strategy,
         Wanted, //
@@ -692,6 +693,7 @@
 
     /// Rates the first answer of a cascade at once.
     fn rejected(&mut self, at: usize, version: &VersionId) -> bool {
+        self.requests[at].cost += RATING_COST * self.requests[at].tokens / 1000.0;
         let Some(score) = self.score(at, version) else {
             self.router.rater_answers = false;
             return true;
@@ -767,7 +769,9 @@
             return;
         }
         let request = &self.requests[at];
-        let share = self.router.exposure.sample_share(version);
+        let usual = self.router.exposure.sample_share(version);
+        let class = &self.class(at).name;
+        let share = self.router.quality.sample_share(class, version, usual);
         if hash::unit(&request.id.to_le_bytes(), "sample") >= share {
             return;
         }
--- a/sesamebeam_bench/src/policy/router.rs
+++ b/sesamebeam_bench/src/policy/router.rs
@@ -69,6 +69,9 @@
 /// Weights of the versions in the static split, cheapest first.
 const SPLIT: [f64; 4] = [0.4, 0.1, 0.3, 0.2];
 
+/// Cost of rating an answer at once, for each 1000 tokens of it.
+pub(crate) const RATING_COST: f64 = 0.02;
+
 /// How requests are routed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Strategy {
@@ -264,16 +267,40 @@
         let rolls = |version: &str| {
             self.exposure.permit(version, wanted.class, &id, false) != Permit::NotYet
         };
-        let good = self
-            .versions
-            .iter()
-            .find(|(version, _)| rolls(version) && truth(version) >= target);
-        let best = self
+        let open: Vec<&(VersionId, f64)> = self
             .versions
             .iter()
-            .max_by(|a, b| truth(&a.0).total_cmp(&truth(&b.0)))
+            .filter(|(version, _)| rolls(version))
+            .collect();
+        let mut plans: Vec<(f64, f64, Plan)> = Vec::new();
+        for (first, cost) in &open {
+            plans.push((*cost, truth(first), Plan::Single(first.clone())));
+            if !wanted.class.cascade {
+                continue;
+            }
+            for (then, then_cost) in &open {
+                let (q1, q2) = (truth(first), truth(then));
+                // Half of the requests are as hard for one as for the other.
+                let quality = 0.5 * q1.max(q2) + 0.5 * (1.0 - (1.0 - q1) * (1.0 - q2));
+                let cascade = Plan::Cascade {
+                    first: first.clone(),
+                    then: then.clone(),
+                };
+                if q1 < q2 {
+                    plans.push((
+                        cost + RATING_COST + (1.0 - q1) * then_cost,
+                        quality,
+                        cascade,
+                    ));
+                }
+            }
+        }
+        let good = plans.iter().filter(|(_, quality, _)| *quality >= target);
+        let plan = good
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .or_else(|| plans.iter().max_by(|a, b| a.1.total_cmp(&b.1)))
             .expect("a deployment has versions");
-        let plan = Plan::Single(good.unwrap_or(best).0.clone());
+        let plan = plan.2.clone();
         self.pin(wanted, &plan);
         plan
     }
--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -23,8 +23,11 @@
 pub struct PlanConfig {
     /// Whether cascades are considered.
     pub cascades: bool,
-    /// Share of eligible requests that go to a cheaper version that may yet
-    /// prove good enough; 0 turns it off.
+    /// Share of the requests that go to a cheaper version which is expected to
+    /// meet the target, though not yet at the stated confidence; 0 turns it off.
+    pub explore_likely: f64,
+    /// Share of routine idempotent requests that go to a cheaper version which
+    /// is not expected to, yet may; 0 turns it off.
     pub explore: f64,
     /// Least probability of meeting the target that is worth a trial.
     pub explore_floor: f64,
@@ -43,7 +46,8 @@
     fn default() -> Self {
         Self {
             cascades: true,
-            explore: 0.02,
+            explore_likely: 0.25,
+            explore: 0.01,
             explore_floor: 0.1,
             rater_accepts_good: 0.95,
             rater_accepts_bad: 0.05,
@@ -237,34 +241,34 @@
         (Moments { mean, var }, rejected)
     }
 
+    /// Chooses the cheapest that meets the target, or a trial.
+    ///
+    /// Without trials a version that had bad luck early, or that nobody used
+    /// yet in a class, would never be rated there and the cost would stay high.
+    /// A version expected to meet the target does no harm on average in any
+    /// class; one that is not is tried on routine idempotent work only.
     fn choose(&self, input: &PlanInput<'_>, scored: &[Scored]) -> Option<(usize, Reason)> {
-        let cheapest = least(scored, |s| s.meets && s.fits, |s| s.cost);
-        let Some(best) = cheapest else {
-            let at = least(scored, |s| s.fits, |s| -s.confidence)
-                .or_else(|| least(scored, |_| true, |s| -s.confidence))?;
-            return Some((at, Reason::BestAvailable));
-        };
-        let trial = |s: &Scored| {
-            matches!(s.plan, Plan::Single(_))
-                && s.fits
-                && s.cost < scored[best].cost
-                && s.confidence >= self.cfg.explore_floor
+        let (target, _) = goal(input.target);
+        let (at, reason) = match least(scored, |s| s.meets && s.fits, |s| s.cost) {
+            Some(at) => (at, Reason::Cheapest),
+            None => (likeliest(scored)?, Reason::BestAvailable),
         };
-        if self.may_try(input)
-            && let Some(at) = least(scored, trial, |s| s.cost)
+        let cheaper = |s: &Scored| s.fits && s.cost < scored[at].cost;
+        let likely = |s: &Scored| cheaper(s) && s.quality >= target;
+        if input.draw < self.cfg.explore_likely
+            && let Some(at) = least(scored, likely, |s| s.cost)
         {
             return Some((at, Reason::Trial));
         }
-        Some((best, Reason::Cheapest))
-    }
-
-    /// Tells whether this request may try a version not yet known to be good
-    /// enough. Without trials a cheap version that had bad luck early would
-    /// never be rated again and the cost would stay high.
-    fn may_try(&self, input: &PlanInput<'_>) -> bool {
-        input.draw < self.cfg.explore
-            && input.class.idempotent
-            && input.class.priority != Priority::Urgent
+        let single = |s: &Scored| matches!(s.plan, Plan::Single(_));
+        let maybe = |s: &Scored| cheaper(s) && single(s) && s.confidence >= self.cfg.explore_floor;
+        if input.draw < self.cfg.explore
+            && is_routine(input.class)
+            && let Some(at) = least(scored, maybe, |s| s.cost)
+        {
+            return Some((at, Reason::Trial));
+        }
+        Some((at, reason))
     }
 }
 
@@ -307,6 +311,15 @@
     target.map_or((0.0, 0.0), |target| (target.quality, target.confidence))
 }
 
+fn likeliest(scored: &[Scored]) -> Option<usize> {
+    let fits = least(scored, |s| s.fits, |s| -s.confidence);
+    fits.or_else(|| least(scored, |_| true, |s| -s.confidence))
+}
+
+fn is_routine(class: &Class) -> bool {
+    class.idempotent && class.priority != Priority::Urgent
+}
+
 /// Finds the first of the least among those that a filter lets through.
 fn least(
     scored: &[Scored],
--- a/sesamebeam_core/src/policy/quality.rs
+++ b/sesamebeam_core/src/policy/quality.rs
@@ -58,6 +58,8 @@
     pub prior_weight: f64,
     /// Ratings that the evidence of other classes is worth at most.
     pub other_weight: f64,
+    /// Ratings below which evidence is thin and every answer is rated.
+    pub thin: f64,
     /// Score from which an answer is good.
     pub good_score: f64,
     /// Time for which a rating service found wrong is not listened to.
@@ -73,6 +75,7 @@
             memory: 400.0,
             prior_weight: 4.0,
             other_weight: 12.0,
+            thin: 100.0,
             good_score: 0.5,
             distrust: Duration::from_secs(120),
         }
@@ -360,6 +363,15 @@
             .map_or(0.0, |counts| counts.good + counts.bad)
     }
 
+    /// Gives the share of a version's answers in a class that is worth a rating:
+    /// all of them while there is little evidence, else `usual`.
+    pub fn sample_share(&self, class: &str, version: &str, usual: f64) -> f64 {
+        match self.evidence(class, version) < self.cfg.thin {
+            true => 1.0,
+            false => usual,
+        }
+    }
+
     /// Gives the prior of a version in the fleet file.
     pub fn prior(&self, version: &str) -> Option<f64> {
         self.priors.get(version).copied()
