Start what waits in fake engines when other work leaves; count refusals by cause

Cause: a request queued behind other entries' work in the fake stayed there for good, which showed as late answers of the policy.

--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -59,6 +59,7 @@
     result::{
         Ended,
         Outcome,
+        Refusal,
         Run, //
     },
     router::{
@@ -436,13 +437,13 @@
         if self.setting.strategy.is_guarded() {
             let standing = self.router.suspects.standing(self.requests[at].fingerprint);
             if standing == Standing::Quarantined {
-                return self.end(at, Outcome::Refused);
+                return self.end(at, Outcome::Refused(Refusal::Quarantined));
             }
             self.router.retries.request(&self.requests[at].org);
             self.router.hedges.request(class);
         }
         if !self.plan(at) {
-            return self.end(at, Outcome::Refused);
+            return self.end(at, Outcome::Refused(Refusal::NoVersion));
         }
         if !self.setting.strategy.is_guarded() {
             return self.start(at);
@@ -463,7 +464,7 @@
                 self.start(at);
             }
             Offered::Queued => {}
-            Offered::Refused { .. } => self.end(at, Outcome::Refused),
+            Offered::Refused { .. } => self.end(at, Outcome::Refused(Refusal::Admission)),
         }
     }
 
@@ -511,7 +512,7 @@
             && self.router.exposure.held(plan.first()).is_some()
             && !self.plan(at)
         {
-            return self.end(at, Outcome::Refused);
+            return self.end(at, Outcome::Refused(Refusal::NoVersion));
         }
         match self.requests[at].plan.clone() {
             None => self.send(at, Step::Only, None),
@@ -552,7 +553,7 @@
             .router
             .pick(self.now, &input, &self.servers, version.is_some());
         let Some(server) = picked else {
-            return self.end(at, Outcome::Refused);
+            return self.end(at, Outcome::Refused(Refusal::NoServer));
         };
         self.send_to(at, step, version, server, suspect);
     }
@@ -878,10 +879,9 @@
         }
         self.end(
             at,
-            if ran {
-                Outcome::Failed
-            } else {
-                Outcome::Refused
+            match ran {
+                true => Outcome::Failed,
+                false => Outcome::Refused(Refusal::NoRetry),
             },
         );
     }
@@ -1022,7 +1022,7 @@
         }
         for given_up in self.router.admission.expired(self.now) {
             if let Some(at) = self.by_id.get(&given_up.request).copied() {
-                self.end(at, Outcome::Refused);
+                self.end(at, Outcome::Refused(Refusal::GivenUp));
             }
         }
         self.let_in();
@@ -1040,6 +1040,12 @@
             }
             let busy = self.servers[at].slots as f64 * load + self.rng.random_range(-2.0..2.0);
             self.servers[at].background = (busy.max(0.0) as usize).min(self.servers[at].slots);
+            for (started, length) in self.servers[at].fill() {
+                self.runs(started, length);
+            }
+            for (started, length) in self.servers[at].fill() {
+                self.runs(started, length);
+            }
         }
     }
 
--- a/sesamebeam_bench/src/policy/result.rs
+++ b/sesamebeam_bench/src/policy/result.rs
@@ -25,13 +25,52 @@
     /// Answered after its deadline, or not at all until then.
     Late,
     /// Refused, not run.
-    Refused,
+    Refused(Refusal),
     /// Failed, with leave to send it again.
     Failed,
     /// It may have run, and must not run again.
     Unknown,
 }
 
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// It crashes backend servers.
+    Quarantined,
+    /// No version may run it.
+    NoVersion,
+    /// It would miss its deadline, or the queue is full.
+    Admission,
+    /// It was given up while it waited.
+    GivenUp,
+    /// No backend server has room.
+    NoServer,
+    /// Backend servers refused it and there is no retry left.
+    NoRetry,
+}
+
+impl Refusal {
+    pub(crate) const ALL: [Self; 6] = [
+        Self::Quarantined,
+        Self::NoVersion,
+        Self::Admission,
+        Self::GivenUp,
+        Self::NoServer,
+        Self::NoRetry,
+    ];
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Quarantined => "quarantined",
+            Self::NoVersion => "no version",
+            Self::Admission => "admission",
+            Self::GivenUp => "given up",
+            Self::NoServer => "no server",
+            Self::NoRetry => "no retry",
+        }
+    }
+}
+
 /// A request that ended.
 pub(crate) struct Ended {
     pub(crate) org: OrgId,
@@ -99,6 +138,7 @@
     fault_sent: u64,
     pub(crate) sent_to_leaving: u64,
     pub(crate) hedges: u64,
+    refused: [u64; Refusal::ALL.len()],
     pub(crate) crashes: u64,
     pub(crate) shown_to_bad: u64,
     /// Times a request of another caller was quarantined.
@@ -174,6 +214,9 @@
         if ended.engine {
             self.orgs[&ended.org].offered += ended.tokens;
         }
+        if let Outcome::Refused(why) = ended.outcome {
+            self.refused[why as usize] += 1;
+        }
         let Outcome::Whole { good } = ended.outcome else {
             return;
         };
@@ -237,6 +280,11 @@
         self.fault_sent as f64 / self.fault_offered.max(1) as f64
     }
 
+    /// Requests refused for a reason.
+    pub(crate) fn refused(&self, why: Refusal) -> u64 {
+        self.refused[why as usize]
+    }
+
     /// Least share, over organisations, of the work that a max-min fair
     /// division of all useful work would have given it.
     pub(crate) fn fairness(&self) -> f64 {
--- a/sesamebeam_bench/src/policy/table.rs
+++ b/sesamebeam_bench/src/policy/table.rs
@@ -11,7 +11,10 @@
 use super::{
     PolicyError,
     replay::Setting,
-    result::Run,
+    result::{
+        Refusal,
+        Run, //
+    },
     router::Strategy,
     world::Fault, //
 };
@@ -199,6 +202,9 @@
         for column in &COLUMNS {
             let _ = writeln!(text, "{key},{},,{}", column.title, (column.value)(&row.run));
         }
+        for why in Refusal::ALL {
+            let _ = writeln!(text, "{key},{},,{}", why.name(), row.run.refused(why));
+        }
         for class in &row.run.classes {
             let name = &class.name;
             let _ = writeln!(text, "{key},p50,{name},{}", class.latency(0.5));
--- a/sesamebeam_bench/src/policy/world.rs
+++ b/sesamebeam_bench/src/policy/world.rs
@@ -161,6 +161,11 @@
     pub(crate) fn leave(&mut self, attempt: AttemptId) -> Vec<(AttemptId, Duration)> {
         self.running.retain(|other| *other != attempt);
         self.queue.retain(|job| job.attempt != attempt);
+        self.fill()
+    }
+
+    /// Starts what waits, as far as there are slots.
+    pub(crate) fn fill(&mut self) -> Vec<(AttemptId, Duration)> {
         let mut started = Vec::new();
         while self.up && self.running.len() + self.background < self.slots {
             let Some(job) = self.queue.pop_front() else {
