Measure how fast queues drain; count on what other entries' load swings by

Cause: at 1.5 of capacity nearly every refusal came after a long wait, because the estimate left out higher priority still to come; confirmations waited in far engines whose free slot was taken since the report. Ruled out: giving up late requests only (before); pressing requests by deadline alone, which served the longest lines first.

--- a/sesamebeam_core/src/policy/admission.rs
+++ b/sesamebeam_core/src/policy/admission.rs
@@ -170,7 +170,7 @@
         let wait = if idle {
             Duration::ZERO
         } else {
-            pool.wait(&ticket.org, share, priority)
+            pool.wait(now, &ticket.org, share, priority)
         };
         let needed = wait + ticket.takes + ticket.takes.mul_f64(cfg.spare);
         let late = (now + needed).saturating_sub(ticket.deadline);
@@ -187,14 +187,17 @@
             self.counts.entry(ticket.org).or_default().started += 1;
             return Offered::Run;
         }
-        pool.push(Waiting {
-            request: ticket.request,
-            org: ticket.org,
-            priority,
-            deadline: ticket.deadline,
-            takes: ticket.takes,
-            share,
-        });
+        pool.push(
+            now,
+            Waiting {
+                request: ticket.request,
+                org: ticket.org,
+                priority,
+                deadline: ticket.deadline,
+                takes: ticket.takes,
+                share,
+            },
+        );
         Offered::Queued
     }
 
@@ -236,7 +239,7 @@
         for pool in self.pools.values_mut() {
             for waiting in pool.take_late(now) {
                 self.counts.entry(waiting.org.clone()).or_default().given_up += 1;
-                let wait = pool.wait(&waiting.org, waiting.share, waiting.priority);
+                let wait = pool.wait(now, &waiting.org, waiting.share, waiting.priority);
                 given_up.push(GivenUp {
                     request: waiting.request,
                     retry_after: spread(&self.cfg, wait, waiting.request),
--- a/sesamebeam_core/src/policy/admission/queue.rs
+++ b/sesamebeam_core/src/policy/admission/queue.rs
@@ -60,6 +60,26 @@
     started: IndexMap<RequestId, (OrgId, Duration, f64)>,
     /// Average time of a request, in seconds.
     usual: Option<f64>,
+    /// How fast each priority's queue drains.
+    drains: [Drain; 3],
+}
+
+/// How fast one priority's queue drains.
+#[derive(Clone, Copy, Debug, Default)]
+struct Drain {
+    /// Average time between two starts while requests wait, in seconds.
+    gap: Option<f64>,
+    /// Last start, or arrival at an empty queue.
+    last: MonoTime,
+}
+
+impl Drain {
+    fn started(&mut self, now: MonoTime) {
+        let gap = now.saturating_sub(self.last).as_secs_f64();
+        let usual = self.gap.get_or_insert(gap);
+        *usual += LEARN * (gap - *usual);
+        self.last = now;
+    }
 }
 
 impl Waiting {
@@ -107,11 +127,28 @@
     /// Gives the expected wait of one more request of an organisation.
     ///
     /// It waits for its own line at the organisation's share of the pool, but
-    /// never longer than for everything at or above its priority.
-    pub(super) fn wait(&self, org: &str, share: f64, priority: Priority) -> Duration {
+    /// never longer than for everything at or above its priority. How fast its
+    /// priority drains is measured: counted from the slots alone, the work of
+    /// higher priority still to come would be left out, and requests would be
+    /// given up after a long wait in place of a refusal at once.
+    pub(super) fn wait(
+        &self,
+        now: MonoTime,
+        org: &str,
+        share: f64,
+        priority: Priority,
+    ) -> Duration {
         let usual = self.usual.unwrap_or(1.0);
-        let rate = f64::from(self.slots.max(1)) / usual.max(1e-3);
+        let by_slots = usual.max(1e-3) / f64::from(self.slots.max(1));
         let at = place(priority);
+        let drain = &self.drains[at];
+        let gap = match drain.gap {
+            Some(gap) if self.sizes[at] > 0 => {
+                let since = now.saturating_sub(drain.last).as_secs_f64();
+                gap.max(by_slots).max(since)
+            }
+            _ => by_slots,
+        };
         let above: usize = self.sizes[..at].iter().sum();
         let lines = &self.lines[at];
         let own = lines.get(org).map_or(0, |line| line.waiting.len()) as f64 + 1.0;
@@ -122,12 +159,15 @@
             .map(|(_, line)| line.share)
             .sum();
         let by_share = own * (others + share) / share;
-        let before = above as f64 + by_share.min(all);
-        Duration::from_secs_f64((before / rate).min(86_400.0))
+        let seconds = above as f64 * by_slots + by_share.min(all) * gap;
+        Duration::from_secs_f64(seconds.min(86_400.0))
     }
 
-    pub(super) fn push(&mut self, waiting: Waiting) {
+    pub(super) fn push(&mut self, now: MonoTime, waiting: Waiting) {
         let at = place(waiting.priority);
+        if self.sizes[at] == 0 {
+            self.drains[at].last = now;
+        }
         self.due.insert((waiting.last_start(), waiting.request));
         let line = self.lines[at].entry(waiting.org.clone()).or_default();
         line.share = waiting.share;
@@ -168,6 +208,7 @@
             .into_iter()
             .filter(|&priority| self.has_room(priority, kept))
             .find_map(|priority| self.head(now, priority, fair, spare))?;
+        self.drains[found.0].started(now);
         self.take(found.0, &found.1)
     }
 
@@ -181,7 +222,7 @@
     ) -> Option<(usize, OrgId)> {
         let at = place(priority);
         if priority == Priority::Normal
-            && let Some(org) = self.pressing(now, spare)
+            && let Some(org) = self.pressing(now, fair, spare)
         {
             return Some((place(Priority::Deferrable), org));
         }
@@ -195,15 +236,20 @@
         Some((at, next.0.clone()))
     }
 
-    /// Finds a deferrable request whose last chance to start comes near.
-    fn pressing(&self, now: MonoTime, spare: f64) -> Option<OrgId> {
+    /// Finds the line that is served next among those whose deferrable head is
+    /// near its last chance to start. The least served goes first here too:
+    /// under overload every long line is near its last chance all the time.
+    fn pressing(&self, now: MonoTime, fair: bool, spare: f64) -> Option<OrgId> {
         let lines = &self.lines[place(Priority::Deferrable)];
-        lines
+        let heads = lines
             .iter()
             .filter_map(|(org, line)| line.waiting.front().map(|head| (org, head)))
-            .filter(|(_, head)| now + head.takes.mul_f64(1.0 + spare) >= head.last_start())
-            .min_by_key(|(_, head)| head.last_start())
-            .map(|(org, _)| org.clone())
+            .filter(|(_, head)| now + head.takes.mul_f64(1.0 + spare) >= head.last_start());
+        let next = match fair {
+            true => heads.min_by(|a, b| self.served(a.0).total_cmp(&self.served(b.0))),
+            false => heads.min_by_key(|(_, head)| head.last_start()),
+        };
+        next.map(|(org, _)| org.clone())
     }
 
     fn served(&self, org: &str) -> f64 {
--- a/sesamebeam_core/src/policy/balance/table.rs
+++ b/sesamebeam_core/src/policy/balance/table.rs
@@ -33,8 +33,9 @@
 /// Weight of a new time in the average.
 const LEARN: f64 = 0.1;
 
-/// Share of the queue inside a backend server that an urgent request waits for:
-/// engines honour priorities, yet do not stop what runs.
+/// Share of the queue inside a backend server that an urgent request waits for
+/// beside the first slot to come free: engines honour priorities, yet do not
+/// stop what runs.
 const URGENT_QUEUE: f64 = 0.1;
 
 /// Changes of the own work that are remembered, to compare with late reports.
@@ -68,6 +69,8 @@
     others: f64,
     /// Average of that over reports.
     usual_others: f64,
+    /// Average distance of a report from the one before.
+    swing: f64,
     measured: MonoTime,
     /// Average time of a request, in seconds.
     usual: f64,
@@ -90,6 +93,7 @@
             history: VecDeque::new(),
             others: 0.0,
             usual_others: 0.0,
+            swing: 0.0,
             measured: now,
             usual: 1.0,
         }
@@ -103,7 +107,9 @@
     pub(super) fn report(&mut self, now: MonoTime, age: Duration, load: Load) {
         let measured = now.saturating_sub(age);
         let all = f64::from(load.running) + f64::from(load.waiting);
-        self.others = (all - f64::from(self.own_at(measured))).max(0.0);
+        let others = (all - f64::from(self.own_at(measured))).max(0.0);
+        self.swing += LEARN * ((others - self.others).abs() - self.swing);
+        self.others = others;
         self.measured = measured;
         self.usual_others += LEARN * (self.others - self.usual_others);
     }
@@ -153,7 +159,7 @@
         let busy = f64::from(self.own) + self.others(now, cfg);
         let queue = (busy + 1.0 - slots).max(0.0);
         let ahead = match input.priority {
-            Priority::Urgent => queue * URGENT_QUEUE,
+            Priority::Urgent => queue.min(1.0) + queue * URGENT_QUEUE,
             Priority::Normal | Priority::Deferrable => queue,
         };
         let queued = ahead * self.usual / slots.max(1.0);
@@ -169,7 +175,9 @@
 
     /// Gives the work of other entries: the last report, which gives way to the
     /// average the older it is. Given way to nothing instead, a full backend
-    /// server would look idle between two reports.
+    /// server would look idle between two reports. What it usually changes
+    /// between reports is added: a slot that only seems free costs a request
+    /// the wait for a whole answer of somebody else.
     fn others(&self, now: MonoTime, cfg: &BalanceConfig) -> f64 {
         if !cfg.reported_load {
             return 0.0;
@@ -177,7 +185,7 @@
         let age = now.saturating_sub(self.measured).as_secs_f64();
         let half = cfg.load_half_life.as_secs_f64().max(1e-3);
         let fresh = 0.5f64.powf(age / half);
-        self.usual_others + (self.others - self.usual_others) * fresh
+        self.usual_others + (self.others - self.usual_others) * fresh + self.swing
     }
 
     /// Gives the share of its slots that a backend server is counted with. A
