--- a/sesamebeam_bench/src/policy/ablation.rs
+++ b/sesamebeam_bench/src/policy/ablation.rs
@@ -38,7 +38,7 @@
         name: "trials",
         fault: Fault::None,
         load: 0.8,
-        off: |cfg| (cfg.plan.explore, cfg.plan.explore_likely) = (0.0, 0.0),
+        off: |cfg| cfg.plan.explore = 0.0,
     },
     Switch {
         name: "judging the rater",
--- a/sesamebeam_bench/src/policy/result.rs
+++ b/sesamebeam_bench/src/policy/result.rs
@@ -113,6 +113,11 @@
         sorted[((sorted.len() - 1) as f64 * share).round() as usize]
     }
 
+    /// Cost of 1000 tokens of whole answers.
+    pub(crate) fn cost(&self) -> f64 {
+        self.cost / self.tokens.max(1.0) * 1000.0
+    }
+
     pub(crate) fn quality(&self) -> f64 {
         self.good as f64 / self.whole.max(1) as f64
     }
@@ -232,7 +237,7 @@
     /// Cost of 1000 tokens of whole answers, weighed by the traffic's mix of
     /// classes, so that refusing expensive classes brings nothing.
     pub(crate) fn cost(&self) -> f64 {
-        let each = |c: &ClassFigures| c.weight * c.cost / c.tokens.max(1.0) * 1000.0;
+        let each = |c: &ClassFigures| c.weight * c.cost();
         self.classes.iter().map(each).sum()
     }
 
--- a/sesamebeam_bench/src/policy/table.rs
+++ b/sesamebeam_bench/src/policy/table.rs
@@ -209,6 +209,7 @@
             let name = &class.name;
             let _ = writeln!(text, "{key},p50,{name},{}", class.latency(0.5));
             let _ = writeln!(text, "{key},p99,{name},{}", class.latency(0.99));
+            let _ = writeln!(text, "{key},cost,{name},{}", class.cost());
             let _ = writeln!(text, "{key},quality,{name},{}", class.quality());
             let whole = class.whole as f64 / class.offered.max(1) as f64;
             let _ = writeln!(text, "{key},whole,{name},{whole}");
--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -23,14 +23,9 @@
 pub struct PlanConfig {
     /// Whether cascades are considered.
     pub cascades: bool,
-    /// Share of the requests that go to a cheaper version which is expected to
-    /// meet the target, though not yet at the stated confidence; 0 turns it off.
-    pub explore_likely: f64,
-    /// Share of routine idempotent requests that go to a cheaper version which
-    /// is not expected to, yet may; 0 turns it off.
+    /// Share of the requests that would try a cheaper plan if it were certain
+    /// to meet the target; 0 turns trials off.
     pub explore: f64,
-    /// Least probability of meeting the target that is worth a trial.
-    pub explore_floor: f64,
     /// Share of good answers that the rating service accepts.
     pub rater_accepts_good: f64,
     /// Share of bad answers that the rating service accepts.
@@ -46,9 +41,7 @@
     fn default() -> Self {
         Self {
             cascades: true,
-            explore_likely: 0.25,
-            explore: 0.01,
-            explore_floor: 0.1,
+            explore: 0.5,
             rater_accepts_good: 0.95,
             rater_accepts_bad: 0.05,
             hard_factor: 0.97,
@@ -245,31 +238,38 @@
     ///
     /// Without trials a version that had bad luck early, or that nobody used
     /// yet in a class, would never be rated there and the cost would stay high.
-    /// A version expected to meet the target does no harm on average in any
-    /// class; one that is not is tried on routine idempotent work only.
     fn choose(&self, input: &PlanInput<'_>, scored: &[Scored]) -> Option<(usize, Reason)> {
-        let (target, _) = goal(input.target);
         let (at, reason) = match least(scored, |s| s.meets && s.fits, |s| s.cost) {
             Some(at) => (at, Reason::Cheapest),
             None => (likeliest(scored)?, Reason::BestAvailable),
         };
-        let cheaper = |s: &Scored| s.fits && s.cost < scored[at].cost;
-        let likely = |s: &Scored| cheaper(s) && s.quality >= target;
-        if input.draw < self.cfg.explore_likely
-            && let Some(at) = least(scored, likely, |s| s.cost)
-        {
-            return Some((at, Reason::Trial));
-        }
-        let single = |s: &Scored| matches!(s.plan, Plan::Single(_));
-        let maybe = |s: &Scored| cheaper(s) && single(s) && s.confidence >= self.cfg.explore_floor;
-        if input.draw < self.cfg.explore
-            && is_routine(input.class)
-            && let Some(at) = least(scored, maybe, |s| s.cost)
-        {
+        if let Some(at) = self.trial(input, scored, scored[at].cost) {
             return Some((at, Reason::Trial));
         }
         Some((at, reason))
     }
+
+    /// Chooses a cheaper plan to try on this request, if its draw says so.
+    ///
+    /// A plan's share of trials grows with the probability that it meets the
+    /// target: in proportion on routine idempotent work, with the square
+    /// elsewhere, where a bad answer does more harm.
+    fn trial(&self, input: &PlanInput<'_>, scored: &[Scored], cost: f64) -> Option<usize> {
+        let routine = is_routine(input.class);
+        let share = |s: &Scored| {
+            let chance = if routine {
+                s.confidence
+            } else {
+                s.confidence * s.confidence
+            };
+            self.cfg.explore * chance
+        };
+        least(
+            scored,
+            |s| s.fits && s.cost < cost && input.draw < share(s),
+            |s| s.cost,
+        )
+    }
 }
 
 impl Scored {
