--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -12,7 +12,6 @@
 use crate::{
     fleet::{
         Class,
-        Priority,
         Target, //
     },
     ids::VersionId,
@@ -251,24 +250,12 @@
 
     /// Chooses a cheaper plan to try on this request, if its draw says so.
     ///
-    /// A plan's share of trials grows with the probability that it meets the
-    /// target: in proportion on routine idempotent work, with the square
-    /// elsewhere, where a bad answer does more harm.
+    /// A plan's share of trials is in proportion to the probability that it
+    /// meets the target, so that nothing hopeless is tried often and nothing
+    /// possible is given up for good.
     fn trial(&self, input: &PlanInput<'_>, scored: &[Scored], cost: f64) -> Option<usize> {
-        let routine = is_routine(input.class);
-        let share = |s: &Scored| {
-            let chance = if routine {
-                s.confidence
-            } else {
-                s.confidence * s.confidence
-            };
-            self.cfg.explore * chance
-        };
-        least(
-            scored,
-            |s| s.fits && s.cost < cost && input.draw < share(s),
-            |s| s.cost,
-        )
+        let tried = |s: &Scored| input.draw < self.cfg.explore * s.confidence;
+        least(scored, |s| s.fits && s.cost < cost && tried(s), |s| s.cost)
     }
 }
 
@@ -316,10 +303,6 @@
     fits.or_else(|| least(scored, |_| true, |s| -s.confidence))
 }
 
-fn is_routine(class: &Class) -> bool {
-    class.idempotent && class.priority != Priority::Urgent
-}
-
 /// Finds the first of the least among those that a filter lets through.
 fn least(
     scored: &[Scored],
