Give operators a command line with a page for each command

Cause: operators check, apply and follow fleet files, read decisions, objectives and bills, and make keys; programs do the same by JSON and exit codes.

Ruled out: a generated command line (pico-args is asked for); telling an operator that a change failed when its answer was lost (the message says that it may or may not have been done, exit code 3, and the same file with the same base gets the first verdict); reading numbers of 128 bits from JSON (they are hex digits); adding up the entries' burn histories (they have rates without counts).

--- a/sesamebeam/src/client.rs
+++ b/sesamebeam/src/client.rs
@@ -192,6 +192,7 @@
             | LinkError::Bind { .. }
             | LinkError::Connect(_)
             | LinkError::WrongRole { .. }
+            | LinkError::NotConnected(_)
     )
 }
 
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -1,6 +1,7 @@
 //! The edges of sesamebeam: sockets, files, timers, settings, logs and keys
 //! round the core that decides.
 
+pub mod cli;
 pub mod client;
 pub mod control;
 pub mod daemon;
--- a/sesamebeam/src/link.rs
+++ b/sesamebeam/src/link.rs
@@ -146,9 +146,12 @@
     /// The peer took the call and gave no answer.
     #[error("peer gave no answer")]
     NoAnswer,
-    /// The deadline passed.
+    /// The deadline passed after the message may have been sent.
     #[error("no answer within {0:?}")]
     Deadline(Duration),
+    /// No connection stood before the deadline, so that nothing was sent.
+    #[error("not connected within {0:?}")]
+    NotConnected(Duration),
     /// The last attempts to connect failed and the next is not due yet.
     #[error("not connected; the next attempt is in {0:?}")]
     BackOff(Duration),
@@ -358,7 +361,7 @@
         .await
         .map_err(|_| {
             counters.timed_out();
-            LinkError::Deadline(HANDSHAKE_TIMEOUT)
+            LinkError::NotConnected(HANDSHAKE_TIMEOUT)
         })?
         .inspect_err(|e| counters.failed(e))?;
     Peer::new(connection, Arc::clone(counters))
--- a/sesamebeam/src/link/caller.rs
+++ b/sesamebeam/src/link/caller.rs
@@ -177,7 +177,7 @@
     async fn peer_until(&self, until: Instant, deadline: Duration) -> Result<Arc<Peer>, LinkError> {
         let mut state = timeout_at(until, self.state.lock())
             .await
-            .map_err(|_| LinkError::Deadline(deadline))?;
+            .map_err(|_| LinkError::NotConnected(deadline))?;
         if let Some(peer) = &state.peer
             && !peer.is_closed()
         {
@@ -218,7 +218,7 @@
         } else {
             timeout_at(until, self.link.connect(self.addr, expect)).await
         };
-        connected.map_err(|_| LinkError::Deadline(until - started))?
+        connected.map_err(|_| LinkError::NotConnected(until - started))?
     }
 
     /// Gives a connection up on which not one datagram came during a call that
@@ -245,7 +245,7 @@
 fn is_silence(e: &LinkError) -> bool {
     matches!(
         e,
-        LinkError::Deadline(_) | LinkError::Connection(quinn::ConnectionError::TimedOut)
+        LinkError::NotConnected(_) | LinkError::Connection(quinn::ConnectionError::TimedOut)
     )
 }
 
--- a/sesamebeam/src/main.rs
+++ b/sesamebeam/src/main.rs
@@ -1,23 +1,12 @@
-//! The operators' command line; for now only `dev`.
+//! The operators' command line.
 
-use std::process::ExitCode;
-
-use sesamebeam::dev::{
-    self,
-    DevOptions, //
+use std::{
+    env,
+    io,
+    process::ExitCode, //
 };
 
 fn main() -> ExitCode {
-    let mut args = pico_args::Arguments::from_env();
-    let once = args.contains("--once");
-    let ended = tokio::runtime::Runtime::new()
-        .map_err(dev::DevError::from)
-        .and_then(|runtime| runtime.block_on(dev::run(DevOptions { once })));
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("sesamebeam: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    let args = env::args_os().skip(1);
+    sesamebeam::cli::run(args, &mut io::stdout(), &mut io::stderr()).into()
 }
--- a/sesamebeam/tests/link.rs
+++ b/sesamebeam/tests/link.rs
@@ -378,7 +378,10 @@
     let addr = gone.local_addr().unwrap();
     let caller = Caller::new(link(&ca, entry("a")), addr, None, 7);
     let first = caller.call::<u64, u64>(&1, Duration::from_millis(50)).await;
-    assert!(matches!(first, Err(LinkError::Deadline(_))), "{first:?}");
+    assert!(
+        matches!(first, Err(LinkError::NotConnected(_))),
+        "{first:?}"
+    );
     let second = caller.call::<u64, u64>(&1, PATIENCE).await;
     assert!(matches!(second, Err(LinkError::BackOff(_))), "{second:?}");
 }
