Write log lines and metrics without holding requests up

Cause: a reader of standard error that stops, a slow disk or a metrics server that is down must not slow a request or fill the memory, and callers' text in a line must not forge another line.

Ruled out: flexi_logger's own asynchronous mode (its channel has no bound); unbuffered metrics (a system call each).

Conclusion: both go through bounded queues to threads of their own; what finds a queue full is dropped, counted and told. Lines go to standard error or to rotated files in a folder; control characters are escaped. Entries and control replicas send what they notice as metrics, and log bad input once a minute.

--- a/sesamebeam/src/control.rs
+++ b/sesamebeam/src/control.rs
@@ -40,7 +40,8 @@
     replica::{
         Members,
         ReplicaConfig,
-        ReplicaMessage, //
+        ReplicaMessage,
+        Role as Standing, //
     },
 };
 use thiserror::Error;
@@ -83,6 +84,12 @@
         Pool,
         Role, //
     },
+    metrics::{
+        Counter,
+        Gauge,
+        Metrics,
+        MetricsError, //
+    },
     settings::ControlSettings,
 };
 
@@ -116,6 +123,9 @@
     /// The link cannot be opened.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// The disk thread cannot be started.
     #[error("cannot start the disk thread: {0}")]
     Thread(io::Error),
@@ -242,6 +252,7 @@
         ));
         let mut runner = Runner {
             node: self.settings.node,
+            metrics: Metrics::start(&self.settings.metrics, "control")?,
             addrs: first_addrs(&self.settings),
             core,
             disk,
@@ -265,6 +276,7 @@
 /// The task that owns the core.
 struct Runner {
     node: NodeId,
+    metrics: Metrics,
     addrs: BTreeMap<NodeId, SocketAddr>,
     core: ControlCore,
     disk: DiskThread,
@@ -334,7 +346,7 @@
                 ControlAction::Notice(ControlNotice::Stopped(cause)) => {
                     return Err(ControlError::Stopped(format!("{cause:?}")));
                 }
-                ControlAction::Notice(notice) => log_notice(self.node, &notice),
+                ControlAction::Notice(notice) => take_notice(self.node, &self.metrics, &notice),
             }
         }
         Ok(())
@@ -447,25 +459,37 @@
     cfg
 }
 
-fn log_notice(node: NodeId, notice: &ControlNotice) {
+fn take_notice(node: NodeId, metrics: &Metrics, notice: &ControlNotice) {
     match notice {
-        ControlNotice::Role(role) => log::info!("replica={node} role={role:?}"),
-        ControlNotice::Stopped(cause) => log::error!("replica={node} stopped cause={cause:?}"),
+        ControlNotice::Role(role) => {
+            log::info!("event=role replica={node} role={role:?}");
+            metrics.gauge(Gauge::Leader, u64::from(*role == Standing::Leader));
+        }
+        ControlNotice::Stopped(cause) => {
+            log::error!("event=stopped replica={node} cause={cause:?}");
+        }
         ControlNotice::Accepted(revision) => {
-            log::info!("configuration accepted revision={revision}")
+            log::info!("event=accepted revision={revision}");
+            metrics.count(Counter::Accepted, 1);
         }
         ControlNotice::InForce(revision) => {
-            log::info!("configuration in force everywhere revision={revision}");
+            log::info!("event=in_force revision={revision}");
+            metrics.gauge(Gauge::Revision, *revision);
+        }
+        ControlNotice::Held(version) => {
+            log::warn!("event=version_held version={version}");
+            metrics.count(Counter::Held, 1);
         }
-        ControlNotice::Held(version) => log::warn!("version held fleet-wide version={version}"),
         ControlNotice::Rollout { version, state } => {
-            log::info!("roll-out version={version} state={state:?}");
+            log::info!("event=rollout version={version} state={state:?}");
         }
         ControlNotice::Quarantined(fingerprint) => {
-            log::warn!("request quarantined fingerprint={fingerprint:032x}");
+            log::warn!("event=quarantined fingerprint={fingerprint:032x}");
+            metrics.count(Counter::Quarantined, 1);
         }
         ControlNotice::OrderFailed { server, fencing } => {
-            log::warn!("order failed server={server} fencing={fencing}");
+            log::warn!("event=order_failed server={server} fencing={fencing}");
+            metrics.count(Counter::OrdersFailed, 1);
         }
     }
 }
--- a/sesamebeam/src/daemon.rs
+++ b/sesamebeam/src/daemon.rs
@@ -30,6 +30,7 @@
         Credentials,
         KeyError, //
     },
+    logging::LogError,
     settings::{
         ControlSettings,
         EntrySettings, //
@@ -103,6 +104,9 @@
     /// The control replica failed.
     #[error(transparent)]
     Control(#[from] ControlError),
+    /// Log lines cannot be written.
+    #[error(transparent)]
+    Log(#[from] LogError),
     /// The operating system refuses a runtime or a signal handler.
     #[error("cannot start: {0}")]
     Start(#[from] std::io::Error),
@@ -181,7 +185,7 @@
         println!("{}: no fault", args.settings.display());
         return Ok(());
     }
-    let _logger = crate::logging::start(&settings.log);
+    let _logger = crate::logging::start(&settings.log)?;
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         let stop = CancellationToken::new();
@@ -205,7 +209,7 @@
         println!("{}: no fault", args.settings.display());
         return Ok(());
     }
-    let _logger = crate::logging::start(&settings.log);
+    let _logger = crate::logging::start(&settings.log)?;
     let creds = Credentials::load(&settings.keys)?;
     if args.start != Start::Existing {
         let incarnation = Control::make_folder(&settings, &creds, args.start)?;
--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -68,6 +68,10 @@
         LinkError,
         Pool, //
     },
+    metrics::{
+        Metrics,
+        MetricsError, //
+    },
     settings::EntrySettings,
 };
 
@@ -89,6 +93,9 @@
     /// The link cannot be opened.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// The session secret cannot be read.
     #[error("cannot read the session secret: {0}")]
     Secret(io::Error),
@@ -263,6 +270,7 @@
 ) -> Result<SocketAddr, EntryError> {
     let (tx, started) = oneshot::channel();
     let settings = settings.clone();
+    let metrics = Metrics::start(&settings.metrics, "entry")?;
     let work = async move {
         let link = match Link::bind(settings.listen.link, &creds) {
             Ok(link) => Arc::new(link),
@@ -275,7 +283,7 @@
             asks: Arc::new(Asks::new(&pool, &settings.control)),
             peers: Peers::start(settings.domain.clone(), &settings.peers, &pool, &halt),
             client,
-            notices: Notices::default(),
+            notices: Notices::new(metrics),
             drained,
         };
         let me = (settings.instance.clone(), settings.domain.clone());
--- a/sesamebeam/src/entry/notices.rs
+++ b/sesamebeam/src/entry/notices.rs
@@ -5,29 +5,64 @@
     Notice, //
 };
 
-/// Writes notices to the log.
-#[derive(Debug, Default)]
-pub(crate) struct Notices {}
+use crate::{
+    limit::LogLimit,
+    metrics::{
+        Counter,
+        Gauge,
+        Metrics, //
+    },
+};
+
+/// Writes notices to the log and counts them.
+pub(crate) struct Notices {
+    metrics: Metrics,
+    /// Bad input is logged once a minute, however much of it comes.
+    bad_input: LogLimit,
+}
 
 impl Notices {
+    /// Starts with what takes the counts.
+    pub(crate) fn new(metrics: Metrics) -> Self {
+        Self {
+            metrics,
+            bad_input: LogLimit::default(),
+        }
+    }
+
     /// Takes a notice.
     pub(crate) fn take(&mut self, notice: &Notice) {
         match notice {
-            Notice::Ended(ended) => log_ended(ended),
+            Notice::Ended(ended) => {
+                log_ended(ended);
+                self.metrics.ended(ended);
+            }
             Notice::InForce { revision } => {
-                log::info!("configuration in force revision={revision}")
+                log::info!("event=in_force revision={revision}");
+                self.metrics.gauge(Gauge::Revision, *revision);
+            }
+            Notice::LeaseLost => {
+                log::warn!("event=lease_lost serves=\"settled versions only\"");
+                self.metrics.gauge(Gauge::Lease, 0);
+            }
+            Notice::LeaseHeld => {
+                log::info!("event=lease_held");
+                self.metrics.gauge(Gauge::Lease, 1);
+            }
+            Notice::Held { version } => {
+                log::warn!("event=version_held version={version}");
+                self.metrics.count(Counter::Held, 1);
             }
-            Notice::LeaseLost => log::warn!("configuration lease lost: settled versions only"),
-            Notice::LeaseHeld => log::info!("configuration lease held"),
-            Notice::Held { version } => log::warn!("version held here version={version}"),
             Notice::ServerUp { server, pool } => {
-                log::info!("backend server known server={} pool={pool}", server.addr);
+                log::info!("event=server_up server={} pool={pool}", server.addr);
             }
             Notice::ServerDown { server, why } => {
-                log::warn!("backend server out server={server} why=\"{why}\"");
+                log::warn!("event=server_down server={server} why={why:?}");
+                self.metrics.count(Counter::ServersDown, 1);
             }
             Notice::Quarantined { fingerprint } => {
-                log::warn!("request quarantined fingerprint={fingerprint:032x}");
+                log::warn!("event=quarantined fingerprint={fingerprint:032x}");
+                self.metrics.count(Counter::Quarantined, 1);
             }
             Notice::Ignored { why } => self.ignored(why),
         }
@@ -35,7 +70,10 @@
 
     /// Takes a notice of bad input.
     pub(crate) fn ignored(&mut self, why: &str) {
-        log::warn!("ignored: {why}");
+        self.metrics.count(Counter::Ignored, 1);
+        if let Some(held) = self.bad_input.pass() {
+            log::warn!("event=input_ignored why={why:?} held_back={held}");
+        }
     }
 }
 
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod link;
 pub mod local;
 pub mod logging;
+pub mod metrics;
 pub mod settings;
 pub mod toml_file;
