--- a/sesamebeam/src/control.rs
+++ b/sesamebeam/src/control.rs
@@ -451,11 +451,7 @@
     cfg.dispatch_bound = timings.network_bound;
     cfg.client_timeout = timings.commit_timeout;
     cfg.weight_rate = settings.weight_store.bytes_per_second;
-    cfg.retention.claims = settings.retention.claims;
-    cfg.retention.pins = settings.retention.pins;
-    cfg.retention.bills = settings.retention.bills;
-    cfg.retention.verdicts = settings.retention.verdicts;
-    cfg.retention.bodies_cap = settings.retention.answer_bytes;
+    cfg.retention = (&settings.retention).into();
     cfg
 }
 
--- a/sesamebeam/src/settings/control.rs
+++ b/sesamebeam/src/settings/control.rs
@@ -22,6 +22,7 @@
         DomainId,
         NodeId, //
     },
+    message::command,
 };
 
 use super::{
@@ -55,7 +56,7 @@
     /// Leases and timeouts.
     #[serde(default)]
     pub timings: ControlTimings,
-    /// How long records are kept.
+    /// How long records are kept and how many.
     #[serde(default)]
     pub retention: Retention,
     /// The weight store's rate.
@@ -116,34 +117,83 @@
     }
 }
 
-/// How long records are kept.
+/// How long records are kept and how many.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Retention {
-    /// Claims after their end.
+    /// Time that a claim is kept after it ended, and after which an open claim
+    /// counts as unknown.
     #[serde(with = "humantime_serde")]
     pub claims: Duration,
-    /// Session pins after their last use.
+    /// Time that a session's pin is kept after its last use.
     #[serde(with = "humantime_serde")]
     pub pins: Duration,
-    /// Verdicts on operators' changes.
+    /// Time that a billing entry is kept; an open one is kept until settled.
+    #[serde(with = "humantime_serde")]
+    pub bills: Duration,
+    /// Time that a verdict on an operator's change is kept.
     #[serde(with = "humantime_serde")]
     pub verdicts: Duration,
-    /// Billing entries.
+    /// Time that a crash counts against the requests that it took down.
     #[serde(with = "humantime_serde")]
-    pub bills: Duration,
-    /// Answers of claims that are kept, in bytes over all; older ones go first.
+    pub crashes: Duration,
+    /// Time that a fingerprint stays quarantined.
+    #[serde(with = "humantime_serde")]
+    pub quarantine: Duration,
+    /// Most claims kept; a further one is denied.
+    pub max_claims: u32,
+    /// Most pins kept; a further one is denied.
+    pub max_pins: u32,
+    /// Most billing entries kept; a further claim is denied.
+    pub max_bills: u32,
+    /// Most verdicts kept; the oldest goes first.
+    pub max_verdicts: u32,
+    /// Largest answer that is kept for resends, in bytes.
+    pub body_bytes: u32,
+    /// Bytes of answers kept together; the oldest goes first.
     pub answer_bytes: u64,
 }
 
 impl Default for Retention {
     fn default() -> Self {
+        command::Retention::default().into()
+    }
+}
+
+impl From<command::Retention> for Retention {
+    fn from(core: command::Retention) -> Self {
+        Self {
+            claims: core.claims,
+            pins: core.pins,
+            bills: core.bills,
+            verdicts: core.verdicts,
+            crashes: core.crashes,
+            quarantine: core.quarantine,
+            max_claims: core.max_claims,
+            max_pins: core.max_pins,
+            max_bills: core.max_bills,
+            max_verdicts: core.max_verdicts,
+            body_bytes: core.body_cap,
+            answer_bytes: core.bodies_cap,
+        }
+    }
+}
+
+impl From<&Retention> for command::Retention {
+    fn from(settings: &Retention) -> Self {
         Self {
-            claims: Duration::from_secs(24 * 3600),
-            pins: Duration::from_secs(12 * 3600),
-            verdicts: Duration::from_secs(7 * 24 * 3600),
-            bills: Duration::from_secs(90 * 24 * 3600),
-            answer_bytes: 64 << 20,
+            claims: settings.claims,
+            pins: settings.pins,
+            bills: settings.bills,
+            verdicts: settings.verdicts,
+            crashes: settings.crashes,
+            quarantine: settings.quarantine,
+            max_claims: settings.max_claims,
+            max_pins: settings.max_pins,
+            max_bills: settings.max_bills,
+            max_verdicts: settings.max_verdicts,
+            body_cap: settings.body_bytes,
+            bodies_cap: settings.answer_bytes,
         }
     }
 }
--- a/sesamebeam/tests/settings.rs
+++ b/sesamebeam/tests/settings.rs
@@ -6,10 +6,12 @@
     settings::{
         ControlSettings,
         EntrySettings,
-        OperatorSettings, //
+        OperatorSettings,
+        Retention, //
     },
     toml_file::FileError,
 };
+use sesamebeam_core::message::command;
 use yare::parameterized;
 
 const ENTRY: &str = r#"instance = "lima-ate-1"
@@ -49,6 +51,11 @@
     let control = read(CONTROL, ControlSettings::read).unwrap();
     assert_eq!(control.timings, Default::default());
     assert!(control.data.ends_with("data"));
+    let kept = Retention::default();
+    assert_eq!(
+        command::Retention::from(&kept),
+        command::Retention::default()
+    );
 }
 
 #[parameterized(
