Ask the leader for the state of the group

Ruled out: refusing the question at followers (without a quorum an operator would see nothing).

Conclusion: the command line asks on at the leader that the first answer names; if that one is silent it shows the first answer and says whose it is.

--- a/sesamebeam/src/cli/fleet.rs
+++ b/sesamebeam/src/cli/fleet.rs
@@ -253,11 +253,11 @@
 async fn wait_in_force(client: &Client, revision: Revision) -> Result<bool, CliError> {
     let until = tokio::time::Instant::now() + LONGEST_WAIT;
     while tokio::time::Instant::now() < until {
-        match client.ask(&ControlRequest::Status).await? {
-            ControlReply::Status(status) if status.in_force >= revision => return Ok(true),
-            ControlReply::Status(_) => tokio::time::sleep(LOOK_EVERY).await,
-            other => return Err(refused(other)),
+        let status = client.status().await?.map_err(refused)?;
+        if status.in_force >= revision {
+            return Ok(true);
         }
+        tokio::time::sleep(LOOK_EVERY).await;
     }
     Ok(false)
 }
--- a/sesamebeam/src/cli/status.rs
+++ b/sesamebeam/src/cli/status.rs
@@ -11,8 +11,6 @@
     message::{
         command::RolloutState,
         control::{
-            ControlReply,
-            ControlRequest,
             EntryStatus,
             ReplicaStatus,
             RolloutView,
@@ -77,10 +75,7 @@
                 _ => return Err(CliError::OddAnswer),
             }
         }
-        None => match client.ask(&ControlRequest::Status).await? {
-            ControlReply::Status(status) => show_group(&status, out)?,
-            other => return Err(refused(other)),
-        },
+        None => show_group(&*client.status().await?.map_err(refused)?, out)?,
     }
     Ok(Exit::Done)
 }
@@ -111,6 +106,12 @@
         "leader {leader}, term {}, log committed up to {}",
         status.term, status.committed
     ))?;
+    if status.leader != Some(status.node) {
+        out.line(format!(
+            "as replica {} sees it, which does not lead and knows no entries",
+            status.node
+        ))?;
+    }
     out.line(format!(
         "revision {} accepted, revision {} in force everywhere",
         status.revision, status.in_force
--- a/sesamebeam/src/client.rs
+++ b/sesamebeam/src/client.rs
@@ -15,7 +15,8 @@
     message::{
         control::{
             ControlReply,
-            ControlRequest, //
+            ControlRequest,
+            Status, //
         },
         entry::{
             EntryReply,
@@ -156,6 +157,35 @@
         Err(search.error(self.timeout))
     }
 
+    /// Asks for the state of the group, of the leader if it can be reached.
+    ///
+    /// Any replica tells its own state, so that an operator sees something
+    /// without a quorum too; but only the leader knows the entries and the other
+    /// replicas.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Client::ask`], or with the answer if it is no status.
+    pub async fn status(&self) -> Result<Result<Box<Status>, ControlReply>, AskError> {
+        let status = match self.ask(&ControlRequest::Status).await? {
+            ControlReply::Status(status) => status,
+            other => return Ok(Err(other)),
+        };
+        let leader = self
+            .control
+            .iter()
+            .find(|replica| Some(replica.node) == status.leader && replica.node != status.node);
+        let Some(leader) = leader else {
+            return Ok(Ok(status));
+        };
+        let caller = self.pool.get(leader.addr, Some(Role::Control(leader.node)));
+        let timeout = self.timeout.min(ONE_REPLICA);
+        match caller.call(&ControlRequest::Status, timeout).await {
+            Ok(ControlReply::Status(status)) => Ok(Ok(status)),
+            _ => Ok(Ok(status)),
+        }
+    }
+
     /// Asks several entries at once.
     pub async fn ask_entries<'a>(
         &self,
--- a/sesamebeam/tests/cli_report.rs
+++ b/sesamebeam/tests/cli_report.rs
@@ -204,6 +204,41 @@
     insta::assert_snapshot!("status_json", ran.out);
 }
 
+#[test]
+fn leader_asked() {
+    // A follower answers first: it knows neither entries nor replicas. The
+    // operator gets the leader's answer; with the leader silent, the follower's,
+    // which says so.
+    let follower = |_: ControlRequest| {
+        Some(ControlReply::Status(Box::new(Status {
+            node: 1,
+            leader: Some(2),
+            revision: 15,
+            ..Status::default()
+        })))
+    };
+    let mut fleet = Fleet::new();
+    fleet.control(follower);
+    fleet.control(|_: ControlRequest| {
+        Some(ControlReply::Status(Box::new(Status {
+            node: 2,
+            leader: Some(2),
+            revision: 16,
+            ..Status::default()
+        })))
+    });
+    let ran = fleet.run(&["status"]);
+    assert!(ran.out.contains("revision 16 accepted"), "{ran:?}");
+    assert!(!ran.out.contains("does not lead"), "{ran:?}");
+
+    let mut fleet = Fleet::new();
+    fleet.control(follower);
+    fleet.dead_control();
+    let ran = fleet.run(&["status"]);
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert!(ran.out.contains("as replica 1 sees it"), "{ran:?}");
+}
+
 #[test]
 fn entry_misspelt() {
     let mut fleet = Fleet::new();
