Bound requests under way, idle connections and probes; use a subset of a large pool

Cause: three settings of the entry did nothing, and an entry used every backend server it knew, which at 10,000 would be a connection and a load figure each. Ruled out: drawing the subset anew at each announcement; it changes only with the membership. Conclusion: settings do what their comments say; renew_every became renew_pause, since a renewal that succeeds is followed by the next at once.

--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -151,7 +151,8 @@
         let callers_listener = listen(settings.listen.callers).await?;
         let announce_listener = listen(settings.listen.announcements).await?;
         let (hub, rx) = Hub::new(EntryCore::new(core_config(&settings)), Instant::now());
-        let client = Client::new(settings.timings.connect_timeout);
+        let client = Client::new(settings.timings.connect_timeout)
+            .with_max_idle(settings.limits.idle_per_server);
         let halt = CancellationToken::new();
         let drained = CancellationToken::new();
         let link = start_side(
@@ -172,6 +173,7 @@
             ratings,
             keep: settings.limits.answer_bytes,
             max_body: settings.limits.body_bytes,
+            probe: settings.timings.probe_timeout,
         };
         let addrs = EntryAddrs {
             callers: local(&callers_listener, settings.listen.callers)?,
@@ -320,6 +322,8 @@
         incarnation,
     );
     let timings = &settings.timings;
+    cfg.renew_pause = timings.renew_pause;
+    cfg.max_in_flight = settings.limits.in_flight;
     cfg.dispatch_window = timings.claim_window;
     cfg.claim_timeout = timings.control_timeout;
     cfg.progress_timeout = timings.progress_timeout;
--- a/sesamebeam/src/entry/driver.rs
+++ b/sesamebeam/src/entry/driver.rs
@@ -58,6 +58,7 @@
     },
     rating::Ratings,
     upstream::{
+        Bounds,
         Heard,
         Outgoing,
         Upstream,
@@ -85,6 +86,8 @@
     pub(crate) keep: usize,
     /// Largest answer of a plain service, in bytes.
     pub(crate) max_body: usize,
+    /// Longest wait for the head of a resumed answer.
+    pub(crate) probe: Duration,
 }
 
 /// What comes out of a driver.
@@ -285,13 +288,12 @@
         self.kept.wanted = dispatch.keep;
         let progress = dispatch.progress;
         let send_by = self.tools.hub.instant(dispatch.send_by);
-        let up = Upstream::start(
-            &self.tools.client,
-            &self.outgoing,
-            dispatch,
+        let bounds = Bounds {
             send_by,
-            self.tools.max_body,
-        );
+            max_body: self.tools.max_body,
+            probe: self.tools.probe,
+        };
+        let up = Upstream::start(&self.tools.client, &self.outgoing, dispatch, bounds);
         self.upstreams.push(up);
         self.timer.as_mut().reset(Instant::now() + progress);
     }
--- a/sesamebeam/src/entry/upstream.rs
+++ b/sesamebeam/src/entry/upstream.rs
@@ -94,6 +94,17 @@
     },
 }
 
+/// Bounds of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// Time after which it must not be sent.
+    pub(crate) send_by: Instant,
+    /// Largest answer of a plain service, in bytes.
+    pub(crate) max_body: usize,
+    /// Longest wait for the head of a resumed answer.
+    pub(crate) probe: Duration,
+}
+
 /// An answer that is read whole before it is passed on.
 #[derive(Debug)]
 pub(crate) struct WholeAnswer {
@@ -153,8 +164,7 @@
         client: &Client,
         outgoing: &Arc<Outgoing>,
         dispatch: Box<Dispatch>,
-        send_by: Instant,
-        max_body: usize,
+        bounds: Bounds,
     ) -> Self {
         let events = match dispatch.kind {
             DispatchKind::Resume { events } => events,
@@ -164,8 +174,7 @@
             client.clone(),
             Arc::clone(outgoing),
             (*dispatch).clone(),
-            send_by,
-            max_body,
+            bounds,
         );
         Self {
             dispatch,
@@ -289,8 +298,7 @@
     client: Client,
     outgoing: Arc<Outgoing>,
     dispatch: Dispatch,
-    send_by: Instant,
-    max_body: usize,
+    bounds: Bounds,
 ) -> Opened {
     let Some(req) = request(&outgoing, &dispatch) else {
         return Opened::Ended(AttemptReport::Refused(ServerRefusal::Invalid));
@@ -298,8 +306,12 @@
     let fresh = !matches!(dispatch.kind, DispatchKind::Run | DispatchKind::Hedge);
     let terms = Terms {
         reuse: if fresh { Reuse::Never } else { Reuse::Any },
-        patience: dispatch.progress,
-        send_by: Some(send_by),
+        patience: if fresh {
+            bounds.probe
+        } else {
+            dispatch.progress
+        },
+        send_by: Some(bounds.send_by),
     };
     let events = match dispatch.kind {
         DispatchKind::Resume { events } => events,
@@ -316,8 +328,8 @@
         Err(_) => return Opened::Ended(AttemptReport::Broken { events }),
     };
     match (&*outgoing, dispatch.kind) {
-        (_, DispatchKind::LookUp) => look_up(&dispatch, response, lease, max_body).await,
-        (Outgoing::Service { .. }, _) => whole(response, lease, max_body).await,
+        (_, DispatchKind::LookUp) => look_up(&dispatch, response, lease, bounds.max_body).await,
+        (Outgoing::Service { .. }, _) => whole(response, lease, bounds.max_body).await,
         (Outgoing::Chat(_), kind) => match response.status() {
             StatusCode::OK => Opened::Stream(response, lease),
             status => engine_refusal(&dispatch, kind, status, response, lease).await,
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -34,8 +34,8 @@
     time::timeout, //
 };
 
-/// Idle connections kept to one address.
-const MAX_IDLE: usize = 64;
+/// Idle connections kept to one address unless the maker says otherwise.
+const MAX_IDLE: usize = 32;
 
 /// Time after which an idle connection is not used again: shorter than the
 /// usual five seconds after which servers close theirs.
@@ -107,6 +107,8 @@
     pool: Arc<Mutex<Pool>>,
     /// Longest time for making a connection.
     connect_timeout: Duration,
+    /// Idle connections kept to one address.
+    max_idle: usize,
 }
 
 #[derive(Debug, Default)]
@@ -151,9 +153,15 @@
         Self {
             pool: Arc::default(),
             connect_timeout,
+            max_idle: MAX_IDLE,
         }
     }
 
+    /// Keeps at most this many idle connections to one address.
+    pub fn with_max_idle(self, max_idle: usize) -> Self {
+        Self { max_idle, ..self }
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -270,7 +278,7 @@
         let mut pool = self.lock();
         let host = pool.hosts.entry(addr).or_default();
         // INVARIANT: A connection from before a retirement never comes back.
-        if host.epoch == epoch && host.idle.len() < MAX_IDLE && !sender.is_closed() {
+        if host.epoch == epoch && host.idle.len() < self.max_idle && !sender.is_closed() {
             host.idle.push(Idle {
                 sender,
                 since: Instant::now(),
--- a/sesamebeam/src/settings/entry.rs
+++ b/sesamebeam/src/settings/entry.rs
@@ -143,9 +143,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EntryTimings {
-    /// Time between two renewals of the configuration lease.
+    /// Pause before a renewal of the configuration lease that failed is
+    /// repeated; one that succeeds is followed by the next at once.
     #[serde(with = "humantime_serde")]
-    pub renew_every: Duration,
+    pub renew_pause: Duration,
     /// Longest wait for an answer of a control replica.
     #[serde(with = "humantime_serde")]
     pub control_timeout: Duration,
@@ -179,7 +180,7 @@
 impl Default for EntryTimings {
     fn default() -> Self {
         Self {
-            renew_every: Duration::from_secs(1),
+            renew_pause: Duration::from_millis(200),
             control_timeout: Duration::from_secs(2),
             server_lease: Duration::from_secs(5),
             claim_window: Duration::from_secs(3),
@@ -276,7 +277,7 @@
     fn check_timings(&self, faults: &mut Vec<Fault>) {
         let t = &self.timings;
         let times = [
-            ("renew_every", t.renew_every),
+            ("renew_pause", t.renew_pause),
             ("control_timeout", t.control_timeout),
             ("server_lease", t.server_lease),
             ("claim_window", t.claim_window),
--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -124,6 +124,9 @@
     pub renew_pause: Duration,
     /// Longest time without any byte of an answer.
     pub progress_timeout: Duration,
+    /// Requests under way; more are refused at once, so that a flood of callers
+    /// cannot fill the memory.
+    pub max_in_flight: usize,
     /// Attempts at one request.
     pub max_attempts: Attempt,
     /// Resumes of one stream without progress in between.
@@ -186,6 +189,7 @@
             renew_timeout: Duration::from_secs(5),
             renew_pause: Duration::from_millis(200),
             progress_timeout: Duration::from_secs(5),
+            max_in_flight: 4096,
             max_attempts: 3,
             max_resumes: 3,
             resume_pause: Duration::from_millis(150),
--- a/sesamebeam_core/src/entry/arrive.rs
+++ b/sesamebeam_core/src/entry/arrive.rs
@@ -65,6 +65,9 @@
         if self.stopping {
             return Err(early(Reason::Stopping, keyed, Some(self.cfg.retry_after)));
         }
+        if self.requests.len() >= self.cfg.max_in_flight {
+            return Err(early(Reason::Overloaded, keyed, Some(self.cfg.retry_after)));
+        }
         if self.view.revision() == 0 {
             let after = Some(self.cfg.retry_after);
             return Err(early(Reason::NoConfiguration, keyed, after));
--- a/sesamebeam_core/src/entry/members.rs
+++ b/sesamebeam_core/src/entry/members.rs
@@ -13,7 +13,8 @@
     ids::{
         Digest,
         InstanceId,
-        MonoTime, //
+        MonoTime,
+        ServerAddr, //
     },
     message::{
         control::{
@@ -66,9 +67,7 @@
             }
             Announced::Changed | Announced::Leaving | Announced::Refreshed => {}
         }
-        if let Some(known) = self.servers.get(announcement.addr).cloned() {
-            self.balance.upsert(now, &known);
-        }
+        self.use_subset(now, announcement, announced.spreads());
         self.set_capacities(now);
         if own && announced == Announced::Refreshed {
             self.alive.insert(announcement.addr, alive_of(announcement));
@@ -83,6 +82,46 @@
         self.pump_wanted = true;
     }
 
+    /// Sends work to a backend server only if it is in this entry's subset.
+    ///
+    /// With 10,000 backend servers an entry that used all of them would keep a
+    /// connection and a load figure for each. The subset changes only with the
+    /// membership, so it is drawn anew only then.
+    fn use_subset(&mut self, now: MonoTime, announcement: &Announcement, changed: bool) {
+        let pool = &announcement.pool;
+        let most = self.cfg.policy.servers.subset;
+        let known = self.servers.all().filter(|s| s.pool == *pool).count();
+        if known <= most {
+            if let Some(server) = self.servers.get(announcement.addr) {
+                self.balance.upsert(now, server);
+            }
+            return;
+        }
+        if !changed {
+            if self.balance.pool_of(announcement.addr).is_some()
+                && let Some(server) = self.servers.get(announcement.addr)
+            {
+                self.balance.upsert(now, server);
+            }
+            return;
+        }
+        let subset = self.servers.subset(&self.cfg.instance, pool);
+        let others: Vec<ServerAddr> = self
+            .servers
+            .all()
+            .filter(|server| server.pool == *pool && !subset.contains(&server.addr))
+            .map(|server| server.addr)
+            .collect();
+        for addr in others {
+            self.balance.remove(addr);
+        }
+        for addr in subset {
+            if let Some(server) = self.servers.get(addr) {
+                self.balance.upsert(now, server);
+            }
+        }
+    }
+
     /// Takes a message of another entry.
     pub(super) fn peer(&mut self, now: MonoTime, from: InstanceId, message: PeerMessage) {
         match message {
