--- a/sesamebeam/src/control.rs
+++ b/sesamebeam/src/control.rs
@@ -21,6 +21,7 @@
     },
 };
 
+use futures::future::join_all;
 use sesamebeam_core::{
     control::{
         ControlAction,
@@ -35,7 +36,10 @@
     },
     message::{
         command,
-        control::ControlRequest, //
+        control::{
+            ControlReply,
+            ControlRequest, //
+        },
     },
     replica::{
         Members,
@@ -99,6 +103,10 @@
 /// Longest time for sending one message to a replica.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait for another replica when the group is made: those that are not
+/// there yet do not answer.
+const UNFORMED_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Longest wait for a connection to an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -137,6 +145,12 @@
         /// Group whose folder it is.
         group: u128,
     },
+    /// The group exists, so `--init` would bring a lost disk back.
+    #[error(
+        "replica {0} has a configuration already, so the group is not made anew; \
+         a replica whose disk was lost is replaced: see --join"
+    )]
+    Formed(NodeId),
     /// The log holds what this release does not understand.
     #[error("stopped: {0}")]
     Stopped(String),
@@ -223,6 +237,42 @@
         Ok(incarnation)
     }
 
+    /// Asks the other replicas whether the group exists already, and fails if it
+    /// does.
+    ///
+    /// `--init` on a replica whose disk was lost would bring it back under its
+    /// old incarnation with its votes and entries forgotten: two leaders could
+    /// then win one term, and committed entries could be lost.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a replica that answers has committed anything.
+    pub async fn check_unformed(
+        settings: &ControlSettings,
+        creds: &Credentials,
+    ) -> Result<(), ControlError> {
+        // A port of its own: the others may be asking this one's address too.
+        let from = SocketAddr::new(settings.listen.ip(), 0);
+        let link = Arc::new(Link::bind(from, creds)?);
+        let pool = Pool::new(Arc::clone(&link), rand::random());
+        let others = settings.replicas.iter().filter(|r| r.node != settings.node);
+        let asked = join_all(others.map(|replica| {
+            let caller = pool.get(replica.addr, Some(Role::Control(replica.node)));
+            async move {
+                let asked = caller.call(&ControlRequest::Status, UNFORMED_TIMEOUT).await;
+                let formed = matches!(asked, Ok(ControlReply::Status(s)) if s.revision > 0);
+                formed.then_some(replica.node)
+            }
+        }))
+        .await;
+        let formed = asked.into_iter().flatten().next();
+        link.close();
+        match formed {
+            Some(node) => Err(ControlError::Formed(node)),
+            None => Ok(()),
+        }
+    }
+
     /// Address of the link.
     ///
     /// # Errors
--- a/sesamebeam/src/control/serve.rs
+++ b/sesamebeam/src/control/serve.rs
@@ -121,8 +121,9 @@
 /// not change the configuration, an operator's not claim requests.
 fn may_ask(role: &Role, req: &ControlRequest) -> bool {
     match req {
+        // Replicas ask before a data folder is made.
+        ControlRequest::Status => !matches!(role, Role::Entry(_)),
         ControlRequest::Apply(_)
-        | ControlRequest::Status
         | ControlRequest::Current
         | ControlRequest::Bills { .. }
         | ControlRequest::Settle(_)
--- a/sesamebeam/src/daemon.rs
+++ b/sesamebeam/src/daemon.rs
@@ -211,13 +211,16 @@
     }
     let _logger = crate::logging::start(&settings.log)?;
     let creds = Credentials::load(&settings.keys)?;
-    if args.start != Start::Existing {
-        let incarnation = Control::make_folder(&settings, &creds, args.start)?;
-        println!("incarnation {incarnation:032x}");
-    }
     // One thread: the task that owns the core never waits behind other work.
     let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
+        if args.start == Start::Init {
+            Control::check_unformed(&settings, &creds).await?;
+        }
+        if args.start != Start::Existing {
+            let incarnation = Control::make_folder(&settings, &creds, args.start)?;
+            println!("incarnation {incarnation:032x}");
+        }
         let stop = CancellationToken::new();
         cancel_on_signal(stop.clone())?;
         let control = Control::open(settings, &creds)?;
--- a/sesamebeam/tests/real/replicas.rs
+++ b/sesamebeam/tests/real/replicas.rs
@@ -120,3 +120,18 @@
     new.replicas[2].node = 4;
     new
 }
+
+/// An operator starts a replica whose disk was lost with `--init`, as if the
+/// group were made anew. The replica finds that the others have a configuration
+/// and refuses: under its old incarnation it would have forgotten its vote.
+#[tokio::test(flavor = "multi_thread")]
+async fn init_refused() {
+    let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
+    processes.apply(0, &fleet()).await;
+    let lost = processes.settings.controls[2].clone();
+    processes.kill("control-3");
+    fs::remove_dir_all(&lost.data).expect("the disk is lost");
+    processes.start_control(&lost, Some("--init"));
+    assert!(!processes.ended("control-3").await, "it refuses");
+    assert!(!lost.data.exists(), "no folder is made");
+}
