--- a/sesamebeam_bench/src/policy.rs
+++ b/sesamebeam_bench/src/policy.rs
@@ -51,6 +51,7 @@
                        all by default
     --seed N           seed of the traffic and the faults; 1 by default
     --seconds N        length in virtual time; 1200 by default
+    --warm-up N        seconds of learning before the measured part; 0 by default
     --ablations        switch off one mechanism after the other
     --rollouts N       N roll-outs of a good, a bad and a turning version
     --markdown         print the table as Markdown
@@ -95,6 +96,7 @@
     strategies: Vec<Strategy>,
     seed: u64,
     length: Duration,
+    warm_up: Duration,
     markdown: bool,
     csv: Option<PathBuf>,
     plots: Option<PathBuf>,
@@ -150,6 +152,7 @@
         let strategy: Option<SmolStr> = args.opt_value_from_str("--strategy")?;
         let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
         let seconds = args.opt_value_from_str("--seconds")?.unwrap_or(1200);
+        let warm_up = args.opt_value_from_str("--warm-up")?.unwrap_or(0);
         let markdown = args.contains("--markdown");
         let csv = args.opt_value_from_str("--csv")?;
         let plots = args.opt_value_from_str("--plots")?;
@@ -164,6 +167,7 @@
             strategies: parse_strategy(strategy)?,
             seed,
             length: Duration::from_secs(seconds),
+            warm_up: Duration::from_secs(warm_up),
             markdown,
             csv,
             plots,
@@ -177,6 +181,7 @@
             fault,
             seed,
             length: self.length,
+            warm_up: self.warm_up,
             rollout: false,
             cfg: PolicyConfig::default(),
         }
--- a/sesamebeam_core/src/policy/exposure.rs
+++ b/sesamebeam_core/src/policy/exposure.rs
@@ -62,6 +62,8 @@
     pub horizon: f64,
     /// Distance below the expected level that is still good.
     pub margin: f64,
+    /// Ratings in a class from which a settled version is measured by itself.
+    pub known: f64,
     /// Quality, relative to that level, which the test bets on.
     pub bad_factor: f64,
     /// Share of failures that a good version may have.
@@ -87,10 +89,11 @@
         Self {
             in_order: true,
             test: true,
-            false_holds: 0.005,
-            horizon: 2000.0,
-            margin: 0.05,
-            bad_factor: 0.6,
+            false_holds: 0.01,
+            horizon: 500.0,
+            margin: 0.03,
+            known: 80.0,
+            bad_factor: 0.5,
             failures: 0.03,
             slow: 0.3,
             slow_factor: 2.5,
@@ -426,9 +429,18 @@
         }
     }
 
-    /// Gives the share of good answers below which a version is bad: what its
-    /// model's best settled version shows, or else its own prior, less a margin.
+    /// Gives the share of good answers below which a version is bad: what a
+    /// settled version itself has shown for long, or else what its model's best
+    /// settled version shows or its own prior, less a margin.
     fn level(&self, version: &str, class: &str, quality: &Quality) -> f64 {
+        let settled = self
+            .trials
+            .get(version)
+            .is_some_and(|t| t.state == VersionState::Settled);
+        if settled && quality.evidence(class, version) >= self.cfg.known {
+            let own = quality.expected(class, version) - self.cfg.margin;
+            return own.clamp(0.1, 0.98);
+        }
         let prior = quality.prior(version).unwrap_or(0.5);
         let model = model_of(version);
         let sibling = self
--- a/sesamebeam_core/src/policy/exposure/evidence.rs
+++ b/sesamebeam_core/src/policy/exposure/evidence.rs
@@ -7,7 +7,7 @@
 };
 
 /// Log likelihood ratio from which a version looks bad and is rated in full.
-const LOOKS_BAD: f64 = 1.0;
+const LOOKS_BAD: f64 = 0.5;
 
 /// Bets on one kind of observation.
 ///
--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -157,7 +157,7 @@
     /// none if there is no candidate.
     pub fn plan(&self, quality: &Quality, input: &PlanInput<'_>) -> Option<Planned> {
         let scored = self.score(quality, input);
-        let (at, reason) = self.choose(input, &scored)?;
+        let (at, reason) = self.choose(quality, input, &scored)?;
         Some(Planned {
             plan: scored[at].plan.clone(),
             reason,
@@ -237,7 +237,15 @@
     ///
     /// Without trials a version that had bad luck early, or that nobody used
     /// yet in a class, would never be rated there and the cost would stay high.
-    fn choose(&self, input: &PlanInput<'_>, scored: &[Scored]) -> Option<(usize, Reason)> {
+    fn choose(
+        &self,
+        quality: &Quality,
+        input: &PlanInput<'_>,
+        scored: &[Scored],
+    ) -> Option<(usize, Reason)> {
+        if let Some(at) = self.rollout(quality, scored) {
+            return Some((at, Reason::Trial));
+        }
         let (at, reason) = match least(scored, |s| s.meets && s.fits, |s| s.cost) {
             Some(at) => (at, Reason::Cheapest),
             None => (likeliest(scored)?, Reason::BestAvailable),
@@ -248,6 +256,20 @@
         Some((at, reason))
     }
 
+    /// Chooses a version that rolls out and still lacks evidence.
+    ///
+    /// Exposure lets it through on its share of requests only. Compared by cost
+    /// it might never be used, and its roll-out would stand still.
+    fn rollout(&self, quality: &Quality, scored: &[Scored]) -> Option<usize> {
+        if self.cfg.explore <= 0.0 {
+            return None;
+        }
+        scored.iter().position(|s| match &s.plan {
+            Plan::Single(version) => s.fits && quality.wants_evidence(version),
+            Plan::Cascade { .. } => false,
+        })
+    }
+
     /// Chooses a cheaper plan to try on this request, if its draw says so.
     ///
     /// A plan's share of trials is in proportion to the probability that it
--- a/sesamebeam_core/src/policy/quality.rs
+++ b/sesamebeam_core/src/policy/quality.rs
@@ -10,7 +10,10 @@
     time::Duration, //
 };
 
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -18,7 +21,10 @@
 use statrs::function::beta::beta_reg;
 
 use crate::{
-    fleet::Fleet,
+    fleet::{
+        Fleet,
+        VersionState, //
+    },
     ids::{
         ClassId,
         MonoTime,
@@ -158,6 +164,8 @@
 #[derive(Clone, Debug)]
 pub struct Quality {
     cfg: QualityConfig,
+    /// Versions that roll out.
+    rolling: IndexSet<VersionId>,
     /// Priors of the fleet file by version.
     priors: IndexMap<VersionId, f64>,
     /// Evidence by version, then class.
@@ -179,6 +187,7 @@
     pub fn new(cfg: QualityConfig) -> Self {
         Self {
             cfg,
+            rolling: IndexSet::new(),
             priors: IndexMap::new(),
             cells: IndexMap::new(),
             redone: IndexMap::new(),
@@ -196,9 +205,13 @@
     /// it no longer lists is dropped.
     pub fn configure(&mut self, fleet: &Fleet) {
         self.priors.clear();
+        self.rolling.clear();
         for model in &fleet.models {
             for version in &model.versions {
                 let full = crate::ids::join_version(&model.name, &version.name);
+                if version.state == VersionState::Rolling {
+                    self.rolling.insert(full.clone());
+                }
                 self.priors.insert(full, version.prior.clamp(0.01, 0.99));
             }
         }
@@ -372,6 +385,19 @@
         }
     }
 
+    /// Tells whether a version rolls out and has too little evidence, over all
+    /// classes, to be compared with others.
+    pub fn wants_evidence(&self, version: &str) -> bool {
+        if !self.rolling.contains(version) {
+            return false;
+        }
+        let classes = self.cells.get(version).into_iter().flatten();
+        classes
+            .map(|(_, counts)| counts.good + counts.bad)
+            .sum::<f64>()
+            < self.cfg.thin
+    }
+
     /// Gives the prior of a version in the fleet file.
     pub fn prior(&self, version: &str) -> Option<f64> {
         self.priors.get(version).copied()
