Plot burn rates as SVG

Ruled out: the entries' histories as lines over time; they have no counts to be added up by, so several entries give no common line. The windows' rates add up.

--- a/sesamebeam/src/cli.rs
+++ b/sesamebeam/src/cli.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod keys;
 mod output;
+mod plot;
 mod records;
 mod status;
 
@@ -33,6 +34,7 @@
         UsageError, //
     },
     output::Output,
+    plot::PlotError, //
 };
 use crate::{
     client::{
@@ -103,6 +105,9 @@
     /// The output cannot be written.
     #[error("cannot write the output: {0}")]
     Output(#[from] io::Error),
+    /// The plot cannot be written.
+    #[error(transparent)]
+    Plot(#[from] PlotError),
     /// The output cannot be put into JSON.
     #[error("cannot write the output as JSON: {0}")]
     Json(#[from] serde_json::Error),
@@ -123,6 +128,7 @@
             | Self::NotFound(_)
             | Self::OddAnswer
             | Self::Dev(_)
+            | Self::Plot(_)
             | Self::Output(_)
             | Self::Json(_) => Exit::Refused,
         }
@@ -205,7 +211,9 @@
         Command::Current => fleet::current(&client, out).await,
         Command::Status { entry } => status::run(&client, settings, entry.as_deref(), out).await,
         Command::Explain { request } => explain::run(&client, settings, *request, out).await,
-        Command::ReportBurn { org } => report::burn(&client, settings, org.as_ref(), out).await,
+        Command::ReportBurn { org, svg } => {
+            report::burn(&client, settings, org.as_ref(), svg.as_deref(), out).await
+        }
         Command::ReportBills { from, limit } => records::bills(&client, *from, *limit, out).await,
         Command::Settle(settle) => records::settle(&client, settle, out).await,
         Command::ControlReplace(replace) => control::replace(&client, replace, out).await,
--- a/sesamebeam/src/cli/args.rs
+++ b/sesamebeam/src/cli/args.rs
@@ -87,6 +87,8 @@
     ReportBurn {
         /// The one organisation to report on.
         org: Option<OrgId>,
+        /// File for a plot.
+        svg: Option<PathBuf>,
     },
     /// List billing entries.
     ReportBills {
@@ -299,6 +301,7 @@
             },
             Topic::ReportBurn => Command::ReportBurn {
                 org: self.optional("--organisation", "a name", name)?,
+                svg: self.optional("--svg", "a file", path)?,
             },
             Topic::ReportBills => Command::ReportBills {
                 from: self.optional("--from", "a position", number)?.unwrap_or(1),
--- a/sesamebeam/src/cli/help.rs
+++ b/sesamebeam/src/cli/help.rs
@@ -128,7 +128,7 @@
         match self {
             Self::Apply => &["--base", "--wait", "--json", "--settings", "--help"],
             Self::Status => &["--entry", "--json", "--settings", "--help"],
-            Self::ReportBurn => &["--organisation", "--json", "--settings", "--help"],
+            Self::ReportBurn => &["--organisation", "--svg", "--json", "--settings", "--help"],
             Self::ReportBills => &["--from", "--limit", "--json", "--settings", "--help"],
             Self::Settle => &[
                 "--ran",
--- a/sesamebeam/src/cli/report.rs
+++ b/sesamebeam/src/cli/report.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections::BTreeMap,
-    io::Write, //
+    io::Write,
+    path::Path, //
 };
 
 use serde::Serialize;
@@ -28,7 +29,8 @@
 use super::{
     CliError,
     Exit,
-    output::Output, //
+    output::Output,
+    plot, //
 };
 use crate::{
     client::Client,
@@ -47,6 +49,7 @@
     client: &Client,
     settings: &OperatorSettings,
     org: Option<&OrgId>,
+    svg: Option<&Path>,
     out: &mut Output<'_, impl Write>,
 ) -> Result<Exit, CliError> {
     if settings.entries.is_empty() {
@@ -71,6 +74,9 @@
         return Err(e.into());
     }
     let objectives = merge(reports);
+    if let Some(file) = svg {
+        plot::burn(&objectives, file)?;
+    }
     if out.is_json() {
         out.json(&BurnOutput {
             objectives: &objectives,
--- a/sesamebeam/tests/cli_report.rs
+++ b/sesamebeam/tests/cli_report.rs
@@ -106,6 +106,21 @@
     insta::assert_snapshot!(ran.out);
 }
 
+#[test]
+fn burn_plotted() {
+    let mut fleet = Fleet::new();
+    fleet.control(|_: ControlRequest| None::<ControlReply>);
+    fleet.entry("north-1", |_: EntryRequest| {
+        Some(EntryReply::Burn(report(100, 20)))
+    });
+    let file = fleet.folder.path().join("burn.svg");
+    let name = file.to_str().expect("a path in UTF-8");
+    let ran = fleet.run(&["report", "burn", "--svg", name]);
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    let svg = std::fs::read_to_string(&file).expect("the plot");
+    assert!(svg.starts_with("<svg") && svg.contains("crew question whole"));
+}
+
 #[test]
 fn request_explained() {
     let mut fleet = Fleet::new();
