Leave silent links by what comes back to one-way messages

Cause: a path can go silent for good while its connection looks open. A call finds out by its deadline; one-way messages, such as a leader's heartbeats, had only the idle timeout of 8 s, in which a follower stands for election.

Ruled out: a shorter idle timeout (each sign of life costs processor time at every connection of 720 daemons); giving up after one unheard message (a process that was stopped for a while would take its own pause for silence).

Conclusion: messages that go out for 1 s with nothing coming back end the connection, and the next goes out from a new port. The idle timeout is now 12 s.

--- a/sesamebeam/src/link.rs
+++ b/sesamebeam/src/link.rs
@@ -68,8 +68,9 @@
 /// Name that every server certificate of a fleet carries.
 const SERVER_NAME: &str = crate::keys::FLEET_NAME;
 
-/// Calls that one peer may have open at a time.
-const MAX_CALLS: u32 = 256;
+/// Calls that one peer may have open at a time; further ones wait at the peer.
+/// Each place costs 68 bytes for every connection, whether used or not.
+const MAX_CALLS: u32 = 128;
 
 /// One-way streams that one peer may have open at a time. One is in use; a few
 /// more bridge the moment between an abandoned stream and its successor.
@@ -103,8 +104,8 @@
 impl Default for LinkTimings {
     fn default() -> Self {
         Self {
-            idle: Duration::from_secs(8),
-            keep_alive: Duration::from_secs(2),
+            idle: Duration::from_secs(12),
+            keep_alive: Duration::from_secs(4),
         }
     }
 }
--- a/sesamebeam/src/link/caller.rs
+++ b/sesamebeam/src/link/caller.rs
@@ -41,6 +41,15 @@
 /// Longest time that one attempt to connect may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest silence of a peer that is sent one-way messages. It acknowledges each
+/// within some tens of milliseconds.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Fewest messages that go unheard before their silence counts. A process that
+/// was stopped for a while and sends again has the acknowledgements of its last
+/// message still unread; it must not take that for silence.
+const LEAST_UNHEARD: u32 = 3;
+
 /// Waits between attempts that double up to a bound, each shortened by a
 /// random part of up to a half, so that many processes that lost the same peer
 /// do not come back to it in the same moment.
@@ -87,17 +96,31 @@
     /// Whether the last connection went silent, so that the next one starts
     /// from a new port.
     silent: bool,
+    /// Since when one-way messages were sent without a datagram coming back.
+    unheard: Option<Unheard>,
     back_off: BackOff,
     /// No attempt to connect before this moment.
     not_before: Option<Instant>,
 }
 
+/// A time from which on nothing came back.
+#[derive(Clone, Copy)]
+struct Unheard {
+    /// Datagrams received up to then.
+    received: u64,
+    /// When the first message after them was sent.
+    since: Instant,
+    /// Messages sent from then on.
+    sent: u32,
+}
+
 impl Caller {
     /// Makes a caller that connects at its first call.
     pub fn new(link: Arc<Link>, addr: SocketAddr, expect: Option<Role>, seed: u64) -> Self {
         let state = State {
             peer: None,
             silent: false,
+            unheard: None,
             back_off: BackOff::new(seed),
             not_before: None,
         };
@@ -149,7 +172,10 @@
         let peer = self.peer_until(until, deadline).await?;
         let received = peer.received();
         match timeout_at(until, peer.send(msg)).await {
-            Ok(sent) => sent,
+            Ok(sent) => {
+                self.retire_if_unheard(&peer).await;
+                sent
+            }
             Err(_) => {
                 self.retire_if_silent(&peer, received).await;
                 Err(LinkError::Deadline(deadline))
@@ -197,6 +223,7 @@
                 let peer = Arc::new(peer);
                 state.peer = Some(Arc::clone(&peer));
                 state.silent = false;
+                state.unheard = None;
                 state.not_before = None;
                 state.back_off.reset();
                 Ok(peer)
@@ -232,10 +259,45 @@
         if peer.received() != received {
             return;
         }
+        self.state.lock().await.retire(peer);
+    }
+
+    /// Gives a connection up on which messages went out for [`SILENCE`] and not
+    /// one datagram came back.
+    ///
+    /// A one-way message has no deadline of its own. Without this check a leader
+    /// whose path to a follower went silent would send its heartbeats into
+    /// nothing until the idle timeout, and the follower would stand for election
+    /// though a new connection works.
+    async fn retire_if_unheard(&self, peer: &Arc<Peer>) {
         let mut state = self.state.lock().await;
-        if state.peer.as_ref().is_some_and(|p| Arc::ptr_eq(p, peer)) {
-            state.peer = None;
-            state.silent = true;
+        let received = peer.received();
+        let now = Instant::now();
+        match &mut state.unheard {
+            Some(unheard) if unheard.received == received => {
+                unheard.sent = unheard.sent.saturating_add(1);
+                if unheard.sent >= LEAST_UNHEARD && now - unheard.since >= SILENCE {
+                    state.retire(peer);
+                }
+            }
+            _ => {
+                state.unheard = Some(Unheard {
+                    received,
+                    since: now,
+                    sent: 1,
+                });
+            }
+        }
+    }
+}
+
+impl State {
+    /// Gives the present connection up, if it is still this one.
+    fn retire(&mut self, peer: &Arc<Peer>) {
+        if self.peer.as_ref().is_some_and(|p| Arc::ptr_eq(p, peer)) {
+            self.peer = None;
+            self.silent = true;
+            self.unheard = None;
             peer.close();
         }
     }
--- a/sesamebeam/tests/link.rs
+++ b/sesamebeam/tests/link.rs
@@ -353,6 +353,66 @@
     assert_eq!(answer, 4);
 }
 
+#[tokio::test]
+async fn silent_heartbeats() {
+    // The same, with one-way messages alone: they have no answer that could be
+    // missed. Messages that go out without anything coming back end the
+    // connection, and the next ones arrive over a new port.
+    let ca = fleet();
+    let server = link(&ca, Role::Control(1));
+    let relay = Relay::start(server.local_addr().unwrap()).await;
+    let timings = LinkTimings {
+        idle: Duration::from_secs(600),
+        keep_alive: Duration::from_secs(300),
+    };
+    let creds = Credentials::from_fleet(&ca, &Role::Control(2)).unwrap();
+    let client = Arc::new(Link::bind_with(loopback(), &creds, timings).unwrap());
+    let caller = Caller::new(Arc::clone(&client), relay.addr, None, 7);
+    let (sent, first) =
+        soon(async { tokio::join!(caller.send(&1_u64, PATIENCE), server.accept()) }).await;
+    sent.unwrap();
+    let first = first.unwrap();
+    assert!(matches!(soon(first.next()).await, Ok(Incoming::Message(_))));
+
+    relay.lose(client.local_addr().unwrap());
+    let heartbeats = async {
+        loop {
+            let _ = caller.send(&2_u64, PATIENCE).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let second = soon(async {
+        tokio::select! {
+            () = heartbeats => unreachable!("it sends for ever"),
+            peer = server.accept() => peer,
+        }
+    })
+    .await;
+    assert_ne!(second.unwrap().remote(), first.remote());
+}
+
+#[tokio::test]
+async fn idle_then_send() {
+    // Messages far apart on a working path: each is acknowledged, so that the
+    // pause between them is not taken for silence.
+    let ca = fleet();
+    let server = link(&ca, Role::Control(1));
+    let client = link(&ca, Role::Control(2));
+    let caller = Caller::new(client, server.local_addr().unwrap(), None, 7);
+    let (peer, accepted) =
+        soon(async { tokio::join!(caller.peer(PATIENCE), server.accept()) }).await;
+    let (peer, accepted) = (peer.unwrap(), accepted.unwrap());
+    for n in 0..3_u64 {
+        caller.send(&n, PATIENCE).await.unwrap();
+        assert!(matches!(
+            soon(accepted.next()).await,
+            Ok(Incoming::Message(_))
+        ));
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+    }
+    assert!(Arc::ptr_eq(&peer, &caller.peer(PATIENCE).await.unwrap()));
+}
+
 #[tokio::test]
 async fn slow_peer_kept() {
     // The peer takes a call and answers too late. Its acknowledgements show
