--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -199,7 +199,7 @@
     router: Router,
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
-    ratings: Vec<(Rating, bool)>,
+    ratings: Vec<Rating>,
     by_id: IndexMap<u128, usize>,
     all_versions: Vec<VersionId>,
     rolling: Option<VersionId>,
@@ -818,7 +818,7 @@
             score,
             age: Duration::ZERO,
         };
-        self.ratings.push((rating, step == Step::Redo));
+        self.ratings.push(rating);
         let lag = 0.5 + self.rng.random::<f64>() * 1.5;
         self.after(
             Duration::from_secs_f64(lag),
@@ -827,7 +827,7 @@
     }
 
     fn rate(&mut self, at: usize) {
-        let (mut rating, redo) = self.ratings[at].clone();
+        let mut rating = self.ratings[at].clone();
         rating.age = Duration::from_millis(100);
         let distrusted = self.router.quality.rater_distrusted();
         let rated = self.router.quality.rate(self.now, &rating);
@@ -835,11 +835,14 @@
             let since = self.now.saturating_sub(Duration::from_secs(60));
             self.router.exposure.release_ratings_since(since);
         }
-        if let Rated::Counted { good, .. } = rated
-            && !redo
+        if let Rated::Counted { good, redo } = rated
             && let Some(request) = self.by_id.get(&rating.request).copied()
         {
-            self.observe(request, &rating.version, Observation::Rated { good });
+            let seen = match redo {
+                true => Observation::Redone { good },
+                false => Observation::Rated { good },
+            };
+            self.observe(request, &rating.version, seen);
         }
     }
 
--- a/sesamebeam_core/src/policy/exposure.rs
+++ b/sesamebeam_core/src/policy/exposure.rs
@@ -46,6 +46,9 @@
     },
 };
 
+/// Level for hard requests, relative to the usual one, before it is known.
+const HARD_LEVEL: f64 = 0.8;
+
 /// Settings of trust and of the sequential test.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ExposureConfig {
@@ -113,6 +116,11 @@
         /// Whether it was good.
         good: bool,
     },
+    /// It was rated as the second answer of a cascade, to a hard request.
+    Redone {
+        /// Whether it was good.
+        good: bool,
+    },
     /// It arrived whole.
     Whole {
         /// Time from sending to the end.
@@ -274,6 +282,7 @@
     ) -> Option<HoldReason> {
         let slow = self.slow(version, seen);
         let level = self.level(version, class, quality);
+        let redo_level = self.redo_level(version, class, level, quality);
         let cfg = &self.cfg;
         let trial = self.trials.get_mut(version)?;
         let was_held = trial.held.is_some();
@@ -282,6 +291,12 @@
                 trial.count_rating(good);
                 trial.ratings.bet(good, level, level * cfg.bad_factor);
             }
+            Observation::Redone { good } => {
+                trial.count_rating(good);
+                trial
+                    .redone
+                    .bet(good, redo_level, redo_level * cfg.bad_factor);
+            }
             Observation::Whole { .. } => {
                 let ok = 1.0 - cfg.failures;
                 trial.failures.bet(true, ok, 1.0 - cfg.failures * 6.0);
@@ -303,7 +318,7 @@
         let late = (3.0 * cfg.horizon / cfg.false_holds).ln();
         let rolling = trial.state == VersionState::Rolling;
         let crossed = |stream: &Stream| stream.crossed(rolling, early, late);
-        let reason = if crossed(&trial.ratings) {
+        let reason = if crossed(&trial.ratings) || crossed(&trial.redone) {
             HoldReason::Ratings
         } else if crossed(&trial.failures) {
             HoldReason::Failures
@@ -367,7 +382,7 @@
                 trial.held = None;
                 released.push(version.clone());
             }
-            trial.ratings = Stream::default();
+            trial.forget(HoldReason::Ratings);
         }
         released
     }
@@ -455,6 +470,16 @@
         (expected - self.cfg.margin).clamp(0.1, 0.98)
     }
 
+    /// Gives the level for second answers of cascades. Hard requests get fewer
+    /// good answers from any version, and by how many is known only in time.
+    fn redo_level(&self, version: &str, class: &str, level: f64, quality: &Quality) -> f64 {
+        if quality.evidence_redo(class, version) < self.cfg.known / 2.0 {
+            return level * HARD_LEVEL;
+        }
+        let own = quality.moments_redo(class, version, 1.0).mean - self.cfg.margin;
+        own.clamp(0.1, 0.98)
+    }
+
     /// Tells whether an answer was slow for its model, and learns the pace of
     /// settled versions.
     fn slow(&mut self, version: &str, seen: Observation) -> Option<bool> {
--- a/sesamebeam_core/src/policy/exposure/evidence.rs
+++ b/sesamebeam_core/src/policy/exposure/evidence.rs
@@ -68,6 +68,8 @@
     seen: u32,
     /// Bets on ratings.
     pub(super) ratings: Stream,
+    /// Bets on ratings of second answers of cascades.
+    pub(super) redone: Stream,
     /// Bets on failures.
     pub(super) failures: Stream,
     /// Bets on slowness.
@@ -85,6 +87,7 @@
         self.held = None;
         self.seen = 0;
         self.ratings = Stream::default();
+        self.redone = Stream::default();
         self.failures = Stream::default();
         self.slowness = Stream::default();
     }
@@ -92,7 +95,10 @@
     /// Starts one kind of bets anew.
     pub(super) fn forget(&mut self, reason: HoldReason) {
         match reason {
-            HoldReason::Ratings => self.ratings = Stream::default(),
+            HoldReason::Ratings => {
+                self.ratings = Stream::default();
+                self.redone = Stream::default();
+            }
             HoldReason::Failures => self.failures = Stream::default(),
             HoldReason::Slowness => self.slowness = Stream::default(),
             HoldReason::Fleet => {}
@@ -117,7 +123,11 @@
     }
 
     pub(super) fn looks_bad(&self) -> bool {
-        let worst = self.ratings.reset.max(self.failures.reset);
+        let worst = self
+            .ratings
+            .reset
+            .max(self.redone.reset)
+            .max(self.failures.reset);
         self.held.is_some() || worst >= LOOKS_BAD
     }
 
--- a/sesamebeam_core/src/policy/quality.rs
+++ b/sesamebeam_core/src/policy/quality.rs
@@ -385,6 +385,16 @@
         }
     }
 
+    /// Gives how many ratings the evidence of a version on second answers of
+    /// cascades is worth.
+    pub fn evidence_redo(&self, class: &str, version: &str) -> f64 {
+        let counts = self
+            .redone
+            .get(version)
+            .and_then(|classes| classes.get(class));
+        counts.map_or(0.0, |counts| counts.good + counts.bad)
+    }
+
     /// Tells whether a version rolls out and has too little evidence, over all
     /// classes, to be compared with others.
     pub fn wants_evidence(&self, version: &str) -> bool {
--- a/sesamebeam_core/src/policy/retry.rs
+++ b/sesamebeam_core/src/policy/retry.rs
@@ -28,6 +28,8 @@
     pub retries_per_request: f64,
     /// Retries that an organisation can save up.
     pub saved: f64,
+    /// Retries that all organisations together can save up.
+    pub saved_by_all: f64,
     /// Hedges that one fresh urgent request pays for; 0 turns hedging off.
     pub hedges_per_request: f64,
     /// Hedge only after this share of the class's answers would have come.
@@ -38,8 +40,9 @@
     fn default() -> Self {
         Self {
             bounded: true,
-            retries_per_request: 0.08,
-            saved: 10.0,
+            retries_per_request: 0.05,
+            saved: 5.0,
+            saved_by_all: 8.0,
             hedges_per_request: 0.04,
             hedge_after: 0.95,
         }
@@ -51,6 +54,9 @@
 pub struct RetryBudget {
     cfg: RetryConfig,
     saved: IndexMap<OrgId, f64>,
+    /// Retries saved by all organisations together. Without it, each of many
+    /// organisations would spend its savings in the same outage.
+    saved_by_all: f64,
 }
 
 impl RetryBudget {
@@ -59,6 +65,7 @@
         Self {
             cfg,
             saved: IndexMap::new(),
+            saved_by_all: 1.0,
         }
     }
 
@@ -66,6 +73,8 @@
     pub fn request(&mut self, org: &OrgId) {
         let saved = self.saved.entry(org.clone()).or_insert(1.0);
         *saved = (*saved + self.cfg.retries_per_request).min(self.cfg.saved);
+        let all = self.saved_by_all + self.cfg.retries_per_request;
+        self.saved_by_all = all.min(self.cfg.saved_by_all);
     }
 
     /// Takes a retry from the budget, if there is one.
@@ -74,7 +83,7 @@
             return true;
         }
         let saved = self.saved.entry(org.clone()).or_insert(1.0);
-        take_one(saved)
+        self.saved_by_all >= 1.0 && take_one(saved) && take_one(&mut self.saved_by_all)
     }
 }
 
