--- a/sesamebeam_core/tests/group/net.rs
+++ b/sesamebeam_core/tests/group/net.rs
@@ -52,6 +52,9 @@
 /// Bound on the clocks' rate error.
 pub(crate) const DRIFT: f64 = 0.01;
 
+/// Steps at one instant that only an endless loop takes.
+const STEPS_AN_INSTANT: u64 = 10_000;
+
 /// What must never be seen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Violation {
@@ -148,6 +151,8 @@
     reads: BTreeMap<Ticket, LogIndex>,
     queue: BTreeMap<(Duration, u64), Coming>,
     next: u64,
+    /// Steps taken at this instant.
+    steps: u64,
     rng: StdRng,
 }
 
@@ -182,6 +187,7 @@
             reads: BTreeMap::new(),
             queue: BTreeMap::new(),
             next: 0,
+            steps: 0,
             rng: StdRng::seed_from_u64(seed),
         };
         let members = Members::of_voters((1..=voters).map(|n| (n, u128::from(n) * 100)));
@@ -345,6 +351,9 @@
             self.reaches(Duration::from_secs(5), |net| {
                 net.acked.contains_key(&ticket) || net.rejected.contains_key(&ticket)
             });
+            if self.rejected.contains_key(&ticket) {
+                self.run(Duration::from_millis(50));
+            }
         }
     }
 
@@ -402,7 +411,7 @@
         let Some(at) = at.filter(|&at| at <= until) else {
             return false;
         };
-        self.now = self.now.max(at);
+        self.note_instant(at);
         if message_at == Some(at) {
             self.deliver();
         } else if let Some((_, id)) = wake {
@@ -411,6 +420,14 @@
         true
     }
 
+    /// Moves on to the time of the next step, and fails if time stands still
+    /// while steps go on.
+    fn note_instant(&mut self, at: Duration) {
+        self.steps = if at > self.now { 0 } else { self.steps + 1 };
+        self.now = self.now.max(at);
+        assert!(self.steps < STEPS_AN_INSTANT, "no end of steps at {at:?}");
+    }
+
     /// Returns the first replica that wants to be woken, and when.
     fn next_wake(&self) -> Option<(Duration, NodeId)> {
         let wakes = self.nodes.iter().filter_map(|(&id, node)| {
