Keep the log in CRC-framed segments of a locked data folder

Cause: an entry may count only once it is synced, and a power cut, a damaged byte or a full disk must never lose one silently. Ruled out: a frame an entry; a batch torn in any order would then look like a damaged middle. One write is one frame, synced before the next. Ruled out: a checksum over the payload alone; an old frame at another place would pass, so the place is part of it. Ruled out: repeating a failed sync; the folder must be opened again. Known limit: damage in the very last synced frame cannot be told from a torn write and is cut off; the other replicas still hold it. Conclusion: short and reordered writes at every byte of the last frame, damage at every byte before it, and no space at 30 places pass.

--- a/sesamebeam/src/disk.rs
+++ b/sesamebeam/src/disk.rs
@@ -1,4 +1,20 @@
 //! The data folder of a control replica.
+//!
+//! | file | holds |
+//! |---|---|
+//! | `identity` | group, number and incarnation; written once |
+//! | `lock` | nothing; locked while a process has the folder open |
+//! | `log-N.seg` | frames with records, appended; see [`frame`] |
+//! | `snapshot-I.snap` | the state up to position `I`, one frame |
+//!
+//! A write counts once its frame is synced. The end of the newest segment can be
+//! torn by a power cut and is cut off; damage anywhere else is refused, for to
+//! go on without an acknowledged entry would be to lose it silently.
+
+mod error;
+mod folder;
+mod frame;
+mod load;
 
 use std::{
     fs::{
@@ -8,7 +24,6 @@
     },
     io::{
         self,
-        Read,
         Seek,
         SeekFrom,
         Write, //
@@ -19,80 +34,77 @@
     },
 };
 
+pub use error::DiskError;
+pub use folder::Identity;
+
+use frame::{
+    Place,
+    Record,
+    write_frame, //
+};
+use load::{
+    Loaded,
+    Segment,
+    load,
+    snapshot_place, //
+};
 use sesamebeam_core::{
-    ids::NodeId,
+    ids::LogIndex,
     replica::{
         DiskOp,
-        Saved, //
+        HardState,
+        LogEnd,
+        Saved,
+        Snapshot, //
     },
 };
-use thiserror::Error;
-
-/// Whose data folder it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Identity {
-    /// Group of the replica.
-    pub group: u128,
-    /// Number of the replica.
-    pub node: NodeId,
-    /// Drawn at random when the folder is made, so that a lost folder that is
-    /// made anew is told from the old one.
-    pub incarnation: u128,
-}
 
-/// Why a data folder could not be opened or written.
-#[derive(Debug, Error)]
-pub enum DiskError {
-    /// There is no data folder; it must be made on purpose.
-    #[error("{0}: no data folder here; make one with `Disk::create`")]
-    Missing(PathBuf),
-    /// There is a data folder already.
-    #[error("{0}: there is a data folder here already")]
-    Exists(PathBuf),
-    /// Another process has the folder open.
-    #[error("{0}: another process has this data folder open")]
-    Locked(PathBuf),
-    /// What was synced once does not read back.
-    #[error("{path}: damaged at offset {offset}: {what}")]
-    Damaged {
-        /// File that is damaged.
-        path: PathBuf,
-        /// Offset of the damage in bytes.
-        offset: u64,
-        /// What is wrong there.
-        what: &'static str,
-    },
-    /// The disk is full. Nothing of the write counts; it may be repeated.
-    #[error("{0}: disk is full")]
-    Full(PathBuf),
-    /// An earlier write failed in a way that leaves its fate open.
-    #[error("{0}: an earlier write failed; open the folder again")]
-    Failed(PathBuf),
-    /// The operating system reports an error.
-    #[error("{path}: {source}")]
-    Io {
-        /// File concerned.
-        path: PathBuf,
-        /// The error.
-        source: std::io::Error,
-    },
-}
+/// Start of the name of a segment.
+const SEGMENT_PREFIX: &str = "log-";
+
+/// End of the name of a segment.
+const SEGMENT_SUFFIX: &str = ".seg";
 
-/// Name of the file that says whose folder it is.
-const IDENTITY_FILE: &str = "identity";
+/// Start of the name of a snapshot.
+const SNAPSHOT_PREFIX: &str = "snapshot-";
 
-/// Name of the file that holds everything written, in order.
-const LOG_FILE: &str = "log";
+/// End of the name of a snapshot.
+const SNAPSHOT_SUFFIX: &str = ".snap";
 
-/// Bytes in front of each record: its length and its CRC.
-const HEAD: usize = 8;
+/// Bytes after which a new segment is begun.
+const SEGMENT_BYTES: u64 = 16 << 20;
+
+/// Safeguards switched off, for tests alone.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Takes frames whose checksum does not match.
+    pub skip_crc: bool,
+    /// Appends after a torn end instead of cutting it off.
+    pub keep_torn_tail: bool,
+}
 
 /// An open data folder, locked against other processes.
 #[derive(Debug)]
 pub struct Disk {
-    identity: Identity,
+    /// The folder.
     path: PathBuf,
-    log: File,
+    /// Whose it is.
+    identity: Identity,
+    /// Segments in order; the last is appended to.
+    segments: Vec<Segment>,
+    /// The last segment, if one is open.
+    file: Option<File>,
+    /// Term and vote as last written, to begin a segment with.
+    state: HardState,
+    /// End of the newest snapshot.
+    snapshot: Option<LogEnd>,
+    /// Whether a write failed so that nobody knows what the disk holds.
+    failed: bool,
+    /// Bytes that may still be appended, where a test plays a full disk.
+    room: Option<usize>,
+    /// Holds the lock.
+    _lock: File,
 }
 
 impl Disk {
@@ -101,22 +113,8 @@
     /// # Errors
     ///
     /// Fails if there is one already or it cannot be written and synced.
-    pub fn create(path: &Path, identity: &Identity) -> Result<(), DiskError> {
-        let file = path.join(IDENTITY_FILE);
-        if file.exists() {
-            return Err(DiskError::Exists(path.to_path_buf()));
-        }
-        fs::create_dir_all(path).map_err(|e| failed(path, e))?;
-        let log = path.join(LOG_FILE);
-        File::create(&log)
-            .and_then(|f| f.sync_all())
-            .map_err(|e| failed(&log, e))?;
-        let fields = (identity.group, identity.node, identity.incarnation);
-        let body = postcard::to_stdvec(&fields).unwrap_or_default();
-        File::create(&file)
-            .and_then(|mut f| f.write_all(&frame(&body)).and_then(|()| f.sync_all()))
-            .map_err(|e| failed(&file, e))?;
-        sync_folder(path)
+    pub fn create(path: impl AsRef<Path>, identity: &Identity) -> Result<(), DiskError> {
+        folder::create(path.as_ref(), identity)
     }
 
     /// Opens a data folder and reads what it holds.
@@ -125,29 +123,40 @@
     ///
     /// Fails if there is none, another process has it, or it is damaged.
     pub fn open(path: impl AsRef<Path>) -> Result<(Disk, Saved), DiskError> {
+        Disk::open_with(path, Faults::default())
+    }
+
+    /// Opens a data folder with safeguards switched off.
+    ///
+    /// # Errors
+    ///
+    /// As [`Disk::open`].
+    #[doc(hidden)]
+    pub fn open_with(path: impl AsRef<Path>, faults: Faults) -> Result<(Disk, Saved), DiskError> {
         let path = path.as_ref();
-        let identity = read_identity(path)?;
-        let file = path.join(LOG_FILE);
-        let mut log = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .open(&file)
-            .map_err(|e| failed(&file, e))?;
-        log.try_lock()
-            .map_err(|_| DiskError::Locked(path.to_path_buf()))?;
-        let mut buf = Vec::new();
-        log.read_to_end(&mut buf).map_err(|e| failed(&file, e))?;
-        let (saved, end) = replay(&file, &buf)?;
-        // The torn tail was never synced as a whole, so nothing of it counts.
-        log.set_len(end as u64)
-            .and_then(|()| log.seek(SeekFrom::Start(end as u64)))
-            .and_then(|_| log.sync_all())
-            .map_err(|e| failed(&file, e))?;
-        let disk = Disk {
+        let identity = folder::read_identity(path)?;
+        let lock = folder::lock(path)?;
+        let Loaded {
+            saved,
+            segments,
+            unnamed,
+        } = load(path, identity.incarnation, faults)?;
+        let mut disk = Disk {
+            path: path.to_path_buf(),
             identity,
-            path: file,
-            log,
+            segments,
+            file: None,
+            state: saved.state,
+            snapshot: saved.snapshot.as_ref().map(|s| s.end),
+            failed: false,
+            room: None,
+            _lock: lock,
         };
+        disk.reopen_last()?;
+        if unnamed {
+            disk.name_snapshot(&saved)?;
+        }
+        disk.remove_old_snapshots()?;
         Ok((disk, saved))
     }
 
@@ -156,6 +165,12 @@
         self.identity
     }
 
+    /// Plays a disk with this many bytes left, or without a limit.
+    #[doc(hidden)]
+    pub fn limit_room(&mut self, bytes: Option<usize>) {
+        self.room = bytes;
+    }
+
     /// Writes operations in order and syncs them; blocks.
     ///
     /// # Errors
@@ -163,81 +178,199 @@
     /// After [`DiskError::Full`] the same write may be repeated; after any
     /// other error the folder must be opened again.
     pub fn write(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
-        let body = postcard::to_stdvec(ops).unwrap_or_default();
-        self.log
-            .write_all(&frame(&body))
-            .and_then(|()| self.log.sync_data())
-            .map_err(|e| failed(&self.path, e))
+        if self.failed {
+            return Err(DiskError::Failed(self.path.clone()));
+        }
+        let written = self.try_write(ops);
+        if let Err(e) = &written {
+            self.failed |= !matches!(e, DiskError::Full(_));
+        }
+        written
     }
-}
 
-/// Reads whole records; returns what they give and where they end.
-fn replay(path: &Path, buf: &[u8]) -> Result<(Saved, usize), DiskError> {
-    let mut saved = Saved::default();
-    let mut at = 0;
-    while let Some((body, next)) = unframe(buf, at) {
-        let ops: Vec<DiskOp> = postcard::from_bytes(body).map_err(|_| DiskError::Damaged {
-            path: path.to_path_buf(),
-            offset: at as u64,
-            what: "a record does not decode",
+    /// Writes the snapshots first, then one frame that names them.
+    fn try_write(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
+        let mut records = Vec::new();
+        let mut snapshot = None;
+        for op in ops {
+            records.push(match op {
+                DiskOp::State(state) => {
+                    self.state = *state;
+                    Record::State(*state)
+                }
+                DiskOp::Truncate { from } => Record::Truncate(*from),
+                DiskOp::Entries(entries) => Record::Entries(entries.clone()),
+                DiskOp::Snapshot(kept) => {
+                    self.write_snapshot(kept)?;
+                    snapshot = Some(kept.end);
+                    Record::Snapshot(kept.end)
+                }
+            });
+        }
+        if snapshot.is_some() || self.is_segment_full() || self.file.is_none() {
+            self.begin_segment()?;
+        }
+        self.append(&records)?;
+        if let Some(end) = snapshot {
+            self.snapshot = Some(end);
+            self.remove_old_segments(end.index)?;
+            self.remove_old_snapshots()?;
+        }
+        Ok(())
+    }
+
+    /// Appends one frame and syncs it.
+    ///
+    /// If there is no space, the part of the frame that was written is cut off,
+    /// so that the write can be repeated. A sync that fails is never repeated:
+    /// the system may have dropped the pages and report the next one as good.
+    fn append(&mut self, records: &[Record]) -> Result<(), DiskError> {
+        let payload = postcard::to_stdvec(records).unwrap_or_default();
+        let incarnation = self.identity.incarnation;
+        let (Some(segment), Some(file)) = (self.segments.last_mut(), &mut self.file) else {
+            return Err(DiskError::Failed(self.path.clone()));
+        };
+        let place = Place {
+            incarnation,
+            segment: segment.number,
+            offset: segment.len,
+        };
+        let mut buf = Vec::new();
+        write_frame(&mut buf, place, &payload);
+        if let Err(e) = write_within(file, &buf, &mut self.room) {
+            // Synced, or a power cut could bring the part back after the next
+            // segment was begun, where it would pass for damage.
+            let cut = file.set_len(segment.len).and_then(|()| file.sync_all());
+            let back = cut.and_then(|()| file.seek(SeekFrom::Start(segment.len)));
+            back.map_err(|_| DiskError::Failed(segment.path.clone()))?;
+            return Err(DiskError::io(&segment.path, e));
+        }
+        let synced = file.sync_data();
+        synced.map_err(|source| DiskError::Io {
+            path: segment.path.clone(),
+            source,
         })?;
-        saved.write(&ops);
-        at = next;
+        segment.len += buf.len() as u64;
+        segment.last = records.iter().map(last_of).fold(segment.last, u64::max);
+        Ok(())
     }
-    Ok((saved, at))
-}
 
-fn read_identity(path: &Path) -> Result<Identity, DiskError> {
-    let file = path.join(IDENTITY_FILE);
-    let buf = match fs::read(&file) {
-        Ok(buf) => buf,
-        Err(e) if e.kind() == io::ErrorKind::NotFound => {
-            return Err(DiskError::Missing(path.to_path_buf()));
+    /// Begins a segment with term, vote and the newest snapshot's end, so that
+    /// older segments can be removed.
+    fn begin_segment(&mut self) -> Result<(), DiskError> {
+        let number = self.segments.last().map_or(1, |s| s.number + 1);
+        let path = self.path.join(segment_name(number));
+        let file = OpenOptions::new()
+            .write(true)
+            .create(true)
+            .truncate(true)
+            .open(&path)
+            .map_err(|e| DiskError::io(&path, e))?;
+        folder::sync_folder(&self.path)?;
+        self.file = Some(file);
+        self.segments.push(Segment {
+            number,
+            path,
+            last: 0,
+            len: 0,
+        });
+        let state = Record::State(self.state);
+        let records: Vec<Record> = match self.snapshot {
+            Some(end) => vec![state, Record::Snapshot(end)],
+            None => vec![state],
+        };
+        self.append(&records)
+    }
+
+    /// Names the newest snapshot in the log, with what follows on it, because
+    /// the record that should have was lost.
+    fn name_snapshot(&mut self, saved: &Saved) -> Result<(), DiskError> {
+        let Some(end) = self.snapshot else {
+            return Ok(());
+        };
+        let from = saved.entries.last().map_or(end.index, |entry| entry.index) + 1;
+        if self.file.is_none() {
+            return self.begin_segment();
         }
-        Err(e) => return Err(failed(&file, e)),
-    };
-    let damaged = || DiskError::Damaged {
-        path: file.clone(),
-        offset: 0,
-        what: "the identity does not read back",
-    };
-    let (body, _) = unframe(&buf, 0).ok_or_else(damaged)?;
-    let (group, node, incarnation) = postcard::from_bytes(body).map_err(|_| damaged())?;
-    Ok(Identity {
-        group,
-        node,
-        incarnation,
-    })
-}
+        self.append(&[Record::Truncate(from), Record::Snapshot(end)])
+    }
 
-fn frame(body: &[u8]) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(HEAD + body.len());
-    buf.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    buf.extend_from_slice(&crc32fast::hash(body).to_le_bytes());
-    buf.extend_from_slice(body);
-    buf
+    /// Writes a snapshot as a whole file.
+    fn write_snapshot(&self, snapshot: &Snapshot) -> Result<(), DiskError> {
+        let payload = postcard::to_stdvec(snapshot).unwrap_or_default();
+        let place = snapshot_place(self.identity.incarnation, snapshot.end.index);
+        let mut buf = Vec::new();
+        write_frame(&mut buf, place, &payload);
+        let name = format!("{SNAPSHOT_PREFIX}{}{SNAPSHOT_SUFFIX}", snapshot.end.index);
+        folder::write_whole(&self.path, &name, &buf)
+    }
+
+    /// Opens the last segment for appending.
+    fn reopen_last(&mut self) -> Result<(), DiskError> {
+        let Some(segment) = self.segments.last() else {
+            return Ok(());
+        };
+        let io = |e| DiskError::io(&segment.path, e);
+        let mut file = OpenOptions::new()
+            .write(true)
+            .open(&segment.path)
+            .map_err(io)?;
+        file.seek(SeekFrom::Start(segment.len)).map_err(io)?;
+        self.file = Some(file);
+        Ok(())
+    }
+
+    /// Returns whether the last segment has grown enough.
+    fn is_segment_full(&self) -> bool {
+        self.segments.last().is_some_and(|s| s.len > SEGMENT_BYTES)
+    }
+
+    /// Removes the oldest segments as long as a snapshot contains all of their
+    /// entries. What they say beside is repeated at the start of each segment.
+    fn remove_old_segments(&mut self, index: LogIndex) -> Result<(), DiskError> {
+        let newest = self.segments.len().saturating_sub(1);
+        let old = self.segments[..newest].iter();
+        let count = old.take_while(|segment| segment.last <= index).count();
+        for segment in self.segments.drain(..count) {
+            fs::remove_file(&segment.path).map_err(|e| DiskError::io(&segment.path, e))?;
+        }
+        Ok(())
+    }
+
+    /// Removes all snapshots but the newest.
+    fn remove_old_snapshots(&self) -> Result<(), DiskError> {
+        let mut files = folder::numbered(&self.path, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)?;
+        files.pop();
+        for (_, path) in files {
+            fs::remove_file(&path).map_err(|e| DiskError::io(&path, e))?;
+        }
+        Ok(())
+    }
 }
 
-fn unframe(buf: &[u8], at: usize) -> Option<(&[u8], usize)> {
-    let head = buf.get(at..at + HEAD)?;
-    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
-    let crc = u32::from_le_bytes(head[4..].try_into().ok()?);
-    let body = buf.get(at + HEAD..at + HEAD + length)?;
-    (crc32fast::hash(body) == crc).then_some((body, at + HEAD + length))
+/// Writes bytes as far as there is room.
+fn write_within(file: &mut File, buf: &[u8], room: &mut Option<usize>) -> io::Result<()> {
+    let Some(left) = room else {
+        return file.write_all(buf);
+    };
+    let fits = buf.len().min(*left);
+    file.write_all(&buf[..fits])?;
+    if fits < buf.len() {
+        return Err(io::ErrorKind::StorageFull.into());
+    }
+    *left -= fits;
+    Ok(())
 }
 
-fn sync_folder(path: &Path) -> Result<(), DiskError> {
-    File::open(path)
-        .and_then(|f| f.sync_all())
-        .map_err(|e| failed(path, e))
+/// Returns the name of a segment.
+fn segment_name(number: u64) -> String {
+    format!("{SEGMENT_PREFIX}{number}{SEGMENT_SUFFIX}")
 }
 
-fn failed(path: &Path, source: io::Error) -> DiskError {
-    if source.kind() == io::ErrorKind::StorageFull {
-        return DiskError::Full(path.to_path_buf());
-    }
-    DiskError::Io {
-        path: path.to_path_buf(),
-        source,
+/// Returns the last position in a record.
+fn last_of(record: &Record) -> LogIndex {
+    match record {
+        Record::Entries(entries) => entries.last().map_or(0, |entry| entry.index),
+        Record::State(_) | Record::Truncate(_) | Record::Snapshot(_) => 0,
     }
 }
--- /dev/null
+++ b/sesamebeam/tests/disk_tail.rs
@@ -0,0 +1,349 @@
+//! The data folder after power cuts, damage and a full disk.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+use sesamebeam::disk::{
+    Disk,
+    DiskError,
+    Faults,
+    Identity, //
+};
+use sesamebeam_core::replica::{
+    DiskOp,
+    Entry,
+    EntryBody,
+    HardState,
+    LogEnd,
+    Members,
+    Saved,
+    Snapshot, //
+};
+use tempfile::TempDir;
+
+const IDENTITY: Identity = Identity {
+    group: 1,
+    node: 2,
+    incarnation: 3,
+};
+
+fn new_folder() -> TempDir {
+    let dir = tempfile::tempdir().unwrap();
+    Disk::create(dir.path(), &IDENTITY).unwrap();
+    dir
+}
+
+fn entry(index: u64) -> Entry {
+    Entry {
+        term: 1,
+        index,
+        body: EntryBody::Data(format!("entry {index}").into_bytes().into()),
+    }
+}
+
+fn entries(from: u64, to: u64) -> DiskOp {
+    DiskOp::Entries((from..=to).map(entry).collect())
+}
+
+fn state(term: u64) -> DiskOp {
+    DiskOp::State(HardState {
+        term,
+        voted: Some(2),
+    })
+}
+
+fn snapshot(index: u64) -> DiskOp {
+    DiskOp::Snapshot(Snapshot {
+        end: LogEnd { term: 1, index },
+        members: Members::of_voters([(2, 3)]),
+        data: vec![7; 100].into(),
+    })
+}
+
+fn open(dir: &Path) -> Result<Saved, DiskError> {
+    Disk::open(dir).map(|(_, saved)| saved)
+}
+
+/// Returns the newest segment.
+fn newest_segment(dir: &Path) -> PathBuf {
+    let names = fs::read_dir(dir).unwrap().map(|e| e.unwrap().path());
+    let segments = names.filter(|p| p.extension().is_some_and(|e| e == "seg"));
+    segments
+        .max_by_key(|p| {
+            let name = p.file_stem().unwrap().to_str().unwrap();
+            name.trim_start_matches("log-").parse::<u64>().unwrap()
+        })
+        .unwrap()
+}
+
+fn last_index(saved: &Saved) -> u64 {
+    saved.entries.last().map_or(0, |entry| entry.index)
+}
+
+#[test]
+fn round_trip() {
+    let dir = new_folder();
+    let mut expected = Saved::default();
+    let (mut disk, saved) = Disk::open(dir.path()).unwrap();
+    assert!(saved.is_empty());
+    assert_eq!(disk.identity(), IDENTITY);
+    let writes = [
+        vec![state(1), entries(1, 5)],
+        vec![DiskOp::Truncate { from: 4 }, entries(4, 8)],
+        vec![snapshot(6)],
+        vec![state(2), entries(9, 9)],
+        // A snapshot from the leader takes the place of the whole log.
+        vec![DiskOp::Truncate { from: 21 }, snapshot(20)],
+        vec![entries(21, 30)],
+        vec![snapshot(25), entries(31, 31)],
+    ];
+    for ops in writes {
+        disk.write(&ops).unwrap();
+        expected.write(&ops);
+        drop(disk);
+        let (again, saved) = Disk::open(dir.path()).unwrap();
+        assert_eq!(saved, expected);
+        disk = again;
+    }
+}
+
+/// Writes two synced frames and a third, and returns the segment's bytes before
+/// and after the third.
+fn three_frames(dir: &Path) -> (PathBuf, Vec<u8>, Vec<u8>) {
+    let (mut disk, _) = Disk::open(dir).unwrap();
+    disk.write(&[state(1), entries(1, 2)]).unwrap();
+    disk.write(&[entries(3, 4)]).unwrap();
+    let path = newest_segment(dir);
+    let before = fs::read(&path).unwrap();
+    disk.write(&[entries(5, 7)]).unwrap();
+    let after = fs::read(&path).unwrap();
+    (path, before, after)
+}
+
+/// Sees that a torn third frame is cut off, and that writing goes on.
+fn recovers(dir: &Path, what: &str) {
+    let (mut disk, saved) = Disk::open(dir).unwrap_or_else(|e| panic!("{what}: {e}"));
+    assert_eq!(last_index(&saved), 4, "{what}");
+    disk.write(&[entries(5, 5)]).unwrap();
+    drop(disk);
+    let saved = open(dir).unwrap_or_else(|e| panic!("{what}, then written: {e}"));
+    assert_eq!(last_index(&saved), 5, "{what}");
+}
+
+#[test]
+fn short_write() {
+    // A power cut comes while the last frame is written, at each of its bytes.
+    // Nobody was told that it is synced; it is cut off.
+    let dir = new_folder();
+    let (path, before, after) = three_frames(dir.path());
+    for len in before.len()..after.len() {
+        fs::write(&path, &after[..len]).unwrap();
+        recovers(dir.path(), &format!("cut at {len}"));
+    }
+}
+
+#[test]
+fn reordered_write() {
+    // The file has its new length, but from one byte on, or up to it, the frame
+    // was never written and reads as zeros.
+    let dir = new_folder();
+    let (path, before, after) = three_frames(dir.path());
+    for at in before.len() + 1..after.len() {
+        let mut zero_end = after.clone();
+        zero_end[at..].fill(0);
+        // The last bytes may be zeros anyway; then nothing is torn.
+        if zero_end != after {
+            fs::write(&path, &zero_end).unwrap();
+            recovers(dir.path(), &format!("zeros from {at}"));
+        }
+        let mut zero_start = after.clone();
+        zero_start[before.len()..at].fill(0);
+        fs::write(&path, &zero_start).unwrap();
+        recovers(dir.path(), &format!("zeros up to {at}"));
+    }
+}
+
+#[test]
+fn damaged_middle() {
+    // A byte of a synced frame has changed. The replica does not start: to go on
+    // without the entry would lose what was acknowledged.
+    let dir = new_folder();
+    let (path, _, after) = three_frames(dir.path());
+    let last_frame = last_frame(&after);
+    for at in 0..last_frame {
+        let mut damaged = after.clone();
+        damaged[at] ^= 0x55;
+        fs::write(&path, &damaged).unwrap();
+        match open(dir.path()) {
+            Err(DiskError::Damaged {
+                path: named,
+                offset,
+                ..
+            }) => {
+                assert_eq!(named, path);
+                assert!(offset <= at as u64);
+            }
+            other => panic!("byte {at}: {other:?}"),
+        }
+        assert_eq!(fs::read(&path).unwrap(), damaged, "left as it was");
+    }
+}
+
+/// Returns where the last of the frames begins.
+fn last_frame(bytes: &[u8]) -> usize {
+    let mark = b"SBF1";
+    let starts = bytes.windows(mark.len()).enumerate();
+    let marked = starts.filter(|(_, window)| window == mark);
+    marked.map(|(at, _)| at).max().unwrap()
+}
+
+#[test]
+fn damage_unchecked() {
+    // The same without the checksum: the replica starts with another entry than
+    // the one that was acknowledged.
+    let dir = new_folder();
+    let (path, _, mut bytes) = three_frames(dir.path());
+    let at = bytes.windows(7).position(|w| w == b"entry 3").unwrap();
+    bytes[at] ^= 0x55;
+    fs::write(&path, &bytes).unwrap();
+    assert!(matches!(open(dir.path()), Err(DiskError::Damaged { .. })));
+    let faults = Faults {
+        skip_crc: true,
+        ..Faults::default()
+    };
+    let (_, saved) = Disk::open_with(dir.path(), faults).unwrap();
+    assert_ne!(saved.entries[2], entry(3));
+}
+
+#[test]
+fn torn_tail_kept() {
+    // Without cutting off the torn end, the next write lands behind it, and the
+    // folder no longer opens.
+    let dir = new_folder();
+    let (path, before, after) = three_frames(dir.path());
+    fs::write(&path, &after[..before.len() + 5]).unwrap();
+    let faults = Faults {
+        keep_torn_tail: true,
+        ..Faults::default()
+    };
+    let (mut disk, saved) = Disk::open_with(dir.path(), faults).unwrap();
+    assert_eq!(last_index(&saved), 4);
+    disk.write(&[entries(5, 5)]).unwrap();
+    drop(disk);
+    assert!(matches!(open(dir.path()), Err(DiskError::Damaged { .. })));
+}
+
+#[test]
+fn copied_frame() {
+    // A torn frame whose payload happens to hold the bytes of an earlier frame
+    // is still torn: a frame counts only at its own place.
+    let dir = new_folder();
+    let (path, before, mut after) = three_frames(dir.path());
+    let copy = before[before.len() - 40..].to_vec();
+    after.truncate(before.len() + 6);
+    after.extend_from_slice(&before[..40]);
+    after.extend_from_slice(&copy);
+    fs::write(&path, &after).unwrap();
+    recovers(dir.path(), "copy of a frame");
+}
+
+#[test]
+fn full_disk() {
+    // The disk has room for a part of the frame, however long. The write is
+    // refused as full and leaves nothing; with space again it is repeated.
+    let dir = new_folder();
+    let (mut disk, _) = Disk::open(dir.path()).unwrap();
+    disk.write(&[state(1), entries(1, 4)]).unwrap();
+    for room in 0..30 {
+        disk.limit_room(Some(room));
+        let refused = disk.write(&[entries(5, 6)]);
+        assert!(matches!(refused, Err(DiskError::Full(_))), "{refused:?}");
+    }
+    disk.limit_room(None);
+    disk.write(&[entries(5, 6)]).unwrap();
+    drop(disk);
+    assert_eq!(last_index(&open(dir.path()).unwrap()), 6);
+}
+
+#[test]
+fn full_snapshot() {
+    // The system itself reports no space while a snapshot is written. The old
+    // state stays in force, and the write can be repeated.
+    let dir = new_folder();
+    let (mut disk, _) = Disk::open(dir.path()).unwrap();
+    disk.write(&[state(1), entries(1, 6)]).unwrap();
+    let part = dir.path().join("snapshot-5.snap.part");
+    std::os::unix::fs::symlink("/dev/full", &part).unwrap();
+    let refused = disk.write(&[snapshot(5)]);
+    assert!(matches!(refused, Err(DiskError::Full(_))), "{refused:?}");
+    disk.write(&[snapshot(5)]).unwrap();
+    drop(disk);
+    let saved = open(dir.path()).unwrap();
+    assert_eq!(saved.snapshot.unwrap().end.index, 5);
+    assert_eq!(saved.entries, [entry(6)]);
+}
+
+#[test]
+fn unnamed_snapshot() {
+    // The power goes between the sync of a snapshot and that of the record that
+    // names it. The snapshot counts, and the log goes on after it.
+    for index in [3, 9] {
+        let dir = new_folder();
+        let (mut disk, _) = Disk::open(dir.path()).unwrap();
+        disk.write(&[state(1), entries(1, 6)]).unwrap();
+        disk.limit_room(Some(0));
+        let refused = disk.write(&[snapshot(index)]);
+        assert!(matches!(refused, Err(DiskError::Full(_))), "{refused:?}");
+        drop(disk);
+        let (mut disk, saved) = Disk::open(dir.path()).unwrap();
+        assert_eq!(saved.snapshot.as_ref().unwrap().end.index, index);
+        let next = last_index(&saved).max(index) + 1;
+        disk.write(&[entries(next, next)]).unwrap();
+        drop(disk);
+        assert_eq!(last_index(&open(dir.path()).unwrap()), next);
+    }
+}
+
+#[test]
+fn one_process() {
+    // A second process is refused while the first has the folder open.
+    let dir = new_folder();
+    let first = Disk::open(dir.path()).unwrap();
+    assert!(matches!(open(dir.path()), Err(DiskError::Locked(_))));
+    drop(first);
+    open(dir.path()).unwrap();
+}
+
+#[test]
+fn lost_folder() {
+    // A folder that is gone is not made anew by opening it, and one that is
+    // there is not made over.
+    let dir = tempfile::tempdir().unwrap();
+    assert!(matches!(open(dir.path()), Err(DiskError::Missing(_))));
+    Disk::create(dir.path(), &IDENTITY).unwrap();
+    let again = Disk::create(dir.path(), &IDENTITY);
+    assert!(matches!(again, Err(DiskError::Exists(_))));
+}
+
+#[test]
+fn bounded_folder() {
+    // Snapshots let old segments and snapshots go.
+    let dir = new_folder();
+    let (mut disk, _) = Disk::open(dir.path()).unwrap();
+    for round in 0..20 {
+        let from = round * 100 + 1;
+        disk.write(&[entries(from, from + 99)]).unwrap();
+        disk.write(&[snapshot(from + 49)]).unwrap();
+    }
+    drop(disk);
+    let files = fs::read_dir(dir.path()).unwrap().count();
+    assert!(files <= 6, "{files} files");
+    let saved = open(dir.path()).unwrap();
+    assert_eq!(saved.entries.first().map(|e| e.index), Some(1_951));
+    assert_eq!(last_index(&saved), 2_000);
+}
