--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -616,10 +616,8 @@
         self.router.balance.started(addr, prefix, alone);
         self.router.suspects.started(fingerprint, life);
         if self.requests[at].arrived >= self.setting.warm_up {
-            if self.requests[at].arrived >= self.setting.warm_up {
-                let in_fault = self.in_fault();
-                self.run.sent(self.servers[server].leaving, in_fault);
-            }
+            let in_fault = self.in_fault();
+            self.run.sent(self.servers[server].leaving, in_fault);
         }
         match self.servers[server].send(job) {
             Sent::Runs(length) => self.runs(id, length),
