--- a/sesamebeam/src/dev.rs
+++ b/sesamebeam/src/dev.rs
@@ -38,7 +38,11 @@
         }, //
     }, //
 };
-use sesamebeam_fakes::RunnerConfig;
+use sesamebeam_fakes::{
+    RatingConfig,
+    RatingService,
+    RunnerConfig, //
+};
 use thiserror::Error;
 use tokio::{
     signal,
@@ -153,7 +157,12 @@
         "starting 3 control replicas and 3 entries, one of each in {}",
         domains.join(", ")
     );
-    let local = LocalFleet::start(&LocalPlan::small(&domains), root).await?;
+    let rating = RatingService::start(RatingConfig::default(), cancel.clone())
+        .await
+        .map_err(LocalError::from)?;
+    let mut plan = LocalPlan::small(&domains);
+    plan.rating = Some(rating.addr());
+    let local = LocalFleet::start(&plan, root).await?;
     println!("applying the example's fleet file (examples/huallaga/fleet.toml)");
     let revision = apply(&local, &fleet).await?;
     println!("revision {revision} is in force at every entry");
@@ -162,7 +171,7 @@
         ..RunnerConfig::default()
     };
     let entries = |domain: &str| local.announce_addrs(domain);
-    let servers = LocalServers::start(&fleet, SERVERS, entries, &base, cancel).await?;
+    let servers = LocalServers::start(&fleet, |_| SERVERS, entries, &base, cancel).await?;
     let wanted = servers.runners.len() + servers.services.len();
     wait("a backend server", || {
         local
--- a/sesamebeam/src/local.rs
+++ b/sesamebeam/src/local.rs
@@ -347,15 +347,15 @@
 }
 
 impl LocalServers {
-    /// Starts `count` backend servers of each pool, spread over the failure
-    /// domains, which announce themselves to the entries there.
+    /// Starts as many backend servers of each pool as `count` says, spread over
+    /// the failure domains, which announce themselves to the entries there.
     ///
     /// # Errors
     ///
     /// Fails if a fake cannot listen.
     pub async fn start(
         fleet: &Fleet,
-        count: usize,
+        count: impl Fn(&str) -> usize,
         entries: impl Fn(&str) -> Vec<SocketAddr>,
         base: &RunnerConfig,
         cancel: &CancellationToken,
@@ -365,7 +365,7 @@
             services: Vec::new(),
         };
         for pool in &fleet.pools {
-            for n in 0..count {
+            for n in 0..count(&pool.name) {
                 let domain = &fleet.domains[n % fleet.domains.len()];
                 let announce = AnnounceConfig {
                     entries: entries(domain),
--- a/sesamebeam/tests/edge/main.rs
+++ b/sesamebeam/tests/edge/main.rs
@@ -4,5 +4,6 @@
 #[path = "../real/caller.rs"]
 mod caller;
 mod cascades;
+mod deployments;
 mod serving;
 mod sessions;
--- a/sesamebeam/tests/edge/serving.rs
+++ b/sesamebeam/tests/edge/serving.rs
@@ -7,6 +7,7 @@
 
 use sesamebeam::{
     client::Client,
+    entry::Entry,
     keys::hash_of,
     local::{
         LocalFleet,
@@ -64,7 +65,7 @@
             .expect("a fleet");
         let client = Client::open(&local.settings.operator).expect("a client");
         let entries = |domain: &str| local.announce_addrs(domain);
-        let servers = LocalServers::start(&fleet, 2, entries, &base, &cancel)
+        let servers = LocalServers::start(&fleet, |_| 2, entries, &base, &cancel)
             .await
             .expect("fakes");
         let serving = Self {
@@ -99,12 +100,8 @@
     }
 
     /// Waits until it is so at every entry.
-    pub(crate) async fn until(&self, so: impl Fn(&sesamebeam::entry::Entry) -> bool) {
-        let until = Instant::now() + PATIENCE;
-        while !self.local.entries().iter().all(&so) {
-            assert!(Instant::now() < until, "it does not come");
-            tokio::time::sleep(LOOK_EVERY).await;
-        }
+    pub(crate) async fn until(&self, so: impl Fn(&Entry) -> bool) {
+        until(&self.local, so).await;
     }
 
     /// Makes a caller of the organisation.
@@ -112,3 +109,12 @@
         Caller::new(self.local.entries()[0].addrs().callers, ORG_KEY)
     }
 }
+
+/// Waits until it is so at every entry of a fleet.
+pub(crate) async fn until(local: &LocalFleet, so: impl Fn(&Entry) -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !local.entries().iter().all(&so) {
+        assert!(Instant::now() < until, "it does not come");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
--- a/sesamebeam/tests/real/fleet.rs
+++ b/sesamebeam/tests/real/fleet.rs
@@ -287,7 +287,7 @@
     cancel: &CancellationToken,
 ) -> LocalServers {
     let entries = |domain: &str| processes.announce_addrs(domain);
-    let servers = LocalServers::start(fleet, 3, entries, &base, cancel)
+    let servers = LocalServers::start(fleet, |_| 3, entries, &base, cancel)
         .await
         .expect("fakes");
     let wanted = servers.runners.len() + servers.services.len();
