--- a/sesamebeam/src/client.rs
+++ b/sesamebeam/src/client.rs
@@ -10,18 +10,16 @@
 };
 
 use futures::future::join_all;
-use sesamebeam_core::{
-    ids::NodeId,
-    message::{
-        control::{
-            ControlReply,
-            ControlRequest,
-            Status, //
-        },
-        entry::{
-            EntryReply,
-            EntryRequest, //
-        },
+use sesamebeam_core::message::{
+    control::{
+        ControlReply,
+        ControlRequest,
+        LeaderHint,
+        Status, //
+    },
+    entry::{
+        EntryReply,
+        EntryRequest, //
     },
 };
 use smol_str::SmolStr;
@@ -148,7 +146,7 @@
             let role = Role::Control(replica.node);
             let caller = self.pool.get(replica.addr, Some(role));
             match caller.call(req, left.min(ONE_REPLICA)).await {
-                Ok(ControlReply::NotLeader(leader)) => search.not_leader(replica, leader),
+                Ok(ControlReply::NotLeader(hint)) => search.not_leader(&replica, hint),
                 Ok(ControlReply::Unavailable(why)) => search.failed(why, true),
                 Ok(reply) => return Ok(reply),
                 Err(e) => search.failed(smol_str::format_smolstr!("{e}"), was_sent(&e)),
@@ -227,8 +225,8 @@
 }
 
 /// The search for a replica that answers.
-struct Search<'a> {
-    replicas: &'a [Replica],
+struct Search {
+    replicas: Vec<Replica>,
     /// Position of the replica that is asked next.
     at: usize,
     /// Replicas asked since the last pause.
@@ -238,10 +236,10 @@
     last: SmolStr,
 }
 
-impl<'a> Search<'a> {
-    fn new(replicas: &'a [Replica]) -> Self {
+impl Search {
+    fn new(replicas: &[Replica]) -> Self {
         Self {
-            replicas,
+            replicas: replicas.to_vec(),
             at: 0,
             asked: 0,
             sent: false,
@@ -250,7 +248,7 @@
     }
 
     /// Returns the replica to be asked next; none when the time is over.
-    async fn next(&mut self, until: Instant) -> Option<&'a Replica> {
+    async fn next(&mut self, until: Instant) -> Option<Replica> {
         // A leader that was named and points elsewhere again must not keep the
         // search going round without a pause.
         if self.asked > self.replicas.len() {
@@ -261,7 +259,7 @@
             return None;
         }
         self.asked += 1;
-        self.replicas.get(self.at)
+        self.replicas.get(self.at).cloned()
     }
 
     fn failed(&mut self, why: SmolStr, sent: bool) {
@@ -270,13 +268,24 @@
         self.advance();
     }
 
-    fn not_leader(&mut self, asked: &Replica, leader: Option<NodeId>) {
+    /// Follows the hint to the leader, also to one that the settings do not
+    /// list: it may have taken the place of a lost replica.
+    fn not_leader(&mut self, asked: &Replica, hint: Option<LeaderHint>) {
         self.last = smol_str::format_smolstr!("replica {} does not lead", asked.node);
-        let named = leader.filter(|node| *node != asked.node);
-        let known = named.and_then(|node| self.replicas.iter().position(|r| r.node == node));
-        match known {
-            Some(at) => self.at = at,
-            None => self.advance(),
+        let Some(hint) = hint.filter(|hint| hint.node != asked.node) else {
+            return self.advance();
+        };
+        let known = self.replicas.iter().position(|r| r.node == hint.node);
+        match (known, hint.addr) {
+            (Some(at), _) => self.at = at,
+            (None, Some(addr)) => {
+                self.at = self.replicas.len();
+                self.replicas.push(Replica {
+                    node: hint.node,
+                    addr,
+                });
+            }
+            (None, None) => self.advance(),
         }
     }
 
--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -282,8 +282,8 @@
         let pool = Pool::new(Arc::clone(&link), rand::random());
         let errands = Errands {
             hub: Arc::clone(&hub),
-            asks: Arc::new(Asks::new(&pool, &settings.control)),
             peers: Peers::start(settings.domain.clone(), &settings.peers, &pool, &halt),
+            asks: Arc::new(Asks::new(pool, &settings.control)),
             client,
             notices: Notices::new(metrics),
             drained,
--- a/sesamebeam/src/entry/asks.rs
+++ b/sesamebeam/src/entry/asks.rs
@@ -3,10 +3,9 @@
 use std::{
     sync::{
         Arc,
-        atomic::{
-            AtomicUsize,
-            Ordering, //
-        }, //
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     },
     time::{
         Duration,
@@ -18,14 +17,14 @@
     ids::NodeId,
     message::control::{
         ControlReply,
-        ControlRequest, //
+        ControlRequest,
+        LeaderHint, //
     }, //
 };
 use tokio::time::sleep;
 
 use crate::link::{
     Caller,
-    LinkError,
     Pool,
     Role, //
 };
@@ -37,16 +36,24 @@
 /// Longest wait for one replica while others have not been asked.
 const ONE_TRY: Duration = Duration::from_millis(700);
 
+/// Most replicas that are remembered.
+const MAX_REPLICAS: usize = 32;
+
 /// Asks the control group.
 pub(crate) struct Asks {
+    pool: Pool,
+    inner: Mutex<Inner>,
+}
+
+/// Replicas known, and which of them led when it was last asked.
+struct Inner {
     replicas: Vec<(NodeId, Arc<Caller>)>,
-    /// Position of the replica that led when it was last asked.
-    leader: AtomicUsize,
+    leader: usize,
 }
 
 impl Asks {
     /// Takes the replicas of the settings.
-    pub(crate) fn new(pool: &Pool, replicas: &[Replica]) -> Self {
+    pub(crate) fn new(pool: Pool, replicas: &[Replica]) -> Self {
         let replicas = replicas
             .iter()
             .map(|replica| {
@@ -55,8 +62,11 @@
             })
             .collect();
         Self {
-            replicas,
-            leader: AtomicUsize::new(0),
+            pool,
+            inner: Mutex::new(Inner {
+                replicas,
+                leader: 0,
+            }),
         }
     }
 
@@ -71,13 +81,15 @@
         let patient = matches!(req, ControlRequest::Renew(_));
         let mut last = None;
         loop {
-            for _ in 0..self.replicas.len() {
+            let known = self.lock().replicas.len();
+            for _ in 0..known {
                 let left = until.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     return last;
                 }
                 let wait = if patient { left } else { left.min(ONE_TRY) };
-                match self.ask_one(req, wait).await {
+                let caller = self.likely_leader()?;
+                match caller.call(req, wait).await {
                     Ok(ControlReply::NotLeader(hint)) => self.follow(hint),
                     Ok(reply @ ControlReply::Unavailable(_)) => {
                         last = Some(reply);
@@ -91,21 +103,39 @@
         }
     }
 
-    async fn ask_one(
-        &self,
-        req: &ControlRequest,
-        wait: Duration,
-    ) -> Result<ControlReply, LinkError> {
-        let at = self.leader.load(Ordering::Relaxed) % self.replicas.len();
-        self.replicas[at].1.call(req, wait).await
+    fn likely_leader(&self) -> Option<Arc<Caller>> {
+        let inner = self.lock();
+        let (_, caller) = inner
+            .replicas
+            .get(inner.leader % inner.replicas.len().max(1))?;
+        Some(Arc::clone(caller))
     }
 
-    fn follow(&self, hint: Option<NodeId>) {
-        let hinted = hint.and_then(|node| self.replicas.iter().position(|(n, _)| *n == node));
-        let next = match hinted {
+    /// Turns to the replica that was named, or to the next one.
+    ///
+    /// A replica that took the place of a lost one is not in the settings. If
+    /// it leads and were not followed, the entry would lose its lease while the
+    /// group is well.
+    fn follow(&self, hint: Option<LeaderHint>) {
+        let mut inner = self.lock();
+        let named = hint.and_then(|hint| {
+            let known = inner.replicas.iter().position(|(n, _)| *n == hint.node);
+            match (known, hint.addr) {
+                (None, Some(addr)) if inner.replicas.len() < MAX_REPLICAS => {
+                    let caller = self.pool.get(addr, Some(Role::Control(hint.node)));
+                    inner.replicas.push((hint.node, caller));
+                    Some(inner.replicas.len() - 1)
+                }
+                (known, _) => known,
+            }
+        });
+        inner.leader = match named {
             Some(at) => at,
-            None => (self.leader.load(Ordering::Relaxed) + 1) % self.replicas.len(),
+            None => (inner.leader + 1) % inner.replicas.len().max(1),
         };
-        self.leader.store(next, Ordering::Relaxed);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/sesamebeam/tests/cli_apply.rs
+++ b/sesamebeam/tests/cli_apply.rs
@@ -30,6 +30,7 @@
     control::{
         ControlReply,
         ControlRequest,
+        LeaderHint,
         Status, //
     },
 };
@@ -110,7 +111,12 @@
     // The first replica is gone, the second does not lead and names the third.
     let mut fleet = Fleet::new();
     fleet.dead_control();
-    fleet.control(|_: ControlRequest| Some(ControlReply::NotLeader(Some(3))));
+    fleet.control(|_: ControlRequest| {
+        Some(ControlReply::NotLeader(Some(LeaderHint {
+            node: 3,
+            addr: None,
+        })))
+    });
     fleet.control(accepted);
     fleet.set_timeout(Duration::from_secs(30));
     let path = fleet.write("fleet.toml", &example("huallaga"));
--- a/sesamebeam/tests/real/replicas.rs
+++ b/sesamebeam/tests/real/replicas.rs
@@ -59,7 +59,9 @@
 
 /// A control replica loses its disk and is replaced by one with a new number
 /// and a new folder; right after the repair a second one fails. The group still
-/// has a quorum, with the replacement in it, and still has every record.
+/// has a quorum, with the replacement in it, and still has every record. Entries
+/// and operators find the replacement though their settings do not list it: two
+/// of the three they list are gone, and the third names it when it leads.
 #[tokio::test(flavor = "multi_thread")]
 async fn replaced_disk() {
     let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
@@ -103,7 +105,13 @@
     assert_eq!(status.revision, revision);
     let mut renamed = fleet.clone();
     renamed.name = "prueba-2".into();
-    processes.apply(revision, &renamed).await;
+    let next = processes.apply(revision, &renamed).await;
+    processes
+        .until(|status| {
+            let newest = status.entries.iter().filter(|e| e.revision == next);
+            newest.filter(|e| !e.lease_left.is_zero()).count() == DOMAINS.len()
+        })
+        .await;
 }
 
 /// Settings of the replica that takes the place of a lost one, on its port.
--- a/sesamebeam_core/src/control.rs
+++ b/sesamebeam_core/src/control.rs
@@ -79,6 +79,7 @@
         control::{
             ControlReply,
             ControlRequest,
+            LeaderHint,
             Live,
             Renew,
             Renewed,
@@ -291,7 +292,8 @@
             } => self.apply(index, ticket, &data),
             ReplicaAction::Rejected { ticket, reason } => {
                 if let Some(waiting) = self.clients.take(ticket) {
-                    self.reject(waiting, reply_to_rejected(reason));
+                    let hint = self.leader_hint();
+                    self.reject(waiting, reply_to_rejected(reason, hint));
                 }
             }
             ReplicaAction::ReadReady { ticket } => self.read(ticket),
@@ -314,11 +316,17 @@
         Vec::new()
     }
 
+    fn leader_hint(&self) -> Option<LeaderHint> {
+        let node = self.replica.leader()?;
+        let addr = self.replica.members().get(node).and_then(|m| m.addr);
+        Some(LeaderHint { node, addr })
+    }
+
     fn change_role(&mut self, role: Role) {
         self.notice(ControlNotice::Role(role));
         if role != Role::Leader {
             self.lead = None;
-            let reply = ControlReply::NotLeader(self.replica.leader());
+            let reply = ControlReply::NotLeader(self.leader_hint());
             for ticket in self.polls.take_all() {
                 self.reply(ticket, reply.clone());
             }
@@ -459,7 +467,7 @@
             return Some(unavailable("this replica has stopped for good"));
         }
         let Some(lead) = &self.lead else {
-            return Some(ControlReply::NotLeader(self.replica.leader()));
+            return Some(ControlReply::NotLeader(self.leader_hint()));
         };
         if lead.settled.is_some() && !self.leads(self.now) {
             return Some(unavailable("this leader reaches no quorum"));
--- a/sesamebeam_core/src/control/clients.rs
+++ b/sesamebeam_core/src/control/clients.rs
@@ -20,7 +20,10 @@
     },
     message::{
         command::Outcome,
-        control::ControlReply,
+        control::{
+            ControlReply,
+            LeaderHint, //
+        },
         record::ClaimKey, //
     },
     replica::{
@@ -156,11 +159,11 @@
     }
 }
 
-/// Turns a rejection by the log into a reply.
-pub(super) fn reply_to_rejected(reason: Rejection) -> ControlReply {
+/// Turns a rejection by the log into a reply, with where the leader is.
+pub(super) fn reply_to_rejected(reason: Rejection, hint: Option<LeaderHint>) -> ControlReply {
     let unavailable = |text| ControlReply::Unavailable(SmolStr::new_static(text));
     match reason {
-        Rejection::NotLeader(leader) => ControlReply::NotLeader(leader),
+        Rejection::NotLeader(_) => ControlReply::NotLeader(hint),
         Rejection::Full => unavailable("the disk is full"),
         Rejection::Busy => unavailable("too much waits to be written"),
         Rejection::Unsure => unavailable("leadership was lost; the write may yet come through"),
--- a/sesamebeam_core/src/message/control.rs
+++ b/sesamebeam_core/src/message/control.rs
@@ -233,6 +233,16 @@
     pub incarnation: u128,
 }
 
+/// Where the leader is to be found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderHint {
+    /// Number of the leader.
+    pub node: NodeId,
+    /// Where it listens, if the log knows: a replica that took the place of a
+    /// lost one is in nobody's settings yet, and may lead.
+    pub addr: Option<std::net::SocketAddr>,
+}
+
 /// A control replica's answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ControlReply {
@@ -264,7 +274,7 @@
     /// Done, with nothing to say.
     Done,
     /// This replica does not lead; the leader that it knows of.
-    NotLeader(Option<NodeId>),
+    NotLeader(Option<LeaderHint>),
     /// There is no quorum, or the disk takes no writes. Nothing was written
     /// that this replica knows of, but a write may yet come through.
     Unavailable(SmolStr),
--- a/sesamebeam_core/tests/control/requests.rs
+++ b/sesamebeam_core/tests/control/requests.rs
@@ -7,7 +7,8 @@
     message::{
         control::{
             ControlReply,
-            ControlRequest, //
+            ControlRequest,
+            LeaderHint, //
         },
         record::{
             ClaimKey,
@@ -36,7 +37,11 @@
     let leader = group.wait_leader();
     let follower = leader % 3 + 1;
     let reply = group.ask(follower, ControlRequest::Current);
-    assert_eq!(reply, ControlReply::NotLeader(Some(leader)));
+    let hint = LeaderHint {
+        node: leader,
+        addr: None,
+    };
+    assert_eq!(reply, ControlReply::NotLeader(Some(hint)));
     let ControlReply::Status(status) = group.ask(follower, ControlRequest::Status) else {
         panic!("every replica answers a status");
     };
