--- a/sesamebeam_core/src/replica/leading.rs
+++ b/sesamebeam_core/src/replica/leading.rs
@@ -244,9 +244,7 @@
         progress.hear(self.now, round);
         progress.full = full;
         match hint {
-            // Before the base there is nothing to compare; a snapshot follows.
-            Some(hint) if hint.index < self.log.base().index => progress.probe_after(hint.index),
-            Some(hint) => progress.probe_after(self.log.agreement(hint).index),
+            Some(hint) => progress.probe_after(self.log.probe_point(hint)),
             None => progress.advance(synced.min(end)),
         }
         progress.measure(self.now, end, limit);
--- a/sesamebeam_core/src/replica/log.rs
+++ b/sesamebeam_core/src/replica/log.rs
@@ -138,4 +138,19 @@
         }
         self.base
     }
+
+    /// Returns the position after which a replica whose log may agree up to
+    /// `hint` is sent entries.
+    ///
+    /// If it cannot agree even at the base, its own entry there is another one,
+    /// or it lacks it: only a snapshot helps, so the position is before the
+    /// base. Probed at the base it would give the same hint for ever, as fast as
+    /// the network takes messages.
+    pub(super) fn probe_point(&self, hint: LogEnd) -> LogIndex {
+        let agreed = self.agreement(hint);
+        if agreed.index <= hint.index && agreed.term <= hint.term {
+            return agreed.index;
+        }
+        hint.index.min(self.base.index.saturating_sub(1))
+    }
 }
--- a/sesamebeam_core/tests/control/schedules.rs
+++ b/sesamebeam_core/tests/control/schedules.rs
@@ -265,3 +265,47 @@
         other => assert_eq!(other.is_err(), broken),
     }
 }
+
+/// A leader that was cut off kept an entry of its own at the position at which
+/// the others' logs begin after a snapshot. Joined again, it refused the leader's
+/// entries with the same hint for ever, as fast as messages went round.
+#[test]
+fn conflict_at_base() {
+    let steps = vec![
+        Step::Apply {
+            at: 2,
+            base: 0,
+            digest: 1,
+        },
+        Step::Run(2777),
+        Step::Cut(3),
+        Step::Run(1331),
+        Step::Apply {
+            at: 1,
+            base: 1,
+            digest: 0,
+        },
+        Step::Run(766),
+        Step::Cut(2),
+        Step::Run(1374),
+        Step::Claim {
+            at: 3,
+            entry: 2,
+            replaces: 2,
+        },
+        Step::Run(109),
+        Step::Join(3),
+        Step::Claim {
+            at: 2,
+            entry: 2,
+            replaces: 2,
+        },
+        Step::Claim {
+            at: 3,
+            entry: 3,
+            replaces: 2,
+        },
+        Step::Run(1044),
+    ];
+    run(Faults::default(), 99_754_586_674_268_405, steps);
+}
