Serve nothing after a command of a newer release

Cause: a replica that found a command it cannot decode stopped applying, but could be elected afterwards and then act as leader over a state that lacks it. It now leads nothing any more, and a test plants such a command on three disks. Ruled out: passing over the command, which leaves this replica with another state than its group.

--- a/sesamebeam_core/src/control.rs
+++ b/sesamebeam_core/src/control.rs
@@ -330,7 +330,7 @@
             for ticket in self.polls.take_all() {
                 self.reply(ticket, reply.clone());
             }
-        } else if self.lead.is_none() {
+        } else if self.lead.is_none() && !self.stopped {
             self.lead = Some(Lead::new(self.now));
         }
     }
--- a/sesamebeam_core/tests/control/group.rs
+++ b/sesamebeam_core/tests/control/group.rs
@@ -60,6 +60,8 @@
         server::Announcement,
     },
     replica::{
+        Entry,
+        EntryBody,
         Members,
         ReplicaConfig,
         Saved, //
@@ -167,6 +169,18 @@
         self.cut.remove(&id);
     }
 
+    /// Adds an entry to the log on a replica's disk, as a newer release may.
+    pub(crate) fn plant(&mut self, id: NodeId, data: &[u8]) {
+        let saved = &mut self.nodes.get_mut(&id).unwrap().saved;
+        let last = saved.entries.last().expect("the log has entries");
+        let (term, index) = (last.term, last.index + 1);
+        saved.entries.push(Entry {
+            term,
+            index,
+            body: EntryBody::Data(data.into()),
+        });
+    }
+
     /// Sets the time that a replica's disk takes for a sync.
     pub(crate) fn slow_disk(&mut self, id: NodeId, sync: Duration) {
         self.nodes.get_mut(&id).unwrap().sync = sync;
--- a/sesamebeam_core/tests/control/requests.rs
+++ b/sesamebeam_core/tests/control/requests.rs
@@ -150,3 +150,24 @@
     let reply = group.claim(claim(31, 0));
     assert_eq!(reply, ClaimReply::Granted(1));
 }
+
+/// The log holds a command of a newer release. Passed over, it would leave this
+/// replica with another state than its group; so it serves nothing any more.
+#[test]
+fn unknown_command() {
+    let mut group = Group::new(Faults::default());
+    group.accept(0, fleet());
+    group.run(Duration::from_secs(1));
+    for id in 1..=3 {
+        group.kill(id);
+        group.plant(id, &[1, 250]);
+    }
+    (1..=3).for_each(|id| group.start(id));
+    group.run(Duration::from_secs(10));
+    for id in 1..=3 {
+        assert!(!group.core(id).leads(group.now));
+        let reply = group.ask(id, ControlRequest::Current);
+        assert!(matches!(reply, ControlReply::Unavailable(_)), "{reply:?}");
+        assert_eq!(group.core(id).state().revision(), 1);
+    }
+}
