--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -615,7 +615,8 @@
         });
         self.router.balance.started(addr, prefix, alone);
         self.router.suspects.started(fingerprint, life);
-        if self.requests[at].arrived >= self.setting.warm_up {
+        // The second step of a cascade is planned work, not another attempt.
+        if self.requests[at].arrived >= self.setting.warm_up && step != Step::Redo {
             let in_fault = self.in_fault();
             self.run.sent(self.servers[server].leaving, in_fault);
         }
--- a/sesamebeam_core/src/policy/balance.rs
+++ b/sesamebeam_core/src/policy/balance.rs
@@ -328,7 +328,7 @@
         self.draw(input, true);
         self.look(now, input, &mut looked);
         let best_near = best(&looked);
-        if best_near.is_none_or(|at| looked[at].wait > self.cfg.spill + self.base(input)) {
+        if best_near.is_none_or(|at| looked[at].wait > self.cfg.spill + self.unqueued(input)) {
             self.draw(input, false);
             self.look(now, input, &mut looked);
         }
@@ -557,14 +557,15 @@
         })
     }
 
-    /// Gives the time that the answer takes on an idle backend server.
-    fn base(&self, input: &PickInput<'_>) -> Duration {
+    /// Gives the time that the answer takes on a backend server whose slots are
+    /// all taken but one: whatever takes longer waits in a queue.
+    fn unqueued(&self, input: &PickInput<'_>) -> Duration {
         let serving = self.serving(input.route);
         let first = serving.and_then(|s| s.near.first().or(s.far.first()));
         let speed = first
             .and_then(|at| self.servers.get_index(*at as usize))
             .map_or(table::USUAL_SPEED, |(_, slot)| slot.speed);
-        table::idle_time(&self.cfg, input, false, speed)
+        table::full_time(&self.cfg, input, speed)
     }
 }
 
--- a/sesamebeam_core/src/policy/balance/table.rs
+++ b/sesamebeam_core/src/policy/balance/table.rs
@@ -214,3 +214,9 @@
     };
     Duration::from_secs_f64(prefill + f64::from(input.max_tokens) / speed)
 }
+
+/// Gives the time that an answer takes on a backend server whose slots are all
+/// taken but one.
+pub(super) fn full_time(cfg: &BalanceConfig, input: &PickInput<'_>, speed: f64) -> Duration {
+    idle_time(cfg, input, false, speed).mul_f64(1.0 + FULL_SLOWDOWN)
+}
--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -185,27 +185,45 @@
         if !self.may_cascade(quality, input) {
             return scored;
         }
+        self.score_cascades(quality, input, &moments, &mut scored);
+        scored
+    }
+
+    /// Scores the cascades that could be chosen: cheaper than the cheapest
+    /// single version that meets the target. The others would only cost time.
+    fn score_cascades(
+        &self,
+        quality: &Quality,
+        input: &PlanInput<'_>,
+        moments: &[Moments],
+        scored: &mut Vec<Scored>,
+    ) {
         let class = &input.class.name;
-        for (first, first_moments) in input.candidates.iter().zip(&moments) {
-            for (then, then_moments) in input.candidates.iter().zip(&moments) {
+        let most = least(scored, |s| s.meets && s.fits, |s| s.cost)
+            .map_or(f64::INFINITY, |at| scored[at].cost);
+        for (then, then_moments) in input.candidates.iter().zip(moments) {
+            let redo = quality.moments_redo(class, &then.version, self.cfg.hard_factor);
+            for (first, first_moments) in input.candidates.iter().zip(moments) {
                 if first.cost >= then.cost || first_moments.mean >= then_moments.mean {
                     continue;
                 }
-                let redo = quality.moments_redo(class, &then.version, self.cfg.hard_factor);
-                let (moments, rejected) = self.cascade(*first_moments, redo);
+                let (both, rejected) = self.cascade(*first_moments, redo);
+                let cost = first.cost + self.cfg.rating_cost + rejected * then.cost;
+                if cost >= most {
+                    continue;
+                }
                 scored.push(Scored::new(
                     Plan::Cascade {
                         first: first.version.clone(),
                         then: then.version.clone(),
                     },
-                    first.cost + self.cfg.rating_cost + rejected * then.cost,
-                    moments,
-                    (target, wanted),
+                    cost,
+                    both,
+                    goal(input.target),
                     first.takes + then.takes <= input.left,
                 ));
             }
         }
-        scored
     }
 
     /// Tells whether a request may be run by a second version.
@@ -324,9 +342,11 @@
     target.map_or((0.0, 0.0), |target| (target.quality, target.confidence))
 }
 
+/// Finds the plan that likeliest meets the target, and among the hopeless the
+/// one of the best quality.
 fn likeliest(scored: &[Scored]) -> Option<usize> {
-    let fits = least(scored, |s| s.fits, |s| -s.confidence);
-    fits.or_else(|| least(scored, |_| true, |s| -s.confidence))
+    let key = |s: &Scored| -(s.confidence + s.quality / 1000.0);
+    least(scored, |s| s.fits, key).or_else(|| least(scored, |_| true, key))
 }
 
 /// Finds the first of the least among those that a filter lets through.
--- /dev/null
+++ b/sesamebeam_core/tests/policy/admission.rs
@@ -0,0 +1,202 @@
+//! Queues, fair shares and refusals.
+
+use std::time::Duration;
+
+use sesamebeam_core::{
+    fleet::Priority,
+    ids::{
+        MonoTime,
+        RequestId, //
+    },
+    policy::admission::{
+        Admission,
+        AdmissionConfig,
+        Offered,
+        Ticket, //
+    },
+};
+
+use crate::make::{
+    fleet,
+    secs, //
+};
+
+fn admission(slots: u32) -> Admission {
+    let mut admission = Admission::new(AdmissionConfig::default());
+    admission.configure(&fleet());
+    admission.set_capacity(&"pool".into(), slots);
+    admission
+}
+
+fn ticket(request: RequestId, org: &str, priority: Priority, deadline: u64) -> Ticket {
+    Ticket {
+        request,
+        org: org.into(),
+        pool: "pool".into(),
+        priority,
+        deadline: secs(deadline),
+        takes: secs(1),
+    }
+}
+
+/// Runs everything for a second each and gives the order of starts.
+fn drain(
+    admission: &mut Admission,
+    mut now: MonoTime,
+    mut running: Vec<RequestId>,
+) -> Vec<RequestId> {
+    let mut order = Vec::new();
+    while !running.is_empty() {
+        now += secs(1);
+        for request in std::mem::take(&mut running) {
+            admission.finished("pool", request, secs(1));
+        }
+        running = admission.next(now);
+        order.extend(&running);
+    }
+    order
+}
+
+#[test]
+fn urgent_first() {
+    let mut admission = admission(1);
+    let offers = [
+        (1, Priority::Normal),
+        (2, Priority::Deferrable),
+        (3, Priority::Normal),
+        (4, Priority::Urgent),
+    ];
+    for (request, priority) in offers {
+        admission.offer(secs(0), ticket(request, "large", priority, 600));
+    }
+    assert_eq!(drain(&mut admission, secs(0), vec![1]), [4, 3, 2]);
+}
+
+#[test]
+fn kept_slots() {
+    let mut admission = admission(10);
+    let normal: Vec<Offered> = (0..10)
+        .map(|n| admission.offer(secs(0), ticket(n, "large", Priority::Normal, 600)))
+        .collect();
+    assert_eq!(
+        normal
+            .iter()
+            .filter(|offered| **offered == Offered::Run)
+            .count(),
+        9
+    );
+    let urgent = ticket(99, "small", Priority::Urgent, 600);
+    assert_eq!(admission.offer(secs(0), urgent), Offered::Run);
+}
+
+#[test]
+fn fair_shares() {
+    // A large organisation has queued a hundred requests before a small one
+    // asks for ten. The small one gets every second slot, not the end.
+    let mut admission = admission(1);
+    for n in 0..100 {
+        admission.offer(secs(0), ticket(n, "large", Priority::Normal, 6000));
+    }
+    for n in 1000..1010 {
+        admission.offer(secs(0), ticket(n, "small", Priority::Normal, 6000));
+    }
+    let order = drain(&mut admission, secs(0), vec![0]);
+    let small = order[..21]
+        .iter()
+        .filter(|request| **request >= 1000)
+        .count();
+    assert!(small >= 9, "{small}");
+}
+
+#[test]
+fn refused_at_once() {
+    let mut admission = admission(1);
+    for n in 0..20 {
+        admission.offer(secs(0), ticket(n, "large", Priority::Normal, 600));
+    }
+    let offered = admission.offer(secs(0), ticket(50, "large", Priority::Normal, 5));
+    let Offered::Refused { retry_after } = offered else {
+        panic!("{offered:?}");
+    };
+    assert!(
+        retry_after >= secs(10) && retry_after <= secs(40),
+        "{retry_after:?}"
+    );
+}
+
+#[test]
+fn impossible_refused() {
+    let mut admission = admission(4);
+    let late = Ticket {
+        takes: secs(10),
+        ..ticket(1, "large", Priority::Urgent, 5)
+    };
+    assert!(matches!(
+        admission.offer(secs(0), late),
+        Offered::Refused { .. }
+    ));
+}
+
+#[test]
+fn given_up_at_once() {
+    // A request waits behind one that takes far longer than was expected. Its
+    // caller is told as soon as it cannot be in time, not at its deadline.
+    let mut admission = admission(1);
+    admission.offer(secs(0), ticket(1, "large", Priority::Normal, 600));
+    assert_eq!(
+        admission.offer(secs(0), ticket(2, "large", Priority::Normal, 10)),
+        Offered::Queued
+    );
+    assert_eq!(admission.next_expiry(), Some(secs(9)));
+    assert!(admission.expired(secs(9)).is_empty());
+    let given_up = admission.expired(secs(9) + Duration::from_millis(1));
+    assert_eq!(given_up.iter().map(|g| g.request).collect::<Vec<_>>(), [2]);
+    assert_eq!(admission.waiting("pool"), 0);
+}
+
+#[test]
+fn deferrable_in_time() {
+    // Normal work never ends. A deferrable request is not starved: when its
+    // last chance to start comes near, it goes ahead.
+    let mut admission = admission(1);
+    admission.offer(secs(0), ticket(1, "large", Priority::Normal, 6000));
+    admission.offer(secs(0), ticket(2, "small", Priority::Deferrable, 20));
+    let mut running = 1;
+    let mut started_at = None;
+    for second in 1..20 {
+        admission.offer(
+            secs(second),
+            ticket(100 + u128::from(second), "large", Priority::Normal, 6000),
+        );
+        admission.finished("pool", running, secs(1));
+        running = admission.next(secs(second))[0];
+        if running == 2 {
+            started_at = Some(second);
+        }
+    }
+    assert!(
+        started_at.is_some_and(|at| (15..=19).contains(&at)),
+        "{started_at:?}"
+    );
+}
+
+#[test]
+fn bounded_queue() {
+    let mut admission = admission(1);
+    let refused = (0..5000)
+        .map(|n| admission.offer(secs(0), ticket(n, "large", Priority::Deferrable, 100_000)))
+        .filter(|offered| matches!(offered, Offered::Refused { .. }))
+        .count();
+    assert_eq!(admission.waiting("pool"), 1024);
+    assert_eq!(refused, 5000 - 1 - 1024);
+}
+
+#[test]
+fn caller_left() {
+    let mut admission = admission(1);
+    admission.offer(secs(0), ticket(1, "large", Priority::Normal, 600));
+    admission.offer(secs(0), ticket(2, "large", Priority::Normal, 600));
+    assert!(admission.cancel("pool", 2));
+    assert!(!admission.cancel("pool", 2));
+    assert!(drain(&mut admission, secs(0), vec![1]).is_empty());
+}
--- /dev/null
+++ b/sesamebeam_core/tests/policy/balance.rs
@@ -0,0 +1,198 @@
+//! Choice of backend servers.
+
+use std::time::Duration;
+
+use sesamebeam_core::{
+    fleet::Priority,
+    message::server::{
+        CacheEvent,
+        Load, //
+    },
+    policy::balance::{
+        Balance,
+        BalanceConfig,
+        PickInput,
+        Route, //
+    },
+};
+use yare::parameterized;
+
+use crate::make::{
+    addr,
+    announcement,
+    fleet,
+    secs, //
+};
+
+const INPUT: PickInput<'static> = PickInput {
+    route: Route::Version("beam@mid"),
+    prefix: None,
+    prompt_tokens: 4000,
+    max_tokens: 100,
+    priority: Priority::Normal,
+    exclude: &[],
+    alone: false,
+};
+
+fn balance(near: u16, far: u16) -> Balance {
+    let mut balance = Balance::new(BalanceConfig::default(), "hall-1".into(), 1);
+    balance.configure(&fleet());
+    for number in 0..near + far {
+        let mut server = announcement(number, 1);
+        if number >= near {
+            server.domain = "hall-2".into();
+        }
+        balance.upsert(secs(0), &server);
+    }
+    balance
+}
+
+fn pick(balance: &mut Balance, input: &PickInput<'_>) -> Option<std::net::SocketAddr> {
+    Some(balance.pick(secs(60), input)?.server.addr)
+}
+
+#[test]
+fn spreads_out() {
+    let mut balance = balance(8, 0);
+    for _ in 0..32 {
+        let addr = pick(&mut balance, &INPUT).expect("there is room");
+        balance.started(addr, None, false);
+    }
+    for number in 0..8 {
+        assert!((2..=6).contains(&balance.in_flight(addr(number))));
+    }
+}
+
+#[test]
+fn own_domain_first() {
+    let mut balance = balance(2, 2);
+    for _ in 0..4 {
+        let addr = pick(&mut balance, &INPUT).expect("there is room");
+        assert!(addr < crate::make::addr(2), "{addr}");
+        balance.started(addr, None, false);
+    }
+    let spilled = (0..12).any(|_| {
+        let addr = pick(&mut balance, &INPUT).expect("there is room");
+        balance.started(addr, None, false);
+        addr >= crate::make::addr(2)
+    });
+    assert!(spilled);
+}
+
+#[test]
+fn pool_runs_out() {
+    let mut balance = balance(1, 0);
+    for _ in 0..8 {
+        balance.started(addr(0), None, false);
+    }
+    assert_eq!(pick(&mut balance, &INPUT), None);
+    balance.finished(addr(0), false, None);
+    assert_eq!(pick(&mut balance, &INPUT), Some(addr(0)));
+}
+
+#[test]
+fn prefix_holder() {
+    let mut balance = balance(2, 0);
+    let mut server = announcement(1, 2);
+    server.cache = vec![CacheEvent {
+        prefix: 9,
+        held: true,
+    }];
+    balance.upsert(secs(1), &server);
+    let input = PickInput {
+        prefix: Some(9),
+        ..INPUT
+    };
+    assert_eq!(pick(&mut balance, &input), Some(addr(1)));
+    server.cache = vec![CacheEvent {
+        prefix: 9,
+        held: false,
+    }];
+    balance.upsert(secs(2), &server);
+    let looked = balance
+        .pick(secs(60), &input)
+        .expect("there is room")
+        .looked;
+    assert!(looked.iter().all(|looked| !looked.cached));
+}
+
+#[test]
+fn late_report() {
+    // Four requests ran when the load was measured and ended since. Counted as
+    // work of other entries, they would make the backend server look full.
+    let mut balance = balance(1, 0);
+    balance.load(secs(10), addr(0), Load::default());
+    (0..4).for_each(|_| balance.started(addr(0), None, false));
+    balance.load(secs(12), addr(0), Load::default());
+    (0..4).for_each(|_| balance.finished(addr(0), false, None));
+    let load = Load {
+        running: 4,
+        age_ms: 1000,
+        ..Load::default()
+    };
+    balance.load(secs(12), addr(0), load);
+    assert_eq!(balance.capacity(secs(12), "pool"), 4);
+}
+
+#[test]
+fn slow_start() {
+    // A backend server that comes up looks idle to every entry at once. While
+    // it is new it gets a small part only, else it would be flooded.
+    let mut balance = balance(3, 0);
+    (0..3).for_each(|number| {
+        (0..2).for_each(|_| balance.started(addr(number), None, false));
+    });
+    balance.upsert(secs(60), &announcement(9, 1));
+    let picked = pick(&mut balance, &INPUT).expect("there is room");
+    balance.started(addr(9), None, false);
+    let after = pick(&mut balance, &INPUT).expect("there is room");
+    assert!(picked == addr(9) || after != addr(9), "{picked} {after}");
+    assert_ne!(after, addr(9));
+}
+
+#[test]
+fn leaving_at_once() {
+    let mut balance = balance(2, 0);
+    let mut server = announcement(0, 2);
+    server.leaving = true;
+    balance.upsert(secs(1), &server);
+    assert!(!balance.takes_work(addr(0), 7));
+    assert!((0..20).all(|_| pick(&mut balance, &INPUT) == Some(addr(1))));
+}
+
+#[test]
+fn avoided_awhile() {
+    let mut balance = balance(2, 0);
+    balance.avoid(secs(59), addr(0));
+    assert!((0..20).all(|_| pick(&mut balance, &INPUT) == Some(addr(1))));
+    balance.answered(addr(0));
+    assert!((0..20).any(|_| pick(&mut balance, &INPUT) == Some(addr(0))));
+}
+
+#[test]
+fn suspect_alone() {
+    let mut balance = balance(2, 0);
+    balance.started(addr(0), None, true);
+    assert!((0..10).all(|_| pick(&mut balance, &INPUT) == Some(addr(1))));
+    balance.finished(addr(0), true, Some(Duration::from_secs(1)));
+    assert!((0..20).any(|_| pick(&mut balance, &INPUT) == Some(addr(0))));
+}
+
+#[parameterized(
+    huge = { u32::MAX, 0.5, 0, (1, 0) },
+    not_a_number = { 1, f32::NAN, 0, (1, 0) },
+    negative = { 1, -0.5, 0, (1, 0) },
+    stale = { 1, 0.5, 3_600_000, (0, 1) },
+)]
+fn bad_load(running: u32, kv_used: f32, age_ms: u32, counted: (u64, u64)) {
+    let mut balance = balance(1, 0);
+    let load = Load {
+        running,
+        waiting: 0,
+        kv_used,
+        age_ms,
+    };
+    balance.load(secs(5), addr(0), load);
+    assert_eq!((balance.counts().absurd, balance.counts().stale), counted);
+    assert_eq!(balance.capacity(secs(5), "pool"), 4);
+}
