Keep plan scores for a few requests; spill only when near queues are seen

Cause: one decision took 150 to 166 us with 27 versions and 700 runners, nearly all of it scoring cascades again for each request. Ruled out: scoring only cascades cheaper than the best single version (still 150 us when that one is dear); a spill from 500 ms of queue on (p99 of confirmations at 0.8 1.99 and 2.08 s against 1.47 and 1.48 s from 50 ms on).

--- a/sesamebeam_core/src/policy/balance.rs
+++ b/sesamebeam_core/src/policy/balance.rs
@@ -81,7 +81,7 @@
             load_half_life: Duration::from_secs(2),
             prefix_hints: true,
             slow_start: Duration::from_secs(10),
-            spill: Duration::from_millis(500),
+            spill: Duration::from_millis(50),
             far: Duration::from_millis(5),
             prefill_speed: 4000.0,
             avoid: Duration::from_secs(10),
--- a/sesamebeam_core/src/policy/hash.rs
+++ b/sesamebeam_core/src/policy/hash.rs
@@ -1,6 +1,9 @@
 //! Hashes that every entry computes alike.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 /// Maps a name to a point in [0, 1), the same at every entry.
 ///
@@ -16,3 +19,8 @@
 pub fn rendezvous(chooser: &str, item: &[u8]) -> u64 {
     xxh3_64_with_seed(item, xxh3_64_with_seed(chooser.as_bytes(), 0))
 }
+
+/// Hashes a name, the same at every entry.
+pub fn name(name: &[u8]) -> u64 {
+    xxh3_64(name)
+}
--- a/sesamebeam_core/src/policy/plan.rs
+++ b/sesamebeam_core/src/policy/plan.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-use super::quality::{
-    Moments,
-    Quality,
-    share_above, //
+use super::{
+    hash,
+    quality::{
+        Moments,
+        Quality,
+        share_above, //
+    },
 };
 use crate::{
     fleet::{
@@ -17,6 +21,24 @@
     ids::VersionId,
 };
 
+/// Standard deviations below the target from which a plan is hopeless.
+const HOPELESS: f64 = 4.0;
+
+/// Requests that scores are kept for while ratings come in.
+const REUSES: u32 = 32;
+
+/// Sets of candidates whose scores are kept.
+const MAX_KEPT: usize = 1024;
+
+/// Cascades of one class that are scored and explained.
+const MOST_CASCADES: usize = 16;
+
+/// Least confidence of a cascade that is ever tried.
+const WORTH_A_TRIAL: f64 = 0.02;
+
+/// Odd multiplier that mixes hashes.
+const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Settings of the choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlanConfig {
@@ -142,21 +164,40 @@
 }
 
 /// Chooses plans.
+///
+/// Scores are kept for a few requests of the same class, target and candidates:
+/// scoring every cascade of 27 versions takes far longer than all the rest of a
+/// decision, and a rating or two in between change little.
 #[derive(Clone, Debug)]
 pub struct Planner {
     cfg: PlanConfig,
+    kept: IndexMap<u64, Kept>,
+}
+
+/// Scores kept for the next requests.
+#[derive(Clone, Debug)]
+struct Kept {
+    /// State of the posteriors that they were made from.
+    generation: u64,
+    uses: u32,
+    scored: Vec<Scored>,
+    /// Positions of each plan's versions among the candidates.
+    steps: Vec<(usize, Option<usize>)>,
 }
 
 impl Planner {
     /// Takes the settings.
     pub fn new(cfg: PlanConfig) -> Self {
-        Self { cfg }
+        Self {
+            cfg,
+            kept: IndexMap::new(),
+        }
     }
 
     /// Chooses the cheapest plan that meets the target, or the best available;
     /// none if there is no candidate.
-    pub fn plan(&self, quality: &Quality, input: &PlanInput<'_>) -> Option<Planned> {
-        let scored = self.score(quality, input);
+    pub fn plan(&mut self, quality: &Quality, input: &PlanInput<'_>) -> Option<Planned> {
+        let scored = self.scored(quality, input);
         let (at, reason) = self.choose(quality, input, &scored)?;
         Some(Planned {
             plan: scored[at].plan.clone(),
@@ -165,8 +206,55 @@
         })
     }
 
-    fn score(&self, quality: &Quality, input: &PlanInput<'_>) -> Vec<Scored> {
+    /// Gives the scores, kept or new, with what fits in the time left.
+    fn scored(&mut self, quality: &Quality, input: &PlanInput<'_>) -> Vec<Scored> {
+        let key = self.key(quality, input);
+        let generation = quality.generation();
+        let fresh = |kept: &Kept| kept.generation == generation || kept.uses < REUSES;
+        if !self.kept.get(&key).is_some_and(fresh) {
+            let (scored, steps) = self.score(quality, input);
+            if self.kept.len() >= MAX_KEPT {
+                self.kept.swap_remove_index(0);
+            }
+            self.kept.insert(
+                key,
+                Kept {
+                    generation,
+                    uses: 0,
+                    scored,
+                    steps,
+                },
+            );
+        }
+        let kept = &mut self.kept[&key];
+        kept.uses += 1;
+        let mut scored = kept.scored.clone();
+        for (scored, (first, then)) in scored.iter_mut().zip(&kept.steps) {
+            let then = then.map_or(Duration::ZERO, |then| input.candidates[then].takes);
+            scored.fits = input.candidates[*first].takes + then <= input.left;
+        }
+        scored
+    }
+
+    /// Hashes everything that scores depend on but the posteriors.
+    fn key(&self, quality: &Quality, input: &PlanInput<'_>) -> u64 {
         let (target, wanted) = goal(input.target);
+        let mut key = hash::rendezvous(&input.class.name, &target.to_le_bytes());
+        let mut mix = |number: u64| key = (key ^ number).wrapping_mul(MIX).rotate_left(29);
+        mix(wanted.to_bits());
+        mix(u64::from(self.may_cascade(quality, input)));
+        for candidate in input.candidates {
+            mix(hash::name(candidate.version.as_bytes()));
+            mix(candidate.cost.to_bits());
+        }
+        key
+    }
+
+    fn score(
+        &self,
+        quality: &Quality,
+        input: &PlanInput<'_>,
+    ) -> (Vec<Scored>, Vec<(usize, Option<usize>)>) {
         let moments: Vec<Moments> = input
             .candidates
             .iter()
@@ -174,56 +262,67 @@
             .collect();
         let mut scored = Vec::with_capacity(input.candidates.len() * 2);
         for (candidate, moments) in input.candidates.iter().zip(&moments) {
+            let plan = Plan::Single(candidate.version.clone());
             scored.push(Scored::new(
-                Plan::Single(candidate.version.clone()),
+                plan,
                 candidate.cost,
                 *moments,
-                (target, wanted),
-                candidate.takes <= input.left,
+                goal(input.target),
             ));
         }
-        if !self.may_cascade(quality, input) {
-            return scored;
+        let mut steps: Vec<_> = (0..scored.len()).map(|at| (at, None)).collect();
+        if self.may_cascade(quality, input) {
+            for (first, then, plan) in self.score_cascades(quality, input, &moments, &scored) {
+                steps.push((first, Some(then)));
+                scored.push(plan);
+            }
         }
-        self.score_cascades(quality, input, &moments, &mut scored);
-        scored
+        (scored, steps)
     }
 
-    /// Scores the cascades that could be chosen: cheaper than the cheapest
-    /// single version that meets the target. The others would only cost time.
+    /// Scores the cascades that could be chosen or tried, cheapest first, up to
+    /// the first that meets the target. Dearer ones would only cost time.
     fn score_cascades(
         &self,
         quality: &Quality,
         input: &PlanInput<'_>,
         moments: &[Moments],
-        scored: &mut Vec<Scored>,
-    ) {
-        let class = &input.class.name;
-        let most = least(scored, |s| s.meets && s.fits, |s| s.cost)
-            .map_or(f64::INFINITY, |at| scored[at].cost);
-        for (then, then_moments) in input.candidates.iter().zip(moments) {
-            let redo = quality.moments_redo(class, &then.version, self.cfg.hard_factor);
-            for (first, first_moments) in input.candidates.iter().zip(moments) {
-                if first.cost >= then.cost || first_moments.mean >= then_moments.mean {
+        singles: &[Scored],
+    ) -> Vec<(usize, usize, Scored)> {
+        let most =
+            least(singles, |s| s.meets, |s| s.cost).map_or(f64::INFINITY, |at| singles[at].cost);
+        let mut cascades = Vec::new();
+        for (then, strong) in input.candidates.iter().enumerate() {
+            let class = &input.class.name;
+            let redo = quality.moments_redo(class, &strong.version, self.cfg.hard_factor);
+            for (first, cheap) in input.candidates.iter().enumerate() {
+                if cheap.cost >= strong.cost || moments[first].mean >= moments[then].mean {
                     continue;
                 }
-                let (both, rejected) = self.cascade(*first_moments, redo);
-                let cost = first.cost + self.cfg.rating_cost + rejected * then.cost;
-                if cost >= most {
-                    continue;
+                let (both, rejected) = self.cascade(moments[first], redo);
+                let cost = cheap.cost + self.cfg.rating_cost + rejected * strong.cost;
+                if cost < most {
+                    cascades.push((cost, first, then, both));
                 }
-                scored.push(Scored::new(
-                    Plan::Cascade {
-                        first: first.version.clone(),
-                        then: then.version.clone(),
-                    },
-                    cost,
-                    both,
-                    goal(input.target),
-                    first.takes + then.takes <= input.left,
-                ));
             }
         }
+        cascades.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut scored: Vec<(usize, usize, Scored)> = Vec::new();
+        for (cost, first, then, both) in cascades {
+            let plan = Plan::Cascade {
+                first: input.candidates[first].version.clone(),
+                then: input.candidates[then].version.clone(),
+            };
+            let plan = Scored::new(plan, cost, both, goal(input.target));
+            let meets = plan.meets;
+            if meets || plan.confidence >= WORTH_A_TRIAL {
+                scored.push((first, then, plan));
+            }
+            if meets || scored.len() >= MOST_CASCADES {
+                break;
+            }
+        }
+        scored
     }
 
     /// Tells whether a request may be run by a second version.
@@ -304,20 +403,14 @@
 }
 
 impl Scored {
-    fn new(
-        plan: Plan,
-        cost: f64,
-        moments: Moments,
-        (target, wanted): (f64, f64),
-        fits: bool,
-    ) -> Self {
+    fn new(plan: Plan, cost: f64, moments: Moments, (target, wanted): (f64, f64)) -> Self {
         let confidence = confidence(moments, target);
         Self {
             plan,
             cost,
             quality: moments.mean,
             confidence,
-            fits,
+            fits: true,
             meets: confidence >= wanted,
         }
     }
@@ -333,6 +426,9 @@
 
 /// Fits a Beta distribution to mean and variance and asks it for the target.
 fn confidence(moments: Moments, target: f64) -> f64 {
+    if moments.mean + HOPELESS * moments.var.sqrt() < target {
+        return 0.0;
+    }
     let mean = moments.mean.clamp(1e-6, 1.0 - 1e-6);
     let n = (mean * (1.0 - mean) / moments.var.max(1e-12) - 1.0).max(1e-3);
     share_above(mean * n, (1.0 - mean) * n, target)
