--- /dev/null
+++ b/sesamebeam_bench/src/load.rs
@@ -0,0 +1,208 @@
+//! Load through real daemons: what a request, a token, an open stream and an
+//! idle daemon cost, and what happens above capacity.
+
+pub mod bed;
+pub mod generator;
+
+mod announce;
+mod latency;
+mod memory;
+mod overload;
+mod rest;
+mod share;
+mod slope_runs;
+
+use std::{
+    path::PathBuf,
+    time::Duration, //
+};
+
+use pico_args::Arguments;
+use thiserror::Error;
+
+use self::bed::{
+    BedError,
+    BedPlan, //
+};
+use crate::{
+    daemons::DaemonError,
+    fit::FitError,
+    group::GroupError,
+    slopes::{
+        self,
+        Found,
+        SlopeError, //
+    },
+};
+
+const HELP: &str = "\
+sesamebeam-bench load - measures entries under load
+
+SYNOPSIS
+    sesamebeam-bench load [--only PART,...] [--seconds N] [--data DIR]
+                          [--slopes FILE]
+
+DESCRIPTION
+    Starts three control replicas and entries as processes on loopback, with
+    runner fakes in this process, and measures the first entry.
+
+OPTIONS
+    --only PART,...   Runs only these parts:
+                        rest      idle daemons, with and without changes
+                        slopes    processor time a request and a token
+                        share     an entry's share at the two-year peak
+                        latency   added latency against calling the runner
+                        memory    resident memory of open streams
+                        announce  announcements of backend servers
+                        overload  goodput and refusals above capacity
+    --seconds N       Seconds that each load is measured. Default 4.
+    --data DIR        Folder for data, on the disk to be measured.
+    --slopes FILE     Stores the slopes in this file.
+    -h, --help        Prints this page.
+";
+
+/// Parts in the order in which they run.
+const PARTS: [&str; 7] = [
+    "rest", "latency", "slopes", "share", "memory", "announce", "overload",
+];
+
+/// Parts that share one bed.
+const SHARED: usize = 4;
+
+/// Why a load run failed.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    /// A typing error.
+    #[error(transparent)]
+    Args(#[from] pico_args::Error),
+    /// A part that is not known.
+    #[error("unknown part `{0}`; see --help")]
+    Part(String),
+    /// The bed cannot be made.
+    #[error(transparent)]
+    Bed(#[from] BedError),
+    /// A daemon is gone.
+    #[error(transparent)]
+    Daemon(#[from] DaemonError),
+    /// The control group does not answer.
+    #[error(transparent)]
+    Group(#[from] GroupError),
+    /// Slopes cannot be told.
+    #[error(transparent)]
+    Fit(#[from] FitError),
+    /// Slopes cannot be stored.
+    #[error(transparent)]
+    Slopes(#[from] SlopeError),
+    /// No runtime can be started.
+    #[error("cannot start: {0}")]
+    Start(#[from] std::io::Error),
+}
+
+/// What the command line says.
+struct Options {
+    only: Vec<String>,
+    length: Duration,
+    data: PathBuf,
+    slopes: Option<PathBuf>,
+}
+
+impl Options {
+    fn wants(&self, part: &str) -> bool {
+        self.only.is_empty() || self.only.iter().any(|only| only == part)
+    }
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails at a typing error, or if daemons do not start or serve.
+pub fn run(mut args: Arguments) -> Result<(), LoadError> {
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let options = options(args)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run_parts(&options))
+}
+
+fn options(mut args: Arguments) -> Result<Options, LoadError> {
+    let only: Option<String> = args.opt_value_from_str("--only")?;
+    let only: Vec<String> = only
+        .iter()
+        .flat_map(|list| list.split(','))
+        .map(str::to_owned)
+        .collect();
+    if let Some(part) = only.iter().find(|part| !PARTS.contains(&part.as_str())) {
+        return Err(LoadError::Part(part.clone()));
+    }
+    let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
+    let data: Option<PathBuf> = args.opt_value_from_str("--data")?;
+    let options = Options {
+        only,
+        length: Duration::from_secs_f64(seconds.unwrap_or(4.0).clamp(1.0, 600.0)),
+        data: data.unwrap_or_else(std::env::temp_dir),
+        slopes: args.opt_value_from_str("--slopes")?,
+    };
+    match args.finish().first() {
+        Some(extra) => Err(LoadError::Part(extra.to_string_lossy().into_owned())),
+        None => Ok(options),
+    }
+}
+
+async fn run_parts(options: &Options) -> Result<(), LoadError> {
+    let mut found: Vec<Found> = Vec::new();
+    let wide = BedPlan {
+        entries: 1,
+        runners: 3,
+        slots: 1024,
+    };
+    if PARTS[..SHARED].iter().any(|part| options.wants(part)) {
+        let mut bed = bed::Bed::start(wide, &options.data).await?;
+        if options.wants("rest") {
+            found.extend(rest::run(&mut bed, options.length).await?);
+        }
+        if options.wants("latency") {
+            found.extend(latency::run(&bed, options.length).await?);
+        }
+        if options.wants("slopes") {
+            found.extend(slope_runs::run(&bed, options.length).await?);
+        }
+        if options.wants("share") {
+            found.extend(share::run(&bed, options.length).await?);
+        }
+    }
+    if options.wants("memory") {
+        let bed = bed::Bed::start(wide, &options.data).await?;
+        found.extend(memory::run(&bed).await?);
+    }
+    if options.wants("announce") {
+        found.extend(announce::run(options.length, &options.data).await?);
+    }
+    if options.wants("overload") {
+        overload::run(options.length, &options.data).await?;
+    }
+    Ok(slopes::store(
+        options.slopes.as_deref(),
+        found,
+        &command(options),
+    )?)
+}
+
+fn command(options: &Options) -> String {
+    let mut command = "sesamebeam-bench load".to_owned();
+    if !options.only.is_empty() {
+        command.push_str(" --only ");
+        command.push_str(&options.only.join(","));
+    }
+    command.push_str(&format!(" --seconds {}", options.length.as_secs()));
+    command
+}
+
+/// Writes a time in the unit that reads best.
+pub(crate) fn micros(time: Duration) -> String {
+    format!("{:.0} us", time.as_secs_f64() * 1e6)
+}
