Claim once more what was lost before abandoning it

Cause: after a claim's answer was lost, the entry looked the key up and forgot the matter if there was no claim. The claim could still be under way: written after the look it stayed open as long as the entry lived, and every resend was told to come back later. Ruled out: the expiry of claims, which ends it only after its retention. Conclusion: the claim is asked for once more and then abandoned, so that the late one finds its place taken.

--- a/sesamebeam_core/src/entry/ask.rs
+++ b/sesamebeam_core/src/entry/ask.rs
@@ -23,7 +23,9 @@
             ControlRequest, //
         },
         record::{
+            ClaimReply,
             ClaimRequest,
+            ClaimState,
             CompleteReply,
             CompleteRequest, //
         }, //
@@ -49,7 +51,7 @@
     Pin(RequestId),
     /// The end of a claim, in `pending`.
     End(u64),
-    /// The state of a claim whose answer was lost, in `lost`.
+    /// A claim whose answer was lost, in `lost`, asked for once more.
     Lost(u64),
     /// Something that needs no answer.
     Report,
@@ -170,14 +172,18 @@
 
     /// Remembers a claim whose answer was lost: it may have been written, and
     /// this entry never sends under it, so it says so when it can.
+    ///
+    /// The claim itself may still be under way, so a look that finds nothing
+    /// proves nothing: written after it, the claim would stay open as long as
+    /// this entry lives, and every resend be told to come back later. Claimed
+    /// once more and then abandoned, the late one finds its place taken.
     pub(super) fn remember_lost(&mut self, req: ClaimRequest) {
         let n = self.pending.next;
         self.pending.next += 1;
-        let key = req.key.clone();
-        self.pending.lost.insert(n, req);
+        self.pending.lost.insert(n, req.clone());
         self.ask(
             AskFor::Lost(n),
-            ControlRequest::Look(key),
+            ControlRequest::Claim(req),
             self.cfg.claim_timeout,
         );
     }
@@ -202,7 +208,7 @@
         for (n, req) in due {
             self.ask(
                 AskFor::Lost(n),
-                ControlRequest::Look(req.key),
+                ControlRequest::Claim(req),
                 self.cfg.claim_timeout,
             );
         }
@@ -238,16 +244,20 @@
     }
 
     fn lost_answered(&mut self, now: MonoTime, n: u64, reply: Option<ControlReply>) {
-        let Some(ControlReply::Claimed(view)) = reply else {
-            return;
+        let generation = match reply {
+            Some(ControlReply::Claim(ClaimReply::Granted(generation))) => Some(generation),
+            Some(ControlReply::Claim(ClaimReply::Existing(view))) => {
+                let mine = self.pending.is_lost(view.request);
+                (mine && view.state == ClaimState::Open).then_some(view.generation)
+            }
+            Some(ControlReply::Claim(ClaimReply::Conflict) | ControlReply::Denied(_)) => None,
+            _ => return,
         };
         let Some(req) = self.pending.lost.remove(&n) else {
             return;
         };
-        if let Some(view) = view
-            && view.request == req.request
-        {
-            let end = self.end_of(&req.key, view.generation, req.request);
+        if let Some(generation) = generation {
+            let end = self.end_of(&req.key, generation, req.request);
             self.end_claim(now, end, None);
         }
     }
