--- a/sesamebeam_bench/src/group.rs
+++ b/sesamebeam_bench/src/group.rs
@@ -114,7 +114,7 @@
             let wait = if patient { left } else { left.min(ONE_TRY) };
             match self.ask_one(req, wait).await {
                 Ok(ControlReply::NotLeader(hint)) => {
-                    self.follow(hint);
+                    self.follow(hint.map(|hint| hint.node));
                     if hint.is_none() {
                         sleep(LOOK_EVERY).await;
                     }
