--- a/sesamebeam_bench/src/policy/replay.rs
+++ b/sesamebeam_bench/src/policy/replay.rs
@@ -426,8 +426,7 @@
         let at = self.requests.len() - 1;
         self.by_id.insert(id, at);
         if self.now >= self.setting.warm_up {
-            let in_fault = self.in_fault();
-            self.run.arrived(&self.requests[at].org, traffic, in_fault);
+            self.run.arrived(&self.requests[at].org, traffic);
         }
         at
     }
@@ -618,7 +617,8 @@
         // The second step of a cascade is planned work, not another attempt.
         if self.requests[at].arrived >= self.setting.warm_up && step != Step::Redo {
             let in_fault = self.in_fault();
-            self.run.sent(self.servers[server].leaving, in_fault);
+            let first = self.requests[at].attempts == 1;
+            self.run.sent(self.servers[server].leaving, in_fault, first);
         }
         match self.servers[server].send(job) {
             Sent::Runs(length) => self.runs(id, length),
--- a/sesamebeam_bench/src/policy/result.rs
+++ b/sesamebeam_bench/src/policy/result.rs
@@ -139,7 +139,7 @@
     offered: u64,
     sent: u64,
     attempted: u64,
-    fault_offered: u64,
+    fault_first: u64,
     fault_sent: u64,
     pub(crate) sent_to_leaving: u64,
     pub(crate) hedges: u64,
@@ -188,15 +188,15 @@
         }
     }
 
-    pub(crate) fn arrived(&mut self, org: &OrgId, traffic: usize, in_fault: bool) {
+    pub(crate) fn arrived(&mut self, org: &OrgId, traffic: usize) {
         self.offered += 1;
-        self.fault_offered += u64::from(in_fault);
         self.classes[traffic].offered += 1;
         self.orgs.entry(org.clone()).or_default();
     }
 
-    pub(crate) fn sent(&mut self, leaving: bool, in_fault: bool) {
+    pub(crate) fn sent(&mut self, leaving: bool, in_fault: bool, first: bool) {
         self.sent += 1;
+        self.fault_first += u64::from(in_fault && first);
         self.fault_sent += u64::from(in_fault);
         self.sent_to_leaving += u64::from(leaving);
     }
@@ -280,9 +280,9 @@
         self.sent as f64 / self.attempted.max(1) as f64
     }
 
-    /// Attempts during the fault for each request that arrived during it.
+    /// Attempts during the fault for each request first sent during it.
     pub(crate) fn attempts_in_fault(&self) -> f64 {
-        self.fault_sent as f64 / self.fault_offered.max(1) as f64
+        self.fault_sent as f64 / self.fault_first.max(1) as f64
     }
 
     /// Requests refused for a reason.
--- a/sesamebeam_core/src/policy/exposure.rs
+++ b/sesamebeam_core/src/policy/exposure.rs
@@ -345,6 +345,10 @@
         let together = self.cfg.together;
         let lately = |trial: &Trial| matches!(trial.held, Some((why, at)) if why == reason && now.saturating_sub(at) < together);
         let outside = now < self.outside_until[reason as usize] || self.trials.values().any(lately);
+        if !outside && self.is_last(version) {
+            self.trials.get_mut(version)?.forget(reason);
+            return None;
+        }
         if !outside {
             let trial = self.trials.get_mut(version)?;
             trial.held = Some((reason, now));
@@ -362,6 +366,21 @@
         None
     }
 
+    /// Tells whether a version is the last settled one of its model that is not
+    /// held. It is not held by evidence: with it every request would be refused,
+    /// which is worse than answers that are possibly bad.
+    fn is_last(&self, version: &str) -> bool {
+        let model = model_of(version);
+        let usable = |(name, trial): (&VersionId, &Trial)| {
+            name != version
+                && model_of(name) == model
+                && trial.state == VersionState::Settled
+                && !trial.is_held()
+        };
+        let settled = |t: &Trial| t.state == VersionState::Settled;
+        self.trials.get(version).is_some_and(settled) && !self.trials.iter().any(usable)
+    }
+
     /// Gives the share of a version's answers that is sent for rating: all of a
     /// version that rolls out or looks bad, a sample of the others.
     pub fn sample_share(&self, version: &str) -> f64 {
--- a/sesamebeam_core/src/policy/quality.rs
+++ b/sesamebeam_core/src/policy/quality.rs
@@ -49,6 +49,10 @@
 /// Deviation, in standard deviations, that a sound rater does not show.
 const RATER_DEVIATION: f64 = 3.0;
 
+/// Answers by which a version must be off before it speaks about the rater: one
+/// bad answer of a very good version is already many standard deviations.
+const RATER_LEAST: f64 = 3.0;
+
 /// Settings of the posteriors.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QualityConfig {
@@ -500,7 +504,9 @@
         let var = (expected * (1.0 - expected)).max(0.01);
         self.recent
             .push_back((version.clone(), seen - expected, var));
-        if self.rater_is_off() {
+        // Not prolonged while it lasts: what looks like a wrong rater for good is
+        // a change of the answers, and must be learnt from in the end.
+        if self.distrust_until.is_none() && self.rater_is_off() {
             self.distrust_until = Some(now + self.cfg.distrust);
             self.generation += 1;
         }
@@ -515,6 +521,7 @@
         let far = |sign: f64| {
             sums.values()
                 .filter(|(_, _, n)| *n >= RATER_MIN)
+                .filter(|(off, _, _)| sign * off >= RATER_LEAST)
                 .filter(|(off, var, _)| sign * off / var.sqrt() > RATER_DEVIATION)
                 .count()
         };
--- a/sesamebeam_core/tests/policy/exposure.rs
+++ b/sesamebeam_core/tests/policy/exposure.rs
@@ -258,3 +258,22 @@
     );
     assert!(exposure.take_evidence(&"entry-1".into()).is_empty());
 }
+
+#[test]
+fn last_one_stays() {
+    // One settled version after the other is found bad, minutes apart, as a
+    // wrong rating service makes them look. The last one is not held: callers
+    // would see every request refused.
+    let (mut exposure, quality) = make();
+    for (nth, version) in ["beam@cheap", "beam@mid", "beam@best"]
+        .into_iter()
+        .enumerate()
+    {
+        let now = secs(1000 * (nth as u64 + 1));
+        for _ in 0..60 {
+            let seen = Observation::Rated { good: false };
+            exposure.observe(now, &version.into(), "ask", seen, &quality);
+        }
+    }
+    assert_eq!(exposure.held_here(), ["beam@cheap", "beam@mid"]);
+}
