--- a/sesamebeam/tests/edge/rollouts.rs
+++ b/sesamebeam/tests/edge/rollouts.rs
@@ -71,9 +71,11 @@
 
 /// Starts a fleet whose rating service finds this share of v8's answers good.
 async fn start(good: f64, cancel: &CancellationToken) -> (Serving, RatingService) {
-    let mut cfg = RatingConfig::default();
-    cfg.lag = Duration::ZERO;
-    cfg.jitter = Duration::ZERO;
+    let mut cfg = RatingConfig {
+        lag: Duration::ZERO,
+        jitter: Duration::ZERO,
+        ..RatingConfig::default()
+    };
     cfg.quality.by_version.insert(NEW.into(), good);
     cfg.quality.by_version.insert("parte@v7".into(), 0.98);
     let rating = RatingService::start(cfg, cancel.clone())
