--- a/sesamebeam_core/src/replica/progress.rs
+++ b/sesamebeam_core/src/replica/progress.rs
@@ -116,10 +116,15 @@
     }
 
     /// Starts over after the point at which the logs may agree.
+    ///
+    /// An answer that says the same again waits for the next heartbeat: doubled
+    /// messages would otherwise ask for more of their kind and multiply.
     pub(super) fn probe_after(&mut self, agreed: LogIndex) {
+        let next = agreed.max(self.matched) + 1;
+        let known = matches!(self.mode, Mode::Probe { .. }) && self.next == next;
         self.sent.clear();
-        self.next = agreed.max(self.matched) + 1;
-        self.mode = Mode::Probe { due: true };
+        self.next = next;
+        self.mode = Mode::Probe { due: !known };
     }
 
     /// Notes how much of a snapshot it has. Only progress asks for the next
--- a/sesamebeam_core/tests/schedules.rs
+++ b/sesamebeam_core/tests/schedules.rs
@@ -325,3 +325,30 @@
     ];
     carry_out(5, 13_517_055_591_431_918_563, &steps, Faults::default());
 }
+
+#[test]
+fn parting_at_base() {
+    // Operators saw two replicas keep each other busy without end. A follower's
+    // log parted from the leader's at the very entry before the first that the
+    // leader still kept. The leader took that entry for one they agree on, asked
+    // again, and got the same answer. It now sends its snapshot.
+    let steps = [
+        Step::Propose(1),
+        Step::LoseDisk(39),
+        Step::Start,
+        Step::Run(1_808),
+        Step::Isolate(68),
+        Step::Run(1_352),
+        Step::Propose(14),
+        Step::Weather(0, 20, 0),
+        Step::Full(171, true),
+        Step::Run(2_544),
+        Step::Propose(6),
+        Step::Heal,
+        Step::Propose(18),
+        Step::Run(644),
+        Step::Isolate(71),
+        Step::Run(2_351),
+    ];
+    carry_out(5, 1_037_057_527_961_535_280, &steps, Faults::default());
+}
