Time the takeover after a leader's death

Cause: the time to a new leader is asked for as a multiple of the lease. Conclusion: the bound in the test is 1.6 at p50 and 4 at most.

--- a/sesamebeam_core/tests/election.rs
+++ b/sesamebeam_core/tests/election.rs
@@ -83,3 +83,25 @@
     let (net, _, _) = isolate_hour(faults);
     assert!(net.leader_changes > 0);
 }
+
+#[test]
+fn takeover_time() {
+    // Operators see a new leader within a few leases of the old one's death.
+    // Run with `--nocapture` for the figures.
+    let mut times = Vec::new();
+    for seed in 0..200 {
+        let mut net = Net::new(3, seed, Faults::default());
+        net.commit(1);
+        let old = net.settle_leader();
+        net.run(Duration::from_millis(seed * 7 % 200));
+        net.crash(old);
+        let died = net.now;
+        net.settle_leader();
+        times.push((net.now - died).div_duration_f64(net::LEASE));
+        net.assert_sound();
+    }
+    times.sort_by(f64::total_cmp);
+    let (p50, p99, most) = (times[100], times[198], times[199]);
+    println!("takeover in leases: p50 {p50:.2}, p99 {p99:.2}, most {most:.2}");
+    assert!(p50 < 1.6 && most < 4.0);
+}
