Take notices of ended requests together with the next tick

Cause: each ended request sent its notice to the side thread, which woke it, and its log line woke the log's thread: a system call trace showed 1.6 futex calls and two writes a request beside the four of the two connections.

Ruled out: the lock of the core, which nobody waited for in the profile, and the formatting of the line, which does not run on the request path.

--- a/sesamebeam/src/entry/errands.rs
+++ b/sesamebeam/src/entry/errands.rs
@@ -5,10 +5,7 @@
     time::Duration, //
 };
 
-use sesamebeam_core::entry::event::{
-    EntryEvent,
-    Notice, //
-};
+use sesamebeam_core::entry::event::EntryEvent;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::sync::CancellationToken;
 
@@ -57,8 +54,11 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                () = cancel.cancelled() => return,
-                _ = ticks.tick() => self.hub.event(EntryEvent::Tick),
+                () = cancel.cancelled() => return self.tell_notices(),
+                _ = ticks.tick() => {
+                    self.hub.event(EntryEvent::Tick);
+                    self.tell_notices();
+                }
                 errand = rx.recv() => match errand {
                     Some(errand) => self.carry(errand),
                     None => return,
@@ -67,6 +67,12 @@
         }
     }
 
+    fn tell_notices(&mut self) {
+        for notice in self.hub.take_notices() {
+            self.notices.take(&notice);
+        }
+    }
+
     fn carry(&mut self, errand: Errand) {
         match errand {
             Errand::Ask(ask, req, timeout) => {
@@ -85,8 +91,6 @@
                 });
             }
             Errand::Retire(server) => self.client.retire(server),
-            Errand::Notice(Notice::Ignored { why }) => self.notices.ignored(&why),
-            Errand::Notice(notice) => self.notices.take(&notice),
             Errand::Drained => self.drained.cancel(),
         }
     }
--- a/sesamebeam/src/entry/hub.rs
+++ b/sesamebeam/src/entry/hub.rs
@@ -82,8 +82,6 @@
     Cancel(RequestId, RequestId, ServerAddr),
     /// Close older connections to a backend server.
     Retire(ServerAddr),
-    /// Log or count.
-    Notice(Notice),
     /// Every request has ended after a stop.
     Drained,
 }
@@ -102,6 +100,10 @@
 struct Inner {
     core: EntryCore,
     requests: HashMap<RequestId, UnboundedSender<Order>>,
+    /// What is to be logged and counted, taken together with the next tick.
+    /// One by one, each ended request would wake the side thread and, by its
+    /// log line, the log's thread.
+    notices: Vec<Notice>,
 }
 
 impl Hub {
@@ -112,6 +114,7 @@
             inner: Mutex::new(Inner {
                 core,
                 requests: HashMap::new(),
+                notices: Vec::new(),
             }),
             start,
             errands,
@@ -152,6 +155,11 @@
         self.lock().requests.remove(&request);
     }
 
+    /// Takes what is to be logged and counted since the last call.
+    pub(crate) fn take_notices(&self) -> Vec<Notice> {
+        std::mem::take(&mut self.lock().notices)
+    }
+
     /// Looks into the core.
     pub(crate) fn with<T>(&self, look: impl FnOnce(&EntryCore) -> T) -> T {
         look(&self.lock().core)
@@ -186,6 +194,7 @@
                 class,
                 version,
             } => (request, Order::Sample(class, version)),
+            EntryAction::Notice(notice) => return inner.notices.push(notice),
             other => return self.errand(other),
         };
         if let Some(tx) = inner.requests.get(&request) {
@@ -205,7 +214,6 @@
                 server,
             } => Errand::Cancel(request, id, server),
             EntryAction::Retire { server } => Errand::Retire(server),
-            EntryAction::Notice(notice) => Errand::Notice(notice),
             EntryAction::Drained => Errand::Drained,
             _ => return,
         };
