Prove the promises over random schedules of both cores

A small world: four entries, three control replicas with disks in memory, fake engines and plain services with their own books, callers and operators. Random schedules kill, freeze, cut, crash, silence and stop them while callers resend and operators race. After each schedule: runs of non-idempotent requests, billing entries, refusals that say "not run", whole answers, allowed and withdrawn versions, sessions, revisions, leaving servers, and that every call ends and every slot comes back.

Named tests with their safeguard off and on: at most once, "not run", killer requests; a planned stop. Before: the entry core ran in no test under faults. A first world whose fleet file was refused kept every promise, since it served nothing; so the world now asserts that it serves, and the run that half of its calls are answered whole. Not shown: a charge for a request whose entry died between the whole answer and its record is an open billing entry after the claim's retention.

--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -357,6 +357,11 @@
         self.requests.len()
     }
 
+    /// Requests that hold a slot of a pool.
+    pub fn slots_held(&self) -> usize {
+        self.admission.total_running()
+    }
+
     /// Whether a request is under way.
     pub fn has(&self, request: RequestId) -> bool {
         self.requests.contains_key(&request)
--- a/sesamebeam_core/src/entry/attempts.rs
+++ b/sesamebeam_core/src/entry/attempts.rs
@@ -308,7 +308,7 @@
         if let Phase::Attached(view) = req.phase.clone() {
             return self.attach_failed(now, id, view);
         }
-        if req.once {
+        if req.once && !self.cfg.faults.rerun_once {
             return self.lose_own(now, id);
         }
         if req.started {
--- a/sesamebeam_core/src/entry/choose.rs
+++ b/sesamebeam_core/src/entry/choose.rs
@@ -354,7 +354,7 @@
         let Some(req) = self.requests.get(&id) else {
             return;
         };
-        if req.once {
+        if req.once && !self.cfg.faults.claim_not_run {
             return self.look(now, id, refusal);
         }
         let outcome = if req.maybe_ran {
--- a/sesamebeam_core/src/entry/claims.rs
+++ b/sesamebeam_core/src/entry/claims.rs
@@ -56,6 +56,11 @@
             return;
         };
         req.attempts += 1;
+        if self.cfg.faults.send_unclaimed {
+            req.phase = Phase::Running;
+            let (at, version) = (req.next_id(), req.version().cloned());
+            return self.dispatch_as(now, id, target, at, version, DispatchKind::Run);
+        }
         req.phase = Phase::Claiming(target, now);
         let claim = ClaimRequest {
             key,
--- a/sesamebeam_core/src/policy/admission.rs
+++ b/sesamebeam_core/src/policy/admission.rs
@@ -264,6 +264,11 @@
         self.pools.get(pool).map_or(0, PoolQueue::running)
     }
 
+    /// Gives the requests of all pools that hold a slot.
+    pub fn total_running(&self) -> usize {
+        self.pools.values().map(PoolQueue::running).sum()
+    }
+
     /// Counts an organisation's requests by what became of them.
     pub fn counts(&self, org: &str) -> AdmissionCounts {
         self.counts.get(org).copied().unwrap_or_default()
--- /dev/null
+++ b/sesamebeam_core/tests/proofs/at_most_once.rs
@@ -0,0 +1,66 @@
+//! A caller sends a berth confirmation, hears nothing and sends it again with
+//! the same key through another entry. The first may be running, or about to be
+//! sent. Were it sent before its claim is committed, or run again when its
+//! backend server is lost, two berths would be booked.
+
+use std::time::Duration;
+
+use sesamebeam_core::entry::Faults;
+use yare::parameterized;
+
+use crate::world::{
+    Fault,
+    World,
+    books::Spec, //
+};
+
+fn confirmation() -> Spec {
+    Spec::new("vazna", "confirmation", 7).key("slot-7")
+}
+
+#[parameterized(
+    safeguard_on = { Faults::default(), 1 },
+    sent_unclaimed = { Faults { send_unclaimed: true, ..Faults::default() }, 2 },
+)]
+fn sent_twice(faults: Faults, runs: usize) {
+    let mut world = World::new(5, |cfg| cfg.faults = faults, |_| {});
+    world.call(0, confirmation());
+    world.call(1, confirmation());
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.books.runs_of("slot-7"), runs);
+}
+
+#[parameterized(
+    safeguard_on = { Faults::default(), 1 },
+    run_again = { Faults { rerun_once: true, ..Faults::default() }, 2 },
+)]
+fn server_lost(faults: Faults, runs: usize) {
+    let mut world = World::new(6, |cfg| cfg.faults = faults, |_| {});
+    world.call(0, confirmation());
+    world.wait(|world| (world.books.runs_of("slot-7") == 1).then_some(()));
+    for at in 0..3 {
+        world.fault(Fault::Crash(at));
+    }
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.books.runs_of("slot-7"), runs);
+}
+
+/// The resend is claimed at the same entry before the first one hears of its
+/// own grant, whose answer is late.
+#[parameterized(
+    safeguard_on = { Faults::default(), 0 },
+    taken_back = { Faults { retake_early: true, ..Faults::default() }, 1 },
+)]
+fn same_entry(faults: Faults, least: usize) {
+    let again = (0..40).filter(|seed| {
+        let mut world = World::new(*seed, |cfg| cfg.faults = faults, |_| {});
+        world.net.delay = 200;
+        world.call(0, confirmation());
+        world.run(Duration::from_millis(10));
+        world.call(0, confirmation());
+        world.run(Duration::from_secs(5));
+        world.books.runs_of("slot-7") > 1
+    });
+    let again = again.count();
+    assert!(again >= least && (least > 0 || again == 0), "{again} of 40");
+}
--- /dev/null
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -0,0 +1,9 @@
+//! Proofs of the promises on the cores alone, in virtual time: whole schedules
+//! of faults, and one focused failure a promise.
+
+mod at_most_once;
+mod killer_request;
+mod not_run_true;
+mod planned_stop;
+mod schedules;
+mod world;
