Resume late without taking the request for unsent

Cause: the edge tells "late" when the time to send is over, also of a resume. The core then took the request itself for unsent, abandoned its claim and ran it again under the next one. Seen when an entry is frozen between its decision to resume a broken stream and the sending, for longer than the window. Ruled out: the claim and its window (they held), the edge (nothing was sent). Conclusion: a late resume is resumed anew, a late look-up made anew; only a run that is late is unsent.

--- a/sesamebeam_core/src/entry/attempts.rs
+++ b/sesamebeam_core/src/entry/attempts.rs
@@ -143,9 +143,23 @@
     }
 
     /// The time to send was over before anything was sent.
+    ///
+    /// Of a resume or look-up that says nothing of the request, which went out
+    /// before: taken for unsent, its claim would be abandoned and the request
+    /// run a second time.
     fn late(&mut self, now: MonoTime, id: RequestId, run: Running) {
         self.leave_server(now, id, &run, true);
-        self.try_again(now, id, Reason::DeadlinePassed);
+        let Some(req) = self.requests.get(&id) else {
+            return;
+        };
+        match (run.kind, req.phase.clone()) {
+            (_, Phase::Attached(view)) => self.attach_failed(now, id, view),
+            (DispatchKind::Run | DispatchKind::Hedge, _) => {
+                self.try_again(now, id, Reason::DeadlinePassed);
+            }
+            (DispatchKind::Resume { .. }, _) => self.resume(now, id, run),
+            (DispatchKind::LookUp, _) => self.service_broken(now, id, run),
+        }
     }
 
     /// The backend server refused, so it proved that it did not run it.
--- /dev/null
+++ b/sesamebeam_core/tests/proofs/frozen_entry.rs
@@ -0,0 +1,37 @@
+//! An entry's process is stopped just before it resumes a broken stream, for
+//! longer than the dispatch window, and goes on. The edge finds the time to send
+//! over. The request itself went out long before: taken for unsent, its claim
+//! would be abandoned and the caller's confirmation run a second time.
+
+use std::time::Duration;
+
+use crate::world::{
+    Fault,
+    World,
+    books::Spec, //
+};
+
+#[test]
+fn late_resume() {
+    for seed in 0..20 {
+        let mut world = World::plain(seed);
+        let spec = Spec::new("vazna", "confirmation", 7).key("slot-7");
+        let call = world.call(0, spec);
+        world.wait(|world| (world.books.runs_of("slot-7") == 1).then_some(()));
+        for at in 0..4 {
+            world.fault(Fault::Break(at));
+        }
+        world.run(Duration::from_millis(5 + seed % 3));
+        world.fault(Fault::Freeze(0));
+        world.run(Duration::from_secs(5));
+        world.fault(Fault::Thaw(0));
+        world.answer(call);
+        world.run(Duration::from_secs(5));
+        assert_eq!(world.books.runs_of("slot-7"), 1);
+        assert!(
+            world.books.broken().is_empty(),
+            "{:?}",
+            world.books.broken()
+        );
+    }
+}
--- a/sesamebeam_core/tests/proofs/main.rs
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -2,6 +2,7 @@
 //! of faults, and one focused failure a promise.
 
 mod at_most_once;
+mod frozen_entry;
 mod killer_request;
 mod not_run_true;
 mod planned_stop;
