Say "not run" of no keyed request that is refused at the door

Cause: a request whose class, organisation or service the entry does not know was refused as "not run" also with an Idempotency-Key, though it may have run under that key before the file changed. Ruled out: requests without a key, of which nothing can have run. Conclusion: at the door an entry knows nothing of what ran under a key.

--- a/sesamebeam_core/src/entry/arrive.rs
+++ b/sesamebeam_core/src/entry/arrive.rs
@@ -73,17 +73,17 @@
             return Err(early(Reason::NoConfiguration, keyed, after));
         }
         if self.view.organisation(&arrival.org).is_none() {
-            return Err(early(Reason::UnknownOrganisation, false, None));
+            return Err(early(Reason::UnknownOrganisation, keyed, None));
         }
         let service = match &arrival.wanted {
             Wanted::Service(pool) => Some(pool.as_str()),
             _ => None,
         };
         let Some(class) = self.view.class(arrival.class.as_deref(), service) else {
-            return Err(early(Reason::UnknownClass, false, None));
+            return Err(early(Reason::UnknownClass, keyed, None));
         };
         if class.service.as_deref() != service {
-            return Err(early(Reason::UnknownClass, false, None));
+            return Err(early(Reason::UnknownClass, keyed, None));
         }
         let safe = service.is_some() && arrival.safe_method;
         let once = !class.idempotent && !safe;
@@ -91,7 +91,7 @@
             return Err(early(Reason::KeyMissing, false, None));
         }
         if service.is_some_and(|pool| self.view.service(pool).is_none()) {
-            return Err(early(Reason::UnknownService, false, None));
+            return Err(early(Reason::UnknownService, keyed, None));
         }
         self.retries.request(&arrival.org);
         self.hedges.request(class);
--- a/sesamebeam_core/tests/proofs/not_run_true.rs
+++ b/sesamebeam_core/tests/proofs/not_run_true.rs
@@ -60,3 +60,24 @@
     }
     assert!(seconds > 0, "no request came to its second step");
 }
+
+/// The sheet ran, and then its class is taken out of the file. The entry cannot
+/// tell what ran under the key before, so it may not say "not run".
+#[test]
+fn class_gone() {
+    let mut world = World::plain(10);
+    let sheet = || Spec::new("vazna", "confirmation", 7).key("sheet-7");
+    let first = world.call(0, sheet());
+    assert_eq!(world.answer(first), Told::Whole);
+    let mut fleet = files::fleet();
+    fleet.classes.retain(|class| class.name != "confirmation");
+    world.apply(1, fleet);
+    world.wait(|world| world.books.in_force.get(&2).copied());
+    let again = world.call(1, sheet());
+    assert!(matches!(world.answer(again), Told::Refused(_)));
+    assert!(
+        world.books.broken().is_empty(),
+        "{:?}",
+        world.books.broken()
+    );
+}
