Cancel for a takeover only what may be taken over

Cause: an entry that found another's open claim, and whose backend server had not yet had the request, cancelled its id there at once. The cancel met the request as it arrived, and the caller whose request ran lost its answer. Ruled out: a lost connection, a crash (neither is in the test). Conclusion: a cancel is needed only before a takeover, which needs the window and the claimant's lease to be over anyway. The test first asked that the first caller be answered; that was wrong, since the second may win the claim. It asks it now of the caller whose request ran.

--- a/sesamebeam_core/src/entry/attempts.rs
+++ b/sesamebeam_core/src/entry/attempts.rs
@@ -290,7 +290,11 @@
             return;
         };
         if let Phase::Attached(view) = req.phase.clone() {
-            if known != (ServerKnows::Never { life: view.target }) {
+            // The request may still be on its way there. A cancel is of use only
+            // if the claim may be taken over; sooner, it would meet the request
+            // as it arrives and cost another caller its answer.
+            let over = view.window_over && view.claimant_gone;
+            if known != (ServerKnows::Never { life: view.target }) || !over {
                 return self.attach_failed(now, id, view);
             }
             let action = EntryAction::Cancel {
--- a/sesamebeam_core/tests/proofs/main.rs
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -3,6 +3,7 @@
 
 mod at_most_once;
 mod frozen_entry;
+mod impatient_resend;
 mod killer_request;
 mod not_run_true;
 mod planned_stop;
