--- a/sesamebeam_core/tests/proofs/world/edge.rs
+++ b/sesamebeam_core/tests/proofs/world/edge.rs
@@ -69,9 +69,9 @@
     /// The edge is about to send.
     Send(Dispatch),
     /// A backend server sent something on an attempt's connection.
-    Heard(Attempt, Heard),
+    Heard(ConnId, Heard),
     /// The progress timer of an attempt.
-    Silence(Attempt),
+    Silence(ConnId),
     /// A control replica is asked.
     Try(AskId),
     /// A control replica was asked long ago.
@@ -93,6 +93,9 @@
     Report(AttemptReport),
 }
 
+/// Number of an attempt's connection at its entry.
+pub(crate) type ConnId = (RequestId, Attempt);
+
 /// An attempt's connection.
 #[derive(Clone, Debug)]
 pub(crate) struct Conn {
@@ -124,7 +127,7 @@
     pub(crate) revision: u64,
     /// Whether a planned stop came to its end.
     pub(crate) drained: bool,
-    conns: BTreeMap<Attempt, Conn>,
+    conns: BTreeMap<ConnId, Conn>,
     asks: BTreeMap<AskId, Asking>,
     cancels: Vec<(RequestId, RequestId)>,
     leader: NodeId,
@@ -199,8 +202,8 @@
         match event {
             EdgeEvent::Core(event) => self.tell_core(at, event),
             EdgeEvent::Send(dispatch) => self.dispatch(at, dispatch),
-            EdgeEvent::Heard(attempt, heard) => self.heard(at, attempt, heard),
-            EdgeEvent::Silence(attempt) => self.silent(at, attempt),
+            EdgeEvent::Heard(id, heard) => self.heard(at, id, heard),
+            EdgeEvent::Silence(id) => self.silent(at, id),
             EdgeEvent::Try(ask) => self.try_ask(at, ask),
             EdgeEvent::Late(ask, ticket) => {
                 if self.entries[at].asks.get(&ask).map(|a| a.ticket) == Some(ticket) {
@@ -245,8 +248,10 @@
                 self.soon(at, after, EdgeEvent::Send(dispatch));
             }
             EntryAction::Drop {
-                attempt, cancel, ..
-            } => self.drop_conn(at, attempt, cancel),
+                request,
+                attempt,
+                cancel,
+            } => self.drop_conn(at, (request, attempt), cancel),
             EntryAction::Cancel {
                 request,
                 id,
@@ -315,8 +320,8 @@
         edge.conns.retain(|_, c| c.dispatch.request != request);
     }
 
-    fn drop_conn(&mut self, at: EntryNo, attempt: Attempt, cancel: bool) {
-        let Some(conn) = self.entries[at].conns.remove(&attempt) else {
+    fn drop_conn(&mut self, at: EntryNo, id: ConnId, cancel: bool) {
+        let Some(conn) = self.entries[at].conns.remove(&id) else {
             return;
         };
         if cancel {
@@ -327,8 +332,9 @@
 
     /// Sends an attempt, unless the time to send is over.
     fn dispatch(&mut self, at: EntryNo, dispatch: Dispatch) {
-        let (now, attempt, life) = (self.now, dispatch.attempt, self.entries[at].life);
-        let report = |report| EdgeEvent::Heard(attempt, Heard::Report(report));
+        let (now, life) = (self.now, self.entries[at].life);
+        let id = (dispatch.request, dispatch.attempt);
+        let report = |report| EdgeEvent::Heard(id, Heard::Report(report));
         let conn = Conn {
             heard: now,
             events: match dispatch.kind {
@@ -337,7 +343,7 @@
             },
             dispatch: dispatch.clone(),
         };
-        self.entries[at].conns.insert(attempt, conn);
+        self.entries[at].conns.insert(id, conn);
         if now >= dispatch.send_by {
             return self.soon(at, Duration::ZERO, report(AttemptReport::Late));
         }
@@ -355,7 +361,7 @@
         if !self.servers[server].up {
             return self.soon(at, Duration::from_millis(1), report(down));
         }
-        let from = (at, life, attempt);
+        let from = (at, life, id);
         let asked = match dispatch.kind {
             DispatchKind::Run | DispatchKind::Hedge => {
                 let leased = self.entries[at].core().view().lease_held(now);
@@ -364,7 +370,7 @@
             DispatchKind::Resume { events } => Asked::Resume(from, dispatch.id, events),
             DispatchKind::LookUp => Asked::LookUp(from, dispatch.id),
         };
-        self.soon(at, dispatch.progress, EdgeEvent::Silence(attempt));
+        self.soon(at, dispatch.progress, EdgeEvent::Silence(id));
         self.ask_server(at, addr, asked);
     }
 
@@ -378,13 +384,13 @@
         }
     }
 
-    fn heard(&mut self, at: EntryNo, attempt: Attempt, heard: Heard) {
+    fn heard(&mut self, at: EntryNo, id: ConnId, heard: Heard) {
         let now = self.now;
-        let Some(conn) = self.entries[at].conns.get_mut(&attempt) else {
+        let Some(conn) = self.entries[at].conns.get_mut(&id) else {
             return;
         };
         conn.heard = now;
-        let request = conn.dispatch.request;
+        let (request, attempt) = id;
         let report = match heard {
             Heard::Chunk(n) => {
                 let first = conn.events == 0 || conn.dispatch.kind == DispatchKind::Run && n == 1;
@@ -403,7 +409,7 @@
                         },
                     );
                 }
-                if self.entries[at].conns.contains_key(&attempt) {
+                if self.entries[at].conns.contains_key(&id) {
                     self.books.chunk(request, n, hold);
                 }
                 return;
@@ -422,7 +428,7 @@
             },
             Heard::Report(report) => report,
         };
-        self.entries[at].conns.remove(&attempt);
+        self.entries[at].conns.remove(&id);
         self.tell_core(
             at,
             EntryEvent::Attempt {
@@ -433,20 +439,20 @@
         );
     }
 
-    fn silent(&mut self, at: EntryNo, attempt: Attempt) {
+    fn silent(&mut self, at: EntryNo, id: ConnId) {
         let now = self.now;
-        let Some(conn) = self.entries[at].conns.get(&attempt) else {
+        let Some(conn) = self.entries[at].conns.get(&id) else {
             return;
         };
         let due = conn.heard + conn.dispatch.progress;
         if due > now {
-            return self.soon(at, due - now, EdgeEvent::Silence(attempt));
+            return self.soon(at, due - now, EdgeEvent::Silence(id));
         }
         let report = AttemptReport::Stalled {
             events: conn.events,
         };
-        let request = conn.dispatch.request;
-        self.entries[at].conns.remove(&attempt);
+        let (request, attempt) = id;
+        self.entries[at].conns.remove(&id);
         self.tell_core(
             at,
             EntryEvent::Attempt {
--- a/sesamebeam_core/tests/proofs/world/server.rs
+++ b/sesamebeam_core/tests/proofs/world/server.rs
@@ -12,7 +12,6 @@
 use rand::RngExt;
 use sesamebeam_core::{
     entry::event::{
-        Attempt,
         AttemptReport,
         Dispatch,
         EntryEvent,
@@ -44,6 +43,7 @@
     ServerNo,
     World, //
     edge::{
+        ConnId,
         EdgeEvent,
         Heard, //
     },
@@ -57,7 +57,7 @@
 const ANNOUNCE: Duration = Duration::from_secs(1);
 
 /// Connection of an attempt at an entry.
-pub(crate) type From = (EntryNo, Life, Attempt);
+pub(crate) type From = (EntryNo, Life, ConnId);
 
 /// Something that happens to a backend server.
 #[derive(Clone, Debug)]
@@ -257,14 +257,14 @@
 
     /// Passes something on over a connection, in order, or never again.
     fn pass(&mut self, at: ServerNo, reader: &mut Reader, heard: Heard) {
-        let (entry, life, attempt) = reader.from;
+        let (entry, life, id) = reader.from;
         let (from, to) = (self.servers[at].domain, self.entries[entry].domain);
         let Some(after) = self.travel(from, to).filter(|_| !reader.silent) else {
             reader.silent = true;
             return;
         };
         reader.last = reader.last.max(self.now + after) + Duration::from_micros(1);
-        let event = Event::Edge(entry, life, EdgeEvent::Heard(attempt, heard));
+        let event = Event::Edge(entry, life, EdgeEvent::Heard(id, heard));
         self.later(reader.last - self.now, event);
     }
 
