Show leaving, silent and withdrawn fail without their safeguards

Before: the switches no_last_check and ignore_leaving were not wired. Ruled out: schedules as the only proof; they say that all holds, not why.

--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -178,6 +178,8 @@
     pub pin_when_cut: bool,
     /// Reruns a broken non-idempotent request elsewhere.
     pub rerun_once: bool,
+    /// Sends new work to backend servers that are leaving.
+    pub ignore_leaving: bool,
 }
 
 impl EntryConfig {
--- a/sesamebeam_core/src/entry/choose.rs
+++ b/sesamebeam_core/src/entry/choose.rs
@@ -198,7 +198,7 @@
         if self.fingerprint_blocked(self.requests[&id].arrival.digest) {
             return self.give_up(now, id, Reason::Quarantined, None);
         }
-        if !self.step_allowed(now, id) {
+        if !self.step_allowed(now, id) && !self.cfg.faults.no_last_check {
             self.release_slot(now, id);
             return self.plan(now, id);
         }
--- a/sesamebeam_core/src/entry/members.rs
+++ b/sesamebeam_core/src/entry/members.rs
@@ -45,6 +45,9 @@
 impl EntryCore {
     /// Takes an announcement; `own` if the backend server came here with it.
     pub(super) fn announced(&mut self, now: MonoTime, announcement: &Announcement, own: bool) {
+        if announcement.leaving && self.cfg.faults.ignore_leaving {
+            return;
+        }
         let announced = self.servers.announce(now, announcement);
         let life = ServerLife {
             addr: announcement.addr,
