Ask the sender for unknown backend servers

Cause: an entry that hears of unknown backend servers asked its own failure domain. After a cut that was longer than their lease nobody there knows those of another domain, so it never learnt them again and could not turn to them when its own pool ran out. Ruled out: the announcements (they came), the spread of changes (a refresh is none). Before: rejoined_domain::servers_known failed, 2 of 6 backend servers known 8 s after the cut. After: 6 of 6 at each of the four entries.

--- a/sesamebeam_core/src/entry/members.rs
+++ b/sesamebeam_core/src/entry/members.rs
@@ -140,7 +140,7 @@
                     self.announced(now, announcement, false);
                 }
             }
-            PeerMessage::Alive(list) => self.heard_alive(now, &list),
+            PeerMessage::Alive(list) => self.heard_alive(now, from, &list),
             PeerMessage::WantServers => {
                 let list: Vec<Announcement> = self.servers.all().cloned().collect();
                 self.tell(Audience::One(from), PeerMessage::Servers(list));
@@ -268,7 +268,11 @@
         running.chain(lost).collect()
     }
 
-    fn heard_alive(&mut self, now: MonoTime, list: &[Alive]) {
+    /// Takes signs of life, and asks their sender for what is not known here.
+    ///
+    /// After a cut nobody in the own failure domain knows the backend servers of
+    /// another one; only entries there can tell.
+    fn heard_alive(&mut self, now: MonoTime, from: InstanceId, list: &[Alive]) {
         let mut unknown = false;
         for alive in list {
             match self.servers.get(alive.addr) {
@@ -280,7 +284,7 @@
         }
         if unknown && now >= self.next_want {
             self.next_want = now + self.cfg.alive_every;
-            self.tell(Audience::Domain, PeerMessage::WantServers);
+            self.tell(Audience::One(from), PeerMessage::WantServers);
         }
     }
 
--- a/sesamebeam_core/tests/proofs/main.rs
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -8,6 +8,7 @@
 mod leaving_server;
 mod not_run_true;
 mod planned_stop;
+mod rejoined_domain;
 mod schedules;
 mod session_keeps;
 mod silent_connection;
