Keep two whole sessions as golden files

The lock slot shows that entries lose their lease while they wait for a leader that is cut off; docs/PROOFS.md says so under Not proved.

--- a/sesamebeam_core/tests/proofs/main.rs
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -3,6 +3,7 @@
 
 mod at_most_once;
 mod frozen_entry;
+mod golden;
 mod impatient_resend;
 mod killer_request;
 mod leaving_server;
