Serve requests on two threads by default, with a setting for more

Cause: the entry took a thread for each of the machine's cores. At an entry's load nearly every event finds all of them asleep and wakes another one.

Ruled out: one thread, although it costs least, since a body of megabytes that is being parsed would hold every other stream up.

`limits.workers` says otherwise where an entry has a large instance to itself.

--- a/sesamebeam/src/daemon.rs
+++ b/sesamebeam/src/daemon.rs
@@ -186,7 +186,11 @@
         return Ok(());
     }
     let _logger = crate::logging::start(&settings.log)?;
-    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    let mut builder = Builder::new_multi_thread();
+    if settings.limits.workers > 0 {
+        builder.worker_threads(settings.limits.workers);
+    }
+    let runtime = builder.enable_all().build()?;
     runtime.block_on(async {
         let stop = CancellationToken::new();
         cancel_on_signal(stop.clone())?;
--- a/sesamebeam/src/settings/entry.rs
+++ b/sesamebeam/src/settings/entry.rs
@@ -119,6 +119,11 @@
     pub answer_bytes: usize,
     /// Decisions kept for `explain`.
     pub explained: usize,
+    /// Threads that serve requests; 0 takes one for each core.
+    ///
+    /// With more threads than the load needs, nearly every event wakes another
+    /// sleeping thread, which costs more than the event itself.
+    pub workers: usize,
 }
 
 impl Default for EntryLimits {
@@ -135,6 +140,7 @@
             announcement_bytes: 256 << 10,
             answer_bytes: 64 << 10,
             explained: 4096,
+            workers: 2,
         }
     }
 }
--- a/sesamebeam_bench/src/load.rs
+++ b/sesamebeam_bench/src/load.rs
@@ -39,8 +39,8 @@
 sesamebeam-bench load - measures entries under load
 
 SYNOPSIS
-    sesamebeam-bench load [--only PART,...] [--seconds N] [--data DIR]
-                          [--slopes FILE]
+    sesamebeam-bench load [--only PART,...] [--seconds N] [--workers N]
+                          [--data DIR] [--slopes FILE]
 
 DESCRIPTION
     Starts three control replicas and entries as processes on loopback, with
@@ -56,6 +56,8 @@
                         announce  announcements of backend servers
                         overload  goodput and refusals above capacity
     --seconds N       Seconds that each load is measured. Default 4.
+    --workers N       Threads that serve requests in an entry; 0 takes one for
+                      each core. Default: that of the settings.
     --data DIR        Folder for data, on the disk to be measured.
     --slopes FILE     Stores the slopes in this file.
     -h, --help        Prints this page.
@@ -102,6 +104,7 @@
 struct Options {
     only: Vec<String>,
     length: Duration,
+    workers: Option<usize>,
     data: PathBuf,
     slopes: Option<PathBuf>,
 }
@@ -140,10 +143,12 @@
         return Err(LoadError::Part(part.clone()));
     }
     let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
+    let workers: Option<usize> = args.opt_value_from_str("--workers")?;
     let data: Option<PathBuf> = args.opt_value_from_str("--data")?;
     let options = Options {
         only,
         length: Duration::from_secs_f64(seconds.unwrap_or(4.0).clamp(1.0, 600.0)),
+        workers,
         data: data.unwrap_or_else(std::env::temp_dir),
         slopes: args.opt_value_from_str("--slopes")?,
     };
@@ -159,6 +164,7 @@
         entries: 1,
         runners: 3,
         slots: 1024,
+        workers: options.workers,
     };
     if PARTS[..SHARED].iter().any(|part| options.wants(part)) {
         let mut bed = bed::Bed::start(wide, &options.data).await?;
@@ -199,6 +205,9 @@
         command.push_str(&options.only.join(","));
     }
     command.push_str(&format!(" --seconds {}", options.length.as_secs()));
+    if let Some(workers) = options.workers {
+        command.push_str(&format!(" --workers {workers}"));
+    }
     command
 }
 
--- a/sesamebeam_bench/src/load/announce.rs
+++ b/sesamebeam_bench/src/load/announce.rs
@@ -76,6 +76,7 @@
         entries: 1,
         runners: 1,
         slots: 32,
+        workers: None,
     };
     let bed = Bed::start(plan, data).await?;
     let versions: Vec<SmolStr> = bed.runners[0].versions();
--- a/sesamebeam_bench/src/load/bed.rs
+++ b/sesamebeam_bench/src/load/bed.rs
@@ -100,6 +100,8 @@
     pub runners: usize,
     /// Requests that one runner runs side by side.
     pub slots: usize,
+    /// Threads that serve requests in an entry; none takes the default.
+    pub workers: Option<usize>,
 }
 
 /// Daemons under test, with the fakes in this process.
@@ -128,6 +130,9 @@
     pub async fn start(plan: BedPlan, data: &Path) -> Result<Self, BedError> {
         let mut local = LocalPlan::small(&DOMAINS);
         local.entries = plan.entries;
+        if let Some(workers) = plan.workers {
+            local.limits.workers = workers;
+        }
         let mut daemons = Daemons::make(&local, data)?;
         let (traffic, cancel) = (Arc::new(Traffic::default()), CancellationToken::new());
         for replica in &mut daemons.settings.entries[0].control {
--- a/sesamebeam_bench/src/load/overload.rs
+++ b/sesamebeam_bench/src/load/overload.rs
@@ -50,6 +50,7 @@
         entries: 1,
         runners: RUNNERS,
         slots: SLOTS,
+        workers: None,
     };
     let bed = Bed::start(plan, data).await?;
     bed.pace(PACE);
