--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -244,7 +244,6 @@
     /// Backend servers that announced themselves here since the last report.
     unreported: IndexSet<ServerAddr>,
     next_ask: AskId,
-    next_attempt: Attempt,
     next_renew: MonoTime,
     next_ask_peers: MonoTime,
     next_alive: MonoTime,
@@ -290,7 +289,6 @@
             alive: IndexMap::new(),
             unreported: IndexSet::new(),
             next_ask: 0,
-            next_attempt: 0,
             next_renew: MonoTime::ZERO,
             next_ask_peers: MonoTime::ZERO,
             next_alive: MonoTime::ZERO,
--- a/sesamebeam_core/src/entry/claims.rs
+++ b/sesamebeam_core/src/entry/claims.rs
@@ -398,8 +398,8 @@
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
-        self.next_attempt += 1;
-        let attempt = self.next_attempt;
+        req.sent += 1;
+        let attempt = req.sent;
         let hold = req.holds();
         let send_by = match (&kind, &req.claim) {
             (DispatchKind::Run, Some(claim)) => claim.send_by,
--- a/sesamebeam_core/src/entry/event.rs
+++ b/sesamebeam_core/src/entry/event.rs
@@ -45,7 +45,7 @@
     },
 };
 
-/// Number of one attempt, unique within the life of an entry, from 1.
+/// Number of one attempt at a request, from 1.
 pub type Attempt = u32;
 
 /// Number of one question to the control group.
--- a/sesamebeam_core/src/entry/request.rs
+++ b/sesamebeam_core/src/entry/request.rs
@@ -68,6 +68,8 @@
     pub(super) avoid: Vec<ServerLife>,
     /// Attempts made.
     pub(super) attempts: Attempt,
+    /// Number of the last thing sent, resumes among them.
+    pub(super) sent: Attempt,
     /// Attempts under way.
     pub(super) running: Vec<Running>,
     /// Claim that this entry holds.
@@ -176,6 +178,7 @@
             pool: PoolId::default(),
             avoid: Vec::new(),
             attempts: 0,
+            sent: 0,
             running: Vec::new(),
             claim: None,
             replaces: 0,
