Give the lease back at the end of a planned stop, not at its start

Cause: the lease was given back when the stop began, while requests waited in the queue. The control group no longer counted the entry, told a withdrawal to be in force, and an entry that was cut off at that moment started queued work on the withdrawn version under the lease it still held. Read in the code first. Ruled out: entries that are not cut off (they hear it by the waiting renewal, planned_stop::withdrawal_heard). Before: planned_stop::cut_while_draining failed, two runs after the withdrawal was in force. Conclusion: the lease is given back when nothing is left, and the answer to that, or its timeout, ends the stop.

--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -256,6 +256,8 @@
     lease_was_held: bool,
     pump_wanted: bool,
     stopping: bool,
+    /// Whether the lease was given back, after the last request ended.
+    leaving: bool,
     drained: bool,
     /// Wall-clock time of the present event, for records.
     unix: UnixMillis,
@@ -301,6 +303,7 @@
             lease_was_held: false,
             pump_wanted: false,
             stopping: false,
+            leaving: false,
             drained: false,
             unix: 0,
             out: Vec::new(),
@@ -434,7 +437,6 @@
             },
         );
         self.report_evidence(now);
-        self.leave_lease(now);
         self.check_drained();
     }
 
--- a/sesamebeam_core/src/entry/ask.rs
+++ b/sesamebeam_core/src/entry/ask.rs
@@ -53,6 +53,8 @@
     End(u64),
     /// A claim whose answer was lost, in `lost`, asked for once more.
     Lost(u64),
+    /// The lease given back at the end of a stop.
+    Leave,
     /// Something that needs no answer.
     Report,
 }
@@ -130,6 +132,10 @@
             (AskFor::Pin(id), _) => self.pinned(now, id, None),
             (AskFor::End(n), reply) => self.end_answered(now, n, reply),
             (AskFor::Lost(n), reply) => self.lost_answered(now, n, reply),
+            (AskFor::Leave, _) => {
+                self.drained = true;
+                self.out.push(EntryAction::Drained);
+            }
             (AskFor::Report, _) => {}
         }
     }
--- a/sesamebeam_core/src/entry/finish.rs
+++ b/sesamebeam_core/src/entry/finish.rs
@@ -239,11 +239,12 @@
         self.check_drained();
     }
 
-    /// Tells once that nothing is left after a stop began.
+    /// Gives the lease back, once, when nothing is left after a stop began; the
+    /// answer to that, or its absence, ends the stop.
     pub(super) fn check_drained(&mut self) {
-        if self.stopping && !self.drained && self.requests.is_empty() && self.pending.is_empty() {
-            self.drained = true;
-            self.out.push(EntryAction::Drained);
+        if self.stopping && !self.leaving && self.requests.is_empty() && self.pending.is_empty() {
+            self.leaving = true;
+            self.leave_lease();
         }
     }
 
--- a/sesamebeam_core/src/entry/lease.rs
+++ b/sesamebeam_core/src/entry/lease.rs
@@ -26,7 +26,7 @@
     /// Renews the lease when it is time, and asks other entries for their
     /// configuration while the control group cannot be reached.
     pub(super) fn tick_lease(&mut self, now: MonoTime) {
-        if !self.renewing && now >= self.next_renew {
+        if !self.renewing && !self.leaving && now >= self.next_renew {
             self.renew(now);
         }
         let held = self.view.lease_held(now);
@@ -59,7 +59,7 @@
             self.take_update(now, update);
         }
         self.next_renew = now;
-        if !self.stopping {
+        if !self.leaving {
             self.renew(now);
         }
     }
@@ -79,12 +79,16 @@
         self.pump_wanted = true;
     }
 
-    /// Gives the lease back at a planned stop, so that nobody waits for it.
-    pub(super) fn leave_lease(&mut self, now: MonoTime) {
+    /// Gives the lease back at the end of a planned stop, so that nobody waits
+    /// for it.
+    ///
+    /// Given back while requests wait, a withdrawal would be told to be in force
+    /// that this entry has not heard of, and it would start them on the version.
+    pub(super) fn leave_lease(&mut self) {
         let mut renew = self.renew_request();
         renew.leaving = true;
         self.ask(
-            AskFor::Renew(now),
+            AskFor::Leave,
             ControlRequest::Renew(renew),
             self.cfg.claim_timeout,
         );
--- a/sesamebeam_core/tests/proofs/planned_stop.rs
+++ b/sesamebeam_core/tests/proofs/planned_stop.rs
@@ -63,3 +63,30 @@
         world.books.broken()
     );
 }
+
+/// The entry is cut off right after its stop began, with work in its queue. It
+/// holds its lease for a while yet, so the withdrawal is not in force before.
+#[test]
+fn cut_while_draining() {
+    let mut world = World::plain(4);
+    assert_ne!(
+        world.leader(),
+        Some(2),
+        "the leader shares the entry's domain"
+    );
+    for n in 0..40 {
+        world.call(1, Spec::new("huallaga", "question", 50 + n));
+    }
+    world.run(Duration::from_millis(20));
+    world.fault(Fault::Stop(1));
+    world.run(Duration::from_millis(20));
+    world.fault(Fault::Cut(1));
+    world.apply(1, files::withdraw(files::fleet(), "v1"));
+    world.run(Duration::from_secs(12));
+    assert!(world.books.in_force.contains_key(&2));
+    assert!(
+        world.books.broken().is_empty(),
+        "{:?}",
+        world.books.broken()
+    );
+}
