Draw other schedules by a second seed

A longer run of the same seed repeats the first schedules of the usual one; with SESAMEBEAM_SEED a run covers others.

--- a/sesamebeam_core/tests/proofs/schedules.rs
+++ b/sesamebeam_core/tests/proofs/schedules.rs
@@ -1,6 +1,6 @@
 //! Whole schedules of calls and faults, drawn at random with a fixed seed.
 //!
-//! `SESAMEBEAM_SCHEDULES=n` runs more of them.
+//! `SESAMEBEAM_SCHEDULES=n` runs more of them, `SESAMEBEAM_SEED=n` others.
 
 use std::{
     env, //
@@ -222,7 +222,7 @@
 fn promises_hold() {
     let cfg = ProptestConfig {
         cases: number("SESAMEBEAM_SCHEDULES", SCHEDULES),
-        rng_seed: RngSeed::Fixed(SEED),
+        rng_seed: RngSeed::Fixed(SEED + u64::from(number("SESAMEBEAM_SEED", 0))),
         failure_persistence: None,
         // A failing schedule is given by its seed and steps; shrunk on request.
         max_shrink_iters: number("SESAMEBEAM_SHRINK", 0),
