Take no lease with a configuration that the answer's difference does not fit

Cause: an entry that starts asks for its lease with revision 0, takes revision 1 from a neighbour meanwhile, and gets the lease with a difference from 0, which does not apply: it then held a lease with a configuration older than the one in force, and ran a withdrawn version for up to a lease. Ruled out: hedges, late polls, leases by life. Also: a renewal waits for half of the lease at most, so that a leader that is cut off silently no longer costs entries their lease while another leads.

--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -252,6 +252,8 @@
     next_servers: MonoTime,
     rater_silent_until: MonoTime,
     renewing: bool,
+    /// Length of the lease that was granted last.
+    last_lease: Option<Duration>,
     rater_distrusted: bool,
     lease_was_held: bool,
     pump_wanted: bool,
@@ -299,6 +301,7 @@
             next_servers: MonoTime::ZERO,
             rater_silent_until: MonoTime::ZERO,
             renewing: false,
+            last_lease: None,
             rater_distrusted: false,
             lease_was_held: false,
             pump_wanted: false,
--- a/sesamebeam_core/src/entry/lease.rs
+++ b/sesamebeam_core/src/entry/lease.rs
@@ -1,5 +1,7 @@
 //! The configuration lease: renewals, updates, what a cut-off entry does.
 
+use std::time::Duration;
+
 use super::{
     EntryCore,
     ask::AskFor,
@@ -52,12 +54,20 @@
             self.next_renew = now + self.cfg.renew_pause;
             return;
         };
-        // The lease counts from before the question: the control group counts
-        // it from after, so it never ends here later than there.
-        self.view.renew(asked + renewed.lease);
+        let newest = renewed.update.as_ref().map_or(0, |update| update.revision);
         if let Some(update) = renewed.update {
             self.take_update(now, update);
         }
+        // While it asked, this entry may have taken a configuration from a
+        // neighbour that the answer's difference does not apply to. A lease with
+        // that older one would let a withdrawn version run where the withdrawal
+        // is in force: the next renewal, at once, names what is here now.
+        if self.view.revision() >= newest {
+            // The lease counts from before the question: the control group
+            // counts it from after, so it never ends here later than there.
+            self.view.renew(asked + renewed.lease);
+        }
+        self.last_lease = Some(renewed.lease);
         self.next_renew = now;
         if !self.leaving {
             self.renew(now);
@@ -97,11 +107,21 @@
     fn renew(&mut self, now: MonoTime) {
         self.renewing = true;
         let renew = self.renew_request();
-        self.ask(
-            AskFor::Renew(now),
-            ControlRequest::Renew(renew),
-            self.cfg.renew_timeout,
-        );
+        let timeout = self.renewal_timeout();
+        self.ask(AskFor::Renew(now), ControlRequest::Renew(renew), timeout);
+    }
+
+    /// Longest wait for the answer to a renewal.
+    ///
+    /// A leader answers within a third of the lease. One that is cut off
+    /// silently never does, and waiting for it longer than the lease would cost
+    /// the lease although another replica leads by then; half of the lease
+    /// leaves the other half for asking that one.
+    fn renewal_timeout(&self) -> Duration {
+        match self.last_lease {
+            Some(lease) => self.cfg.renew_timeout.min(lease / 2),
+            None => self.cfg.renew_timeout,
+        }
     }
 
     fn renew_request(&self) -> Renew {
