--- a/sesamebeam_core/src/entry/attempts.rs
+++ b/sesamebeam_core/src/entry/attempts.rs
@@ -16,6 +16,7 @@
         RunOutcome, //
     },
     request::{
+        AttemptEnd,
         Phase,
         Running, //
     },
@@ -82,7 +83,7 @@
     }
 
     fn finished(&mut self, now: MonoTime, id: RequestId, run: Running, finished: Finished) {
-        self.leave_server(now, id, &run, true);
+        self.leave_server(now, id, &run, AttemptEnd::Whole);
         self.drop_others(now, id, run.attempt);
         let Some(req) = self.requests.get_mut(&id) else {
             return;
@@ -126,7 +127,7 @@
 
     /// Nothing was sent: the backend server is suspect, the request is safe.
     fn connect_failed(&mut self, now: MonoTime, id: RequestId, run: Running, refused: bool) {
-        self.leave_server(now, id, &run, false);
+        self.leave_server(now, id, &run, AttemptEnd::Lost);
         self.server_unreachable(now, &run.server, refused);
         let Some(req) = self.requests.get_mut(&id) else {
             return;
@@ -148,7 +149,7 @@
     /// before: taken for unsent, its claim would be abandoned and the request
     /// run a second time.
     fn late(&mut self, now: MonoTime, id: RequestId, run: Running) {
-        self.leave_server(now, id, &run, true);
+        self.leave_server(now, id, &run, AttemptEnd::Alive);
         let Some(req) = self.requests.get(&id) else {
             return;
         };
@@ -164,7 +165,7 @@
 
     /// The backend server refused, so it proved that it did not run it.
     fn refused_there(&mut self, now: MonoTime, id: RequestId, run: Running, why: ServerRefusal) {
-        self.leave_server(now, id, &run, true);
+        self.leave_server(now, id, &run, AttemptEnd::Alive);
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
@@ -209,7 +210,7 @@
     /// events that arrived. Only if that fails too is the backend server at
     /// fault.
     fn broken(&mut self, now: MonoTime, id: RequestId, run: Running, events: u64, silent: bool) {
-        self.leave_server(now, id, &run, false);
+        self.leave_server(now, id, &run, AttemptEnd::Lost);
         if silent {
             self.out.push(EntryAction::Retire {
                 server: run.server.addr,
@@ -288,7 +289,7 @@
 
     /// A resume reached the backend server, which does not have the stream.
     fn not_there(&mut self, now: MonoTime, id: RequestId, run: Running, known: ServerKnows) {
-        self.leave_server(now, id, &run, true);
+        self.leave_server(now, id, &run, AttemptEnd::Alive);
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
@@ -470,7 +471,7 @@
             .collect();
         req.running.retain(|run| run.attempt == keep);
         for run in others {
-            self.leave_server(now, id, &run, true);
+            self.leave_server(now, id, &run, AttemptEnd::Alive);
             // A stream that another claim started is only read here.
             let cancel = matches!(run.kind, DispatchKind::Run | DispatchKind::Hedge);
             self.out.push(EntryAction::Drop {
--- a/sesamebeam_core/src/entry/choose.rs
+++ b/sesamebeam_core/src/entry/choose.rs
@@ -3,6 +3,7 @@
 use super::{
     EntryCore,
     event::{
+        DispatchKind,
         EntryAction,
         Wanted, //
     },
@@ -12,6 +13,7 @@
         RunOutcome, //
     },
     request::{
+        AttemptEnd,
         Phase,
         Running, //
     },
@@ -164,6 +166,13 @@
         let Some(req) = self.requests.get(&id) else {
             return;
         };
+        if let Wanted::Service(pool) = &req.arrival.wanted
+            && !self.balance.serves(Route::Service(pool))
+        {
+            // Nothing would come of waiting: the caller is told at once.
+            let after = Some(self.cfg.retry_after);
+            return self.give_up(now, id, Reason::NoServer, after);
+        }
         let ticket = Ticket {
             request: id,
             org: req.arrival.org.clone(),
@@ -216,14 +225,7 @@
         req.phase = Phase::Running;
         let at = req.next_id();
         let version = req.version().cloned();
-        self.dispatch_as(
-            now,
-            id,
-            server,
-            at,
-            version,
-            super::event::DispatchKind::Run,
-        );
+        self.dispatch_as(now, id, server, at, version, DispatchKind::Run);
     }
 
     /// Whether a claimed request may still go to its backend server.
@@ -231,7 +233,7 @@
         self.step_allowed(now, id) && self.balance.takes_work(target.addr, target.incarnation)
     }
 
-    fn step_allowed(&self, now: MonoTime, id: RequestId) -> bool {
+    pub(super) fn step_allowed(&self, now: MonoTime, id: RequestId) -> bool {
         let Some(req) = self.requests.get(&id) else {
             return false;
         };
@@ -280,12 +282,11 @@
     }
 
     /// Counts an attempt on its backend server.
-    pub(super) fn enter_server(&mut self, id: RequestId, server: ServerLife) {
+    pub(super) fn enter_server(&mut self, id: RequestId, server: ServerLife, alone: bool) {
         let Some(req) = self.requests.get(&id) else {
             return;
         };
         let digest = req.arrival.digest;
-        let alone = self.suspects.standing(digest) == Standing::Suspect;
         let prefix = (req.arrival.prefix != 0).then_some(req.arrival.prefix);
         self.balance.started(server.addr, prefix, alone);
         self.suspects.started(digest, server);
@@ -297,21 +298,28 @@
         now: MonoTime,
         id: RequestId,
         run: &Running,
-        alive: bool,
+        end: AttemptEnd,
     ) {
         let Some(req) = self.requests.get(&id) else {
             return;
         };
         let digest = req.arrival.digest;
-        let alone = self.suspects.standing(digest) == Standing::Suspect;
-        self.balance.finished(run.server.addr, alone, None);
-        if alive {
-            self.suspects.finished(digest, run.server, false);
-            self.balance.answered(run.server.addr);
-            self.servers.heard(now, run.server.addr);
-        } else {
-            self.lost.push_back((now, run.server, digest));
-            super::keep_newest(&mut self.lost, super::MAX_LOST);
+        // Only a run from its start tells how long one takes.
+        let whole = end == AttemptEnd::Whole && run.kind == DispatchKind::Run;
+        let took = whole.then(|| now.saturating_sub(run.since));
+        // As it was when it started: a suspect that was cleared meanwhile would
+        // else leave its backend server marked as kept for it.
+        self.balance.finished(run.server.addr, run.alone, took);
+        match end {
+            AttemptEnd::Whole | AttemptEnd::Alive => {
+                self.suspects.finished(digest, run.server, false);
+                self.balance.answered(run.server.addr);
+                self.servers.heard(now, run.server.addr);
+            }
+            AttemptEnd::Lost => {
+                self.lost.push_back((now, run.server, digest));
+                super::keep_newest(&mut self.lost, super::MAX_LOST);
+            }
         }
     }
 
--- a/sesamebeam_core/src/entry/claims.rs
+++ b/sesamebeam_core/src/entry/claims.rs
@@ -40,6 +40,7 @@
             Usage, //
         }, //
     },
+    policy::suspects::Standing,
 };
 
 impl EntryCore {
@@ -401,6 +402,7 @@
         req.sent += 1;
         let attempt = req.sent;
         let hold = req.holds();
+        let alone = self.suspects.standing(req.arrival.digest) == Standing::Suspect;
         let send_by = match (&kind, &req.claim) {
             (DispatchKind::Run, Some(claim)) => claim.send_by,
             _ => now + self.cfg.dispatch_window,
@@ -413,6 +415,7 @@
             kind,
             since: now,
             held: hold,
+            alone,
             first: false,
         });
         let mut headers = req.headers();
@@ -433,7 +436,7 @@
             headers,
         };
         self.explain.dispatched(&dispatch);
-        self.enter_server(id, server);
+        self.enter_server(id, server, alone);
         self.out.push(EntryAction::Dispatch(dispatch));
     }
 
--- a/sesamebeam_core/src/entry/request.rs
+++ b/sesamebeam_core/src/entry/request.rs
@@ -140,6 +140,17 @@
     pub(super) send_by: MonoTime,
 }
 
+/// How an attempt ended, as far as its backend server is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AttemptEnd {
+    /// The whole answer arrived.
+    Whole,
+    /// It was dropped or refused; the backend server lives.
+    Alive,
+    /// The connection broke or went silent: the backend server may be dead.
+    Lost,
+}
+
 /// One attempt under way.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Running {
@@ -157,6 +168,8 @@
     pub(super) since: MonoTime,
     /// Whether its answer is held back.
     pub(super) held: bool,
+    /// Whether the backend server is kept for it, as for a suspect.
+    pub(super) alone: bool,
     /// Whether the first event arrived.
     pub(super) first: bool,
 }
