--- a/sesamebeam_bench/src/capacity/model.rs
+++ b/sesamebeam_bench/src/capacity/model.rs
@@ -24,9 +24,9 @@
 /// Seconds between two batches of refreshes of an entry, as built.
 const ALIVE_EVERY: f64 = 0.5;
 
-/// Seconds between two batches of refreshes after the change: a third of the
-/// lease of a backend server.
-const ALIVE_SLOW: f64 = 1.67;
+/// Seconds between two batches of refreshes after the change: half of the lease
+/// of a backend server.
+const ALIVE_SLOW: f64 = 2.5;
 
 /// Other entries that an entry keeps a link to after the change.
 const NEIGHBOURS: f64 = 8.0;
@@ -48,7 +48,10 @@
 const CLAIMS_KEPT: f64 = 86_400.0;
 
 /// Seconds for which claims are kept in memory after the change.
-const CLAIMS_HOT: f64 = 600.0;
+const CLAIMS_HOT: f64 = 300.0;
+
+/// Claims that a group keeps at most, as built; a further one is denied.
+const MAX_CLAIMS: f64 = 20_000.0;
 
 /// Bytes of a kept answer: its text, at the size in two years 272 tokens.
 const ANSWER: f64 = 2_000.0;
@@ -260,7 +263,7 @@
             "refreshes told by others",
             Quantity::Rate(told),
         )
-        .from("runners x 2 / 1 s; after: near runners / 1.67 s")
+        .from("runners x 2 / 1 s; after: near runners / 2.5 s")
         .change(
             "refreshes only inside a failure domain, each runner once",
             told_near,
@@ -320,7 +323,7 @@
         .limit(TRAFFIC)
         .by("announcements to 2 entries; leases of 5 s")
         .change(
-            "a refresh without versions and load when nothing changed, every 1.67 s",
+            "a refresh without versions and load when nothing changed, every 2.5 s",
             taken * ANNOUNCE_EVERY / ALIVE_SLOW * HTTP,
         ),
     ])
@@ -389,6 +392,18 @@
     Ok(vec![
         Row::new("control, claims", "claims of a group", Quantity::Rate(each))
             .from("requests x share with a key / regions"),
+        Row::new(
+            "control, claims",
+            "claims of a day",
+            Quantity::Count(each * CLAIMS_KEPT),
+        )
+        .from("claims x 24 h; a group keeps 20,000 and denies further ones")
+        .limit(Limit::Aim(MAX_CLAIMS))
+        .by("bounded records")
+        .change(
+            "a bound that follows the memory, ended claims older than 5 min on disk: then in memory",
+            each * CLAIMS_HOT,
+        ),
         Row::new(
             "control, claims",
             "processor of a leader",
@@ -406,7 +421,7 @@
         .limit(Limit::Aim(CONTROL_MEMORY))
         .by("retention and a cap on kept answers")
         .change(
-            "ended claims older than 10 min on disk, found by an index file",
+            "ended claims older than 5 min on disk, found by an index file",
             kept(CLAIMS_HOT),
         ),
         Row::new(
