--- a/sesamebeam/src/entry/callers.rs
+++ b/sesamebeam/src/entry/callers.rs
@@ -381,11 +381,10 @@
         streamed: bool,
     ) -> Response<AnswerBody> {
         let body = answer.body.unwrap_or_default();
-        let is_stream = answer.content_type == EVENT_STREAM;
-        let (content_type, body) = if is_stream && !streamed {
-            ("application/json", sse::unstreamed(&body))
+        let (content_type, body) = if streamed {
+            (&EVENT_STREAM, sse::streamed(&body))
         } else {
-            (answer.content_type.as_str(), body)
+            (&answer.content_type, body)
         };
         let builder = self
             .head(headers, request, answer.status, content_type)
--- a/sesamebeam/src/entry/driver.rs
+++ b/sesamebeam/src/entry/driver.rs
@@ -48,7 +48,7 @@
         sleep, //
     }, //
 };
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_128;
 
 use super::{
     hub::{
@@ -73,6 +73,12 @@
 /// Content type of a streamed answer.
 pub(crate) const EVENT_STREAM: SmolStr = SmolStr::new_static("text/event-stream");
 
+/// Most bytes of one answer that are held as they come.
+const MAX_RAW: usize = 4 << 20;
+
+/// Content type of an answer that is kept.
+const JSON: SmolStr = SmolStr::new_static("application/json");
+
 /// What a driver needs from the process.
 #[derive(Clone)]
 pub(crate) struct Tools {
@@ -130,13 +136,12 @@
     over: bool,
 }
 
-/// Digest and, up to a cap, bytes of an answer.
+/// Bytes of an answer as it came, if they are wanted and not too many.
 struct Kept {
     wanted: bool,
+    /// Largest answer that goes into the record of a claim, in bytes.
     cap: usize,
     body: Option<Vec<u8>>,
-    hash: Box<Xxh3>,
-    length: u64,
 }
 
 impl Driver {
@@ -480,8 +485,6 @@
             wanted: false,
             cap,
             body: Some(Vec::new()),
-            hash: Box::new(Xxh3::new()),
-            length: 0,
         }
     }
 
@@ -489,21 +492,29 @@
         if !self.wanted {
             return;
         }
-        self.hash.update(piece);
-        self.length += piece.len() as u64;
         match &mut self.body {
-            Some(body) if body.len() + piece.len() <= self.cap => body.extend_from_slice(piece),
+            Some(body) if body.len() + piece.len() <= MAX_RAW => body.extend_from_slice(piece),
             body => *body = None,
         }
     }
 
+    /// What the record of a claim keeps of the answer.
+    ///
+    /// A stream is kept as its text: 272 tokens are some 54 KB of events, which
+    /// no record takes, and a kilobyte or two of text, so that a resend gets its
+    /// answer long after the backend server forgot the stream.
     fn completed(&self, status: u16, content_type: SmolStr) -> Completed {
+        let raw = self.body.as_deref().filter(|_| self.wanted);
+        let (content_type, body) = match raw {
+            Some(events) if content_type == EVENT_STREAM => (JSON, Some(sse::unstreamed(events))),
+            other => (content_type, other.map(<[u8]>::to_vec)),
+        };
         Completed {
             status,
             content_type,
-            digest: self.hash.digest128(),
-            length: self.length,
-            body: self.body.clone().filter(|_| self.wanted),
+            digest: body.as_deref().map_or(0, xxh3_128),
+            length: body.as_deref().map_or(0, |body| body.len() as u64),
+            body: body.filter(|body| body.len() <= self.cap),
         }
     }
 }
--- a/sesamebeam/src/http/sse.rs
+++ b/sesamebeam/src/http/sse.rs
@@ -173,6 +173,29 @@
     serde_json::to_vec(&body).unwrap_or_default()
 }
 
+/// Turns a whole answer in the unstreamed form into a stream of one piece.
+pub fn streamed(answer: &[u8]) -> Vec<u8> {
+    let answer: Value = serde_json::from_slice(answer).unwrap_or_default();
+    let choice = &answer["choices"][0];
+    let chunk = |delta: Value, finish_reason: &Value, usage: &Value| {
+        serde_json::json!({
+            "id": answer["id"],
+            "object": "chat.completion.chunk",
+            "model": answer["model"],
+            "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
+            "usage": usage,
+        })
+    };
+    let text = serde_json::json!({"content": choice["message"]["content"]});
+    let first = chunk(text, &Value::Null, &Value::Null);
+    let last = chunk(
+        serde_json::json!({}),
+        &choice["finish_reason"],
+        &answer["usage"],
+    );
+    format!("id: 1\ndata: {first}\n\nid: 2\ndata: {last}\n\nid: 3\ndata: [DONE]\n\n").into_bytes()
+}
+
 fn take_chunk(out: &mut Assembled, chunk: &Value) {
     let choice = &chunk["choices"][0];
     if let Some(text) = choice["delta"]["content"].as_str() {
--- a/sesamebeam_core/src/policy/exposure/evidence.rs
+++ b/sesamebeam_core/src/policy/exposure/evidence.rs
@@ -131,7 +131,13 @@
         self.held.is_some() || worst >= LOOKS_BAD
     }
 
+    /// Tells whether the control group should hear of the version.
+    ///
+    /// Of a settled version only a hold is news: the control group gates steps
+    /// of roll-outs by counts, and 720 entries that told theirs of 27 versions
+    /// every second would be 19,000 log entries a second.
     pub(super) fn has_news(&self) -> bool {
-        self.good > 0 || self.bad > 0 || self.errors > 0 || self.report_hold
+        let counted = self.good > 0 || self.bad > 0 || self.errors > 0;
+        self.report_hold || counted && self.state == VersionState::Rolling
     }
 }
