--- a/sesamebeam_core/src/message/command.rs
+++ b/sesamebeam_core/src/message/command.rs
@@ -100,7 +100,8 @@
     pub crashes: Duration,
     /// Time that a fingerprint stays quarantined.
     pub quarantine: Duration,
-    /// Most claims kept; a further one is denied.
+    /// Most claims kept; a further one takes the place of the oldest that ended
+    /// an hour ago or longer, and is denied if there is none.
     pub max_claims: u32,
     /// Most pins kept; a further one is denied.
     pub max_pins: u32,
@@ -125,7 +126,7 @@
             quarantine: Duration::from_hours(24),
             max_claims: 20_000,
             max_pins: 20_000,
-            max_bills: 40_000,
+            max_bills: 200_000,
             max_verdicts: 12_000,
             body_cap: 16 << 10,
             bodies_cap: 4 << 20,
--- a/sesamebeam_core/src/state/claim.rs
+++ b/sesamebeam_core/src/state/claim.rs
@@ -67,6 +67,12 @@
     open: u32,
 }
 
+/// Shortest time that an ended claim is kept, also when the table is full.
+const LEAST_KEPT: Duration = Duration::from_secs(3600);
+
+/// Oldest claims that are looked at for one that may go.
+const MOST_LOOKED_AT: usize = 64;
+
 /// One claim.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Record {
@@ -241,6 +247,9 @@
         if req.replaces != 0 {
             return Outcome::Denied(Denial::ClaimExpired);
         }
+        if self.records.len() >= cx.retention.max_claims as usize {
+            self.make_room(cx);
+        }
         // Each open claim may still need a billing entry.
         let bills = cx.bills.len() + self.open as usize;
         if self.records.len() >= cx.retention.max_claims as usize
@@ -251,6 +260,30 @@
         self.open(cx, req, 1, None)
     }
 
+    /// Forgets the oldest ended claim, if it ended long enough ago.
+    ///
+    /// A busy day would else fill the table and the next sheet be denied, to
+    /// keep answers that nobody asks for any more. Callers send again within
+    /// minutes; none that does finds its claim gone.
+    fn make_room(&mut self, cx: &Cx<'_>) {
+        let ended = |key: &ClaimKey| {
+            self.records.get(key).is_some_and(|record| {
+                matches!(
+                    record.view.state,
+                    ClaimState::Completed(_) | ClaimState::Abandoned
+                )
+            })
+        };
+        let oldest = self
+            .due
+            .iter()
+            .take(MOST_LOOKED_AT)
+            .find(|(since, key)| *since + LEAST_KEPT <= cx.clock && ended(key));
+        if let Some(key) = oldest.map(|(_, key)| key.clone()) {
+            self.remove(&key);
+        }
+    }
+
     /// Opens the next generation of a claim.
     fn renew(&mut self, cx: &mut Cx<'_>, req: &ClaimRequest) -> Outcome {
         let Some(old) = self.records.get(&req.key) else {
--- a/sesamebeam_core/tests/state/retention.rs
+++ b/sesamebeam_core/tests/state/retention.rs
@@ -128,6 +128,27 @@
     assert_ne!(group.apply(&Command::Claim(named("c"))), denied);
 }
 
+/// The table of claims is full of sheets that ended. The next sheet is denied
+/// while those are young, since their callers may still send again; an hour
+/// later the oldest makes room, though its retention is a day.
+#[test]
+fn room_made() {
+    let mut group = Group::with_fleet();
+    with(&mut group, |retention| retention.max_claims = 2);
+    group.apply(&Command::Claim(named("a")));
+    let mut abandoned = end(1, 1, ClaimEnd::Abandoned);
+    abandoned.key = key("a");
+    group.apply(&Command::Complete(abandoned));
+    group.apply(&Command::Claim(named("b")));
+    let denied = Outcome::Denied(Denial::ClaimsFull);
+    assert_eq!(group.apply(&Command::Claim(named("c"))), denied);
+    group.clock(Duration::from_secs(3601));
+    assert_ne!(group.apply(&Command::Claim(named("c"))), denied);
+    // The open claim and the new one stay, whatever their age.
+    assert_eq!(group.state.claims_kept(), 2);
+    assert_eq!(group.apply(&Command::Claim(named("d"))), denied);
+}
+
 #[test]
 fn clock_never_back() {
     let mut group = Group::new();
