Suspect no request of a crash that it was not there for

Cause: a request whose connections were refused by two backend servers that were down was taken for one that had crashed both, and quarantined fleet-wide: its caller got the final 422 though it never ran. Ruled out: the crash rules themselves; the request was handed to them as on board. Before: innocent_request got 422 at its third try; after: 503 until the backend servers are back, then its answer. Conclusion: only an attempt that had a connection counts as on board.

--- a/sesamebeam/tests/edge/killers.rs
+++ b/sesamebeam/tests/edge/killers.rs
@@ -12,6 +12,35 @@
 /// A prompt that takes every engine down that runs it.
 const KILLER: &str = "divide por cero";
 
+/// Both backend servers are down when a question comes: its connections are
+/// refused, one after the other, so that it never ran on either. It is told that
+/// there is no backend server, not that it crashes them, and is served when they
+/// are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn innocent_request() {
+    let plan = LocalPlan::small(&["lima-ate"]);
+    let serving = Serving::start(FLEET, plan, RunnerConfig::default()).await;
+    for runner in &serving.servers.runners {
+        runner.die().await;
+    }
+    let caller = serving.caller();
+    for _ in 0..3 {
+        let answer = caller.chat("question", "y ahora?", &[]).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    for runner in &serving.servers.runners {
+        runner.restart().await.expect("it comes back");
+    }
+    loop {
+        let answer = caller.chat("question", "y ahora?", &[]).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert_eq!(answer.status, 503, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// One question crashes each backend server that runs it. The caller's first
 /// try may end in an error, the second crash singles the question out, and from
 /// then on its caller gets the final answer at once, whatever its class and key;
--- a/sesamebeam_core/src/entry/attempts.rs
+++ b/sesamebeam_core/src/entry/attempts.rs
@@ -127,7 +127,11 @@
 
     /// Nothing was sent: the backend server is suspect, the request is safe.
     fn connect_failed(&mut self, now: MonoTime, id: RequestId, run: Running, refused: bool) {
-        self.leave_server(now, id, &run, AttemptEnd::Lost);
+        let end = match run.kind {
+            DispatchKind::Run | DispatchKind::Hedge => AttemptEnd::Unsent,
+            DispatchKind::Resume { .. } | DispatchKind::LookUp => AttemptEnd::Lost,
+        };
+        self.leave_server(now, id, &run, end);
         self.server_unreachable(now, &run.server, refused);
         let Some(req) = self.requests.get_mut(&id) else {
             return;
--- a/sesamebeam_core/src/entry/choose.rs
+++ b/sesamebeam_core/src/entry/choose.rs
@@ -316,6 +316,9 @@
                 self.balance.answered(run.server.addr);
                 self.servers.heard(now, run.server.addr);
             }
+            // A request that was never there is not suspected of the death:
+            // two backend servers that are down would quarantine it.
+            AttemptEnd::Unsent => self.suspects.finished(digest, run.server, false),
             AttemptEnd::Lost => {
                 self.lost.push_back((now, run.server, digest));
                 super::keep_newest(&mut self.lost, super::MAX_LOST);
--- a/sesamebeam_core/src/entry/request.rs
+++ b/sesamebeam_core/src/entry/request.rs
@@ -149,6 +149,8 @@
     Alive,
     /// The connection broke or went silent: the backend server may be dead.
     Lost,
+    /// No connection was made, so that it never was on the backend server.
+    Unsent,
 }
 
 /// One attempt under way.
--- a/sesamebeam_core/src/ids.rs
+++ b/sesamebeam_core/src/ids.rs
@@ -42,6 +42,9 @@
 /// Address at which a backend server takes requests.
 pub type ServerAddr = SocketAddr;
 
+/// Address at which one of our own processes listens.
+pub type ProcessAddr = SocketAddr;
+
 /// Number of one request, drawn at random by the entry that admitted it.
 pub type RequestId = u128;
 
--- a/sesamebeam_core/src/message/control.rs
+++ b/sesamebeam_core/src/message/control.rs
@@ -48,6 +48,7 @@
         InstanceId,
         LogIndex,
         NodeId,
+        ProcessAddr,
         Revision,
         Term,
         VersionId, //
@@ -228,7 +229,7 @@
     /// Replica that takes its place, with its own number.
     pub new: NodeId,
     /// Where it listens.
-    pub addr: std::net::SocketAddr,
+    pub addr: ProcessAddr,
     /// Incarnation of its data folder.
     pub incarnation: u128,
 }
@@ -240,7 +241,7 @@
     pub node: NodeId,
     /// Where it listens, if the log knows: a replica that took the place of a
     /// lost one is in nobody's settings yet, and may lead.
-    pub addr: Option<std::net::SocketAddr>,
+    pub addr: Option<ProcessAddr>,
 }
 
 /// A control replica's answer.
