--- a/sesamebeam/tests/real/fleet.rs
+++ b/sesamebeam/tests/real/fleet.rs
@@ -67,7 +67,10 @@
     RunnerConfig, //
 };
 use tempfile::TempDir;
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{
+    CancellationToken,
+    DropGuard, //
+};
 
 use super::caller::Caller;
 
@@ -279,15 +282,30 @@
     }
 }
 
-/// Fakes of the backend servers, once every entry serves with them.
-pub(crate) async fn serving(
-    processes: &Processes,
-    fleet: &Fleet,
-    base: RunnerConfig,
-    cancel: &CancellationToken,
-) -> LocalServers {
+/// A fleet that serves: its processes and the fakes in the test.
+pub(crate) struct Served {
+    pub(crate) processes: Processes,
+    pub(crate) fleet: Fleet,
+    /// Revision in force.
+    pub(crate) base: u64,
+    pub(crate) servers: LocalServers,
+    /// Ends the fakes when it is dropped.
+    pub(crate) cancel: DropGuard,
+}
+
+/// Starts a fleet and its fakes, with this time between two tokens, and waits
+/// until every entry knows every backend server.
+pub(crate) async fn served(plan: &LocalPlan, token_delay: Duration) -> Served {
+    let processes = Processes::start(plan);
+    let fleet = fleet();
+    let base = processes.apply(0, &fleet).await;
+    let cancel = CancellationToken::new();
+    let runner = RunnerConfig {
+        token_delay,
+        ..RunnerConfig::default()
+    };
     let entries = |domain: &str| processes.announce_addrs(domain);
-    let servers = LocalServers::start(fleet, |_| 3, entries, &base, cancel)
+    let servers = LocalServers::start(&fleet, |_| 3, entries, &runner, &cancel)
         .await
         .expect("fakes");
     let wanted = servers.runners.len() + servers.services.len();
@@ -300,7 +318,13 @@
         })
         .await;
     }
-    servers
+    Served {
+        processes,
+        fleet,
+        base,
+        servers,
+        cancel: cancel.drop_guard(),
+    }
 }
 
 /// How often the engines started a prompt.
--- a/sesamebeam/tests/real/freezes.rs
+++ b/sesamebeam/tests/real/freezes.rs
@@ -6,18 +6,13 @@
 use rustix::process::Signal;
 use sesamebeam::local::LocalPlan;
 use sesamebeam_core::fleet::VersionState;
-use sesamebeam_fakes::{
-    RunnerConfig,
-    expected_answer_of, //
-};
-use tokio_util::sync::CancellationToken;
+use sesamebeam_fakes::expected_answer_of;
 
 use super::fleet::{
     DOMAINS,
-    Processes,
-    fleet,
+    Served,
     runs,
-    serving, //
+    served, //
 };
 
 /// The leader of the control group is frozen. The others elect a new one, which
@@ -26,11 +21,14 @@
 /// new leader, and the withdrawal stays in force at every entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_leader() {
-    let processes = Processes::start(&LocalPlan::small(&DOMAINS));
-    let mut fleet = fleet();
-    let base = processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let _servers = serving(&processes, &fleet, RunnerConfig::default(), &cancel).await;
+    let Served {
+        processes,
+        mut fleet,
+        base,
+        servers: _servers,
+        cancel: _cancel,
+        ..
+    } = served(&LocalPlan::small(&DOMAINS), Duration::ZERO).await;
     let status = processes.until(|status| status.leader.is_some()).await;
     let leader = status.leader.expect("a leader");
     let name = format!("control-{leader}");
@@ -60,15 +58,12 @@
 /// too and records it again: the sheet ran once and is billed once.
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_entry() {
-    let processes = Processes::start(&LocalPlan::small(&DOMAINS));
-    let fleet = fleet();
-    processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let base = RunnerConfig {
-        token_delay: Duration::from_millis(60),
-        ..RunnerConfig::default()
-    };
-    let servers = serving(&processes, &fleet, base, &cancel).await;
+    let Served {
+        processes,
+        servers,
+        cancel: _cancel,
+        ..
+    } = served(&LocalPlan::small(&DOMAINS), Duration::from_millis(60)).await;
 
     let prompt = "parte helado";
     let key = [("idempotency-key", "parte-7")];
--- a/sesamebeam/tests/real/kills.rs
+++ b/sesamebeam/tests/real/kills.rs
@@ -4,18 +4,13 @@
 
 use http_body_util::BodyExt;
 use sesamebeam::local::LocalPlan;
-use sesamebeam_fakes::{
-    RunnerConfig,
-    expected_answer_of, //
-};
-use tokio_util::sync::CancellationToken;
+use sesamebeam_fakes::expected_answer_of;
 
 use super::fleet::{
     DOMAINS,
-    Processes,
-    fleet,
+    Served,
     runs,
-    serving, //
+    served, //
 };
 
 /// The caller's connection breaks in the middle of a job sheet, because its
@@ -24,15 +19,12 @@
 /// the claim and reads the stream, which ran on at the backend server.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_entry() {
-    let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
-    let fleet = fleet();
-    processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let base = RunnerConfig {
-        token_delay: Duration::from_millis(60),
-        ..RunnerConfig::default()
-    };
-    let servers = serving(&processes, &fleet, base, &cancel).await;
+    let Served {
+        mut processes,
+        servers,
+        cancel: _cancel,
+        ..
+    } = served(&LocalPlan::small(&DOMAINS), Duration::from_millis(60)).await;
 
     let prompt = "parte cortado";
     let key = [("idempotency-key", "parte-9")];
--- a/sesamebeam/tests/real/path.rs
+++ b/sesamebeam/tests/real/path.rs
@@ -1,30 +1,30 @@
 //! The whole path between processes.
 
+use std::time::Duration;
+
 use sesamebeam::local::LocalPlan;
 use sesamebeam_core::fleet::VersionState;
-use sesamebeam_fakes::{
-    RunnerConfig,
-    expected_answer_of, //
-};
-use tokio_util::sync::CancellationToken;
+use sesamebeam_fakes::expected_answer_of;
 
 use super::fleet::{
     DOMAINS,
-    Processes,
-    fleet,
+    Served,
     runs,
-    serving, //
+    served, //
 };
 
 /// A question, a job sheet with its resend through another entry, a call of a
 /// plain service, a withdrawal and the bills, from end to end.
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_path() {
-    let processes = Processes::start(&LocalPlan::small(&DOMAINS));
-    let mut fleet = fleet();
-    let base = processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let servers = serving(&processes, &fleet, RunnerConfig::default(), &cancel).await;
+    let Served {
+        processes,
+        mut fleet,
+        base,
+        servers,
+        cancel: _cancel,
+        ..
+    } = served(&LocalPlan::small(&DOMAINS), Duration::ZERO).await;
     let first = processes.caller(0);
 
     let answer = first.chat("question", "que cable uso?", &[]).await;
--- a/sesamebeam/tests/real/replicas.rs
+++ b/sesamebeam/tests/real/replicas.rs
@@ -1,5 +1,7 @@
 //! Control replicas that are killed, and disks that are lost.
 
+use std::time::Duration;
+
 use std::fs;
 
 use sesamebeam::{
@@ -12,15 +14,14 @@
     ControlRequest,
     Replace, //
 };
-use sesamebeam_fakes::RunnerConfig;
-use tokio_util::sync::CancellationToken;
 
 use super::fleet::{
     DOMAINS,
     Processes,
+    Served,
     fleet,
     runs,
-    serving,
+    served,
     until, //
 };
 
@@ -29,11 +30,13 @@
 /// before gets its first answer again: nothing that was acknowledged is lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_together() {
-    let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
-    let fleet = fleet();
-    let revision = processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let servers = serving(&processes, &fleet, RunnerConfig::default(), &cancel).await;
+    let Served {
+        mut processes,
+        base: revision,
+        servers,
+        cancel: _cancel,
+        ..
+    } = served(&LocalPlan::small(&DOMAINS), Duration::ZERO).await;
     let prompt = "parte guardado";
     let key = [("idempotency-key", "parte-3")];
     let first = processes.caller(0).chat("job-sheet", prompt, &key).await;
--- a/sesamebeam/tests/real/silence.rs
+++ b/sesamebeam/tests/real/silence.rs
@@ -7,18 +7,13 @@
     http::sse,
     local::LocalPlan, //
 };
-use sesamebeam_fakes::{
-    RunnerConfig,
-    expected_answer_of, //
-};
-use tokio_util::sync::CancellationToken;
+use sesamebeam_fakes::expected_answer_of;
 
 use super::fleet::{
     DOMAINS,
-    Processes,
-    fleet,
+    Served,
     runs,
-    serving, //
+    served, //
 };
 
 /// In the middle of a job sheet every open connection to the backend servers
@@ -29,15 +24,12 @@
 async fn silent_connection() {
     let mut plan = LocalPlan::small(&DOMAINS);
     plan.entry.progress_timeout = Duration::from_millis(500);
-    let processes = Processes::start(&plan);
-    let fleet = fleet();
-    processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let base = RunnerConfig {
-        token_delay: Duration::from_millis(50),
-        ..RunnerConfig::default()
-    };
-    let servers = serving(&processes, &fleet, base, &cancel).await;
+    let Served {
+        processes,
+        servers,
+        cancel: _cancel,
+        ..
+    } = served(&plan, Duration::from_millis(50)).await;
 
     let prompt = "parte mudo";
     let key = [("idempotency-key", "parte-5")];
--- a/sesamebeam/tests/real/stops.rs
+++ b/sesamebeam/tests/real/stops.rs
@@ -5,17 +5,12 @@
 use futures::future::join_all;
 use rustix::process::Signal;
 use sesamebeam::local::LocalPlan;
-use sesamebeam_fakes::{
-    RunnerConfig,
-    expected_answer_of, //
-};
-use tokio_util::sync::CancellationToken;
+use sesamebeam_fakes::expected_answer_of;
 
 use super::fleet::{
     DOMAINS,
-    Processes,
-    fleet,
-    serving,
+    Served,
+    served,
     until, //
 };
 
@@ -27,15 +22,12 @@
 /// and ends only when every answer is whole: no caller notices.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop() {
-    let mut processes = Processes::start(&LocalPlan::small(&DOMAINS));
-    let fleet = fleet();
-    processes.apply(0, &fleet).await;
-    let cancel = CancellationToken::new();
-    let base = RunnerConfig {
-        token_delay: Duration::from_millis(40),
-        ..RunnerConfig::default()
-    };
-    let servers = serving(&processes, &fleet, base, &cancel).await;
+    let Served {
+        mut processes,
+        servers,
+        cancel: _cancel,
+        ..
+    } = served(&LocalPlan::small(&DOMAINS), Duration::from_millis(40)).await;
 
     let caller = processes.caller(0);
     let prompts: Vec<String> = (0..RUNNING).map(|n| format!("pregunta {n}")).collect();
--- a/sesamebeam_bench/src/commit.rs
+++ b/sesamebeam_bench/src/commit.rs
@@ -9,13 +9,7 @@
 mod subscribers;
 mod writers;
 
-use std::{
-    path::{
-        Path,
-        PathBuf, //
-    },
-    time::Duration,
-};
+use std::path::Path;
 
 use pico_args::Arguments;
 use sesamebeam::{
@@ -41,6 +35,10 @@
         DOMAINS,
         fleet, //
     },
+    options::{
+        Options,
+        OptionsError, //
+    },
     slopes::{
         self,
         Found,
@@ -88,12 +86,9 @@
 /// Why a run failed.
 #[derive(Debug, Error)]
 pub enum CommitError {
-    /// A typing error.
+    /// The command line is refused.
     #[error(transparent)]
-    Args(#[from] pico_args::Error),
-    /// A part that is not known.
-    #[error("unknown part `{0}`; see --help")]
-    Part(String),
+    Options(#[from] OptionsError),
     /// A daemon does not start or is gone.
     #[error(transparent)]
     Daemon(#[from] DaemonError),
@@ -120,20 +115,6 @@
     Io(#[from] std::io::Error),
 }
 
-/// What the command line says.
-struct Options {
-    only: Vec<String>,
-    length: Duration,
-    data: PathBuf,
-    slopes: Option<PathBuf>,
-}
-
-impl Options {
-    fn wants(&self, part: &str) -> bool {
-        self.only.is_empty() || self.only.iter().any(|only| only == part)
-    }
-}
-
 /// Runs the subcommand.
 ///
 /// # Errors
@@ -144,37 +125,13 @@
         print!("{HELP}");
         return Ok(());
     }
-    let options = options(args)?;
+    let options = Options::parse(args, &PARTS)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
     runtime.block_on(run_parts(&options))
 }
 
-fn options(mut args: Arguments) -> Result<Options, CommitError> {
-    let only: Option<String> = args.opt_value_from_str("--only")?;
-    let only: Vec<String> = only
-        .iter()
-        .flat_map(|list| list.split(','))
-        .map(str::to_owned)
-        .collect();
-    if let Some(part) = only.iter().find(|part| !PARTS.contains(&part.as_str())) {
-        return Err(CommitError::Part(part.clone()));
-    }
-    let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
-    let data: Option<PathBuf> = args.opt_value_from_str("--data")?;
-    let options = Options {
-        only,
-        length: Duration::from_secs_f64(seconds.unwrap_or(4.0).clamp(1.0, 600.0)),
-        data: data.unwrap_or_else(std::env::temp_dir),
-        slopes: args.opt_value_from_str("--slopes")?,
-    };
-    match args.finish().first() {
-        Some(extra) => Err(CommitError::Part(extra.to_string_lossy().into_owned())),
-        None => Ok(options),
-    }
-}
-
 async fn run_parts(options: &Options) -> Result<(), CommitError> {
     let (length, data) = (options.length, options.data.as_path());
     let mut found: Vec<Found> = Vec::new();
--- a/sesamebeam_bench/src/lib.rs
+++ b/sesamebeam_bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod homes;
 pub mod load;
 pub mod machine;
+pub mod options;
 pub mod process;
 pub mod relay;
 pub mod slopes;
--- a/sesamebeam_bench/src/load.rs
+++ b/sesamebeam_bench/src/load.rs
@@ -12,10 +12,7 @@
 mod share;
 mod slope_runs;
 
-use std::{
-    path::PathBuf,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use pico_args::Arguments;
 use thiserror::Error;
@@ -28,6 +25,10 @@
     daemons::DaemonError,
     fit::FitError,
     group::GroupError,
+    options::{
+        Options,
+        OptionsError, //
+    },
     slopes::{
         self,
         Found,
@@ -74,12 +75,9 @@
 /// Why a load run failed.
 #[derive(Debug, Error)]
 pub enum LoadError {
-    /// A typing error.
+    /// The command line is refused.
     #[error(transparent)]
-    Args(#[from] pico_args::Error),
-    /// A part that is not known.
-    #[error("unknown part `{0}`; see --help")]
-    Part(String),
+    Options(#[from] OptionsError),
     /// The bed cannot be made.
     #[error(transparent)]
     Bed(#[from] BedError),
@@ -100,21 +98,6 @@
     Start(#[from] std::io::Error),
 }
 
-/// What the command line says.
-struct Options {
-    only: Vec<String>,
-    length: Duration,
-    workers: Option<usize>,
-    data: PathBuf,
-    slopes: Option<PathBuf>,
-}
-
-impl Options {
-    fn wants(&self, part: &str) -> bool {
-        self.only.is_empty() || self.only.iter().any(|only| only == part)
-    }
-}
-
 /// Runs the subcommand.
 ///
 /// # Errors
@@ -125,39 +108,13 @@
         print!("{HELP}");
         return Ok(());
     }
-    let options = options(args)?;
+    let options = Options::parse(args, &PARTS)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
     runtime.block_on(run_parts(&options))
 }
 
-fn options(mut args: Arguments) -> Result<Options, LoadError> {
-    let only: Option<String> = args.opt_value_from_str("--only")?;
-    let only: Vec<String> = only
-        .iter()
-        .flat_map(|list| list.split(','))
-        .map(str::to_owned)
-        .collect();
-    if let Some(part) = only.iter().find(|part| !PARTS.contains(&part.as_str())) {
-        return Err(LoadError::Part(part.clone()));
-    }
-    let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
-    let workers: Option<usize> = args.opt_value_from_str("--workers")?;
-    let data: Option<PathBuf> = args.opt_value_from_str("--data")?;
-    let options = Options {
-        only,
-        length: Duration::from_secs_f64(seconds.unwrap_or(4.0).clamp(1.0, 600.0)),
-        workers,
-        data: data.unwrap_or_else(std::env::temp_dir),
-        slopes: args.opt_value_from_str("--slopes")?,
-    };
-    match args.finish().first() {
-        Some(extra) => Err(LoadError::Part(extra.to_string_lossy().into_owned())),
-        None => Ok(options),
-    }
-}
-
 async fn run_parts(options: &Options) -> Result<(), LoadError> {
     let mut found: Vec<Found> = Vec::new();
     let wide = BedPlan {
