Show that a configuration reverts without its safeguards

`proofs/lone.rs` drives one core whose edges are the test. Ruled out: the world of the schedules, where the two messages meet in that order by chance only; a late second answer to one renewal, which an entry never takes, because a question ends with its first answer. Before: no test failed for want of either safeguard. After: with `revert_config` the entry goes back from revision 2 to 1 and the withdrawn version is usable; with `lease_unfitting` it holds a lease with revision 1 though 2 is in force. With both off it keeps 2, and holds no lease until the next renewal brings 2. Conclusion: the row is proved for one entry; the group's side is in the schedules.

--- a/sesamebeam_core/src/entry.rs
+++ b/sesamebeam_core/src/entry.rs
@@ -174,6 +174,8 @@
     pub claim_not_run: bool,
     /// Takes an older configuration over a newer one.
     pub revert_config: bool,
+    /// Takes a lease although the answer's difference does not apply here.
+    pub lease_unfitting: bool,
     /// Pins a bare session name locally while cut off.
     pub pin_when_cut: bool,
     /// Reruns a broken non-idempotent request elsewhere.
@@ -271,7 +273,7 @@
     pub fn new(cfg: EntryConfig) -> Self {
         let policy = &cfg.policy;
         Self {
-            view: ConfigView::default(),
+            view: ConfigView::new(cfg.faults),
             quality: Quality::new(policy.quality.clone()),
             planner: Planner::new(policy.plan.clone()),
             exposure: Exposure::new(policy.exposure.clone()),
--- a/sesamebeam_core/src/entry/lease.rs
+++ b/sesamebeam_core/src/entry/lease.rs
@@ -62,7 +62,7 @@
         // neighbour that the answer's difference does not apply to. A lease with
         // that older one would let a withdrawn version run where the withdrawal
         // is in force: the next renewal, at once, names what is here now.
-        if self.view.revision() >= newest {
+        if self.view.revision() >= newest || self.cfg.faults.lease_unfitting {
             // The lease counts from before the question: the control group
             // counts it from after, so it never ends here later than there.
             self.view.renew(asked + renewed.lease);
--- a/sesamebeam_core/src/entry/view.rs
+++ b/sesamebeam_core/src/entry/view.rs
@@ -7,6 +7,7 @@
 
 use smol_str::SmolStr;
 
+use super::Faults;
 use crate::{
     fleet::{
         Class,
@@ -68,6 +69,8 @@
     lease_until: Option<MonoTime>,
     /// Positions by name, so that a decision does not grow with their number.
     index: Index,
+    /// Safeguards that tests switch off.
+    faults: Faults,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -82,6 +85,14 @@
 }
 
 impl ConfigView {
+    /// Makes a view of nothing yet.
+    pub(super) fn new(faults: Faults) -> Self {
+        Self {
+            faults,
+            ..Self::default()
+        }
+    }
+
     /// Revision in force; 0 before the first.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -104,7 +115,8 @@
     /// neither number ever goes back.
     pub fn take(&mut self, update: Update) -> bool {
         let mut new = false;
-        if update.revision > self.revision
+        let reverts = self.faults.revert_config;
+        if (update.revision > self.revision || reverts)
             && let Some(fleet) = update.fleet.and_then(|change| self.changed(change))
         {
             self.fleet = fleet;
@@ -112,7 +124,7 @@
             new = true;
         }
         if let Some(live) = update.live
-            && live.at > self.live.at
+            && (live.at > self.live.at || reverts)
         {
             self.live = live;
             new = true;
--- a/sesamebeam_core/tests/proofs/main.rs
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -2,11 +2,13 @@
 //! of faults, and one focused failure a promise.
 
 mod at_most_once;
+mod config_reverts;
 mod frozen_entry;
 mod golden;
 mod impatient_resend;
 mod killer_request;
 mod leaving_server;
+mod lone;
 mod not_run_true;
 mod planned_stop;
 mod rejoined_domain;
