Show a session split by pins that are made while cut off

Cause: `pin_when_cut` was declared and read nowhere, so nothing showed why a name that is not known is refused without the lease. Wired where the pin is looked up: with the switch a cut-off entry pins the name by its own choice. Ruled out: a token in place of the pin, which would leave the second call of the same name to another choice; two versions asked for by name, which the pin of one side would settle without a cut. Before: no test failed. After: prices change while one failure domain is cut off, and one name is asked for on both sides. With the switch the session runs on two versions, also after the cut; without it the cut-off entry refuses `not_run` with a time to come back, and answers on the session's version once it is joined again.

--- a/sesamebeam_core/src/entry/arrive.rs
+++ b/sesamebeam_core/src/entry/arrive.rs
@@ -234,6 +234,9 @@
             session: session.clone(),
             model,
         };
+        if self.cfg.faults.pin_when_cut && !self.view.lease_held(now) {
+            self.pin_here(now, id, &key);
+        }
         let Some(pin) = self.pins.get(&key).cloned() else {
             return if self.view.lease_held(now) {
                 Session::Wanted(key, 0)
@@ -259,6 +262,21 @@
         Session::Pinned(pin.version)
     }
 
+    /// Pins a name that is not known here by this entry's own choice: what
+    /// tests see go wrong with `pin_when_cut`.
+    fn pin_here(&mut self, now: MonoTime, id: RequestId, key: &PinKey) {
+        if !self.pins.contains_key(key)
+            && let Ok(version) = self.choose_pin(now, id, &key.model)
+        {
+            let generation = 1;
+            let pin = PinView {
+                generation,
+                version,
+            };
+            self.pins.insert(key.clone(), pin);
+        }
+    }
+
     /// A withdrawn version ends its pins. The next generation is written to
     /// the same record, so that every entry agrees on it.
     fn renewal(&mut self, id: RequestId, token: SessionToken, model: Option<ModelId>) -> Session {
--- /dev/null
+++ b/sesamebeam_core/tests/proofs/cut_pins.rs
@@ -0,0 +1,74 @@
+//! A failure domain is cut off, and an operator changes what versions cost. A
+//! caller opens one session, by a name of its own, on both sides of the cut. Each
+//! side would choose by the file that it has: pinned on both, the session runs on
+//! two versions, and which one answers depends on the entry.
+
+use sesamebeam_core::entry::{
+    Faults,
+    event::{
+        SessionRef,
+        Wanted, //
+    },
+    refusal::{
+        Reason,
+        RunOutcome, //
+    }, //
+};
+use yare::parameterized;
+
+use crate::world::{
+    Fault,
+    World,
+    books::{
+        Spec,
+        Told, //
+    },
+    files, //
+};
+
+/// Asks for the session through an entry. Returns the number of the call.
+fn ask(world: &mut World, entry: usize) -> usize {
+    let mut spec = Spec::new("vazna", "question", 7);
+    spec.session = Some(SessionRef::Name("visit-7".into()));
+    spec.wanted = Wanted::Auto;
+    world.call(entry, spec)
+}
+
+#[parameterized(
+    safeguard_on = { false },
+    pinned_when_cut = { true },
+)]
+fn both_sides(pin_when_cut: bool) {
+    let faults = Faults {
+        pin_when_cut,
+        ..Faults::default()
+    };
+    let mut world = World::new(9, |cfg| cfg.faults = faults, |_| {});
+    world.fault(Fault::Cut(1));
+    let mut fleet = files::fleet();
+    fleet.models[0].versions[0].cost = 3.0;
+    fleet.models[0].versions[1].cost = 1.0;
+    world.apply(1, fleet);
+    world.wait(|world| world.books.in_force.get(&2).copied());
+    assert!(!world.entries[1].core().view().lease_held(world.now));
+
+    let outside = ask(&mut world, 0);
+    assert_eq!(world.answer(outside), Told::Whole);
+    let inside = ask(&mut world, 1);
+    match world.answer(inside) {
+        Told::Refused(refusal) => {
+            assert!(!pin_when_cut, "{refusal:?}");
+            assert_eq!(refusal.reason, Reason::SessionUnreachable);
+            assert_eq!(refusal.outcome, RunOutcome::NotRun);
+            assert!(refusal.retry_after.is_some());
+        }
+        told => assert_eq!((told, pin_when_cut), (Told::Whole, true)),
+    }
+
+    world.settle();
+    let again = ask(&mut world, 1);
+    assert_eq!(world.answer(again), Told::Whole);
+    let version = |call: usize| world.books.calls[call].version.clone();
+    assert_eq!(version(again) != version(outside), pin_when_cut);
+    assert_eq!(!world.books.broken().is_empty(), pin_when_cut);
+}
--- a/sesamebeam_core/tests/proofs/main.rs
+++ b/sesamebeam_core/tests/proofs/main.rs
@@ -3,6 +3,7 @@
 
 mod at_most_once;
 mod config_reverts;
+mod cut_pins;
 mod frozen_entry;
 mod golden;
 mod impatient_resend;
