Split the test network of replicas

Cause: tests/group/net.rs held 659 lines: the network, its steps and the checks of the invariants. Ruled out: moving its types, which would need re-exports that not every test file uses; another allowance of the linter. Conclusion: net.rs keeps the types and what tests call (432 lines); net/delivery.rs holds the steps, net/checks.rs the invariants.

--- a/sesamebeam_core/tests/group/net.rs
+++ b/sesamebeam_core/tests/group/net.rs
@@ -6,6 +6,11 @@
     reason = "each test file uses its own part of this module"
 )]
 
+#[path = "net/checks.rs"]
+mod checks;
+#[path = "net/delivery.rs"]
+mod delivery;
+
 use std::{
     collections::{
         BTreeMap,
@@ -32,7 +37,6 @@
         Members,
         Rejection,
         Replica,
-        ReplicaAction,
         ReplicaConfig,
         ReplicaEvent,
         ReplicaMessage,
@@ -52,12 +56,6 @@
 /// Bound on the clocks' rate error.
 pub(crate) const DRIFT: f64 = 0.01;
 
-/// Steps at one instant that only an endless loop takes.
-const STEPS_AN_INSTANT: u64 = 10_000;
-
-/// Messages on their way that only answers which multiply make.
-const MESSAGES_ON_THE_WAY: usize = 20_000;
-
 /// What must never be seen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Violation {
@@ -407,231 +405,6 @@
         applied.len() == 1
     }
 
-    /// Asserts that nothing bad was seen.
-    pub(crate) fn assert_sound(&self) {
-        assert_eq!(self.violations, []);
-    }
-
-    /// Returns whether a kind of violation was seen.
-    pub(crate) fn saw(&self, f: impl Fn(&Violation) -> bool) -> bool {
-        self.violations.iter().any(f)
-    }
-
-    /// Carries out the next thing that happens before `until`.
-    pub(crate) fn step(&mut self, until: Duration) -> bool {
-        let message_at = self.queue.first_key_value().map(|((at, _), _)| *at);
-        let wake = self.next_wake();
-        let at = [message_at, wake.map(|(at, _)| at)]
-            .into_iter()
-            .flatten()
-            .min();
-        let Some(at) = at.filter(|&at| at <= until) else {
-            return false;
-        };
-        self.note_instant(at);
-        if message_at == Some(at) {
-            self.deliver();
-        } else if let Some((_, id)) = wake {
-            self.event(id, ReplicaEvent::Tick);
-        }
-        true
-    }
-
-    /// Moves on to the time of the next step, and fails if time stands still
-    /// while steps go on.
-    fn note_instant(&mut self, at: Duration) {
-        self.steps = if at > self.now { 0 } else { self.steps + 1 };
-        self.now = self.now.max(at);
-        assert!(self.steps < STEPS_AN_INSTANT, "no end of steps at {at:?}");
-    }
-
-    /// Returns the first replica that wants to be woken, and when.
-    fn next_wake(&self) -> Option<(Duration, NodeId)> {
-        let wakes = self.nodes.iter().filter_map(|(&id, node)| {
-            let wake = node.replica.as_ref()?.next_wake();
-            // Rounded up, so that the replica's own clock has got there.
-            let at = wake.div_f64(node.rate) + Duration::from_nanos(2);
-            Some((at.max(self.now), id))
-        });
-        wakes.min()
-    }
-
-    /// Hands over the first of what is on its way.
-    fn deliver(&mut self) {
-        let Some((_, coming)) = self.queue.pop_first() else {
-            return;
-        };
-        match coming {
-            Coming::Message(from, to, message) => {
-                if !self.cut.contains(&(from, to)) {
-                    self.event(to, ReplicaEvent::Message { from, message });
-                }
-            }
-            Coming::Synced(id, life, write) => {
-                let node = self.nodes.get_mut(&id).unwrap();
-                if node.life != life || node.replica.is_none() {
-                    return;
-                }
-                if let Some((_, ops)) = node.unsynced.take_if(|(w, _)| *w == write) {
-                    node.disk.write(&ops);
-                    self.event(id, ReplicaEvent::Synced { write });
-                }
-            }
-        }
-    }
-
-    /// Carries out actions.
-    fn act(&mut self, id: NodeId, actions: Vec<ReplicaAction>) {
-        for action in actions {
-            match action {
-                ReplicaAction::Send { to, message } => self.post(id, to, message),
-                ReplicaAction::Write { write, ops } => {
-                    let node = self.nodes.get_mut(&id).unwrap();
-                    assert!(node.unsynced.is_none(), "two writes in flight");
-                    node.unsynced = Some((write, ops));
-                    let life = node.life;
-                    let at = self.now + self.weather.sync;
-                    self.enqueue(at, Coming::Synced(id, life, write));
-                }
-                ReplicaAction::Apply {
-                    index,
-                    ticket,
-                    data,
-                } => self.apply(id, index, ticket, data),
-                ReplicaAction::Rejected { ticket, reason } => {
-                    self.rejected.insert(ticket, reason);
-                }
-                ReplicaAction::ReadReady { ticket } => self.finish_read(id, ticket),
-                ReplicaAction::Changed { ticket } => {
-                    self.changed.insert(ticket);
-                }
-                ReplicaAction::TakeSnapshot { index } => {
-                    let data = postcard::to_stdvec(&self.nodes[&id].state).unwrap();
-                    self.event(id, ReplicaEvent::Snapshot { index, data });
-                }
-                ReplicaAction::Restore { index, data } => {
-                    let node = self.nodes.get_mut(&id).unwrap();
-                    node.state = postcard::from_bytes(&data).unwrap();
-                    node.applied = index;
-                    node.restored += 1;
-                }
-                ReplicaAction::Role(role) => {
-                    self.leader_changes += u64::from(role == Role::Leader);
-                }
-                ReplicaAction::Members(_) => {}
-            }
-        }
-    }
-
-    /// Puts a message on its way.
-    fn post(&mut self, from: NodeId, to: NodeId, message: ReplicaMessage) {
-        self.sent += 1;
-        let copies = 1 + u64::from(self.rng.random_bool(self.weather.doubled));
-        for _ in 0..copies {
-            if self.rng.random_bool(self.weather.loss) {
-                continue;
-            }
-            let jitter = self.weather.jitter.mul_f64(self.rng.random::<f64>());
-            let at = self.now + self.weather.delay + jitter;
-            self.enqueue(at, Coming::Message(from, to, message.clone()));
-        }
-    }
-
-    /// Puts something in the queue.
-    fn enqueue(&mut self, at: Duration, coming: Coming) {
-        self.next += 1;
-        self.queue.insert((at, self.next), coming);
-        assert!(self.queue.len() < MESSAGES_ON_THE_WAY, "messages multiply");
-    }
-
-    /// Applies an entry and compares it with what others applied.
-    fn apply(&mut self, id: NodeId, index: LogIndex, ticket: Option<Ticket>, data: Vec<u8>) {
-        let node = self.nodes.get_mut(&id).unwrap();
-        let passed_over = self.chosen.range(node.applied + 1..index).next();
-        if let Some((&lost, _)) = passed_over {
-            self.violations.push(Violation::Lost(lost));
-        }
-        if *self.chosen.entry(index).or_insert_with(|| data.clone()) != data {
-            self.violations.push(Violation::Diverged(index));
-        }
-        node.state.push((index, data));
-        node.applied = index;
-        if let Some(ticket) = ticket {
-            self.acked.insert(ticket, index);
-        }
-    }
-
-    /// Checks that a read sees what was acknowledged before it.
-    fn finish_read(&mut self, id: NodeId, ticket: Ticket) {
-        self.read.insert(ticket);
-        let wanted = self.reads.get(&ticket).copied().unwrap_or(0);
-        if self.nodes[&id].applied < wanted {
-            self.violations.push(Violation::StaleRead(id));
-        }
-    }
-
-    /// Checks what must hold at every moment.
-    fn check(&mut self) {
-        self.check_leaders();
-        self.check_leases();
-        self.check_synced();
-    }
-
-    /// One leader a term.
-    fn check_leaders(&mut self) {
-        for id in self.leaders() {
-            let life = self.nodes[&id].life;
-            let term = self.replica(id).term();
-            let seen = *self.leaders.entry(term).or_insert((id, life));
-            if seen != (id, life) {
-                self.note(Violation::TwoLeaders(term));
-            }
-        }
-    }
-
-    /// One lease at a time.
-    fn check_leases(&mut self) {
-        let holds = |(id, node): (&NodeId, &Node)| {
-            let now = self.local(*id, self.now);
-            let held = node.replica.as_ref().is_some_and(|r| r.has_lease(now));
-            held.then_some(*id)
-        };
-        let holders: Vec<NodeId> = self.nodes.iter().filter_map(holds).collect();
-        if let [a, b, ..] = holders[..] {
-            self.note(Violation::TwoLeases(a, b));
-        }
-    }
-
-    /// Committed entries are on a quorum of disks, and none is passed over.
-    fn check_synced(&mut self) {
-        let best = self.nodes.values().filter_map(|node| {
-            let replica = node.replica.as_ref()?;
-            Some((replica.committed(), replica.members().clone()))
-        });
-        let Some((committed, members)) = best.max_by_key(|(committed, _)| *committed) else {
-            return;
-        };
-        if committed <= self.counted {
-            return;
-        }
-        self.counted = committed;
-        let holds = |id: NodeId| {
-            let node = self.nodes.get(&id);
-            node.is_some_and(|n| n.synced().max(n.lost) >= committed)
-        };
-        let holding = members.voters().filter(|&id| holds(id)).count();
-        if holding < members.quorum() {
-            self.note(Violation::Unsynced(committed));
-        }
-    }
-
-    /// Notes a violation once.
-    fn note(&mut self, violation: Violation) {
-        if self.violations.last() != Some(&violation) {
-            self.violations.push(violation);
-        }
-    }
-
     /// Returns what a replica's clock shows at a true time.
     fn local(&self, id: NodeId, at: Duration) -> Duration {
         let rate = self.nodes.get(&id).map_or(1.0, |node| node.rate);
