--- a/sesamebeam_bench/src/load.rs
+++ b/sesamebeam_bench/src/load.rs
@@ -75,6 +75,9 @@
 /// Why a load run failed.
 #[derive(Debug, Error)]
 pub enum LoadError {
+    /// `--workers` is no number.
+    #[error(transparent)]
+    Workers(#[from] pico_args::Error),
     /// The command line is refused.
     #[error(transparent)]
     Options(#[from] OptionsError),
@@ -108,20 +111,21 @@
         print!("{HELP}");
         return Ok(());
     }
+    let workers = args.opt_value_from_str("--workers")?;
     let options = Options::parse(args, &PARTS)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run_parts(&options))
+    runtime.block_on(run_parts(&options, workers))
 }
 
-async fn run_parts(options: &Options) -> Result<(), LoadError> {
+async fn run_parts(options: &Options, workers: Option<usize>) -> Result<(), LoadError> {
     let mut found: Vec<Found> = Vec::new();
     let wide = BedPlan {
         entries: 1,
         runners: 3,
         slots: 1024,
-        workers: options.workers,
+        workers,
     };
     if PARTS[..SHARED].iter().any(|part| options.wants(part)) {
         let mut bed = bed::Bed::start(wide, &options.data).await?;
@@ -151,18 +155,18 @@
     Ok(slopes::store(
         options.slopes.as_deref(),
         found,
-        &command(options),
+        &command(options, workers),
     )?)
 }
 
-fn command(options: &Options) -> String {
+fn command(options: &Options, workers: Option<usize>) -> String {
     let mut command = "sesamebeam-bench load".to_owned();
     if !options.only.is_empty() {
         command.push_str(" --only ");
         command.push_str(&options.only.join(","));
     }
     command.push_str(&format!(" --seconds {}", options.length.as_secs()));
-    if let Some(workers) = options.workers {
+    if let Some(workers) = workers {
         command.push_str(&format!(" --workers {workers}"));
     }
     command
--- a/sesamebeam_bench/src/options.rs
+++ b/sesamebeam_bench/src/options.rs
@@ -32,8 +32,6 @@
     pub only: Vec<String>,
     /// Time that each load is measured.
     pub length: Duration,
-    /// Threads of the entries that serve requests; none for their default.
-    pub workers: Option<usize>,
     /// Folder for data, on the disk to be measured.
     pub data: PathBuf,
     /// File that the slopes are stored in.
@@ -61,7 +59,6 @@
         let options = Self {
             only,
             length: Duration::from_secs_f64(seconds.unwrap_or(SECONDS).clamp(1.0, MOST_SECONDS)),
-            workers: args.opt_value_from_str("--workers")?,
             data: data.unwrap_or_else(std::env::temp_dir),
             slopes: args.opt_value_from_str("--slopes")?,
         };
--- a/sesamebeam_core/src/entry/claims.rs
+++ b/sesamebeam_core/src/entry/claims.rs
@@ -48,14 +48,12 @@
     /// is committed: two entries that hold the same resend would otherwise
     /// both run it, and the caller would be billed twice.
     pub(super) fn claim(&mut self, now: MonoTime, id: RequestId, target: ServerLife) {
-        let claimant = self.me();
-        let window = self.cfg.dispatch_window;
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
-        let Some(key) = req.claim_key() else {
+        if req.claim_key().is_none() {
             return;
-        };
+        }
         req.attempts += 1;
         if self.cfg.faults.send_unclaimed {
             req.phase = Phase::Running;
@@ -63,22 +61,13 @@
             return self.dispatch_as(now, id, target, at, version, DispatchKind::Run);
         }
         req.phase = Phase::Claiming(target, now);
-        let claim = ClaimRequest {
-            key,
-            digest: req.arrival.digest,
-            request: req.next_id(),
-            claimant,
-            target,
-            version: req.version().cloned(),
-            class: req.class.clone(),
-            window,
-            replaces: req.replaces,
-        };
-        self.ask(
-            AskFor::Claim(id),
-            ControlRequest::Claim(claim),
-            self.cfg.claim_timeout,
-        );
+        if let Some(claim) = self.claim_request(id, target) {
+            self.ask(
+                AskFor::Claim(id),
+                ControlRequest::Claim(claim),
+                self.cfg.claim_timeout,
+            );
+        }
     }
 
     /// Answer to a claim.
@@ -120,18 +109,7 @@
         let Phase::Claiming(target, _) = req.phase else {
             return;
         };
-        if let Some(key) = req.claim_key() {
-            let lost = ClaimRequest {
-                key,
-                digest: req.arrival.digest,
-                request: req.next_id(),
-                claimant: self.me(),
-                target,
-                version: req.version().cloned(),
-                class: req.class.clone(),
-                window: self.cfg.dispatch_window,
-                replaces: req.replaces,
-            };
+        if let Some(lost) = self.claim_request(id, target) {
             self.remember_lost(lost);
         }
         self.release_slot(now, id);
@@ -145,6 +123,23 @@
         );
     }
 
+    /// Makes the claim of a request's present attempt. Made again after a lost
+    /// answer it is the same, so that the control group takes both as one.
+    fn claim_request(&self, id: RequestId, target: ServerLife) -> Option<ClaimRequest> {
+        let req = self.requests.get(&id)?;
+        Some(ClaimRequest {
+            key: req.claim_key()?,
+            digest: req.arrival.digest,
+            request: req.next_id(),
+            claimant: self.me(),
+            target,
+            version: req.version().cloned(),
+            class: req.class.clone(),
+            window: self.cfg.dispatch_window,
+            replaces: req.replaces,
+        })
+    }
+
     /// Acts on a claim that was there before.
     pub(super) fn existing(&mut self, now: MonoTime, id: RequestId, view: ClaimView) {
         let Some(req) = self.requests.get_mut(&id) else {
--- a/sesamebeam_core/src/entry/finish.rs
+++ b/sesamebeam_core/src/entry/finish.rs
@@ -185,10 +185,9 @@
     /// The caller hung up. A request that runs at most once goes on: its
     /// caller will ask for the answer again.
     pub(super) fn caller_gone(&mut self, now: MonoTime, id: RequestId) {
-        let Some(req) = self.requests.get_mut(&id) else {
+        let Some(req) = self.requests.get(&id) else {
             return;
         };
-        req.caller_gone = true;
         let queued = matches!(req.phase, Phase::Queued);
         if req.once && !queued {
             return;
--- a/sesamebeam_core/src/entry/request.rs
+++ b/sesamebeam_core/src/entry/request.rs
@@ -84,8 +84,6 @@
     pub(super) resumes: u32,
     /// Events of the answer known to be whole.
     pub(super) events: u64,
-    /// Whether the caller hung up.
-    pub(super) caller_gone: bool,
     /// Pool whose slot it holds, and since when.
     pub(super) slot: Option<(PoolId, MonoTime)>,
     /// Attempt that is resumed after a pause.
@@ -201,7 +199,6 @@
             maybe_ran: false,
             resumes: 0,
             events: 0,
-            caller_gone: false,
             slot: None,
             paused: None,
             held: None,
