--- a/sesamebeam/src/control.rs
+++ b/sesamebeam/src/control.rs
@@ -3,7 +3,7 @@
 //! One task owns the core and matches on one enum of inputs; the disk has a
 //! thread of its own, and each other replica a sending task.
 
-mod disk_thread;
+pub mod disk_thread;
 mod orders;
 mod serve;
 
@@ -64,7 +64,10 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use self::{
-    disk_thread::DiskThread,
+    disk_thread::{
+        DiskNotice,
+        DiskThread, //
+    },
     serve::{
         Back,
         Ticket, //
@@ -289,7 +292,9 @@
     /// Fails if the disk fails or the log holds what is not understood.
     pub async fn run(self, cancel: CancellationToken) -> Result<(), ControlError> {
         let (tx, rx) = unbounded_channel();
-        let disk = DiskThread::start(self.disk, tx.clone()).map_err(ControlError::Thread)?;
+        let back = tx.clone();
+        let tell = move |notice| back.send(disk_input(notice)).is_ok();
+        let disk = DiskThread::start(self.disk, tell).map_err(ControlError::Thread)?;
         let pool = Pool::new(Arc::clone(&self.link), rand::random());
         let start = Instant::now();
         let cfg = core_config(&self.settings, &self.identity);
@@ -323,6 +328,14 @@
     }
 }
 
+fn disk_input(notice: DiskNotice) -> Input {
+    match notice {
+        DiskNotice::Synced(write) => Input::Event(ControlEvent::Synced { write }),
+        DiskNotice::Full(full) => Input::Event(ControlEvent::DiskFull(full)),
+        DiskNotice::Failed(e) => Input::DiskFailed(e),
+    }
+}
+
 /// The task that owns the core.
 struct Runner {
     node: NodeId,
--- a/sesamebeam/src/control/disk_thread.rs
+++ b/sesamebeam/src/control/disk_thread.rs
@@ -1,4 +1,4 @@
-//! The thread that writes the replica's disk.
+//! The thread that writes a replica's disk.
 
 use std::{
     sync::mpsc::{
@@ -10,75 +10,80 @@
     time::Duration,
 };
 
-use sesamebeam_core::{
-    control::ControlEvent,
-    replica::{
-        DiskOp,
-        WriteId, //
-    },
+use sesamebeam_core::replica::{
+    DiskOp,
+    WriteId, //
 };
-use tokio::sync::mpsc::UnboundedSender;
 
-use super::Input;
 use crate::disk::{
     Disk,
     DiskError, //
 };
 
-/// Pause before a write is repeated on a full disk.
+/// Pause before a write that found the disk full is repeated.
 const FULL_PAUSE: Duration = Duration::from_millis(500);
 
-/// One write.
+/// A write with its number.
 type Write = (WriteId, Vec<DiskOp>);
 
-/// Hands writes to the thread.
+/// What the disk thread tells.
+#[derive(Debug)]
+pub enum DiskNotice {
+    /// A write is synced.
+    Synced(WriteId),
+    /// The disk is full, or has space again.
+    Full(bool),
+    /// The disk failed for good.
+    Failed(DiskError),
+}
+
+/// Writes in the background, in order.
 #[derive(Debug)]
-pub(crate) struct DiskThread {
+pub struct DiskThread {
     tx: Sender<Write>,
 }
 
 impl DiskThread {
-    /// Starts the thread; synced writes and errors come back as inputs.
+    /// Starts the thread; `tell` returns whether anybody still listens.
     ///
     /// # Errors
     ///
-    /// Fails if the operating system gives no thread.
-    pub(crate) fn start(disk: Disk, back: UnboundedSender<Input>) -> std::io::Result<Self> {
+    /// Fails if the system gives no thread.
+    pub fn start(
+        disk: Disk,
+        tell: impl Fn(DiskNotice) -> bool + Send + 'static,
+    ) -> std::io::Result<Self> {
         let (tx, rx) = channel();
         thread::Builder::new()
             .name("disk".to_owned())
-            .spawn(move || run(disk, &rx, &back))?;
+            .spawn(move || run(disk, &rx, &tell))?;
         Ok(Self { tx })
     }
 
-    /// Hands a write over.
-    pub(crate) fn write(&self, write: WriteId, ops: Vec<DiskOp>) {
+    /// Hands over a write.
+    pub fn write(&self, write: WriteId, ops: Vec<DiskOp>) {
         // The thread ends early only after it has told of an error.
         let _ = self.tx.send((write, ops));
     }
 }
 
-fn run(mut disk: Disk, rx: &Receiver<Write>, back: &UnboundedSender<Input>) {
+fn run(mut disk: Disk, rx: &Receiver<Write>, tell: &impl Fn(DiskNotice) -> bool) {
     while let Ok((write, ops)) = rx.recv() {
-        if let Err(e) = write_through(&mut disk, &ops, back) {
-            let _ = back.send(Input::DiskFailed(e));
+        if let Err(e) = write_through(&mut disk, &ops, tell) {
+            tell(DiskNotice::Failed(e));
             return;
         }
-        if back
-            .send(Input::Event(ControlEvent::Synced { write }))
-            .is_err()
-        {
+        if !tell(DiskNotice::Synced(write)) {
             return;
         }
     }
 }
 
-/// Repeats a write for want of space until there is some: the replica refuses
-/// new entries meanwhile and goes on serving reads.
+/// Repeats a write until there is space for it.
 fn write_through(
     disk: &mut Disk,
     ops: &[DiskOp],
-    back: &UnboundedSender<Input>,
+    tell: &impl Fn(DiskNotice) -> bool,
 ) -> Result<(), DiskError> {
     let mut full = false;
     loop {
@@ -87,7 +92,7 @@
             Err(DiskError::Full(_)) => {
                 if !full {
                     full = true;
-                    let _ = back.send(Input::Event(ControlEvent::DiskFull(true)));
+                    tell(DiskNotice::Full(true));
                 }
                 thread::sleep(FULL_PAUSE);
             }
@@ -95,7 +100,7 @@
         }
     }
     if full {
-        let _ = back.send(Input::Event(ControlEvent::DiskFull(false)));
+        tell(DiskNotice::Full(false));
     }
     Ok(())
 }
--- a/sesamebeam/src/disk.rs
+++ b/sesamebeam/src/disk.rs
@@ -117,6 +117,20 @@
         folder::create(path.as_ref(), identity)
     }
 
+    /// Returns whether there is a data folder.
+    pub fn is_made(path: impl AsRef<Path>) -> bool {
+        folder::is_made(path.as_ref())
+    }
+
+    /// Removes what a data folder holds, so that it can be made anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be removed or the folder not synced.
+    pub fn remove(path: impl AsRef<Path>) -> Result<(), DiskError> {
+        folder::remove(path.as_ref())
+    }
+
     /// Opens a data folder and reads what it holds.
     ///
     /// # Errors
--- a/sesamebeam/src/disk/folder.rs
+++ b/sesamebeam/src/disk/folder.rs
@@ -157,3 +157,20 @@
     found.sort();
     Ok(found)
 }
+
+/// Returns whether there is a data folder: its identity is written first.
+pub(super) fn is_made(path: &Path) -> bool {
+    path.join(IDENTITY).exists()
+}
+
+/// Removes the files of a folder, the identity first: without it the rest is
+/// never read again, also if the power goes before all of it is gone.
+pub(super) fn remove(path: &Path) -> Result<(), DiskError> {
+    let io = |e| DiskError::io(path, e);
+    fs::remove_file(path.join(IDENTITY)).map_err(io)?;
+    sync_folder(path)?;
+    for entry in fs::read_dir(path).map_err(io)? {
+        fs::remove_file(entry.map_err(io)?.path()).map_err(io)?;
+    }
+    sync_folder(path)
+}
--- /dev/null
+++ b/sesamebeam/src/frames.rs
@@ -0,0 +1,167 @@
+//! Messages between our own processes as frames on plain TCP.
+//!
+//! For platforms that hand out no keys, where a connection of
+//! [`link`](crate::link) cannot be authenticated. Each message is a length and a
+//! postcard body. Both ends say that they live; a connection that stays silent
+//! is closed, since one that has lost its path shows no error by itself.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use futures::{
+    SinkExt,
+    StreamExt, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use thiserror::Error;
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::{
+            OwnedReadHalf,
+            OwnedWriteHalf, //
+        },
+    },
+    time::timeout,
+};
+use tokio_util::codec::{
+    FramedRead,
+    FramedWrite,
+    LengthDelimitedCodec, //
+};
+
+/// Pause between two messages that say that the sender lives. A quarter of the
+/// time after which a cut must be noticed for a configuration to be in force
+/// within the two seconds that deployments ask for.
+pub const ALIVE_EVERY: Duration = Duration::from_millis(500);
+
+/// Silence after which a connection is closed: three messages missed.
+pub const SILENT_FOR: Duration = Duration::from_millis(1600);
+
+/// Longest wait for a connection; round trips are milliseconds.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Longest wait for one message to leave.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest message: a configuration of 4 MiB with room for the rest.
+const MAX_FRAME: usize = 16 << 20;
+
+/// Why a message did not pass.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// There is no connection.
+    #[error("no connection to {addr}: {source}")]
+    Connect {
+        /// Where to.
+        addr: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The connection broke.
+    #[error("connection broke: {0}")]
+    Io(#[from] io::Error),
+    /// Nothing came, or nothing left, for too long.
+    #[error("connection silent")]
+    Silent,
+    /// The other end closed it.
+    #[error("connection closed")]
+    Closed,
+    /// A message cannot be read.
+    #[error("message cannot be read: {0}")]
+    Codec(#[from] postcard::Error),
+}
+
+/// The sending end of a connection.
+#[derive(Debug)]
+pub struct Sender(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
+
+/// The receiving end of a connection.
+#[derive(Debug)]
+pub struct Receiver(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Fails if there is none in time.
+pub async fn connect(addr: SocketAddr) -> Result<(Sender, Receiver), FrameError> {
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let opened = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+    let stream = opened.map_err(|source| FrameError::Connect { addr, source })?;
+    split(stream)
+}
+
+/// Splits a connection into its ends.
+///
+/// # Errors
+///
+/// Fails if the socket takes no options.
+pub fn split(stream: TcpStream) -> Result<(Sender, Receiver), FrameError> {
+    stream.set_nodelay(true)?;
+    let (rx, tx) = stream.into_split();
+    Ok((
+        Sender(FramedWrite::new(tx, codec())),
+        Receiver(FramedRead::new(rx, codec())),
+    ))
+}
+
+/// Encodes a message once for many receivers.
+///
+/// # Errors
+///
+/// Fails if the message has no encoding.
+pub fn encode(message: &impl Serialize) -> Result<Bytes, FrameError> {
+    Ok(postcard::to_stdvec(message)?.into())
+}
+
+impl Sender {
+    /// Sends a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not leave in time.
+    pub async fn send(&mut self, message: &impl Serialize) -> Result<(), FrameError> {
+        self.send_encoded(encode(message)?).await
+    }
+
+    /// Sends an encoded message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not leave in time.
+    pub async fn send_encoded(&mut self, message: Bytes) -> Result<(), FrameError> {
+        match timeout(SEND_TIMEOUT, self.0.send(message)).await {
+            Ok(sent) => Ok(sent?),
+            Err(_) => Err(FrameError::Silent),
+        }
+    }
+}
+
+impl Receiver {
+    /// Waits for the next message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends or stays silent for [`SILENT_FOR`].
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T, FrameError> {
+        match timeout(SILENT_FOR, self.0.next()).await {
+            Ok(Some(frame)) => Ok(postcard::from_bytes(&frame?)?),
+            Ok(None) => Err(FrameError::Closed),
+            Err(_) => Err(FrameError::Silent),
+        }
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec()
+}
--- /dev/null
+++ b/sesamebeam/src/gateway.rs
@@ -0,0 +1,138 @@
+//! The daemon of an entry that passes requests through: edges round
+//! [`Router`](sesamebeam_core::gateway::router::Router).
+
+mod answer;
+mod attempt;
+mod events;
+mod feed;
+mod flight;
+mod front;
+mod head;
+mod protocol;
+mod send;
+mod stream;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use sesamebeam_core::{
+    gateway::router::{
+        Router,
+        RouterConfig, //
+    },
+    ids::MonoTime,
+};
+use smol_str::SmolStr;
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+pub use self::protocol::{
+    EntryProtocol,
+    HeadFault, //
+};
+use crate::http::client::Client;
+
+/// Longest wait for a connection to a backend server: a few round trips within
+/// a region. One that is dark does not answer at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Idle connections kept to each backend server. A backend server takes some
+/// hundreds from all entries together.
+const MAX_IDLE: usize = 24;
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Name for logs.
+    pub name: SmolStr,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where the balancer asks whether this entry takes callers.
+    pub ready: SocketAddr,
+    /// Port at which control replicas listen for entries.
+    pub feed_port: u16,
+    /// Time between the signal to stop and the kill.
+    pub grace: Duration,
+    /// Settings of the router.
+    pub router: RouterConfig,
+}
+
+/// Why an entry could not start.
+#[derive(Debug, Error)]
+pub enum GatewayError {
+    /// An address cannot be used.
+    #[error("cannot listen on {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+}
+
+/// What all tasks of an entry share.
+pub struct Gateway {
+    settings: GatewaySettings,
+    protocol: Arc<dyn EntryProtocol>,
+    router: Mutex<Router>,
+    client: Client,
+    start: Instant,
+    /// Cancelled when a stop was asked for.
+    stopping: CancellationToken,
+}
+
+impl Gateway {
+    /// Returns the time since the start.
+    fn now(&self) -> MonoTime {
+        self.start.elapsed()
+    }
+
+    fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether new callers may be sent here.
+    fn is_ready(&self) -> bool {
+        !self.stopping.is_cancelled() && self.router().table().is_some()
+    }
+}
+
+/// Runs an entry until it is asked to stop and its requests have ended, or the
+/// grace period is nearly over.
+///
+/// # Errors
+///
+/// Fails if an address cannot be used.
+pub async fn run(
+    settings: GatewaySettings,
+    protocol: Arc<dyn EntryProtocol>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    stopping: CancellationToken,
+) -> Result<(), GatewayError> {
+    let gateway = Arc::new(Gateway {
+        router: Mutex::new(Router::new(settings.router.clone())),
+        client: Client::new(CONNECT_TIMEOUT).with_max_idle(MAX_IDLE),
+        start: Instant::now(),
+        settings,
+        protocol,
+        stopping,
+    });
+    let halt = CancellationToken::new();
+    tokio::spawn(feed::run(Arc::clone(&gateway), seeds, halt.clone()));
+    let ended = front::run(gateway, halt.clone()).await;
+    halt.cancel();
+    ended
+}
--- /dev/null
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -0,0 +1,454 @@
+//! One request from its head to the answer.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    header, //
+};
+use sesamebeam_core::gateway::{
+    balance::Outcome,
+    cascade::Step,
+    config::{
+        Limits,
+        Repeat, //
+    },
+    directory::ServerId,
+    request::AnswerHead,
+    router::{
+        Choice,
+        Plan,
+        Refusal, //
+    },
+};
+use tokio::time::{
+    timeout,
+    timeout_at, //
+};
+
+use super::{
+    Gateway,
+    answer::{
+        self,
+        Answer, //
+    },
+    flight::Flight,
+    head::strip_hop_by_hop,
+    send::{
+        Received,
+        Sent, //
+    },
+    stream::Relay,
+};
+use crate::http::client::Lease;
+
+/// Time that a caller waits who does not say; callers of browsers' kind give up
+/// about then.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// Most bytes of an answer that is not a stream.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// Most sends that never left: each costs a wait for a connection.
+const MAX_UNSENT: usize = 4;
+
+/// The sends of one request.
+pub(super) struct Attempt {
+    /// The entry.
+    pub(super) gateway: Arc<Gateway>,
+    /// The request.
+    pub(super) req: Received,
+    /// What was decided about it.
+    pub(super) plan: Arc<Plan>,
+    /// Model that is asked.
+    pub(super) model: Option<sesamebeam_core::ids::ModelId>,
+    /// Backend servers that had their turn.
+    pub(super) tried: Vec<ServerId>,
+    /// Sends that left.
+    pub(super) sends: u32,
+    /// Sends that did not.
+    unsent: usize,
+    /// Whether it may have run.
+    may_have_run: bool,
+}
+
+/// What follows after a send.
+enum Next {
+    /// The caller gets this.
+    Give(Box<Answer>),
+    /// Another backend server may be asked; if none is, the caller gets this.
+    Again(Option<Box<Answer>>),
+    /// A larger model is asked; the budget is spent already.
+    Larger,
+}
+
+/// Handles a caller's request.
+pub(super) async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Answer {
+    let chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut answer = decide(Arc::clone(&gateway), req).await;
+    // A body in chunks can hide a second request from one who reads the length
+    // instead. Nothing after it is read from this connection.
+    if chunked || gateway.stopping.is_cancelled() {
+        answer::close_after(answer.headers_mut());
+    }
+    answer
+}
+
+async fn decide(gateway: Arc<Gateway>, req: Request<Incoming>) -> Answer {
+    let came = Instant::now();
+    let (parts, body) = req.into_parts();
+    let head = match gateway.protocol.head(&parts) {
+        Ok(head) => head,
+        Err(fault) => {
+            log::info!(why:% = fault; "request refused");
+            return answer::closing(StatusCode::BAD_REQUEST);
+        }
+    };
+    let admitted = gateway.router().admit(gateway.now(), &head);
+    let plan = match admitted {
+        Ok(plan) => plan,
+        Err(refusal) => return refuse(&gateway, &head.id, refusal),
+    };
+    let limits = plan.table.config().limits;
+    let body = match read_body(body, &limits).await {
+        Ok(body) => body,
+        Err(status) => {
+            log::info!(id:% = head.id, status = status.as_u16(); "body refused");
+            return answer::closing(status);
+        }
+    };
+    let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let until = came + patience.min(plan.route.timeout);
+    let attempt = Attempt {
+        model: plan.model.clone(),
+        plan: Arc::new(plan),
+        req: Received {
+            head,
+            parts,
+            body,
+            came,
+            until,
+        },
+        gateway,
+        tried: Vec::new(),
+        sends: 0,
+        unsent: 0,
+        may_have_run: false,
+    };
+    attempt.run().await
+}
+
+impl Attempt {
+    async fn run(mut self) -> Answer {
+        let mut spare = None;
+        let mut paid = true;
+        loop {
+            if !paid && !self.may_send_again() {
+                break;
+            }
+            let Some(choice) = self.choose() else {
+                break;
+            };
+            let model = self.model.clone();
+            let watch = self.may_repeat();
+            let resume = self.req.head.resume_after;
+            let sent = self
+                .gateway
+                .send(
+                    &self.req,
+                    &self.plan,
+                    &choice,
+                    model.as_deref(),
+                    resume,
+                    watch,
+                )
+                .await;
+            let (next, back) = self.judge(choice, sent).await;
+            self = match back {
+                Some(attempt) => *attempt,
+                None => match next {
+                    Next::Give(answer) => return *answer,
+                    _ => return answer::own(StatusCode::BAD_GATEWAY),
+                },
+            };
+            match next {
+                Next::Give(answer) => return *answer,
+                Next::Again(kept) => {
+                    spare = kept.or(spare);
+                    paid = self.sends == 0;
+                }
+                Next::Larger => paid = true,
+            }
+        }
+        self.give_up(spare)
+    }
+
+    /// Ends a request that no backend server answered.
+    fn give_up(self, spare: Option<Box<Answer>>) -> Answer {
+        if let Some(answer) = spare {
+            return *answer;
+        }
+        let late = Instant::now() >= self.req.until;
+        let status = match (self.may_have_run, late) {
+            (true, true) => StatusCode::GATEWAY_TIMEOUT,
+            (true, false) => StatusCode::BAD_GATEWAY,
+            (false, _) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let taken = self.gateway.router().taken(self.gateway.now(), &self.plan);
+        log::info!(
+            id:% = self.req.head.id, status = status.as_u16(), sends = self.sends,
+            unsent = self.unsent, taken = taken, tried:? = self.tried;
+            "request given up"
+        );
+        if self.may_have_run {
+            return answer::own(status);
+        }
+        answer::come_back(status)
+    }
+
+    pub(super) fn choose(&self) -> Option<Flight> {
+        let now = self.gateway.now();
+        let mut router = self.gateway.router();
+        let choice = router.choose(now, &self.plan, self.model.as_deref(), &self.tried)?;
+        drop(router);
+        let gateway = Arc::clone(&self.gateway);
+        Some(Flight::new(gateway, Arc::clone(&self.plan), choice))
+    }
+
+    /// Returns whether another send is allowed, and spends it.
+    pub(super) fn may_send_again(&self) -> bool {
+        let now = self.gateway.now();
+        self.sends < self.plan.route.max_attempts
+            && self.unsent < MAX_UNSENT
+            && Instant::now() < self.req.until
+            && self.gateway.router().try_repeat(now, &self.plan)
+    }
+
+    /// Returns whether a request that may have run may be sent again.
+    fn may_repeat(&self) -> bool {
+        let route = &self.plan.route;
+        match route.repeat {
+            Repeat::Idempotent => true,
+            Repeat::AtMostOnce => route.streaming && route.resumable,
+        }
+    }
+
+    /// Decides what follows after a send. The attempt comes back unless a stream
+    /// has taken it over.
+    async fn judge(mut self, mut choice: Flight, sent: Sent) -> (Next, Option<Box<Attempt>>) {
+        let outcome = match sent {
+            Sent::Unsent(e) => {
+                log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = e; "not sent");
+                self.unsent += 1;
+                self.tried.push(choice.id.clone());
+                choice.end(Outcome::Unreachable);
+                return (Next::Again(None), Some(Box::new(self)));
+            }
+            Sent::Answered(response, head, lease) => {
+                self.sends += 1;
+                return self.take_answer(choice, *response, head, lease).await;
+            }
+            Sent::Broken(why) => {
+                log::info!(
+                    id:% = self.req.head.id, server:% = choice.id, why = why;
+                    "send broke off"
+                );
+                Outcome::Failed
+            }
+            Sent::Dark => {
+                log::info!(id:% = self.req.head.id, server:% = choice.id; "backend server silent");
+                self.gateway.client.retire(choice.addr);
+                Outcome::Unreachable
+            }
+            Sent::Late => {
+                log::info!(id:% = self.req.head.id, server:% = choice.id; "no answer in time");
+                Outcome::Dropped
+            }
+        };
+        self.sends += 1;
+        choice.end(outcome);
+        self.after_failure(&choice)
+    }
+
+    /// Goes on after a send whose request may have run.
+    fn after_failure(mut self, choice: &Choice) -> (Next, Option<Box<Attempt>>) {
+        self.may_have_run = true;
+        self.tried.push(choice.id.clone());
+        if self.may_repeat() {
+            return (Next::Again(None), Some(Box::new(self)));
+        }
+        let answer = self.give_up(None);
+        (Next::Give(Box::new(answer)), None)
+    }
+
+    async fn take_answer(
+        mut self,
+        mut choice: Flight,
+        response: Response<Incoming>,
+        head: AnswerHead,
+        lease: Lease,
+    ) -> (Next, Option<Box<Attempt>>) {
+        if head.misdirected || head.not_run {
+            log::info!(
+                id:% = self.req.head.id, server:% = choice.id, status = head.status;
+                "backend server refused"
+            );
+            if head.misdirected {
+                self.gateway
+                    .router()
+                    .displaced(self.gateway.now(), &choice.id);
+            }
+            give_back(lease, &head);
+            self.tried.push(choice.id.clone());
+            choice.end(Outcome::Refused);
+            return (Next::Again(None), Some(Box::new(self)));
+        }
+        if head.is_success() && !head.sealed {
+            choice.end(Outcome::Failed);
+            return self.after_failure(&choice);
+        }
+        if head.is_success() && self.plan.route.streaming {
+            return self.take_stream(choice, response, head, lease);
+        }
+        self.take_whole(choice, response, head, lease).await
+    }
+
+    fn take_stream(
+        mut self,
+        mut choice: Flight,
+        response: Response<Incoming>,
+        head: AnswerHead,
+        lease: Lease,
+    ) -> (Next, Option<Box<Attempt>>) {
+        let now = self.gateway.now();
+        let model = self.model.clone().unwrap_or_default();
+        let left = self.sends < self.plan.route.max_attempts;
+        let step = match self.model {
+            Some(_) => {
+                let mut router = self.gateway.router();
+                router.judge(now, &self.plan, &model, &head, left)
+            }
+            None => Step::Keep,
+        };
+        log::info!(
+            id:% = self.req.head.id, server:% = choice.id, model:% = model,
+            confidence:? = head.confidence, step:? = step,
+            config = self.plan.table.config().version;
+            "stream began"
+        );
+        if let Step::Ask(larger) = step {
+            // Closing the connection ends the run.
+            drop(response);
+            drop(lease);
+            choice.end(Outcome::Dropped);
+            self.model = Some(larger);
+            return (Next::Larger, Some(Box::new(self)));
+        }
+        let took = self.req.came.elapsed();
+        self.gateway
+            .router()
+            .timed(&self.plan, &choice, Some(&model), took);
+        let (mut parts, body) = response.into_parts();
+        strip_hop_by_hop(&mut parts.headers);
+        let relay = Relay::new(self, choice, body, head, lease);
+        let answer = Response::from_parts(parts, relay.into_body());
+        (Next::Give(Box::new(answer)), None)
+    }
+
+    async fn take_whole(
+        self,
+        mut choice: Flight,
+        response: Response<Incoming>,
+        head: AnswerHead,
+        lease: Lease,
+    ) -> (Next, Option<Box<Attempt>>) {
+        let (mut parts, body) = response.into_parts();
+        let reading = Limited::new(body, MAX_ANSWER).collect();
+        let body = match timeout_at(self.req.until.into(), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            read => {
+                let outcome = if read.is_err() {
+                    Outcome::Dropped
+                } else {
+                    Outcome::Failed
+                };
+                log::info!(id:% = self.req.head.id, server:% = choice.id; "answer broke off");
+                choice.end(outcome);
+                return self.after_failure(&choice);
+            }
+        };
+        give_back(lease, &head);
+        let failed = head.status >= 500;
+        let outcome = if failed {
+            Outcome::Failed
+        } else {
+            Outcome::Good
+        };
+        if !failed {
+            let took = self.req.came.elapsed();
+            self.gateway.router().timed(&self.plan, &choice, None, took);
+        }
+        choice.end(outcome);
+        log::info!(
+            id:% = self.req.head.id, server:% = choice.id, status = head.status,
+            sends = self.sends, config = self.plan.table.config().version;
+            "answered"
+        );
+        strip_hop_by_hop(&mut parts.headers);
+        let answer = Box::new(Response::from_parts(parts, answer::full(body)));
+        if failed && self.may_repeat() {
+            let mut again = self;
+            again.may_have_run = true;
+            again.tried.push(choice.id.clone());
+            return (Next::Again(Some(answer)), Some(Box::new(again)));
+        }
+        (Next::Give(answer), None)
+    }
+}
+
+/// Keeps a connection for the next request, for as long as its server says.
+pub(super) fn give_back(lease: Lease, head: &AnswerHead) {
+    if !head.closing {
+        lease.give_back_for(head.keep_alive);
+    }
+}
+
+fn refuse(gateway: &Gateway, id: &str, refusal: Refusal) -> Answer {
+    let version = gateway.router().version();
+    log::info!(id = id, why:% = refusal, config:? = version; "request refused");
+    match refusal {
+        Refusal::NoConfig | Refusal::Busy => answer::come_back(StatusCode::SERVICE_UNAVAILABLE),
+        Refusal::NoRoute => answer::own(StatusCode::NOT_FOUND),
+        Refusal::UnknownKey => answer::own(StatusCode::UNAUTHORIZED),
+    }
+}
+
+/// Reads a body within its limits.
+///
+/// # Errors
+///
+/// Fails with the status to answer.
+async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
+    let reading = Limited::new(body, limits.max_body).collect();
+    match timeout(limits.idle_timeout, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/gateway/feed.rs
@@ -0,0 +1,267 @@
+//! Connections to the control replicas.
+//!
+//! An entry holds one to every replica and hears all of them: what one that is
+//! cut off cannot tell, the others do.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::RngExt;
+use sesamebeam_core::gateway::{
+    feed::{
+        FromEntry,
+        Hello,
+        ToEntry, //
+    },
+    store::Document,
+};
+use tokio::{
+    sync::{
+        broadcast,
+        mpsc::{
+            UnboundedSender,
+            unbounded_channel, //
+        },
+        watch,
+    },
+    time::{
+        MissedTickBehavior,
+        interval,
+        sleep, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+
+use super::Gateway;
+use crate::frames::{
+    self,
+    ALIVE_EVERY,
+    FrameError,
+    Receiver,
+    Sender, //
+};
+
+/// Pause before a connection that ended is opened again.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Longest pause, for replicas that stay away.
+const RETRY_MAX: Duration = Duration::from_millis(800);
+
+/// Pause between two reports of answers. A bad version is noticed a few of
+/// these after its first failures.
+const REPORT_EVERY: Duration = Duration::from_millis(200);
+
+/// Reports that wait for one replica.
+const MAX_WAITING: usize = 16;
+
+/// Keeps connections to all control replicas that are known.
+pub(super) async fn run(
+    gateway: Arc<Gateway>,
+    mut seeds: watch::Receiver<Vec<SocketAddr>>,
+    halt: CancellationToken,
+) {
+    let life: u64 = rand::rng().random();
+    let (found, mut heard) = unbounded_channel::<Vec<SocketAddr>>();
+    let (reports, _) = broadcast::channel(MAX_WAITING);
+    let mut replicas: BTreeSet<SocketAddr> = BTreeSet::new();
+    let mut kept: BTreeMap<SocketAddr, CancellationToken> = BTreeMap::new();
+    let mut ticks = interval(REPORT_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let mut wanted = replicas.clone();
+        let port = gateway.settings.feed_port;
+        wanted.extend(
+            seeds
+                .borrow_and_update()
+                .iter()
+                .map(|s| SocketAddr::new(s.ip(), port)),
+        );
+        kept.retain(|addr, token| {
+            let keep = wanted.contains(addr);
+            if !keep {
+                token.cancel();
+            }
+            keep
+        });
+        for addr in wanted {
+            kept.entry(addr).or_insert_with(|| {
+                let token = halt.child_token();
+                let link = Link {
+                    gateway: Arc::clone(&gateway),
+                    addr,
+                    life,
+                    found: found.clone(),
+                    reports: reports.clone(),
+                };
+                tokio::spawn(keep(link, token.clone()));
+                token
+            });
+        }
+        tokio::select! {
+            () = halt.cancelled() => return,
+            Some(addrs) = heard.recv() => {
+                // A replica that knows of nobody yet says nothing.
+                if !addrs.is_empty() {
+                    replicas = addrs.into_iter().collect();
+                }
+            }
+            changed = seeds.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            _ = ticks.tick() => report(&gateway, &reports),
+        }
+    }
+}
+
+/// Sends what was counted to all replicas: whichever leads decides.
+fn report(gateway: &Gateway, reports: &broadcast::Sender<FromEntry>) {
+    let mut router = gateway.router();
+    router.tidy(gateway.now());
+    let evidence = router.take_evidence();
+    if !evidence.is_empty() {
+        // Nobody is connected yet, or all have their queues.
+        let _ = reports.send(FromEntry::Evidence(evidence));
+    }
+}
+
+/// One connection.
+struct Link {
+    gateway: Arc<Gateway>,
+    addr: SocketAddr,
+    life: u64,
+    found: UnboundedSender<Vec<SocketAddr>>,
+    reports: broadcast::Sender<FromEntry>,
+}
+
+async fn keep(link: Link, cancel: CancellationToken) {
+    let mut pause = RETRY_AFTER;
+    loop {
+        let mut reached = false;
+        let ended = tokio::select! {
+            () = cancel.cancelled() => return,
+            ended = link.follow(&mut reached) => ended,
+        };
+        if let Err(e) = ended
+            && reached
+        {
+            log::warn!(replica:% = link.addr, error:% = e; "control replica lost");
+        }
+        pause = if reached {
+            RETRY_AFTER
+        } else {
+            (pause * 2).min(RETRY_MAX)
+        };
+        let jitter: f64 = rand::rng().random_range(0.5..1.0);
+        sleep(pause.mul_f64(jitter)).await;
+    }
+}
+
+impl Link {
+    async fn follow(&self, reached: &mut bool) -> Result<(), FrameError> {
+        let (mut tx, mut rx) = frames::connect(self.addr).await?;
+        tx.send(&Hello::Entry {
+            life: self.life,
+            name: self.gateway.settings.name.clone(),
+        })
+        .await?;
+        // A replica that has just started learns the backend servers from here.
+        let servers = {
+            let router = self.gateway.router();
+            router.directory().all().map(|k| k.said.clone()).collect()
+        };
+        tx.send(&FromEntry::Servers(servers)).await?;
+        *reached = true;
+        log::info!(replica:% = self.addr; "control replica reached");
+        let reports = self.reports.subscribe();
+        tokio::select! {
+            ended = self.read(&mut rx) => ended,
+            ended = write(&mut tx, reports) => ended,
+        }
+    }
+
+    async fn read(&self, rx: &mut Receiver) -> Result<(), FrameError> {
+        loop {
+            match rx.next::<ToEntry>().await? {
+                ToEntry::Fleet { replicas, entries } => {
+                    self.gateway.router().set_entries(entries);
+                    let _ = self.found.send(replicas);
+                }
+                ToEntry::State {
+                    index,
+                    config,
+                    rollouts,
+                } => {
+                    if let Some(document) = config {
+                        self.take_config(&document);
+                    }
+                    let rollouts = rollouts.into_iter().collect();
+                    let taken = self.gateway.router().set_rollouts(index, rollouts);
+                    if taken {
+                        log::info!(index = index, replica:% = self.addr; "roll-outs learned");
+                    }
+                }
+                ToEntry::Servers(servers) => {
+                    let now = self.gateway.now();
+                    let mut router = self.gateway.router();
+                    for said in servers {
+                        let (id, state) = (said.id.clone(), said.state);
+                        if router.announced(now, said) {
+                            log::info!(server:% = id, state:? = state; "backend server learned");
+                        }
+                    }
+                }
+                ToEntry::Quarantined(_) | ToEntry::Alive => {}
+            }
+        }
+    }
+
+    fn take_config(&self, document: &Document) {
+        let held = self.gateway.router().version();
+        if held.is_some_and(|held| held >= document.version) {
+            return;
+        }
+        match self.gateway.protocol.config(&document.bytes) {
+            Ok(config) => {
+                let version = config.version;
+                if self.gateway.router().set_config(config) {
+                    log::info!(
+                        config = version, before:? = held, replica:% = self.addr;
+                        "configuration in force"
+                    );
+                }
+            }
+            Err(e) => {
+                log::error!(config = document.version, error:% = e; "configuration not understood");
+            }
+        }
+    }
+}
+
+async fn write(
+    tx: &mut Sender,
+    mut reports: broadcast::Receiver<FromEntry>,
+) -> Result<(), FrameError> {
+    let mut ticks = interval(ALIVE_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            report = reports.recv() => match report {
+                Ok(report) => tx.send(&report).await?,
+                Err(broadcast::error::RecvError::Lagged(missed)) => {
+                    log::warn!(missed = missed; "reports dropped");
+                }
+                Err(broadcast::error::RecvError::Closed) => return Err(FrameError::Closed),
+            },
+            _ = ticks.tick() => tx.send(&FromEntry::Alive).await?,
+        }
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/gateway/flight.rs
@@ -0,0 +1,63 @@
+//! A request at a backend server, counted until it ends.
+
+use std::{
+    ops::Deref,
+    sync::Arc, //
+};
+
+use sesamebeam_core::gateway::{
+    balance::Outcome,
+    router::{
+        Choice,
+        Plan, //
+    },
+};
+
+use super::Gateway;
+
+/// A request that was sent, or is about to be.
+///
+/// A caller that leaves drops the task of its request at any point. Counted by
+/// hand, the request would stay counted at its backend server for ever, which
+/// would look fuller with each; dropping this counts it as ended.
+pub(super) struct Flight {
+    gateway: Arc<Gateway>,
+    plan: Arc<Plan>,
+    choice: Choice,
+    ended: bool,
+}
+
+impl Flight {
+    /// Starts with a choice that the router has counted.
+    pub(super) fn new(gateway: Arc<Gateway>, plan: Arc<Plan>, choice: Choice) -> Self {
+        Self {
+            gateway,
+            plan,
+            choice,
+            ended: false,
+        }
+    }
+
+    /// Notes how it ended.
+    pub(super) fn end(&mut self, outcome: Outcome) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let now = self.gateway.now();
+            let mut router = self.gateway.router();
+            router.finished(now, &self.plan, &self.choice, outcome);
+        }
+    }
+}
+
+impl Deref for Flight {
+    type Target = Choice;
+
+    fn deref(&self) -> &Choice {
+        &self.choice
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.end(Outcome::Dropped);
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/gateway/front.rs
@@ -0,0 +1,205 @@
+//! Callers' connections, readiness, and a stop that cuts nothing off.
+
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use sesamebeam_core::gateway::config::Limits;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Gateway,
+    GatewayError,
+    attempt, //
+};
+
+/// Time after the signal to stop during which new callers may still come: the
+/// balancer asks once a second and takes an entry out after two misses.
+const BALANCER_LAG: Duration = Duration::from_millis(3200);
+
+/// Time before the end of the grace period at which this process ends by
+/// itself.
+const END_BEFORE: Duration = Duration::from_millis(600);
+
+/// Pause between two looks at whether all connections have ended.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Room beside the headers' own bytes for the start of a body; the smallest
+/// buffer that the HTTP library takes is 8 KiB.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// Connections that are open, counted.
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves callers until a stop was asked for and they have been answered.
+pub(super) async fn run(
+    gateway: Arc<Gateway>,
+    halt: CancellationToken,
+) -> Result<(), GatewayError> {
+    let ready = listen(gateway.settings.ready).await?;
+    let front = listen(gateway.settings.front).await?;
+    tokio::spawn(answer_readiness(Arc::clone(&gateway), ready, halt.clone()));
+    let open = Arc::new(AtomicUsize::new(0));
+    // Cancelled when idle connections are to be closed.
+    let closing = halt.child_token();
+    let accepting = accept(
+        Arc::clone(&gateway),
+        front,
+        Arc::clone(&open),
+        closing.clone(),
+    );
+    tokio::select! {
+        () = accepting => {}
+        () = stop(&gateway, &open, &closing) => {}
+    }
+    Ok(())
+}
+
+/// Waits for the signal to stop and then until the last connection has ended.
+async fn stop(gateway: &Gateway, open: &AtomicUsize, closing: &CancellationToken) {
+    gateway.stopping.cancelled().await;
+    log::info!(open = open.load(Ordering::Relaxed); "stopping");
+    let end = Instant::now() + gateway.settings.grace.saturating_sub(END_BEFORE);
+    sleep(BALANCER_LAG.min(gateway.settings.grace / 2)).await;
+    closing.cancel();
+    while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        sleep(LOOK_EVERY).await;
+    }
+    log::info!(open = open.load(Ordering::Relaxed); "stopped");
+}
+
+async fn listen(addr: std::net::SocketAddr) -> Result<TcpListener, GatewayError> {
+    let listener = TcpListener::bind(addr).await;
+    listener.map_err(|source| GatewayError::Listen { addr, source })
+}
+
+async fn accept(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    open: Arc<AtomicUsize>,
+    closing: CancellationToken,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let counted = Open::new(&open);
+                let (gateway, closing) = (Arc::clone(&gateway), closing.clone());
+                tokio::spawn(async move {
+                    serve(gateway, stream, closing).await;
+                    drop(counted);
+                });
+            }
+            Err(e) => {
+                log::warn!(error:% = e; "caller not accepted");
+                sleep(LOOK_EVERY).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, closing: CancellationToken) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(error:% = e; "no option set");
+    }
+    let limits = gateway
+        .router()
+        .table()
+        .map_or(Limits::default(), |t| t.config().limits);
+    let service = service_fn(|req: Request<Incoming>| {
+        let gateway = Arc::clone(&gateway);
+        async move { Ok::<_, Infallible>(attempt::handle(gateway, req).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_header.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = pin!(conn);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = closing.cancelled() => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!(error:% = e; "caller's connection ended");
+    }
+}
+
+/// Tells the balancer whether this entry takes callers.
+async fn answer_readiness(gateway: Arc<Gateway>, listener: TcpListener, halt: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = halt.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            sleep(LOOK_EVERY).await;
+            continue;
+        };
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let ready = gateway.is_ready();
+                async move { Ok::<_, Infallible>(readiness(ready)) }
+            });
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = conn.await;
+        });
+    }
+}
+
+fn readiness(ready: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/sesamebeam/src/gateway/send.rs
@@ -0,0 +1,160 @@
+//! One send of a request to a backend server.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    Uri,
+    body::Incoming,
+    http::request, //
+};
+use sesamebeam_core::gateway::{
+    request::{
+        AnswerHead,
+        Head,
+        Outgoing, //
+    },
+    router::{
+        Choice,
+        Plan, //
+    },
+};
+use tokio::time::sleep;
+
+use super::{
+    Gateway,
+    head::strip_hop_by_hop, //
+};
+use crate::http::client::{
+    ClientError,
+    Lease,
+    Reuse,
+    Terms, //
+};
+
+/// Pause between two looks at whether a backend server is still heard.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Silence of a backend server, on all connections, after which it counts as
+/// dark. Longer than its steps take with every slot in use.
+pub(super) const DARK_AFTER: Duration = Duration::from_millis(1500);
+
+/// A request that was read whole.
+pub(super) struct Received {
+    /// What its head says.
+    pub(super) head: Head,
+    /// Its head as it came.
+    pub(super) parts: request::Parts,
+    /// Its body.
+    pub(super) body: Bytes,
+    /// When it came.
+    pub(super) came: Instant,
+    /// When its caller or the route's time is over.
+    pub(super) until: Instant,
+}
+
+/// How a send went.
+pub(super) enum Sent {
+    /// An answer has begun.
+    Answered(Box<Response<Incoming>>, AnswerHead, Lease),
+    /// Not one byte has left.
+    Unsent(ClientError),
+    /// The connection broke, or another request's answer came; it may have run.
+    Broken(String),
+    /// The backend server fell silent; it may have run.
+    Dark,
+    /// The time is over; it may have run.
+    Late,
+}
+
+impl Gateway {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// `watch` gives the send up when the backend server falls silent.
+    pub(super) async fn send(
+        &self,
+        req: &Received,
+        plan: &Plan,
+        choice: &Choice,
+        model: Option<&str>,
+        resume_after: Option<u64>,
+        watch: bool,
+    ) -> Sent {
+        let left = req.until.saturating_duration_since(Instant::now());
+        let out = Outgoing {
+            server: &choice.id,
+            deadline: left,
+            organisation: plan.organisation.as_deref(),
+            rank: plan.rank,
+            model,
+            resume_after,
+        };
+        let Some(message) = self.message(req, &out) else {
+            return Sent::Broken("request cannot be written".to_owned());
+        };
+        let terms = Terms {
+            reuse: Reuse::Any,
+            patience: left,
+            send_by: None,
+        };
+        let sent_at = self.now();
+        let sending = self.client.send(choice.addr, message, terms);
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = self.fell_silent(choice, sent_at), if watch => return Sent::Dark,
+        };
+        match sent {
+            Ok((response, lease)) => self.answered(req, choice, response, lease),
+            Err(ClientError::Timeout(_)) => Sent::Late,
+            Err(e) if e.unsent() => Sent::Unsent(e),
+            Err(e) => Sent::Broken(e.to_string()),
+        }
+    }
+
+    fn answered(
+        &self,
+        req: &Received,
+        choice: &Choice,
+        response: Response<Incoming>,
+        lease: Lease,
+    ) -> Sent {
+        let (parts, body) = response.into_parts();
+        let answer = self.protocol.answer(&parts);
+        // An answer to an earlier request can come late, where this one's is due.
+        if answer.id.as_ref().is_some_and(|id| *id != req.head.id) {
+            return Sent::Broken("answer to another request".to_owned());
+        }
+        self.router().heard(self.now(), &choice.id, answer.load);
+        let response = Response::from_parts(parts, body);
+        Sent::Answered(Box::new(response), answer, lease)
+    }
+
+    /// Waits until a backend server has been silent for long.
+    async fn fell_silent(&self, choice: &Choice, since: Duration) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            let heard = self.router().heard_at(&choice.id).max(since);
+            if self.now().saturating_sub(heard) > DARK_AFTER {
+                return;
+            }
+        }
+    }
+
+    fn message(&self, req: &Received, out: &Outgoing<'_>) -> Option<Request<Full<Bytes>>> {
+        let mut headers = req.parts.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        self.protocol.outgoing(&mut headers, out);
+        let path = req.parts.uri.path_and_query()?.clone();
+        let mut message = Request::new(Full::new(req.body.clone()));
+        *message.method_mut() = req.parts.method.clone();
+        *message.uri_mut() = Uri::from(path);
+        *message.headers_mut() = headers;
+        Some(message)
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/gateway/stream.rs
@@ -0,0 +1,254 @@
+//! Passing a stream on to its caller, going on elsewhere when it breaks.
+//!
+//! The body is polled by the task of the caller's connection, so that an event
+//! costs no hop between tasks. When the caller leaves, the body is dropped and
+//! with it the connection to the backend server, which ends the run there.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use bytes::Bytes;
+use futures::stream::try_unfold;
+use http_body_util::{
+    BodyExt,
+    StreamBody, //
+};
+use hyper::body::{
+    Frame,
+    Incoming, //
+};
+use sesamebeam_core::gateway::{balance::Outcome, request::AnswerHead};
+use tokio::time::timeout_at;
+
+use super::{
+    answer::{
+        Body,
+        Broken, //
+    },
+    attempt::{
+        Attempt,
+        give_back, //
+    },
+    events::Events,
+    flight::Flight,
+    send::{
+        DARK_AFTER,
+        Sent, //
+    },
+};
+use crate::http::client::Lease;
+
+/// A stream on its way to the caller.
+pub(super) struct Relay {
+    attempt: Attempt,
+    events: Events,
+    source: Option<Source>,
+}
+
+/// The run that a stream comes from.
+struct Source {
+    choice: Flight,
+    body: Incoming,
+    head: AnswerHead,
+    lease: Option<Lease>,
+}
+
+/// What the next look at the source gave.
+enum Step {
+    /// Whole events.
+    Events(Bytes),
+    /// The stream is complete.
+    Done,
+    /// It broke off.
+    Broke(Outcome),
+    /// The time is over.
+    Late,
+}
+
+impl Relay {
+    /// Takes over a stream whose head the caller is about to get.
+    pub(super) fn new(
+        attempt: Attempt,
+        choice: Flight,
+        body: Incoming,
+        head: AnswerHead,
+        lease: Lease,
+    ) -> Self {
+        Self {
+            events: Events::after(attempt.req.head.resume_after),
+            attempt,
+            source: Some(Source {
+                choice,
+                body,
+                head,
+                lease: Some(lease),
+            }),
+        }
+    }
+
+    /// Makes a body that sends the events on.
+    pub(super) fn into_body(self) -> Body {
+        let frames = try_unfold(self, |relay| async move { relay.next().await });
+        BodyExt::boxed_unsync(StreamBody::new(frames))
+    }
+
+    async fn next(mut self) -> Result<Option<(Frame<Bytes>, Self)>, Broken> {
+        loop {
+            match self.step().await {
+                Step::Events(events) => return Ok(Some((Frame::data(events), self))),
+                Step::Done => {
+                    self.complete();
+                    return Ok(None);
+                }
+                Step::Broke(outcome) => {
+                    self.end_source(outcome);
+                    if !self.resume().await {
+                        self.log("stream broke off");
+                        return Err(Broken::Stream);
+                    }
+                }
+                Step::Late => {
+                    self.log("stream not complete in time");
+                    return Err(Broken::Late);
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let Some(source) = &mut self.source else {
+            return Step::Broke(Outcome::Dropped);
+        };
+        let until = self.attempt.req.until;
+        loop {
+            let silent_at = Instant::now() + DARK_AFTER;
+            let frame = timeout_at(until.min(silent_at).into(), source.body.frame()).await;
+            match frame {
+                Err(_) if Instant::now() >= until => return Step::Late,
+                Err(_) => {
+                    let gateway = &self.attempt.gateway;
+                    let heard = gateway.router().heard_at(&source.choice.id);
+                    if gateway.now().saturating_sub(heard) > DARK_AFTER {
+                        return Step::Broke(Outcome::Unreachable);
+                    }
+                }
+                Ok(None) if self.events.is_whole() => return Step::Done,
+                Ok(None) | Ok(Some(Err(_))) => return Step::Broke(Outcome::Failed),
+                Ok(Some(Ok(frame))) => {
+                    let Ok(piece) = frame.into_data() else {
+                        continue;
+                    };
+                    let gateway = &self.attempt.gateway;
+                    gateway
+                        .router()
+                        .heard(gateway.now(), &source.choice.id, None);
+                    match self.events.push(piece) {
+                        Ok(events) if events.is_empty() => {}
+                        Ok(events) => return Step::Events(events),
+                        Err(_) => return Step::Broke(Outcome::Failed),
+                    }
+                }
+            }
+        }
+    }
+
+    fn complete(&mut self) {
+        let Some(mut source) = self.source.take() else {
+            return;
+        };
+        if let Some(lease) = source.lease.take() {
+            give_back(lease, &source.head);
+        }
+        source.choice.end(Outcome::Good);
+        self.log("stream complete");
+    }
+
+    fn end_source(&mut self, outcome: Outcome) {
+        if let Some(mut source) = self.source.take() {
+            if outcome == Outcome::Unreachable {
+                self.attempt.gateway.client.retire(source.choice.addr);
+            }
+            source.choice.end(outcome);
+            self.attempt.tried.push(source.choice.id.clone());
+        }
+        self.events.drop_rest();
+    }
+
+    /// Goes on at another backend server after the last whole event.
+    async fn resume(&mut self) -> bool {
+        if !self.attempt.plan.route.resumable {
+            return false;
+        }
+        loop {
+            if !self.attempt.may_send_again() {
+                return false;
+            }
+            let Some(choice) = self.attempt.choose() else {
+                return false;
+            };
+            if self.resume_at(choice).await {
+                return true;
+            }
+        }
+    }
+
+    async fn resume_at(&mut self, mut choice: Flight) -> bool {
+        let attempt = &self.attempt;
+        let last = self.events.last();
+        let model = attempt.model.clone();
+        let sent = attempt
+            .gateway
+            .send(
+                &attempt.req,
+                &attempt.plan,
+                &choice,
+                model.as_deref(),
+                last,
+                true,
+            )
+            .await;
+        let outcome = match sent {
+            Sent::Answered(response, head, lease) if head.is_success() && head.sealed => {
+                self.attempt.sends += 1;
+                log::info!(
+                    id:% = self.attempt.req.head.id, server:% = choice.id, after:? = last;
+                    "stream goes on"
+                );
+                self.source = Some(Source {
+                    choice,
+                    body: response.into_body(),
+                    head,
+                    lease: Some(lease),
+                });
+                return true;
+            }
+            Sent::Answered(_, head, _) if head.not_run || head.misdirected => Outcome::Refused,
+            Sent::Answered(..) | Sent::Broken(_) => Outcome::Failed,
+            Sent::Unsent(_) | Sent::Dark => Outcome::Unreachable,
+            Sent::Late => Outcome::Dropped,
+        };
+        self.attempt.sends += 1;
+        choice.end(outcome);
+        self.attempt.tried.push(choice.id.clone());
+        false
+    }
+
+    fn log(&self, what: &str) {
+        let took: Duration = self.attempt.req.came.elapsed();
+        log::info!(
+            id:% = self.attempt.req.head.id, events = self.events.count(),
+            sends = self.attempt.sends, ms = took.as_millis() as u64;
+            "{what}"
+        );
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.source.is_some() {
+            self.log("stream dropped");
+        }
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/group.rs
@@ -0,0 +1,476 @@
+//! The daemon of a control replica for gateways: edges round [`Coordinator`].
+//!
+//! One task owns the coordinator and matches on one enum of inputs. The group
+//! forms, admits and replaces its replicas by itself.
+
+mod clock;
+mod http;
+mod join;
+mod listen;
+mod notes;
+mod peer;
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use sesamebeam_core::{
+    gateway::{
+        coordinator::{
+            Action,
+            Answer,
+            Call,
+            Coordinator,
+            CoordinatorConfig,
+            EntryLife,
+            Event,
+            Peers, //
+        },
+        feed::{
+            Between,
+            Question,
+            Reply,
+            ToEntry, //
+        },
+    },
+    ids::NodeId,
+    replica::{
+        Members,
+        ReplicaConfig,
+        Saved,
+        Ticket, //
+    },
+};
+use thiserror::Error;
+use tokio::{
+    sync::{
+        mpsc::{
+            Sender,
+            UnboundedReceiver,
+            UnboundedSender,
+            error::TrySendError,
+            unbounded_channel, //
+        },
+        oneshot, watch,
+    },
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+pub use self::http::{
+    CallFault,
+    ControlProtocol, //
+};
+use self::{
+    clock::Clock,
+    join::Place,
+    peer::PeerSender, //
+};
+use crate::{
+    control::disk_thread::{
+        DiskNotice,
+        DiskThread, //
+    },
+    disk::{
+        Disk,
+        DiskError,
+        Identity, //
+    },
+    frames,
+};
+
+/// Pause between two heartbeats of a leader. A tenth of the election time-out,
+/// so that lost packets do not end a leadership.
+const HEARTBEAT: Duration = Duration::from_millis(75);
+
+/// Shortest election time-out. A new leader and its first entry within a second
+/// and a half of the loss; twice the longest pause of a busy small machine.
+const ELECTION: Duration = Duration::from_millis(500);
+
+/// Leader lease; shorter than the election time-out, so that it is over first.
+const LEASE: Duration = Duration::from_millis(400);
+
+/// Most that clocks' rates differ from true time.
+const DRIFT: f64 = 0.01;
+
+/// Most bytes of entries in one message or write; a configuration of 4 MiB
+/// still goes as one.
+const MAX_BATCH: usize = 1 << 20;
+
+/// Bytes in a part of a snapshot.
+const SNAPSHOT_CHUNK: usize = 256 << 10;
+
+/// Entries between snapshots. Configurations are some kilobytes, so that the
+/// log stays within a few megabytes of a disk of 128.
+const SNAPSHOT_EVERY: u64 = 200;
+
+/// Longest time for an answer to a caller, who asks another replica after a
+/// second.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// Time for a sync after which the disk counts as stalled. Slow disks take
+/// tens of milliseconds.
+const DISK_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Settings of a control replica.
+#[derive(Clone, Debug)]
+pub struct GroupSettings {
+    /// Name for logs.
+    pub name: String,
+    /// Where operators and backend servers call.
+    pub control: SocketAddr,
+    /// Where other processes of the system call.
+    pub internal: SocketAddr,
+    /// Control addresses of some replicas.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Data folder.
+    pub data: PathBuf,
+    /// Replicas that may be lost at once.
+    pub tolerated: usize,
+}
+
+/// Why a control replica had to stop.
+#[derive(Debug, Error)]
+pub enum GroupError {
+    /// The data folder cannot be used.
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    /// An address cannot be used.
+    #[error("cannot listen on {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The disk thread cannot be started.
+    #[error("cannot start the disk thread: {0}")]
+    Thread(io::Error),
+    /// The group has given this replica's place to another.
+    #[error("no longer a member of the group")]
+    Removed,
+}
+
+/// What the task that owns the coordinator takes.
+#[derive(Debug)]
+enum Input {
+    /// An event without an answer.
+    Event(Event),
+    /// An entry has connected.
+    Entry(EntryLife, Sender<Bytes>),
+    /// A process asks about the group.
+    Asked(Question, oneshot::Sender<Reply>),
+    /// A caller asks for something.
+    Called(Call, oneshot::Sender<Answer>),
+    /// Replies to this process's own questions about the group.
+    Learned(Vec<(NodeId, SocketAddr)>),
+    /// A leader says that this process is no member.
+    Removed,
+    /// The group in which this process may ask for a place.
+    Group(u128),
+    /// The disk tells something.
+    Disk(DiskNotice),
+}
+
+/// Sends inputs to the task that owns the coordinator.
+type Inputs = UnboundedSender<Input>;
+
+/// A running control replica.
+struct Runner {
+    settings: GroupSettings,
+    clock: Clock,
+    core: Coordinator,
+    disk: Option<DiskThread>,
+    tx: Inputs,
+    peers: Peers,
+    senders: HashMap<NodeId, PeerSender>,
+    entries: HashMap<EntryLife, Sender<Bytes>>,
+    questions: HashMap<Ticket, oneshot::Sender<Reply>>,
+    calls: HashMap<Ticket, oneshot::Sender<Answer>>,
+    next_ticket: Ticket,
+    place: watch::Sender<Place>,
+    halt: CancellationToken,
+}
+
+/// Runs a control replica until cancelled.
+///
+/// # Errors
+///
+/// Fails if an address or the data folder cannot be used, or if the group gave
+/// the replica's place to another; started again it asks for a new one.
+pub async fn run(
+    settings: GroupSettings,
+    protocol: Arc<dyn ControlProtocol>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    cancel: CancellationToken,
+) -> Result<(), GroupError> {
+    let (tx, rx) = unbounded_channel();
+    let halt = cancel.child_token();
+    let clock = Clock::start();
+    let cfg = CoordinatorConfig {
+        addr: settings.internal,
+        tolerated: settings.tolerated,
+        patience: PATIENCE,
+        disk_patience: DISK_PATIENCE,
+    };
+    let (place, place_rx) = watch::channel(Place::default());
+    let mut runner = Runner {
+        core: Coordinator::new(cfg, clock.now()),
+        clock,
+        disk: None,
+        tx: tx.clone(),
+        peers: Peers::default(),
+        senders: HashMap::new(),
+        entries: HashMap::new(),
+        questions: HashMap::new(),
+        calls: HashMap::new(),
+        next_ticket: 0,
+        place,
+        halt: halt.clone(),
+        settings: settings.clone(),
+    };
+    runner.open()?;
+    listen::start(&settings, tx.clone(), halt.clone()).await?;
+    http::start(&settings, protocol, tx.clone(), halt.clone()).await?;
+    tokio::spawn(join::run(settings, seeds, place_rx, tx, halt.clone()));
+    let ended = runner.run(rx, &cancel).await;
+    halt.cancel();
+    ended
+}
+
+impl Runner {
+    async fn run(
+        &mut self,
+        mut rx: UnboundedReceiver<Input>,
+        cancel: &CancellationToken,
+    ) -> Result<(), GroupError> {
+        loop {
+            let wait = self.core.next_wake().saturating_sub(self.clock.now());
+            tokio::select! {
+                () = cancel.cancelled() => return Ok(()),
+                input = rx.recv() => match input {
+                    Some(input) => self.take(input)?,
+                    None => return Ok(()),
+                },
+                () = sleep(wait) => self.event(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) -> Result<(), GroupError> {
+        match input {
+            Input::Event(event) => {
+                if let Event::Unsubscribed(life) = &event {
+                    self.entries.remove(life);
+                }
+                self.event(event);
+            }
+            Input::Entry(life, tx) => {
+                self.entries.insert(life, tx);
+                self.event(Event::Subscribed(life));
+            }
+            Input::Asked(question, back) => {
+                let ticket = self.ticket();
+                self.questions.insert(ticket, back);
+                self.event(Event::Asked(ticket, question));
+            }
+            Input::Called(call, back) => {
+                let ticket = self.ticket();
+                self.calls.insert(ticket, back);
+                self.event(Event::Called(ticket, call));
+            }
+            Input::Learned(peers) => {
+                self.core.learn_peers(peers);
+                self.event(Event::Tick);
+            }
+            Input::Group(group) => self.prepare(group)?,
+            Input::Removed => {
+                Disk::remove(&self.settings.data)?;
+                return Err(GroupError::Removed);
+            }
+            Input::Disk(DiskNotice::Synced(write)) => self.event(Event::Synced(write)),
+            Input::Disk(DiskNotice::Full(full)) => self.event(Event::DiskFull(full)),
+            Input::Disk(DiskNotice::Failed(e)) => return Err(e.into()),
+        }
+        self.tell_place();
+        Ok(())
+    }
+
+    fn event(&mut self, event: Event) {
+        // The clock is read here, after every wait: a replica that was
+        // suspended must not act on a lease that ended meanwhile.
+        let actions = self.core.handle(self.clock.now(), event);
+        self.carry(actions);
+    }
+
+    fn carry(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, message),
+                Action::Write { write, ops } => {
+                    if let Some(disk) = &self.disk {
+                        disk.write(write, ops);
+                    }
+                }
+                Action::Reply(ticket, reply) => {
+                    if let Some(back) = self.questions.remove(&ticket) {
+                        let _ = back.send(reply);
+                    }
+                }
+                Action::Answer(ticket, answer) => {
+                    if let Some(back) = self.calls.remove(&ticket) {
+                        let _ = back.send(answer);
+                    }
+                }
+                Action::Push(to, message) => self.push(to, &message),
+                Action::Peers(peers) => self.set_peers(peers),
+                Action::Note(note) => notes::log(&note),
+            }
+        }
+    }
+
+    fn send(&mut self, to: NodeId, message: Between) {
+        if let Some(sender) = self.senders.get(&to) {
+            sender.send(message);
+        }
+    }
+
+    /// Hands a message to the connections of entries. One that does not keep up
+    /// is cut, and told everything when it comes back.
+    fn push(&mut self, to: Option<EntryLife>, message: &ToEntry) {
+        let bytes = match frames::encode(message) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(error:% = e; "message to entries has no encoding");
+                return;
+            }
+        };
+        let fits =
+            |tx: &Sender<Bytes>| !matches!(tx.try_send(bytes.clone()), Err(TrySendError::Full(_)));
+        match to {
+            Some(life) => {
+                if self.entries.get(&life).is_some_and(|tx| !fits(tx)) {
+                    self.entries.remove(&life);
+                }
+            }
+            None => self.entries.retain(|_, tx| fits(tx)),
+        }
+    }
+
+    fn set_peers(&mut self, peers: Peers) {
+        self.senders
+            .retain(|&node, sender| peers.addr(node) == Some(sender.addr()));
+        let own = self.core.id();
+        for (node, addr) in peers.all() {
+            if Some(node) == own || self.senders.contains_key(&node) {
+                continue;
+            }
+            let sender = PeerSender::start(own.unwrap_or_default(), addr, self.halt.child_token());
+            self.senders.insert(node, sender);
+        }
+        self.peers = peers;
+    }
+
+    /// Opens the data folder, or makes it if this process is one of the first
+    /// replicas.
+    fn open(&mut self) -> Result<(), GroupError> {
+        let data = &self.settings.data;
+        if Disk::is_made(data) {
+            let (disk, saved) = Disk::open(data)?;
+            return self.start(disk, saved, Members::default());
+        }
+        let Some((identity, members)) = join::first_group(&self.settings) else {
+            return Ok(());
+        };
+        Disk::create(data, &identity)?;
+        let (disk, saved) = Disk::open(data)?;
+        self.start(disk, saved, members)
+    }
+
+    /// Makes a data folder for a place in a group that others have formed.
+    fn prepare(&mut self, group: u128) -> Result<(), GroupError> {
+        if self.disk.is_some() {
+            return Ok(());
+        }
+        let identity = Identity {
+            group,
+            node: rand::random(),
+            incarnation: rand::random(),
+        };
+        Disk::create(&self.settings.data, &identity)?;
+        let (disk, saved) = Disk::open(&self.settings.data)?;
+        self.start(disk, saved, Members::default())
+    }
+
+    fn start(&mut self, disk: Disk, saved: Saved, members: Members) -> Result<(), GroupError> {
+        let identity = disk.identity();
+        let tx = self.tx.clone();
+        let tell = move |notice| tx.send(Input::Disk(notice)).is_ok();
+        self.disk = Some(DiskThread::start(disk, tell).map_err(GroupError::Thread)?);
+        let cfg = replica_config(&identity, members);
+        let actions = self.core.start(cfg, saved, self.clock.now());
+        self.carry(actions);
+        self.place
+            .send_modify(|place| place.identity = Some(identity));
+        self.tell_place();
+        Ok(())
+    }
+
+    /// Tells the joining task how this process stands in the group.
+    fn tell_place(&self) {
+        let member = self.core.is_member();
+        let settled = member && self.core.knows_leader();
+        self.place.send_if_modified(|place| {
+            let had_place = place.had_place || member;
+            let changed = place.settled != settled || place.had_place != had_place;
+            place.settled = settled;
+            place.had_place = had_place;
+            changed
+        });
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+}
+
+/// Returns where a process on the instance of a control address listens for
+/// others: the ports are the same on all instances.
+fn internal_of(settings: &GroupSettings, control: SocketAddr) -> SocketAddr {
+    SocketAddr::new(control.ip(), settings.internal.port())
+}
+
+/// Returns where callers reach a process that listens at an internal address.
+fn control_of(settings: &GroupSettings, internal: IpAddr) -> SocketAddr {
+    SocketAddr::new(internal, settings.control.port())
+}
+
+fn replica_config(identity: &Identity, members: Members) -> ReplicaConfig {
+    ReplicaConfig {
+        id: identity.node,
+        group: identity.group,
+        incarnation: identity.incarnation,
+        members,
+        heartbeat: HEARTBEAT,
+        election: ELECTION,
+        lease: LEASE,
+        drift: DRIFT,
+        max_batch_bytes: MAX_BATCH,
+        snapshot_every: SNAPSHOT_EVERY,
+        snapshot_chunk: SNAPSHOT_CHUNK,
+        seed: rand::random(),
+        faults: Default::default(),
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/group/join.rs
@@ -0,0 +1,175 @@
+//! Forming a group and asking for a place in one.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use sesamebeam_core::{
+    gateway::feed::{
+        Hello,
+        Question,
+        Reply, //
+    },
+    ids::NodeId,
+    replica::{
+        Member,
+        Members, //
+    },
+};
+use tokio::{
+    sync::watch,
+    time::sleep, //
+};
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_128, //
+};
+
+use super::{
+    GroupSettings,
+    Input,
+    Inputs,
+    internal_of, //
+};
+use crate::{
+    disk::Identity,
+    frames::{
+        self,
+        FrameError, //
+    },
+};
+
+/// Pause between two rounds of questions while this process has no settled
+/// place. A replacement must be back in full within seconds of its start.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+
+/// Rounds without a known leader after which a replica asks whether it is still
+/// a member: elections take less.
+const PATIENT_ROUNDS: u32 = 8;
+
+/// How this process stands in the group.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Place {
+    /// Whose data folder this process has.
+    pub(super) identity: Option<Identity>,
+    /// Whether it is a member and knows a leader.
+    pub(super) settled: bool,
+    /// Whether it was a member at any time.
+    pub(super) had_place: bool,
+}
+
+/// Makes up the first group, if this process belongs to it.
+///
+/// All processes are told the same seeds at the very first start, so each of the
+/// first replicas works out the same group without asking.
+pub(super) fn first_group(settings: &GroupSettings) -> Option<(Identity, Members)> {
+    if !settings.first_start {
+        return None;
+    }
+    let seeds: BTreeSet<SocketAddr> = settings
+        .seeds
+        .iter()
+        .map(|&seed| internal_of(settings, seed))
+        .collect();
+    if !seeds.contains(&settings.internal) {
+        return None;
+    }
+    let names: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let group = xxh3_128(names.join(",").as_bytes());
+    let identity = |addr: &SocketAddr| Identity {
+        group,
+        node: xxh3_64(addr.to_string().as_bytes()),
+        incarnation: xxh3_128(format!("{group:x} {addr}").as_bytes()),
+    };
+    let mut members = Members::default();
+    for addr in &seeds {
+        let Identity {
+            node, incarnation, ..
+        } = identity(addr);
+        members
+            .members
+            .insert(node, Member::voter(incarnation, Some(*addr)));
+    }
+    Some((identity(&settings.internal), members))
+}
+
+/// Asks for a place in the group whenever this process has none.
+pub(super) async fn run(
+    settings: GroupSettings,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    place: watch::Receiver<Place>,
+    tx: Inputs,
+    halt: CancellationToken,
+) {
+    let mut known: BTreeSet<SocketAddr> = BTreeSet::new();
+    let mut unsettled = 0;
+    while !halt.is_cancelled() {
+        sleep(ASK_EVERY).await;
+        let now = place.borrow().clone();
+        if now.settled {
+            unsettled = 0;
+            continue;
+        }
+        unsettled += 1;
+        let asked = seeds.borrow().clone();
+        let asked = asked.into_iter().map(|seed| internal_of(&settings, seed));
+        let mut asked: BTreeSet<SocketAddr> = asked.chain(known.iter().copied()).collect();
+        asked.remove(&settings.internal);
+        let question = question(&settings, &now);
+        let replies = asked.iter().map(|&addr| ask(addr, question.clone()));
+        for reply in futures::future::join_all(replies).await {
+            match reply {
+                Ok(reply) => take(reply, &now, unsettled, &mut known, &tx),
+                Err(e) => log::debug!(error:% = e; "question about the group not answered"),
+            }
+        }
+    }
+}
+
+fn question(settings: &GroupSettings, place: &Place) -> Question {
+    match &place.identity {
+        None => Question::Group,
+        Some(identity) => Question::Join {
+            node: identity.node,
+            incarnation: identity.incarnation,
+            addr: settings.internal,
+        },
+    }
+}
+
+fn take(
+    reply: Reply,
+    place: &Place,
+    unsettled: u32,
+    known: &mut BTreeSet<SocketAddr>,
+    tx: &Inputs,
+) {
+    let Reply::Group {
+        group,
+        replicas,
+        leads,
+    } = reply
+    else {
+        return;
+    };
+    known.extend(replicas.iter().map(|(_, addr)| *addr));
+    let own = place.identity.as_ref().map(|i| i.node);
+    let is_member = |node: NodeId| replicas.iter().any(|(n, _)| *n == node);
+    let gone = own.is_some_and(|own| !is_member(own));
+    let input = match own {
+        None => Input::Group(group),
+        Some(_) if gone && leads && unsettled > PATIENT_ROUNDS && place.had_place => Input::Removed,
+        Some(_) => Input::Learned(replicas),
+    };
+    let _ = tx.send(input);
+}
+
+async fn ask(addr: SocketAddr, question: Question) -> Result<Reply, FrameError> {
+    let (mut tx, mut rx) = frames::connect(addr).await?;
+    tx.send(&Hello::Asker).await?;
+    tx.send(&question).await?;
+    rx.next().await
+}
--- /dev/null
+++ b/sesamebeam/src/group/peer.rs
@@ -0,0 +1,121 @@
+//! Sending to another control replica.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use sesamebeam_core::{
+    gateway::feed::{
+        Between,
+        Hello, //
+    },
+    ids::NodeId,
+};
+use tokio::{
+    sync::mpsc::{
+        Receiver,
+        Sender,
+        channel, //
+    },
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::frames::{
+    self,
+    FrameError, //
+};
+
+/// Messages that wait for one replica; more are dropped, as the network may.
+const MAX_WAITING: usize = 512;
+
+/// Pause before a connection that ended is opened again, and messages from
+/// before it are dropped: the log repeats what is still wanted.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// The sending side of a connection that is kept open.
+#[derive(Debug)]
+pub(super) struct PeerSender {
+    addr: SocketAddr,
+    tx: Sender<Between>,
+    halt: CancellationToken,
+}
+
+impl PeerSender {
+    /// Starts the task that keeps the connection.
+    pub(super) fn start(own: NodeId, addr: SocketAddr, halt: CancellationToken) -> Self {
+        let (tx, rx) = channel(MAX_WAITING);
+        let cancel = halt.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = cancel.cancelled() => {}
+                () = keep(own, addr, rx) => {}
+            }
+        });
+        Self { addr, tx, halt }
+    }
+
+    /// Returns where it sends to.
+    pub(super) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sends a message, or drops it if too many wait.
+    pub(super) fn send(&self, message: Between) {
+        let _ = self.tx.try_send(message);
+    }
+}
+
+impl Drop for PeerSender {
+    fn drop(&mut self) {
+        self.halt.cancel();
+    }
+}
+
+async fn keep(own: NodeId, addr: SocketAddr, mut rx: Receiver<Between>) {
+    let mut reached = false;
+    loop {
+        let ended = forward(own, addr, &mut rx, &mut reached).await;
+        let Err(e) = ended else {
+            return;
+        };
+        if std::mem::take(&mut reached) {
+            log::warn!(peer:% = addr, error:% = e; "control replica lost");
+        }
+        sleep(RETRY_AFTER).await;
+        while rx.try_recv().is_ok() {}
+    }
+}
+
+/// Sends until the connection ends, or nobody has anything more to send.
+async fn forward(
+    own: NodeId,
+    addr: SocketAddr,
+    rx: &mut Receiver<Between>,
+    reached: &mut bool,
+) -> Result<(), FrameError> {
+    let (mut tx, mut back) = frames::connect(addr).await?;
+    tx.send(&Hello::Replica { node: own }).await?;
+    *reached = true;
+    log::info!(peer:% = addr; "control replica reached");
+    // The other end says that it lives; silence shows a path that is lost.
+    let alive = async {
+        loop {
+            if let Err(e) = back.next::<Bytes>().await {
+                return e;
+            }
+        }
+    };
+    let sending = async {
+        while let Some(message) = rx.recv().await {
+            tx.send(&message).await?;
+        }
+        Ok(())
+    };
+    tokio::select! {
+        e = alive => Err(e),
+        sent = sending => sent,
+    }
+}
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -41,6 +41,10 @@
 /// usual five seconds after which servers close theirs.
 const IDLE_FOR: Duration = Duration::from_secs(4);
 
+/// Share of the idle time that a server states for which a connection is used:
+/// a request sent as the server closes it may or may not have run.
+const KEPT_SHARE: f64 = 0.7;
+
 /// Why a request got no answer.
 #[derive(Debug, Error)]
 pub enum ClientError {
@@ -126,7 +130,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
-    since: Instant,
+    until: Instant,
 }
 
 /// Puts a connection back for the next request when the answer is read whole.
@@ -140,9 +144,14 @@
 
 impl Lease {
     /// Gives the connection back: its answer was read whole.
-    pub fn give_back(mut self) {
+    pub fn give_back(self) {
+        self.give_back_for(None);
+    }
+
+    /// Gives the connection back, to be kept idle no longer than its server says.
+    pub fn give_back_for(mut self, keep_alive: Option<Duration>) {
         if let Some(sender) = self.sender.take() {
-            self.client.put(self.addr, self.epoch, sender);
+            self.client.put(self.addr, self.epoch, sender, keep_alive);
         }
     }
 }
@@ -267,21 +276,28 @@
         let mut pool = self.lock();
         let host = pool.hosts.get_mut(&addr)?;
         while let Some(idle) = host.idle.pop() {
-            if idle.since.elapsed() < IDLE_FOR && idle.sender.is_ready() {
+            if Instant::now() < idle.until && idle.sender.is_ready() {
                 return Some((idle.sender, host.epoch));
             }
         }
         None
     }
 
-    fn put(&self, addr: SocketAddr, epoch: u64, sender: SendRequest<Full<Bytes>>) {
+    fn put(
+        &self,
+        addr: SocketAddr,
+        epoch: u64,
+        sender: SendRequest<Full<Bytes>>,
+        keep_alive: Option<Duration>,
+    ) {
+        let keep = keep_alive.map_or(IDLE_FOR, |k| k.mul_f64(KEPT_SHARE));
         let mut pool = self.lock();
         let host = pool.hosts.entry(addr).or_default();
         // INVARIANT: A connection from before a retirement never comes back.
         if host.epoch == epoch && host.idle.len() < self.max_idle && !sender.is_closed() {
             host.idle.push(Idle {
                 sender,
-                since: Instant::now(),
+                until: Instant::now() + keep,
             });
         }
     }
--- a/sesamebeam/src/http/sse.rs
+++ b/sesamebeam/src/http/sse.rs
@@ -104,7 +104,7 @@
 }
 
 /// Finds the end of the last whole event.
-fn last_boundary(buf: &[u8]) -> Option<usize> {
+pub(crate) fn last_boundary(buf: &[u8]) -> Option<usize> {
     buf.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2)
 }
 
--- a/sesamebeam/src/logging.rs
+++ b/sesamebeam/src/logging.rs
@@ -6,6 +6,8 @@
 //! counted: a reader of standard error that has stopped, or a slow disk, must
 //! not hold requests up, and a queue without bound would fill the memory.
 
+mod json;
+
 use std::{
     fmt::Write as _,
     io::{
@@ -123,6 +125,23 @@
     })
 }
 
+/// Starts logging as lines of JSON to standard output, for platforms that
+/// collect it.
+///
+/// # Errors
+///
+/// Fails if the logger or its thread cannot be started.
+pub fn start_json(queue: usize) -> Result<Logging, LogError> {
+    let queue = Arc::new(LogQueue::start_with(io::stdout(), queue, json::dropped)?);
+    let handle = Logger::try_with_str(filter(LogLevel::Info))?
+        .log_to_writer(Box::new(json::Writer::new(Arc::clone(&queue))))
+        .start()?;
+    Ok(Logging {
+        queue,
+        _handle: handle,
+    })
+}
+
 /// Returns the filter of a level. The libraries' own lines say nothing that an
 /// operator can act on, and come by the datagram.
 fn filter(level: LogLevel) -> String {
@@ -159,6 +178,15 @@
     ///
     /// Fails if there is no further thread.
     pub fn start(to: impl Write + Send + 'static, capacity: usize) -> io::Result<Self> {
+        Self::start_with(to, capacity, dropped_line)
+    }
+
+    /// Starts with a line of another form for the number of dropped lines.
+    fn start_with(
+        to: impl Write + Send + 'static,
+        capacity: usize,
+        dropped_line: fn(u64) -> String,
+    ) -> io::Result<Self> {
         let (tx, rx) = sync_channel(capacity);
         let (done_tx, done) = sync_channel(1);
         let dropped = Arc::new(AtomicU64::new(0));
@@ -166,7 +194,7 @@
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || {
-                write_all(to, &rx, &seen);
+                write_all(to, &rx, &seen, dropped_line);
                 let _ = done_tx.send(());
             })?;
         Ok(Self {
@@ -203,19 +231,24 @@
     }
 }
 
-fn write_all(mut to: impl Write, rx: &Receiver<Line>, dropped: &AtomicU64) {
+fn dropped_line(count: u64) -> String {
+    let message = format!("event=lines_dropped count={count}");
+    format_line("WARN", module_path!(), &message)
+}
+
+fn write_all(
+    mut to: impl Write,
+    rx: &Receiver<Line>,
+    dropped: &AtomicU64,
+    dropped_line: fn(u64) -> String,
+) {
     let mut told = 0;
     while let Ok(Line::Text(line)) = rx.recv() {
         // There is nobody to tell of a failure to write.
         let _ = to.write_all(line.as_bytes());
         let total = dropped.load(Ordering::Relaxed);
         if total > told {
-            let lost = format_line(
-                "WARN",
-                module_path!(),
-                &format!("event=lines_dropped count={}", total - told),
-            );
-            let _ = to.write_all(lost.as_bytes());
+            let _ = to.write_all(dropped_line(total - told).as_bytes());
             told = total;
         }
     }
--- /dev/null
+++ b/sesamebeam_core/src/gateway.rs
@@ -0,0 +1,19 @@
+//! Routing by host and path to the backend servers of declared services.
+//!
+//! The decisions of an entry that passes requests through unchanged: which
+//! route, which model, which backend server, whether to try again, and how far
+//! a new version is trusted; and the state that the control group replicates
+//! for it.
+
+pub mod balance;
+pub mod budget;
+pub mod cascade;
+pub mod config;
+pub mod coordinator;
+pub mod directory;
+pub mod feed;
+pub mod request;
+pub mod rollout;
+pub mod router;
+pub mod store;
+pub mod table;
--- /dev/null
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -0,0 +1,247 @@
+//! Choice of a backend server.
+//!
+//! Every entry sees its own requests at once and the load of a backend server
+//! only as of the answers that it got from it. Requests with a shared prompt go
+//! to the same few backend servers from every entry, by rendezvous hashing, so
+//! that the prompt is read once; load bounds how far that goes.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use super::{
+    directory::{
+        Known,
+        ServerId, //
+    },
+    request::Load,
+};
+use crate::{
+    ids::MonoTime,
+    policy::hash, //
+};
+
+/// How far above the mean load, as a share of the slots, a backend server may
+/// be and still be preferred for the prompt that it keeps. The bound of
+/// consistent hashing with bounded loads; at 0.25 one in five requests at most
+/// leaves its first choice in even traffic.
+const LOAD_MARGIN: f64 = 0.25;
+
+/// Load, as a share of the slots, that a hop to another failure domain is worth:
+/// one round trip between domains against the work of a request.
+const FAR_COST: f64 = 0.25;
+
+/// First pause after a backend server could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause after a backend server could not be reached; below the time
+/// that one takes to come back.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
+/// Weight of the newest answer in the share of failures: ten answers decide.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// Share of failures above the mean of the others from which a backend server
+/// is avoided.
+const FAILURE_EXCESS: f64 = 0.2;
+
+/// Time in which a reported load is worth half: engines turn over within it.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// What one entry knows of a backend server from its own requests.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    /// Own requests that are there.
+    in_flight: u32,
+    /// Load that it reported, when, and own requests there at that time.
+    load: Option<(Load, MonoTime, u32)>,
+    /// Share of its answers that failed.
+    failures: f64,
+    /// Until when it gets nothing, as it could not be reached.
+    avoid_until: MonoTime,
+    /// Length of the last pause.
+    pause: Duration,
+    /// When anything last came from it.
+    heard_at: MonoTime,
+}
+
+/// What a choice is made by.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Hash of the shared prompt and model; none if any will do.
+    pub affinity: Option<u64>,
+    /// Failure domain of this entry.
+    pub domain: &'a str,
+    /// Backend servers that were tried already.
+    pub tried: &'a [ServerId],
+    /// Breaks ties.
+    pub seed: u64,
+}
+
+/// How a request at a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered.
+    Good,
+    /// Its answer was a failure, or broke off.
+    Failed,
+    /// It did not run the request and said so.
+    Refused,
+    /// It could not be reached, or fell silent.
+    Unreachable,
+    /// The request was given up for reasons of its own.
+    Dropped,
+}
+
+/// What is known of all backend servers.
+#[derive(Debug, Default)]
+pub struct Balance {
+    seen: HashMap<ServerId, Seen>,
+}
+
+impl Balance {
+    /// Chooses among backend servers that take work, and counts the request.
+    pub fn choose<'a>(
+        &mut self,
+        now: MonoTime,
+        candidates: &[&'a Known],
+        need: &Need<'_>,
+    ) -> Option<&'a Known> {
+        let fit = self.fit(now, candidates, need.tried);
+        let chosen = match need.affinity {
+            Some(affinity) => self.by_prompt(now, &fit, affinity),
+            None => self.by_load(now, &fit, need),
+        }?;
+        self.seen
+            .entry(chosen.said.id.clone())
+            .or_default()
+            .in_flight += 1;
+        Some(chosen)
+    }
+
+    /// Notes that something came from a backend server.
+    pub fn heard(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.heard_at = now;
+        seen.avoid_until = MonoTime::ZERO;
+        seen.pause = Duration::ZERO;
+        if let Some(load) = load {
+            seen.load = Some((load, now, seen.in_flight));
+        }
+    }
+
+    /// Returns when anything last came from a backend server.
+    pub fn heard_at(&self, id: &ServerId) -> MonoTime {
+        self.seen.get(id).map_or(MonoTime::ZERO, |s| s.heard_at)
+    }
+
+    /// Notes how a request ended.
+    pub fn finished(&mut self, now: MonoTime, id: &ServerId, outcome: Outcome) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Good => seen.failures *= 1.0 - FAILURE_WEIGHT,
+            Outcome::Failed => {
+                seen.failures = seen.failures * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+            }
+            Outcome::Unreachable => seen.pause_after(now),
+            Outcome::Refused | Outcome::Dropped => {}
+        }
+    }
+
+    /// Returns the share of the slots of some backend servers that are taken.
+    pub fn taken(&self, now: MonoTime, servers: &[&Known]) -> f64 {
+        let count = servers.len().max(1) as f64;
+        servers.iter().map(|k| self.load(now, k)).sum::<f64>() / count
+    }
+
+    /// Forgets backend servers that are gone.
+    pub fn retain(&mut self, known: impl Fn(&ServerId) -> bool) {
+        self.seen.retain(|id, seen| seen.in_flight > 0 || known(id));
+    }
+
+    /// Leaves out those that were tried or could not be reached, as long as
+    /// others are left.
+    fn fit<'a>(&self, now: MonoTime, all: &[&'a Known], tried: &[ServerId]) -> Vec<&'a Known> {
+        let fresh: Vec<&Known> = all
+            .iter()
+            .copied()
+            .filter(|k| !tried.contains(&k.said.id))
+            .collect();
+        let reached = |k: &&Known| {
+            let seen = self.seen.get(&k.said.id);
+            seen.is_none_or(|s| s.avoid_until <= now)
+        };
+        let mean = self.mean_failures(&fresh);
+        let sound = |k: &&Known| self.failures(k) <= mean + FAILURE_EXCESS;
+        let best: Vec<&Known> = fresh
+            .iter()
+            .copied()
+            .filter(reached)
+            .filter(sound)
+            .collect();
+        if !best.is_empty() {
+            return best;
+        }
+        let reached: Vec<&Known> = fresh.iter().copied().filter(reached).collect();
+        if reached.is_empty() { fresh } else { reached }
+    }
+
+    /// Takes the first by rendezvous weight whose load is within the bound.
+    fn by_prompt<'a>(&self, now: MonoTime, fit: &[&'a Known], affinity: u64) -> Option<&'a Known> {
+        let bound = self.taken(now, fit) + LOAD_MARGIN;
+        let key = affinity.to_le_bytes();
+        let within = fit.iter().filter(|k| self.load(now, k) <= bound);
+        let best = within.max_by_key(|k| hash::rendezvous(&k.said.id, &key));
+        best.or_else(|| fit.first()).copied()
+    }
+
+    fn by_load<'a>(&self, now: MonoTime, fit: &[&'a Known], need: &Need<'_>) -> Option<&'a Known> {
+        let cost = |k: &Known| {
+            let far = if k.said.domain == need.domain {
+                0.0
+            } else {
+                FAR_COST
+            };
+            let jitter = hash::unit(k.said.id.as_bytes(), &need.seed.to_string()) * 0.05;
+            self.load(now, k) + far + jitter
+        };
+        let best = fit.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        best.copied()
+    }
+
+    /// Returns the requests at a backend server as a share of its slots.
+    ///
+    /// A report gives way to what this entry sees itself: left standing, an old
+    /// report of an idle engine draws every entry to it at once.
+    fn load(&self, now: MonoTime, known: &Known) -> f64 {
+        let slots = f64::from(known.said.slots.max(1));
+        let Some(seen) = self.seen.get(&known.said.id) else {
+            return 0.0;
+        };
+        let own = f64::from(seen.in_flight);
+        let Some((load, at, own_then)) = seen.load else {
+            return own / slots;
+        };
+        let others = f64::from((load.running + load.waiting).saturating_sub(own_then));
+        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        (own + others * 0.5f64.powf(age)) / slots
+    }
+
+    fn failures(&self, known: &Known) -> f64 {
+        self.seen.get(&known.said.id).map_or(0.0, |s| s.failures)
+    }
+
+    fn mean_failures(&self, fit: &[&Known]) -> f64 {
+        let count = fit.len().max(1) as f64;
+        fit.iter().map(|k| self.failures(k)).sum::<f64>() / count
+    }
+}
+
+impl Seen {
+    fn pause_after(&mut self, now: MonoTime) {
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+        self.avoid_until = now + self.pause;
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -0,0 +1,518 @@
+//! A control replica of the gateway: the replicated store, the backend servers'
+//! announcements, the entries that are told of both, and who is in the group.
+//!
+//! A process without a place in the group (one that has yet to join, or that is
+//! kept in reserve) takes announcements and passes them on, but decides nothing.
+
+mod announce;
+mod calls;
+mod group;
+mod trial;
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration,
+};
+
+use smol_str::SmolStr;
+
+pub use calls::{
+    Answer,
+    Call, //
+};
+pub use group::Peers;
+
+use self::{
+    announce::Confirming,
+    calls::Waiting,
+    trial::Trials, //
+};
+use super::{
+    config::ServiceId,
+    directory::Directory,
+    feed::{
+        Between,
+        FromEntry,
+        Question,
+        Reply,
+        ToEntry, //
+    },
+    rollout::Phase,
+    store::{
+        Command,
+        Store, //
+    },
+};
+use crate::{
+    ids::{
+        Digest,
+        LogIndex,
+        MonoTime,
+        NodeId, //
+    },
+    replica::{
+        DiskOp,
+        Replica,
+        ReplicaAction,
+        ReplicaConfig,
+        ReplicaEvent,
+        Role,
+        Saved,
+        Ticket,
+        WriteId, //
+    },
+};
+
+/// Longest time between two looks at what is due.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Number that an entry draws at its start.
+pub type EntryLife = u64;
+
+/// Settings of a coordinator.
+#[derive(Clone, Debug)]
+pub struct CoordinatorConfig {
+    /// Where this process listens for others.
+    pub addr: SocketAddr,
+    /// Replicas that may be lost at once; twice as many and one vote.
+    pub tolerated: usize,
+    /// Longest time for an answer to a caller; it asks another replica then.
+    pub patience: Duration,
+    /// Time for which a write may stay unsynced before the disk counts as
+    /// stalled and another replica leads.
+    pub disk_patience: Duration,
+}
+
+/// What happens to a coordinator.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message of another replica.
+    Peer {
+        /// Its number.
+        from: NodeId,
+        /// What it says.
+        message: Between,
+    },
+    /// An entry has connected.
+    Subscribed(EntryLife),
+    /// An entry's connection has ended.
+    Unsubscribed(EntryLife),
+    /// An entry says something.
+    Said(FromEntry),
+    /// A process asks about the group.
+    Asked(Ticket, Question),
+    /// A caller asks for something.
+    Called(Ticket, Call),
+    /// A write is synced.
+    Synced(WriteId),
+    /// The disk is full, or has space again.
+    DiskFull(bool),
+}
+
+/// What a coordinator wants done.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    /// Sends a message to another replica.
+    Send {
+        /// Its number.
+        to: NodeId,
+        /// The message.
+        message: Between,
+    },
+    /// Writes to the disk.
+    Write {
+        /// Number of the write.
+        write: WriteId,
+        /// What is written.
+        ops: Vec<DiskOp>,
+    },
+    /// Answers a question about the group.
+    Reply(Ticket, Reply),
+    /// Answers a caller.
+    Answer(Ticket, Answer),
+    /// Tells one entry, or all of them.
+    Push(Option<EntryLife>, ToEntry),
+    /// The replicas of the group have changed.
+    Peers(Peers),
+    /// Something that belongs into the log.
+    Note(Note),
+}
+
+/// Something that belongs into the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// The role in the group.
+    Role(Role),
+    /// A configuration was accepted.
+    Accepted {
+        /// Its number.
+        version: u64,
+        /// Position in the log.
+        index: LogIndex,
+    },
+    /// A roll-out entered a phase, with the counts that decided.
+    Rollout {
+        /// Service.
+        service: ServiceId,
+        /// Version that is brought in.
+        target: SmolStr,
+        /// The phase.
+        phase: Phase,
+        /// Good and bad answers of the new version, then of those before.
+        counts: (u32, u32, u32, u32),
+    },
+    /// A backend server's state changed.
+    Server {
+        /// Which.
+        id: SmolStr,
+        /// Its service.
+        service: ServiceId,
+        /// Its state.
+        state: super::directory::ServerState,
+        /// Number of the announcement.
+        sequence: u64,
+    },
+    /// A replica is added, replaced or removed.
+    Membership {
+        /// Replica that joins.
+        joins: Option<NodeId>,
+        /// Replica that leaves.
+        leaves: Option<NodeId>,
+    },
+    /// The disk has not synced a write for long.
+    DiskStalled(bool),
+    /// An entry in the log cannot be read.
+    Unreadable(LogIndex),
+}
+
+/// A control replica of the gateway.
+#[derive(Debug)]
+pub struct Coordinator {
+    cfg: CoordinatorConfig,
+    now: MonoTime,
+    replica: Option<Replica>,
+    peers: Peers,
+    store: Store,
+    directory: Directory,
+    entries: BTreeSet<EntryLife>,
+    /// Most entries that were connected at once.
+    most_entries: u32,
+    trials: Trials,
+    waiting: BTreeMap<Ticket, Waiting>,
+    confirming: BTreeMap<u64, Confirming>,
+    next_ticket: u64,
+    /// Crashes counted by fingerprint of the request that was running.
+    crashes: BTreeMap<Digest, u32>,
+    look_at: MonoTime,
+    /// Write that is not synced yet, and since when.
+    writing: Option<(WriteId, MonoTime)>,
+    disk_full: bool,
+    disk_stalled: bool,
+    actions: Vec<Action>,
+}
+
+impl Coordinator {
+    /// Makes a coordinator that has no place in a group yet.
+    pub fn new(cfg: CoordinatorConfig, now: MonoTime) -> Self {
+        Self {
+            cfg,
+            now,
+            replica: None,
+            peers: Peers::default(),
+            store: Store::default(),
+            directory: Directory::default(),
+            entries: BTreeSet::new(),
+            most_entries: 0,
+            trials: Trials::default(),
+            waiting: BTreeMap::new(),
+            confirming: BTreeMap::new(),
+            next_ticket: 1,
+            crashes: BTreeMap::new(),
+            look_at: now,
+            writing: None,
+            disk_full: false,
+            disk_stalled: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes a place in a group with what the disk holds of it.
+    pub fn start(&mut self, cfg: ReplicaConfig, saved: Saved, now: MonoTime) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let (replica, actions) = Replica::new(cfg, saved, self.now);
+        self.replica = Some(replica);
+        self.carry(actions);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Handles an event at a time that never goes back.
+    pub fn handle(&mut self, now: MonoTime, event: Event) -> Vec<Action> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.step(ReplicaEvent::Tick),
+            Event::Peer { from, message } => self.peer(from, message),
+            Event::Subscribed(life) => self.subscribe(life),
+            Event::Unsubscribed(life) => {
+                self.entries.remove(&life);
+            }
+            Event::Said(said) => self.said(said),
+            Event::Asked(ticket, question) => self.asked(ticket, question),
+            Event::Called(ticket, call) => self.called(ticket, call),
+            Event::Synced(write) => self.synced(write),
+            Event::DiskFull(full) => {
+                self.disk_full = full;
+                self.tell_disk();
+            }
+        }
+        self.look();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when a [`Event::Tick`] is next needed.
+    pub fn next_wake(&self) -> MonoTime {
+        let replica = self.replica.as_ref().map(Replica::next_wake);
+        replica.map_or(self.look_at, |wake| wake.min(self.look_at))
+    }
+
+    /// Returns the replicated state.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Returns the backend servers.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Returns whether this process leads the group.
+    pub fn leads(&self) -> bool {
+        self.replica
+            .as_ref()
+            .is_some_and(|r| r.role() == Role::Leader)
+    }
+
+    fn peer(&mut self, from: NodeId, message: Between) {
+        match message {
+            Between::Log(message) => {
+                let message = *message;
+                self.step(ReplicaEvent::Message { from, message });
+            }
+            Between::Servers(servers) => {
+                self.take_announcements(servers);
+            }
+            Between::Confirm { ticket, servers } => {
+                self.take_announcements(servers);
+                let message = Between::Confirmed { ticket };
+                self.actions.push(Action::Send { to: from, message });
+            }
+            Between::Confirmed { ticket } => self.confirmed(from, ticket),
+            Between::Crashed(fingerprints) => self.count_crashes(fingerprints),
+        }
+    }
+
+    fn said(&mut self, said: FromEntry) {
+        match said {
+            FromEntry::Servers(servers) => self.take_announcements(servers),
+            FromEntry::Evidence(evidence) => self.trials.take(self.now, &self.store, &evidence),
+            FromEntry::Crashed(fingerprints) => {
+                let message = Between::Crashed(fingerprints.clone());
+                self.tell_peers(&message);
+                self.count_crashes(fingerprints);
+            }
+            FromEntry::Alive => {}
+        }
+    }
+
+    /// Hands an event to the replica and carries out what it wants.
+    fn step(&mut self, event: ReplicaEvent) {
+        let Some(replica) = &mut self.replica else {
+            return;
+        };
+        let actions = replica.handle(self.now, event);
+        self.carry(actions);
+    }
+
+    fn carry(&mut self, actions: Vec<ReplicaAction>) {
+        for action in actions {
+            match action {
+                ReplicaAction::Send { to, message } => {
+                    let message = Between::Log(Box::new(message));
+                    self.actions.push(Action::Send { to, message });
+                }
+                ReplicaAction::Write { write, ops } => {
+                    self.writing = Some((write, self.now));
+                    self.actions.push(Action::Write { write, ops });
+                }
+                ReplicaAction::Apply {
+                    index,
+                    ticket,
+                    data,
+                } => self.apply(index, ticket, &data),
+                ReplicaAction::Rejected { ticket, reason } => self.rejected(ticket, reason),
+                ReplicaAction::ReadReady { ticket } => self.read_ready(ticket),
+                ReplicaAction::Changed { .. } => {}
+                ReplicaAction::TakeSnapshot { index } => self.take_snapshot(index),
+                ReplicaAction::Restore { index, data } => self.restore(index, &data),
+                ReplicaAction::Role(role) => self.role_changed(role),
+                ReplicaAction::Members(members) => self.members_changed(&members),
+            }
+        }
+    }
+
+    fn apply(&mut self, index: LogIndex, ticket: Option<Ticket>, data: &[u8]) {
+        match postcard::from_bytes::<Command>(data) {
+            Ok(command) => self.apply_command(index, command),
+            Err(_) => self.note(Note::Unreadable(index)),
+        }
+        if let Some(ticket) = ticket {
+            self.done(ticket);
+        }
+    }
+
+    fn apply_command(&mut self, index: LogIndex, command: Command) {
+        let version = match &command {
+            Command::Apply(document) => Some(document.version),
+            Command::Start { .. } | Command::Move { .. } => None,
+        };
+        if !self.store.apply(index, command) {
+            return;
+        }
+        if let Some(version) = version {
+            self.note(Note::Accepted { version, index });
+        }
+        self.trials.follow(self.now, self.store.rollouts());
+        let push = self.state(version.is_some());
+        self.actions.push(Action::Push(None, push));
+    }
+
+    fn take_snapshot(&mut self, index: LogIndex) {
+        let data = postcard::to_stdvec(&self.store).unwrap_or_default();
+        self.step(ReplicaEvent::Snapshot { index, data });
+    }
+
+    fn restore(&mut self, index: LogIndex, data: &[u8]) {
+        match postcard::from_bytes(data) {
+            Ok(store) => self.store = store,
+            Err(_) => self.note(Note::Unreadable(index)),
+        }
+        self.trials.follow(self.now, self.store.rollouts());
+        let push = self.state(true);
+        self.actions.push(Action::Push(None, push));
+    }
+
+    fn subscribe(&mut self, life: EntryLife) {
+        self.entries.insert(life);
+        let entries = self.entries.len() as u32;
+        if entries > self.most_entries {
+            self.most_entries = entries;
+            let fleet = self.fleet();
+            self.actions.push(Action::Push(None, fleet));
+        } else {
+            let fleet = self.fleet();
+            self.actions.push(Action::Push(Some(life), fleet));
+        }
+        let state = self.state(true);
+        self.actions.push(Action::Push(Some(life), state));
+        let servers = self.directory.all().map(|k| k.said.clone()).collect();
+        let servers = ToEntry::Servers(servers);
+        self.actions.push(Action::Push(Some(life), servers));
+        let quarantined = self.quarantined();
+        let push = ToEntry::Quarantined(quarantined);
+        self.actions.push(Action::Push(Some(life), push));
+    }
+
+    /// Makes up what entries are told of the replicated state.
+    fn state(&self, with_config: bool) -> ToEntry {
+        let config = self.store.config().filter(|_| with_config).cloned();
+        let rollouts = self.store.rollouts().clone().into_iter().collect();
+        ToEntry::State {
+            index: self.store.index(),
+            config,
+            rollouts,
+        }
+    }
+
+    fn fleet(&self) -> ToEntry {
+        ToEntry::Fleet {
+            replicas: self.peers.addrs(),
+            entries: self.most_entries,
+        }
+    }
+
+    fn synced(&mut self, write: WriteId) {
+        self.writing.take_if(|(at, _)| *at == write);
+        self.step(ReplicaEvent::Synced { write });
+        self.tell_disk();
+    }
+
+    /// Treats a disk that has not synced for long like a full one.
+    ///
+    /// A leader whose disk stalls can write nothing new, so that no change is
+    /// acknowledged while the others could go on. Handing over is enough: the
+    /// others commit without this disk.
+    fn tell_disk(&mut self) {
+        let patience = self.cfg.disk_patience;
+        let stalled = self
+            .writing
+            .is_some_and(|(_, since)| self.now.saturating_sub(since) > patience);
+        if stalled != self.disk_stalled {
+            self.disk_stalled = stalled;
+            self.note(Note::DiskStalled(stalled));
+        }
+        self.step(ReplicaEvent::DiskFull(self.disk_full || stalled));
+    }
+
+    /// Does what is due whatever happened.
+    fn look(&mut self) {
+        if self.now < self.look_at {
+            return;
+        }
+        self.look_at = self.now + LOOK_EVERY;
+        if self.writing.is_some() || self.disk_stalled {
+            self.tell_disk();
+        }
+        self.give_up_late();
+        self.mend_group();
+        self.move_rollouts();
+    }
+
+    /// Counts crashes and tells entries of requests that caused several.
+    fn count_crashes(&mut self, fingerprints: Vec<Digest>) {
+        let mut found = false;
+        for fingerprint in fingerprints {
+            let count = self.crashes.entry(fingerprint).or_default();
+            *count += 1;
+            found |= *count == CRASHES;
+        }
+        if found {
+            let push = ToEntry::Quarantined(self.quarantined());
+            self.actions.push(Action::Push(None, push));
+        }
+    }
+
+    fn quarantined(&self) -> Vec<Digest> {
+        let many = self.crashes.iter().filter(|(_, n)| **n >= CRASHES);
+        many.map(|(&fingerprint, _)| fingerprint).collect()
+    }
+
+    fn tell_peers(&mut self, message: &Between) {
+        for to in self.peers.others() {
+            let message = message.clone();
+            self.actions.push(Action::Send { to, message });
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
+    }
+}
+
+/// Crashes after which a request is not run again. One crash blames all that ran
+/// beside; that one of these is beside a second crash is rare.
+const CRASHES: u32 = 2;
--- /dev/null
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -0,0 +1,163 @@
+//! Announcements of backend servers, and passing them on.
+
+use std::collections::BTreeSet;
+
+use super::{
+    Action,
+    Answer,
+    Coordinator,
+    Note, //
+};
+use crate::{
+    gateway::{
+        directory::{
+            Announcement,
+            ServerState, //
+        },
+        feed::{
+            Between,
+            ToEntry, //
+        },
+    },
+    ids::{
+        MonoTime,
+        NodeId, //
+    },
+    replica::Ticket,
+};
+
+/// An announcement that waits until the other replicas have it.
+#[derive(Debug)]
+pub(super) struct Confirming {
+    /// Who is answered then.
+    ticket: Ticket,
+    /// Replicas that have it.
+    by: BTreeSet<NodeId>,
+    /// Number of other replicas that must have it.
+    wanted: usize,
+    /// When it is given up.
+    until: MonoTime,
+}
+
+impl Coordinator {
+    /// Takes announcements that came by way of others.
+    pub(super) fn take_announcements(&mut self, servers: Vec<Announcement>) {
+        let mut news = Vec::new();
+        for said in servers {
+            if self.directory.take(self.now, said.clone()) {
+                self.note_server(&said);
+                news.push(said);
+            }
+        }
+        self.push_servers(news);
+    }
+
+    /// Takes an announcement from a backend server itself.
+    ///
+    /// One that leaves is answered only once most other replicas have it as
+    /// well. Otherwise an entry that is connected to them alone would go on
+    /// sending it work after it was told that it is free to go.
+    pub(super) fn announced(&mut self, ticket: Ticket, said: Announcement) {
+        let news = self.directory.take(self.now, said.clone());
+        let leaves = said.state != ServerState::Ready;
+        let known = self.directory.get(&said.id).map(|k| k.said.clone());
+        let told = known.unwrap_or(said);
+        if news {
+            self.note_server(&told);
+            self.push_servers(vec![told.clone()]);
+        }
+        if leaves {
+            self.confirm(ticket, told);
+            return;
+        }
+        if news {
+            self.tell_peers(&Between::Servers(vec![told]));
+        }
+        self.actions.push(Action::Answer(ticket, Answer::Done));
+    }
+
+    /// Takes the word of a backend server that it leaves, by its id alone.
+    pub(super) fn left(&mut self, ticket: Ticket, id: &str) {
+        let Some(said) = self.directory.leave(self.now, id) else {
+            // Nobody here was ever told of it, so nothing is sent to it.
+            self.actions.push(Action::Answer(ticket, Answer::Done));
+            return;
+        };
+        self.note_server(&said);
+        self.push_servers(vec![said.clone()]);
+        self.confirm(ticket, said);
+    }
+
+    /// Notes that a replica has what it was asked to confirm.
+    pub(super) fn confirmed(&mut self, from: NodeId, number: u64) {
+        let Some(confirming) = self.confirming.get_mut(&number) else {
+            return;
+        };
+        confirming.by.insert(from);
+        if confirming.by.len() >= confirming.wanted {
+            let ticket = confirming.ticket;
+            self.confirming.remove(&number);
+            self.actions.push(Action::Answer(ticket, Answer::Done));
+        }
+    }
+
+    /// Gives up announcements that others did not confirm in time; the backend
+    /// server asks another replica.
+    pub(super) fn give_up_confirming(&mut self) {
+        let now = self.now;
+        let late: Vec<u64> = self
+            .confirming
+            .iter()
+            .filter(|(_, c)| now >= c.until)
+            .map(|(&number, _)| number)
+            .collect();
+        for number in late {
+            if let Some(c) = self.confirming.remove(&number) {
+                self.actions
+                    .push(Action::Answer(c.ticket, Answer::Unavailable));
+            }
+        }
+    }
+
+    fn confirm(&mut self, ticket: Ticket, said: Announcement) {
+        if !self.peers.is_member() {
+            self.actions
+                .push(Action::Answer(ticket, Answer::Unavailable));
+            return;
+        }
+        let wanted = self.peers.count() / 2;
+        if wanted == 0 {
+            self.actions.push(Action::Answer(ticket, Answer::Done));
+            return;
+        }
+        let number = self.next_ticket;
+        self.next_ticket += 1;
+        let confirming = Confirming {
+            ticket,
+            by: BTreeSet::new(),
+            wanted,
+            until: self.now + self.cfg.patience,
+        };
+        self.confirming.insert(number, confirming);
+        self.tell_peers(&Between::Confirm {
+            ticket: number,
+            servers: vec![said],
+        });
+    }
+
+    fn push_servers(&mut self, servers: Vec<Announcement>) {
+        if !servers.is_empty() {
+            let push = ToEntry::Servers(servers);
+            self.actions.push(Action::Push(None, push));
+        }
+    }
+
+    fn note_server(&mut self, said: &Announcement) {
+        self.note(Note::Server {
+            id: said.id.clone(),
+            service: said.service.clone(),
+            state: said.state,
+            sequence: said.sequence,
+        });
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -0,0 +1,248 @@
+//! Who is in the group, and mending it without an operator.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use super::{
+    Action,
+    Coordinator,
+    Note, //
+};
+use crate::{
+    gateway::feed::{
+        Question,
+        Reply, //
+    },
+    ids::NodeId,
+    message::control::ReplicaStatus,
+    replica::{
+        MemberChange,
+        Members,
+        Replica,
+        ReplicaEvent,
+        Role,
+        Ticket, //
+    },
+};
+
+/// Silence after which a replica's place may be given to another that asks for
+/// one. Longer than a restart takes, well within the time in which a replaced
+/// replica must be back in full.
+const SILENT_FOR: Duration = Duration::from_secs(2);
+
+/// Replicas of a group with their addresses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// This process, if it has a number.
+    own: Option<NodeId>,
+    /// Where each listens.
+    addrs: BTreeMap<NodeId, SocketAddr>,
+}
+
+impl Peers {
+    /// Returns all addresses.
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.addrs.values().copied().collect()
+    }
+
+    /// Returns where a replica listens.
+    pub fn addr(&self, node: NodeId) -> Option<SocketAddr> {
+        self.addrs.get(&node).copied()
+    }
+
+    /// Iterates over all replicas.
+    pub fn all(&self) -> impl Iterator<Item = (NodeId, SocketAddr)> + '_ {
+        self.addrs.iter().map(|(&node, &addr)| (node, addr))
+    }
+
+    /// Returns the number of replicas.
+    pub(super) fn count(&self) -> usize {
+        self.addrs.len()
+    }
+
+    /// Returns whether this process is one of them.
+    pub(super) fn is_member(&self) -> bool {
+        self.own.is_some_and(|own| self.addrs.contains_key(&own))
+    }
+
+    /// Returns the numbers of the others.
+    pub(super) fn others(&self) -> Vec<NodeId> {
+        let nodes = self.addrs.keys().copied();
+        nodes.filter(|&node| Some(node) != self.own).collect()
+    }
+}
+
+impl Coordinator {
+    /// Takes what another process told of the group, for one that is no member.
+    pub fn learn_peers(&mut self, peers: impl IntoIterator<Item = (NodeId, SocketAddr)>) {
+        if self
+            .replica
+            .as_ref()
+            .is_none_or(|r| r.members().members.is_empty())
+        {
+            let own = self.replica.as_ref().map(|r| r.id());
+            let addrs = peers.into_iter().collect();
+            self.set_peers(Peers { own, addrs });
+        }
+    }
+
+    /// Returns this process's number, if it has one.
+    pub fn id(&self) -> Option<NodeId> {
+        self.replica.as_ref().map(Replica::id)
+    }
+
+    /// Returns whether this process has a place in the group as it knows it.
+    pub fn is_member(&self) -> bool {
+        let own = self.replica.as_ref();
+        own.is_some_and(|r| r.members().get(r.id()).is_some())
+    }
+
+    /// Returns whether a leader is known.
+    pub fn knows_leader(&self) -> bool {
+        self.replica.as_ref().is_some_and(|r| r.leader().is_some())
+    }
+
+    /// Answers a question about the group.
+    pub(super) fn asked(&mut self, ticket: Ticket, question: Question) {
+        let reply = match (&self.replica, question) {
+            (None, _) => Reply::None,
+            (Some(_), Question::Group) => self.group_reply(),
+            (
+                Some(_),
+                Question::Join {
+                    node,
+                    incarnation,
+                    addr,
+                },
+            ) => self.join(node, incarnation, addr),
+        };
+        self.actions.push(Action::Reply(ticket, reply));
+    }
+
+    /// Follows a change of the membership.
+    pub(super) fn members_changed(&mut self, members: &Members) {
+        let own = self.replica.as_ref().map(|r| r.id());
+        let addr = |(&node, m): (&NodeId, &crate::replica::Member)| Some((node, m.addr?));
+        let addrs = members.members.iter().filter_map(addr).collect();
+        self.set_peers(Peers { own, addrs });
+    }
+
+    /// Notes a change of role.
+    pub(super) fn role_changed(&mut self, role: Role) {
+        self.note(Note::Role(role));
+        if role == Role::Leader {
+            self.trials.restart(self.now, self.store.rollouts());
+        }
+    }
+
+    /// Returns where the leader listens.
+    pub(super) fn leader_addr(&self) -> Option<SocketAddr> {
+        let replica = self.replica.as_ref()?;
+        self.peers.addr(replica.leader()?)
+    }
+
+    /// Takes out a silent replica that is not needed any more.
+    ///
+    /// A replica that was added before its forerunner left makes the group one
+    /// larger; kept, the forerunner would count as a loss for ever.
+    pub(super) fn mend_group(&mut self) {
+        if !self.leads() {
+            return;
+        }
+        let voters = self.voters();
+        if voters.len() <= self.wanted() {
+            return;
+        }
+        if let Some(gone) = self.silent_voter() {
+            let change = MemberChange::Remove { node: gone };
+            self.change(change, None, Some(gone));
+        }
+    }
+
+    /// Gives a process a place in the group, if there is one.
+    fn join(&mut self, node: NodeId, incarnation: u128, addr: SocketAddr) -> Reply {
+        let Some(replica) = self.replica.as_ref().filter(|_| self.leads()) else {
+            return self.group_reply();
+        };
+        if replica.members().get(node).is_some() {
+            return Reply::Joining;
+        }
+        let addr = Some(addr);
+        let members = &replica.members().members;
+        let same_place = members
+            .iter()
+            .find(|(_, m)| m.addr == addr)
+            .map(|(&n, _)| n);
+        let gone = same_place.or_else(|| self.silent_voter());
+        let change = match gone {
+            Some(gone) => MemberChange::Replace {
+                gone,
+                new: node,
+                incarnation,
+                addr,
+            },
+            None if self.voters().len() < self.wanted() => MemberChange::Add {
+                node,
+                incarnation,
+                addr,
+                promote: true,
+            },
+            None => return self.group_reply(),
+        };
+        self.change(change, Some(node), gone);
+        Reply::Joining
+    }
+
+    fn change(&mut self, change: MemberChange, joins: Option<NodeId>, leaves: Option<NodeId>) {
+        let ticket = self.own_ticket();
+        self.note(Note::Membership { joins, leaves });
+        self.step(ReplicaEvent::Change { ticket, change });
+    }
+
+    fn group_reply(&self) -> Reply {
+        let Some(replica) = &self.replica else {
+            return Reply::None;
+        };
+        Reply::Group {
+            group: replica.group(),
+            replicas: self.peers.addrs.iter().map(|(&n, &a)| (n, a)).collect(),
+            leads: replica.has_lease(self.now),
+        }
+    }
+
+    /// Returns the voter that has been silent for longest, if it is for long.
+    fn silent_voter(&self) -> Option<NodeId> {
+        let replica = self.replica.as_ref()?;
+        let progress = replica.progress(self.now);
+        let silent = progress.iter().filter(|s| s.voter && s.silent > SILENT_FOR);
+        silent
+            .max_by_key(|s| s.silent)
+            .map(|s: &ReplicaStatus| s.node)
+    }
+
+    fn voters(&self) -> Vec<NodeId> {
+        let members = self
+            .replica
+            .as_ref()
+            .map(|r| r.members().voters().collect());
+        members.unwrap_or_default()
+    }
+
+    /// Returns how many replicas should vote.
+    fn wanted(&self) -> usize {
+        2 * self.cfg.tolerated + 1
+    }
+
+    fn set_peers(&mut self, peers: Peers) {
+        if peers == self.peers {
+            return;
+        }
+        self.peers = peers.clone();
+        self.actions.push(Action::Peers(peers));
+        let fleet = self.fleet();
+        self.actions.push(Action::Push(None, fleet));
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -0,0 +1,165 @@
+//! Messages between control replicas and entries.
+//!
+//! Each entry keeps a connection to every control replica that it knows of and
+//! is told all that changes as soon as that replica knows it. Whatever arrives
+//! twice or late is ordered by its version, log position or sequence number.
+
+use std::net::SocketAddr;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smol_str::SmolStr;
+
+use super::{
+    config::{
+        RouteId,
+        ServiceId, //
+    },
+    directory::Announcement,
+    rollout::Rollout,
+    store::Document,
+};
+use crate::{
+    ids::{
+        Digest,
+        LogIndex,
+        NodeId, //
+    },
+    replica::ReplicaMessage,
+};
+
+/// First message on a connection: who calls.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Hello {
+    /// An entry that wants to be told of changes.
+    Entry {
+        /// Drawn at its start.
+        life: u64,
+        /// Name for logs.
+        name: SmolStr,
+    },
+    /// A control replica.
+    Replica {
+        /// Its number.
+        node: NodeId,
+    },
+    /// A process that asks one question.
+    Asker,
+}
+
+/// What an entry tells a control replica.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromEntry {
+    /// Backend servers that it knows, for a replica that has forgotten them.
+    Servers(Vec<Announcement>),
+    /// Answers counted since the last message.
+    Evidence(Vec<Evidence>),
+    /// A request that was running when a backend server went down.
+    Crashed(Vec<Digest>),
+    /// It lives.
+    Alive,
+}
+
+/// What a control replica tells an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// Where the control replicas listen, and how many entries are connected.
+    Fleet {
+        /// Addresses of the control replicas.
+        replicas: Vec<SocketAddr>,
+        /// Entries connected to the sender.
+        entries: u32,
+    },
+    /// State that was committed up to a position of the log.
+    State {
+        /// The position.
+        index: LogIndex,
+        /// The newest configuration, if the receiver may not have it.
+        config: Option<Document>,
+        /// All roll-outs.
+        rollouts: Vec<(ServiceId, Rollout)>,
+    },
+    /// Backend servers that announced something new.
+    Servers(Vec<Announcement>),
+    /// Requests that crash what runs them.
+    Quarantined(Vec<Digest>),
+    /// The sender lives.
+    Alive,
+}
+
+/// What control replicas tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Between {
+    /// A message of the replicated log.
+    Log(Box<ReplicaMessage>),
+    /// Backend servers that were heard, with what they said.
+    Servers(Vec<Announcement>),
+    /// Announcements that the receiver must confirm.
+    Confirm {
+        /// Number of the question.
+        ticket: u64,
+        /// The announcements.
+        servers: Vec<Announcement>,
+    },
+    /// The announcements have been taken and passed on.
+    Confirmed {
+        /// Number of the question.
+        ticket: u64,
+    },
+    /// Crashes that were reported.
+    Crashed(Vec<Digest>),
+}
+
+/// A question of a process that is no member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    /// Which group is this, and who is in it?
+    Group,
+    /// The sender wants to become a replica.
+    Join {
+        /// Number that it drew.
+        node: NodeId,
+        /// Incarnation of its data folder.
+        incarnation: u128,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
+}
+
+/// Answer to a question.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The group.
+    Group {
+        /// Its identity.
+        group: u128,
+        /// All replicas with their addresses.
+        replicas: Vec<(NodeId, SocketAddr)>,
+        /// Whether the sender leads for certain.
+        leads: bool,
+    },
+    /// There is no group here yet.
+    None,
+    /// The sender is or will be a member.
+    Joining,
+}
+
+/// Answers of one version of a service on one route.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Service.
+    pub service: ServiceId,
+    /// Version.
+    pub version: SmolStr,
+    /// Route.
+    pub route: RouteId,
+    /// Answers that were good.
+    pub good: u32,
+    /// Answers that failed.
+    pub bad: u32,
+    /// Sum of the times to the first byte of good answers, in milliseconds,
+    /// each divided by the mean of its route and model on other versions.
+    pub slowness: f64,
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -0,0 +1,111 @@
+//! What a request and an answer say, free of the names used on the wire.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::directory::ServerId;
+use crate::ids::ModelId;
+
+/// Id of a request, as its caller gave it.
+pub type CallId = SmolStr;
+
+/// One part of a prompt that may be kept in an engine's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the content together with all parts before it.
+    pub id: u64,
+    /// Tokens in it.
+    pub tokens: u32,
+}
+
+/// What the head of a request says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Id that the caller gave; a repeat by the caller has another.
+    pub id: CallId,
+    /// Host that it names.
+    pub host: SmolStr,
+    /// Path and query.
+    pub path: SmolStr,
+    /// Key of its caller.
+    pub key: Option<SmolStr>,
+    /// Time that its caller will wait.
+    pub deadline: Option<Duration>,
+    /// Model that it names; none if it leaves the choice open.
+    pub model: Option<ModelId>,
+    /// Parts of its prompt, in order.
+    pub prompt: Vec<PromptPart>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Session that it belongs to.
+    pub session: Option<SmolStr>,
+    /// Event after which a stream goes on.
+    pub resume_after: Option<u64>,
+}
+
+impl Head {
+    /// Returns the last part that other requests share: the last of all is the
+    /// request's own.
+    pub fn shared_part(&self) -> Option<&PromptPart> {
+        self.prompt.iter().rev().nth(1)
+    }
+}
+
+/// What is set on a request that goes to a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing<'a> {
+    /// Backend server for which it is meant; any other refuses it.
+    pub server: &'a ServerId,
+    /// Time that is left.
+    pub deadline: Duration,
+    /// Organisation of the caller.
+    pub organisation: Option<&'a str>,
+    /// Rank from 0, the most urgent.
+    pub rank: u8,
+    /// Model to run, where the caller left the choice open.
+    pub model: Option<&'a str>,
+    /// Event after which the stream goes on.
+    pub resume_after: Option<u64>,
+}
+
+/// Requests at a backend server, as it counts them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Running.
+    pub running: u32,
+    /// Waiting for a slot.
+    pub waiting: u32,
+    /// Most that run together.
+    pub slots: u32,
+}
+
+/// What the head of an answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerHead {
+    /// Status code.
+    pub status: u16,
+    /// Id of the request that it answers.
+    pub id: Option<CallId>,
+    /// Whether the backend server states that the request did not run.
+    pub not_run: bool,
+    /// Whether another life of a backend server answered than was meant.
+    pub misdirected: bool,
+    /// Whether it bears the mark of a backend server's own answer.
+    pub sealed: bool,
+    /// Load when the answer began.
+    pub load: Option<Load>,
+    /// How sure the model is of its answer, 0 to 100.
+    pub confidence: Option<u8>,
+    /// Whether the connection ends with this answer.
+    pub closing: bool,
+    /// Time for which the connection may stay idle.
+    pub keep_alive: Option<Duration>,
+}
+
+impl AnswerHead {
+    /// Returns whether it is a success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -0,0 +1,189 @@
+//! Roll-outs of a new version of a service.
+//!
+//! The new version gets a small share of the traffic first. Its answers are
+//! compared with those of the versions before it in the same span of time; it
+//! takes over when half of the time has passed without evidence against it, and
+//! is rolled back as soon as there is some.
+
+use std::collections::BTreeMap;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smol_str::SmolStr;
+use std::time::Duration;
+
+use super::{
+    config::{
+        RouteId,
+        ServiceId, //
+    },
+    feed::Evidence,
+};
+use crate::ids::MonoTime;
+
+/// Share of the time that a roll-out may take after which a version without
+/// evidence against it takes over. Sessions must not change version before.
+const PROMOTE_AT: f64 = 0.52;
+
+/// Share of the time after which a version that took over is called complete,
+/// if requests on old ones have not ended before.
+const COMPLETE_AT: f64 = 0.88;
+
+/// Failures from which a new version is suspected at all: two may be chance.
+const MIN_BAD: u32 = 4;
+
+/// How much more often than the versions before a bad one fails. Known bad ones
+/// fail from a tenth of their answers on.
+const BAD_EXCESS: f64 = 0.12;
+
+/// Good answers from which times are compared.
+const MIN_TIMED: u32 = 8;
+
+/// How many times slower than the versions before a bad one answers; within
+/// this, a difference may come from load.
+const SLOW_RATIO: f64 = 3.0;
+
+/// How far a roll-out is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// The new version gets a share.
+    Canary,
+    /// The new version gets all requests; old ones finish theirs.
+    Promoted,
+    /// The old versions are not needed any more.
+    Completed,
+    /// The new version gets no request.
+    RolledBack,
+}
+
+/// A roll-out as it is replicated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// Version that is brought in.
+    pub target: SmolStr,
+    /// Time in which it should be done.
+    pub duration: Duration,
+    /// How far it is.
+    pub phase: Phase,
+}
+
+/// Counts of one version on one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    good: u32,
+    bad: u32,
+    slowness: f64,
+}
+
+/// What a leader weighs about one running roll-out.
+#[derive(Debug, Default)]
+pub struct Watch {
+    /// When it was first seen here.
+    since: MonoTime,
+    new: BTreeMap<RouteId, Counts>,
+    old: BTreeMap<RouteId, Counts>,
+}
+
+impl Watch {
+    /// Starts to watch.
+    pub fn new(now: MonoTime) -> Self {
+        Self {
+            since: now,
+            ..Self::default()
+        }
+    }
+
+    /// Takes evidence from an entry.
+    pub fn take(&mut self, target: &str, evidence: &Evidence) {
+        let side = if evidence.version == target {
+            &mut self.new
+        } else {
+            &mut self.old
+        };
+        let counts = side.entry(evidence.route.clone()).or_default();
+        counts.good += evidence.good;
+        counts.bad += evidence.bad;
+        counts.slowness += evidence.slowness;
+    }
+
+    /// Returns the phase that the roll-out should be in now.
+    pub fn phase(&self, now: MonoTime, rollout: &Rollout) -> Phase {
+        match rollout.phase {
+            Phase::Completed | Phase::RolledBack => return rollout.phase,
+            Phase::Canary | Phase::Promoted => {}
+        }
+        if self.is_bad() {
+            return Phase::RolledBack;
+        }
+        let elapsed = now.saturating_sub(self.since).as_secs_f64();
+        let part = elapsed / rollout.duration.as_secs_f64().max(0.001);
+        let seen: u32 = self.new.values().map(|c| c.good).sum();
+        match rollout.phase {
+            Phase::Canary if part >= PROMOTE_AT && seen > 0 => Phase::Promoted,
+            Phase::Promoted if part >= COMPLETE_AT => Phase::Completed,
+            phase => phase,
+        }
+    }
+
+    /// Tells what the counts are, for the log.
+    pub fn summary(&self) -> (u32, u32, u32, u32) {
+        let new = total(&self.new);
+        let old = total(&self.old);
+        (new.good, new.bad, old.good, old.bad)
+    }
+
+    fn is_bad(&self) -> bool {
+        let (new, old) = (total(&self.new), total(&self.old));
+        if fails_more(new, old) {
+            return true;
+        }
+        let routes = self.new.iter();
+        let mut routes = routes.map(|(r, c)| (*c, self.old.get(r).copied().unwrap_or_default()));
+        routes.any(|(new, old)| fails_more(new, old) || is_slower(new, old))
+    }
+}
+
+fn total(side: &BTreeMap<RouteId, Counts>) -> Counts {
+    side.values().fold(Counts::default(), |a, b| Counts {
+        good: a.good + b.good,
+        bad: a.bad + b.bad,
+        slowness: a.slowness + b.slowness,
+    })
+}
+
+fn fails_more(new: Counts, old: Counts) -> bool {
+    let share = |c: Counts| f64::from(c.bad) / f64::from((c.good + c.bad).max(1));
+    new.bad >= MIN_BAD && share(new) > share(old) + BAD_EXCESS
+}
+
+fn is_slower(new: Counts, old: Counts) -> bool {
+    let mean = |c: Counts| c.slowness / f64::from(c.good.max(1));
+    new.good >= MIN_TIMED && old.good >= MIN_TIMED && mean(new) > mean(old) * SLOW_RATIO
+}
+
+/// Which versions of a service a request may go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Allowed {
+    /// Any version.
+    Any,
+    /// Only this one.
+    Only(SmolStr),
+    /// Any but this one.
+    Not(SmolStr),
+}
+
+impl Allowed {
+    /// Returns whether a version is allowed.
+    pub fn has(&self, version: &str) -> bool {
+        match self {
+            Allowed::Any => true,
+            Allowed::Only(v) => v == version,
+            Allowed::Not(v) => v != version,
+        }
+    }
+}
+
+/// Roll-outs by service.
+pub type Rollouts = BTreeMap<ServiceId, Rollout>;
--- /dev/null
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -0,0 +1,422 @@
+//! All decisions of an entry that passes requests through.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use super::{
+    balance::{
+        Balance,
+        Need,
+        Outcome, //
+    },
+    budget::{
+        Budget,
+        BudgetConfig, //
+    },
+    cascade::{
+        self,
+        Step, //
+    },
+    config::{
+        ConfigVersion,
+        GatewayConfig,
+        Rank,
+        RouteConfig,
+        ServiceId, //
+    },
+    directory::{
+        Announcement,
+        Directory,
+        Known,
+        ServerId, //
+    },
+    feed::Evidence,
+    request::{
+        AnswerHead,
+        Head,
+        Load, //
+    },
+    rollout::{
+        Allowed,
+        Phase,
+        Rollouts, //
+    },
+    table::{
+        self,
+        Caller,
+        Table, //
+    },
+};
+use crate::{
+    ids::{
+        DomainId,
+        LogIndex,
+        ModelId,
+        MonoTime,
+        OrgId, //
+    },
+    policy::hash,
+};
+
+/// Part of the allowed exposure that the share of a new version takes: some is
+/// kept for repeated sends and for the time until a roll-back is known.
+const CANARY_PART: f64 = 0.6;
+
+/// Weight of the newest time to the first byte in the mean of its route.
+const TIME_WEIGHT: f64 = 0.05;
+
+/// Settings of a router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouterConfig {
+    /// Failure domain of this entry.
+    pub domain: DomainId,
+    /// Budget of repeated sends.
+    pub budget: BudgetConfig,
+    /// Share of a service's requests that a new version may get while it may
+    /// still turn out bad.
+    pub exposure_share: f64,
+    /// Pause after which two requests of a session no longer belong together.
+    pub session_pause: Duration,
+}
+
+/// Why a request is not sent to any backend server.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[error("no configuration yet")]
+    NoConfig,
+    /// No route takes it.
+    #[error("no route")]
+    NoRoute,
+    /// Its key is not known.
+    #[error("unknown key")]
+    UnknownKey,
+    /// No backend server takes it now.
+    #[error("no backend server takes it now")]
+    Busy,
+}
+
+/// What was decided about a request before its first send.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Configuration that decided.
+    pub table: Arc<Table>,
+    /// Its route.
+    pub route: RouteConfig,
+    /// Service that it goes to.
+    pub service: ServiceId,
+    /// Organisation of its caller.
+    pub organisation: Option<OrgId>,
+    /// Rank.
+    pub rank: Rank,
+    /// Model to ask first, where the caller leaves the choice open.
+    pub model: Option<ModelId>,
+    /// Hash of what it shares with other requests.
+    shared: Option<u64>,
+    /// Session.
+    session: Option<SmolStr>,
+    /// Whether a new version gets it while it is on trial.
+    on_trial: bool,
+    /// Breaks ties.
+    seed: u64,
+}
+
+/// A backend server that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Which.
+    pub id: ServerId,
+    /// Where.
+    pub addr: SocketAddr,
+    /// Its version.
+    pub version: SmolStr,
+}
+
+/// Key of counts of answers.
+type EvidenceKey = (ServiceId, SmolStr, SmolStr);
+
+/// All decisions of one entry.
+#[derive(Debug)]
+pub struct Router {
+    cfg: RouterConfig,
+    table: Option<Arc<Table>>,
+    index: LogIndex,
+    rollouts: Rollouts,
+    directory: Directory,
+    balance: Balance,
+    budget: Budget,
+    evidence: HashMap<EvidenceKey, Evidence>,
+    /// Mean time to the first byte by route and model, in milliseconds.
+    times: HashMap<(SmolStr, Option<ModelId>), f64>,
+    /// Version that each session ran on last, and when.
+    sessions: HashMap<SmolStr, (SmolStr, MonoTime)>,
+    count: u64,
+}
+
+impl Router {
+    /// Makes a router that knows nothing yet.
+    pub fn new(cfg: RouterConfig) -> Self {
+        Self {
+            budget: Budget::new(cfg.budget),
+            cfg,
+            table: None,
+            index: 0,
+            rollouts: Rollouts::new(),
+            directory: Directory::default(),
+            balance: Balance::default(),
+            evidence: HashMap::new(),
+            times: HashMap::new(),
+            sessions: HashMap::new(),
+            count: 0,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the number of the configuration in force.
+    pub fn version(&self) -> Option<ConfigVersion> {
+        self.table.as_ref().map(|t| t.config().version)
+    }
+
+    /// Returns the backend servers.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Puts a configuration in force unless one as new already is. It never
+    /// goes back: replicas that lag tell of older ones.
+    pub fn set_config(&mut self, config: GatewayConfig) -> bool {
+        if self.version().is_some_and(|held| held >= config.version) {
+            return false;
+        }
+        self.table = Some(Table::new(config));
+        true
+    }
+
+    /// Takes the roll-outs as of a position of the replicated log.
+    pub fn set_rollouts(&mut self, index: LogIndex, rollouts: Rollouts) -> bool {
+        if index < self.index || self.rollouts == rollouts {
+            return false;
+        }
+        self.index = index;
+        self.rollouts = rollouts;
+        true
+    }
+
+    /// Notes how many entries there are.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.budget.set_entries(entries);
+    }
+
+    /// Takes an announcement.
+    pub fn announced(&mut self, now: MonoTime, said: Announcement) -> bool {
+        self.directory.take(now, said)
+    }
+
+    /// Forgets what is only kept for backend servers and sessions that ended.
+    pub fn tidy(&mut self, now: MonoTime) {
+        let directory = &self.directory;
+        self.balance.retain(|id| directory.get(id).is_some());
+        let pause = self.cfg.session_pause;
+        self.sessions.retain(|_, (_, at)| now < *at + pause);
+    }
+
+    /// Decides what happens to a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is refused.
+    pub fn admit(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
+        let table = self.table.clone().ok_or(Refusal::NoConfig)?;
+        let path = head.path.split('?').next().unwrap_or_default();
+        let route = table.route(&head.host, path).ok_or(Refusal::NoRoute)?;
+        let caller = table.caller(route, head.key.as_deref());
+        let organisation = match &caller {
+            Caller::Unknown => return Err(Refusal::UnknownKey),
+            Caller::Anonymous => None,
+            Caller::Of(org) => Some(org.name.clone()),
+        };
+        self.count += 1;
+        let seed = self.count;
+        let service = table.service(route, hash::name(head.id.as_bytes())).clone();
+        self.budget.request(now, &service);
+        let open = head
+            .model
+            .as_deref()
+            .is_none_or(|m| m == crate::ids::ANY_MODEL);
+        let model = route.sizes.first().filter(|_| open).cloned();
+        Ok(Plan {
+            rank: table::rank(route, &caller),
+            route: route.clone(),
+            organisation,
+            model,
+            shared: head.shared_part().map(|part| part.id),
+            session: head.session.clone(),
+            on_trial: self.is_on_trial(head),
+            seed,
+            service,
+            table,
+        })
+    }
+
+    /// Chooses a backend server for the next send and counts it as sent.
+    pub fn choose(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        model: Option<&str>,
+        tried: &[ServerId],
+    ) -> Option<Choice> {
+        let allowed = self.allowed(plan);
+        let mut fit: Vec<&Known> = self.directory.ready(&plan.service).collect();
+        fit.retain(|k| allowed.has(&k.said.version));
+        let affinity = plan
+            .shared
+            .map(|part| part ^ hash::name(model.unwrap_or_default().as_bytes()));
+        let need = Need {
+            affinity,
+            domain: &self.cfg.domain,
+            tried,
+            seed: plan.seed,
+        };
+        let chosen = self.balance.choose(now, &fit, &need)?;
+        let choice = Choice {
+            id: chosen.said.id.clone(),
+            addr: chosen.said.addr,
+            version: chosen.said.version.clone(),
+        };
+        if let Some(session) = &plan.session {
+            let ran = (choice.version.clone(), now);
+            self.sessions.insert(session.clone(), ran);
+        }
+        Some(choice)
+    }
+
+    /// Returns whether one more send of a request is in the budget, and spends it.
+    pub fn try_repeat(&mut self, now: MonoTime, plan: &Plan) -> bool {
+        self.budget.try_repeat(now, &plan.service)
+    }
+
+    /// Judges a success by the confidence that the model states.
+    pub fn judge(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        asked: &str,
+        answer: &AnswerHead,
+        attempts_left: bool,
+    ) -> Step {
+        let step = cascade::judge(&plan.route.sizes, asked, answer.confidence, attempts_left);
+        if matches!(step, Step::Ask(_)) && !self.try_repeat(now, plan) {
+            return Step::Keep;
+        }
+        step
+    }
+
+    /// Notes that something came from a backend server.
+    pub fn heard(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
+        self.balance.heard(now, id, load);
+    }
+
+    /// Returns when anything last came from a backend server.
+    pub fn heard_at(&self, id: &ServerId) -> MonoTime {
+        self.balance.heard_at(id)
+    }
+
+    /// Notes the time to the first byte of a success.
+    pub fn timed(&mut self, plan: &Plan, choice: &Choice, model: Option<&str>, took: Duration) {
+        let on_trial = self.is_target(&plan.service, &choice.version);
+        let key = (plan.route.name.clone(), model.map(SmolStr::new));
+        let millis = took.as_secs_f64() * 1e3;
+        let mean = self.times.entry(key).or_insert(millis);
+        let slowness = millis / mean.max(0.1);
+        if !on_trial {
+            *mean += TIME_WEIGHT * (millis - *mean);
+        }
+        self.evidence_of(plan, choice).slowness += slowness;
+    }
+
+    /// Notes how a send ended.
+    pub fn finished(&mut self, now: MonoTime, plan: &Plan, choice: &Choice, outcome: Outcome) {
+        self.balance.finished(now, &choice.id, outcome);
+        match outcome {
+            Outcome::Good => self.evidence_of(plan, choice).good += 1,
+            Outcome::Failed => self.evidence_of(plan, choice).bad += 1,
+            Outcome::Refused | Outcome::Unreachable | Outcome::Dropped => {}
+        }
+    }
+
+    /// Notes that another life answers at the address of a backend server.
+    pub fn displaced(&mut self, now: MonoTime, id: &ServerId) {
+        self.directory.leave(now, id);
+    }
+
+    /// Returns the share of the slots of a plan's service that are taken.
+    pub fn taken(&self, now: MonoTime, plan: &Plan) -> f64 {
+        let servers: Vec<&Known> = self.directory.ready(&plan.service).collect();
+        self.balance.taken(now, &servers)
+    }
+
+    /// Takes the answers counted since the last call.
+    pub fn take_evidence(&mut self) -> Vec<Evidence> {
+        self.evidence.drain().map(|(_, counts)| counts).collect()
+    }
+
+    fn evidence_of(&mut self, plan: &Plan, choice: &Choice) -> &mut Evidence {
+        let key = (
+            plan.service.clone(),
+            choice.version.clone(),
+            plan.route.name.clone(),
+        );
+        let (service, version, route) = key.clone();
+        self.evidence.entry(key).or_insert_with(|| Evidence {
+            service,
+            version,
+            route,
+            ..Evidence::default()
+        })
+    }
+
+    fn is_target(&self, service: &str, version: &str) -> bool {
+        self.rollouts
+            .get(service)
+            .is_some_and(|r| r.target == version)
+    }
+
+    /// Returns whether a new version may get a request while it is on trial.
+    ///
+    /// Requests of sessions stay out of it: whether another entry has just
+    /// served the session on the version before is not known here, and a
+    /// session must not change its version.
+    fn is_on_trial(&self, head: &Head) -> bool {
+        head.session.is_none()
+            && hash::unit(head.id.as_bytes(), "trial") < self.cfg.exposure_share * CANARY_PART
+    }
+
+    fn allowed(&self, plan: &Plan) -> Allowed {
+        let Some(rollout) = self.rollouts.get(&plan.service) else {
+            return Allowed::Any;
+        };
+        let target = rollout.target.clone();
+        let has_target = || {
+            let mut ready = self.directory.ready(&plan.service);
+            ready.any(|k| k.said.version == target)
+        };
+        match rollout.phase {
+            Phase::Canary if plan.on_trial && has_target() => Allowed::Only(target),
+            Phase::Canary | Phase::RolledBack => Allowed::Not(target),
+            Phase::Promoted | Phase::Completed if has_target() => Allowed::Only(target),
+            Phase::Promoted | Phase::Completed => Allowed::Any,
+        }
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/table.rs
@@ -0,0 +1,111 @@
+//! A configuration made ready for look-ups.
+
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
+
+use smol_str::SmolStr;
+
+use super::config::{
+    GatewayConfig,
+    OrganisationConfig,
+    Rank,
+    RouteConfig,
+    ServiceId, //
+};
+use crate::policy::hash;
+
+/// A configuration with its indexes.
+#[derive(Debug)]
+pub struct Table {
+    /// The configuration.
+    config: GatewayConfig,
+    /// Routes of each host, the longest prefix first.
+    hosts: HashMap<SmolStr, Vec<usize>>,
+    /// Organisation of each key.
+    keys: HashMap<SmolStr, usize>,
+}
+
+/// Who sends a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Caller<'a> {
+    /// Nobody needs to say.
+    Anonymous,
+    /// One of an organisation.
+    Of(&'a OrganisationConfig),
+    /// Someone whose key is not known.
+    Unknown,
+}
+
+impl Table {
+    /// Makes the indexes.
+    pub fn new(config: GatewayConfig) -> Arc<Self> {
+        let mut hosts: HashMap<SmolStr, Vec<usize>> = HashMap::new();
+        for (at, route) in config.routes.iter().enumerate() {
+            hosts.entry(route.host.clone()).or_default().push(at);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|&at| std::cmp::Reverse(config.routes[at].prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        for (at, org) in config.organisations.iter().enumerate() {
+            for key in &org.keys {
+                keys.insert(key.clone(), at);
+            }
+        }
+        Arc::new(Self {
+            config,
+            hosts,
+            keys,
+        })
+    }
+
+    /// Returns the configuration.
+    pub fn config(&self) -> &GatewayConfig {
+        &self.config
+    }
+
+    /// Finds the route with the longest prefix of the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteConfig> {
+        let mut routes = self
+            .hosts
+            .get(host)?
+            .iter()
+            .map(|&at| &self.config.routes[at]);
+        routes.find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Finds who sends a request on a route.
+    pub fn caller(&self, route: &RouteConfig, key: Option<&str>) -> Caller<'_> {
+        if self.config.organisations.is_empty() {
+            return Caller::Anonymous;
+        }
+        match key.and_then(|key| self.keys.get(key)) {
+            Some(&at) => Caller::Of(&self.config.organisations[at]),
+            None if route.anonymous => Caller::Anonymous,
+            None => Caller::Unknown,
+        }
+    }
+
+    /// Picks the service of a request by the route's weights.
+    pub fn service<'a>(&self, route: &'a RouteConfig, seed: u64) -> &'a ServiceId {
+        let total: u64 = route.backends.iter().map(|(_, w)| u64::from(*w)).sum();
+        let mut at = hash::name(&seed.to_le_bytes()) % total.max(1);
+        for (service, weight) in &route.backends {
+            if at < u64::from(*weight) {
+                return service;
+            }
+            at -= u64::from(*weight);
+        }
+        &route.backends[0].0
+    }
+}
+
+/// Returns the rank of a request: the organisation's goes before the route's.
+pub fn rank(route: &RouteConfig, caller: &Caller<'_>) -> Rank {
+    match caller {
+        Caller::Of(org) => org.rank.unwrap_or(route.rank),
+        _ => route.rank,
+    }
+}
--- a/sesamebeam_core/src/lib.rs
+++ b/sesamebeam_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod entry;
 pub mod fleet;
+pub mod gateway;
 pub mod ids;
 pub mod message;
 pub mod policy;
--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -171,6 +171,16 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns its number.
+    pub fn id(&self) -> NodeId {
+        self.cfg.id
+    }
+
+    /// Returns the identity of the group.
+    pub fn group(&self) -> u128 {
+        self.cfg.group
+    }
+
     /// Returns the role.
     pub fn role(&self) -> Role {
         match self.standing {
