--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -92,6 +92,8 @@
     start: Instant,
     /// Cancelled when a stop was asked for.
     stopping: CancellationToken,
+    /// Cancelled when idle connections are closed during a stop.
+    closing: CancellationToken,
 }
 
 impl Gateway {
@@ -104,6 +106,11 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether a stop is so far that a stream would be cut off by it.
+    fn takes_no_streams(&self) -> bool {
+        self.closing.is_cancelled()
+    }
+
     /// Returns whether new callers may be sent here.
     fn is_ready(&self) -> bool {
         !self.stopping.is_cancelled() && self.router().table().is_some()
@@ -129,6 +136,7 @@
         settings,
         protocol,
         stopping,
+        closing: CancellationToken::new(),
     });
     let halt = CancellationToken::new();
     tokio::spawn(feed::run(Arc::clone(&gateway), seeds, halt.clone()));
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -124,6 +124,10 @@
         Ok(plan) => plan,
         Err(refusal) => return refuse(&gateway, &head.id, refusal),
     };
+    if plan.route.streaming && gateway.takes_no_streams() {
+        log::info!(id:% = head.id; "stream refused while stopping");
+        return answer::come_back(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let limits = plan.table.config().limits;
     let body = match read_body(body, &limits).await {
         Ok(body) => body,
--- a/sesamebeam/src/gateway/front.rs
+++ b/sesamebeam/src/gateway/front.rs
@@ -52,7 +52,7 @@
 
 /// Time before the end of the grace period at which this process ends by
 /// itself.
-const END_BEFORE: Duration = Duration::from_millis(600);
+const END_BEFORE: Duration = Duration::from_millis(400);
 
 /// Pause between two looks at whether all connections have ended.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -86,28 +86,21 @@
     let front = listen(gateway.settings.front).await?;
     tokio::spawn(answer_readiness(Arc::clone(&gateway), ready, halt.clone()));
     let open = Arc::new(AtomicUsize::new(0));
-    // Cancelled when idle connections are to be closed.
-    let closing = halt.child_token();
-    let accepting = accept(
-        Arc::clone(&gateway),
-        front,
-        Arc::clone(&open),
-        closing.clone(),
-    );
+    let accepting = accept(Arc::clone(&gateway), front, Arc::clone(&open));
     tokio::select! {
         () = accepting => {}
-        () = stop(&gateway, &open, &closing) => {}
+        () = stop(&gateway, &open) => {}
     }
     Ok(())
 }
 
 /// Waits for the signal to stop and then until the last connection has ended.
-async fn stop(gateway: &Gateway, open: &AtomicUsize, closing: &CancellationToken) {
+async fn stop(gateway: &Gateway, open: &AtomicUsize) {
     gateway.stopping.cancelled().await;
     log::info!(open = open.load(Ordering::Relaxed); "stopping");
     let end = Instant::now() + gateway.settings.grace.saturating_sub(END_BEFORE);
     sleep(BALANCER_LAG.min(gateway.settings.grace / 2)).await;
-    closing.cancel();
+    gateway.closing.cancel();
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         sleep(LOOK_EVERY).await;
     }
@@ -119,19 +112,14 @@
     listener.map_err(|source| GatewayError::Listen { addr, source })
 }
 
-async fn accept(
-    gateway: Arc<Gateway>,
-    listener: TcpListener,
-    open: Arc<AtomicUsize>,
-    closing: CancellationToken,
-) {
+async fn accept(gateway: Arc<Gateway>, listener: TcpListener, open: Arc<AtomicUsize>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let counted = Open::new(&open);
-                let (gateway, closing) = (Arc::clone(&gateway), closing.clone());
+                let gateway = Arc::clone(&gateway);
                 tokio::spawn(async move {
-                    serve(gateway, stream, closing).await;
+                    serve(gateway, stream).await;
                     drop(counted);
                 });
             }
@@ -143,7 +131,7 @@
     }
 }
 
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, closing: CancellationToken) {
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(error:% = e; "no option set");
     }
@@ -163,7 +151,7 @@
     let mut conn = pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
-        () = closing.cancelled() => {
+        () = gateway.closing.cancelled() => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -69,6 +69,10 @@
 /// kept for repeated sends and for the time until a roll-back is known.
 const CANARY_PART: f64 = 0.6;
 
+/// Time beside the pause for which a session is kept in mind: the pause counts
+/// from the end of its last request, which a caller sees a little later.
+const SESSION_MARGIN: Duration = Duration::from_millis(1500);
+
 /// Weight of the newest time to the first byte in the mean of its route.
 const TIME_WEIGHT: f64 = 0.05;
 
@@ -227,8 +231,8 @@
     pub fn tidy(&mut self, now: MonoTime) {
         let directory = &self.directory;
         self.balance.retain(|id| directory.get(id).is_some());
-        let pause = self.cfg.session_pause;
-        self.sessions.retain(|_, (_, at)| now < *at + pause);
+        let kept = self.cfg.session_pause + SESSION_MARGIN;
+        self.sessions.retain(|_, (_, at)| now < *at + kept);
     }
 
     /// Decides what happens to a request.
@@ -250,6 +254,8 @@
         let seed = self.count;
         let service = table.service(route, hash::name(head.id.as_bytes())).clone();
         self.budget.request(now, &service);
+        let target = self.rollouts.get(&service).map(|r| r.target.clone());
+        let on_trial = target.is_some_and(|target| self.is_on_trial(now, head, &target));
         let open = head
             .model
             .as_deref()
@@ -262,7 +268,7 @@
             model,
             shared: head.shared_part().map(|part| part.id),
             session: head.session.clone(),
-            on_trial: self.is_on_trial(head),
+            on_trial,
             seed,
             service,
             table,
@@ -295,10 +301,7 @@
             addr: chosen.said.addr,
             version: chosen.said.version.clone(),
         };
-        if let Some(session) = &plan.session {
-            let ran = (choice.version.clone(), now);
-            self.sessions.insert(session.clone(), ran);
-        }
+        self.keep_session(now, plan, &choice);
         Some(choice)
     }
 
@@ -349,6 +352,7 @@
     /// Notes how a send ended.
     pub fn finished(&mut self, now: MonoTime, plan: &Plan, choice: &Choice, outcome: Outcome) {
         self.balance.finished(now, &choice.id, outcome);
+        self.keep_session(now, plan, choice);
         match outcome {
             Outcome::Good => self.evidence_of(plan, choice).good += 1,
             Outcome::Failed => self.evidence_of(plan, choice).bad += 1,
@@ -372,6 +376,13 @@
         self.evidence.drain().map(|(_, counts)| counts).collect()
     }
 
+    fn keep_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
+        if let Some(session) = &plan.session {
+            let ran = (choice.version.clone(), now);
+            self.sessions.insert(session.clone(), ran);
+        }
+    }
+
     fn evidence_of(&mut self, plan: &Plan, choice: &Choice) -> &mut Evidence {
         let key = (
             plan.service.clone(),
@@ -395,12 +406,18 @@
 
     /// Returns whether a new version may get a request while it is on trial.
     ///
-    /// Requests of sessions stay out of it: whether another entry has just
-    /// served the session on the version before is not known here, and a
-    /// session must not change its version.
-    fn is_on_trial(&self, head: &Head) -> bool {
-        head.session.is_none()
-            && hash::unit(head.id.as_bytes(), "trial") < self.cfg.exposure_share * CANARY_PART
+    /// A session keeps its version while its requests follow each other: the
+    /// one that it ran on last decides. Only a session that was not seen of late
+    /// is drawn, by its name, so that every entry draws alike.
+    fn is_on_trial(&self, now: MonoTime, head: &Head, target: &str) -> bool {
+        let name = head.session.as_ref().unwrap_or(&head.id);
+        let kept = head.session.as_ref().and_then(|s| self.sessions.get(s));
+        if let Some((version, at)) = kept
+            && now < *at + self.cfg.session_pause + SESSION_MARGIN
+        {
+            return version == target;
+        }
+        hash::unit(name.as_bytes(), target) < self.cfg.exposure_share * CANARY_PART
     }
 
     fn allowed(&self, plan: &Plan) -> Allowed {
