--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -351,7 +351,11 @@
         };
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
-            confidence:? = head.confidence, step:? = step,
+            confidence:? = head.confidence, step:? = step, load:? = head.load,
+            waited_ms = choice.since().as_millis() as u64, tokens = self.req.head.prompt_tokens,
+            prompt:? = self.req.head.prompt, session:? = self.req.head.session,
+            route:% = self.plan.route.name, rank = self.plan.rank,
+            org:? = self.plan.organisation,
             config = self.plan.table.config().version;
             "stream began"
         );
--- a/sesamebeam/src/gateway/flight.rs
+++ b/sesamebeam/src/gateway/flight.rs
@@ -2,7 +2,11 @@
 
 use std::{
     ops::Deref,
-    sync::Arc, //
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use sesamebeam_core::gateway::{
@@ -24,6 +28,7 @@
     gateway: Arc<Gateway>,
     plan: Arc<Plan>,
     choice: Choice,
+    started: Instant,
     ended: bool,
 }
 
@@ -34,10 +39,16 @@
             gateway,
             plan,
             choice,
+            started: Instant::now(),
             ended: false,
         }
     }
 
+    /// Returns the time since it started.
+    pub(super) fn since(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Notes how it ended.
     pub(super) fn end(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.ended, true) {
