--- a/sesamebeam/src/gateway/front.rs
+++ b/sesamebeam/src/gateway/front.rs
@@ -48,7 +48,7 @@
 
 /// Time after the signal to stop during which new callers may still come: the
 /// balancer asks once a second and takes an entry out after two misses.
-const BALANCER_LAG: Duration = Duration::from_millis(3200);
+const BALANCER_LAG: Duration = Duration::from_millis(2900);
 
 /// Time before the end of the grace period at which this process ends by
 /// itself.
