--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -94,6 +94,8 @@
     stopping: CancellationToken,
     /// Cancelled when idle connections are closed during a stop.
     closing: CancellationToken,
+    /// Cancelled when the end is so near that no request is taken any more.
+    ending: CancellationToken,
 }
 
 impl Gateway {
@@ -106,9 +108,9 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether a stop is so far that a stream would be cut off by it.
-    fn takes_no_streams(&self) -> bool {
-        self.closing.is_cancelled()
+    /// Returns whether a stop is so far that a request would be cut off by it.
+    fn is_too_late_for(&self, streaming: bool) -> bool {
+        self.ending.is_cancelled() || streaming && self.closing.is_cancelled()
     }
 
     /// Returns whether new callers may be sent here.
@@ -137,6 +139,7 @@
         protocol,
         stopping,
         closing: CancellationToken::new(),
+        ending: CancellationToken::new(),
     });
     let halt = CancellationToken::new();
     tokio::spawn(feed::run(Arc::clone(&gateway), seeds, halt.clone()));
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -124,8 +124,8 @@
         Ok(plan) => plan,
         Err(refusal) => return refuse(&gateway, &head.id, refusal),
     };
-    if plan.route.streaming && gateway.takes_no_streams() {
-        log::info!(id:% = head.id; "stream refused while stopping");
+    if gateway.is_too_late_for(plan.route.streaming) {
+        log::info!(id:% = head.id; "request refused while stopping");
         return answer::come_back(StatusCode::SERVICE_UNAVAILABLE);
     }
     let limits = plan.table.config().limits;
--- a/sesamebeam/src/gateway/front.rs
+++ b/sesamebeam/src/gateway/front.rs
@@ -54,6 +54,10 @@
 /// itself.
 const END_BEFORE: Duration = Duration::from_millis(400);
 
+/// Time before the end from which no request is taken any more: what plain
+/// services take, the slowest in a hundred included.
+const LAST_REQUEST: Duration = Duration::from_millis(2000);
+
 /// Pause between two looks at whether all connections have ended.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -101,6 +105,11 @@
     let end = Instant::now() + gateway.settings.grace.saturating_sub(END_BEFORE);
     sleep(BALANCER_LAG.min(gateway.settings.grace / 2)).await;
     gateway.closing.cancel();
+    let last = end.checked_sub(LAST_REQUEST).unwrap_or(end);
+    while open.load(Ordering::Relaxed) > 0 && Instant::now() < last {
+        sleep(LOOK_EVERY).await;
+    }
+    gateway.ending.cancel();
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         sleep(LOOK_EVERY).await;
     }
