Bound the load of a preferred backend server by the mean load

Cause: the bound was a quarter of the slots above the mean, 24 requests where 21 run on average, so that it bounded nothing.

--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -22,12 +22,19 @@
     policy::hash, //
 };
 
-/// How far above the mean load, as a share of the slots, a backend server may
-/// be and still be preferred for the prompt that it keeps. The bound of
-/// consistent hashing with bounded loads; at 0.25 one in five requests at most
-/// leaves its first choice in even traffic.
+/// How far above the mean load a backend server may be, as a share of the mean,
+/// and still be preferred for the prompt that it keeps: the bound of consistent
+/// hashing with bounded loads.
 const LOAD_MARGIN: f64 = 0.25;
 
+/// Requests by which that bound is higher, so that it means something where a
+/// backend server has hardly any.
+const LOAD_SPARE: f64 = 2.0;
+
+/// How much more a waiting request says of the load than a running one: it
+/// holds up all that comes, where a running one only slows it.
+const WAITING_WEIGHT: f64 = 3.0;
+
 /// Load, as a share of the slots, that a hop to another failure domain is worth:
 /// one round trip between domains against the work of a request.
 const FAR_COST: f64 = 0.25;
@@ -190,11 +197,18 @@
 
     /// Takes the first by rendezvous weight whose load is within the bound.
     fn by_prompt<'a>(&self, now: MonoTime, fit: &[&'a Known], affinity: u64) -> Option<&'a Known> {
-        let bound = self.taken(now, fit) + LOAD_MARGIN;
+        let slots = fit.iter().map(|k| k.said.slots).max().unwrap_or(1);
+        let spare = LOAD_SPARE / f64::from(slots.max(1));
+        let bound = self.taken(now, fit) * (1.0 + LOAD_MARGIN) + spare;
         let key = affinity.to_le_bytes();
         let within = fit.iter().filter(|k| self.load(now, k) <= bound);
         let best = within.max_by_key(|k| hash::rendezvous(&k.said.id, &key));
-        best.or_else(|| fit.first()).copied()
+        best.copied().or_else(|| {
+            let lightest = fit
+                .iter()
+                .min_by(|a, b| self.load(now, a).total_cmp(&self.load(now, b)));
+            lightest.copied()
+        })
     }
 
     fn by_load<'a>(&self, now: MonoTime, fit: &[&'a Known], need: &Need<'_>) -> Option<&'a Known> {
@@ -224,7 +238,8 @@
         let Some((load, at, own_then)) = seen.load else {
             return own / slots;
         };
-        let others = f64::from((load.running + load.waiting).saturating_sub(own_then));
+        let there = f64::from(load.running) + WAITING_WEIGHT * f64::from(load.waiting);
+        let others = (there - f64::from(own_then)).max(0.0);
         let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
         (own + others * 0.5f64.powf(age)) / slots
     }
