Keep more answers of small models while engines are under pressure

Change: the confidence from which an answer is kept falls from 50 to 0 as the mean wait for first events grows from 0.15 to 0.4 of the time in which they are on time.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -342,17 +342,21 @@
         let now = self.gateway.now();
         let model = self.model.clone().unwrap_or_default();
         let left = self.sends < self.plan.route.max_attempts;
-        let step = match self.model {
-            Some(_) => {
-                let mut router = self.gateway.router();
-                router.judge(now, &self.plan, &model, &head, left)
-            }
-            None => Step::Keep,
+        let waited = choice.since();
+        let (step, keep_from) = {
+            let mut router = self.gateway.router();
+            router.waited(now, &self.plan, waited);
+            let step = match self.model {
+                Some(_) => router.judge(now, &self.plan, &model, &head, left),
+                None => Step::Keep,
+            };
+            (step, router.keep_from(now, &self.plan))
         };
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
             confidence:? = head.confidence, step:? = step, load:? = head.load,
-            waited_ms = choice.since().as_millis() as u64, tokens = self.req.head.prompt_tokens,
+            keep_from = keep_from,
+            waited_ms = waited.as_millis() as u64, tokens = self.req.head.prompt_tokens,
             prompt:? = self.req.head.prompt, session:? = self.req.head.session,
             route:% = self.plan.route.name, rank = self.plan.rank,
             org:? = self.plan.organisation,
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -21,7 +21,7 @@
         BudgetConfig, //
     },
     cascade::{
-        self,
+        Cascade,
         Step, //
     },
     config::{
@@ -156,6 +156,7 @@
     directory: Directory,
     balance: Balance,
     budget: Budget,
+    cascade: Cascade,
     evidence: HashMap<EvidenceKey, Evidence>,
     /// Mean time to the first byte by route and model, in milliseconds.
     times: HashMap<(SmolStr, Option<ModelId>), f64>,
@@ -175,6 +176,7 @@
             rollouts: Rollouts::new(),
             directory: Directory::default(),
             balance: Balance::default(),
+            cascade: Cascade::default(),
             evidence: HashMap::new(),
             times: HashMap::new(),
             sessions: HashMap::new(),
@@ -319,7 +321,13 @@
         answer: &AnswerHead,
         attempts_left: bool,
     ) -> Step {
-        let step = cascade::judge(&plan.route.sizes, asked, answer.confidence, attempts_left);
+        let sizes = &plan.route.sizes;
+        let step = self
+            .cascade
+            .judge(now, &plan.service, sizes, asked, answer.confidence);
+        if !attempts_left {
+            return Step::Keep;
+        }
         if matches!(step, Step::Ask(_)) && !self.try_repeat(now, plan) {
             return Step::Keep;
         }
@@ -336,6 +344,17 @@
         self.balance.heard_at(id)
     }
 
+    /// Notes how long the first event of a send took.
+    pub fn waited(&mut self, now: MonoTime, plan: &Plan, took: Duration) {
+        let target = plan.route.target;
+        self.cascade.waited(now, &plan.service, took, target);
+    }
+
+    /// Returns the confidence from which an answer is kept now.
+    pub fn keep_from(&self, now: MonoTime, plan: &Plan) -> f64 {
+        self.cascade.keep_from(now, &plan.service)
+    }
+
     /// Notes the time to the first byte of a success.
     pub fn timed(&mut self, plan: &Plan, choice: &Choice, model: Option<&str>, took: Duration) {
         let on_trial = self.is_target(&plan.service, &choice.version);
