Have engines read short prompts first within a rank; come back sooner after a restart

Cause of the first: all organisations have one rank here, so that a prompt of 54,000 tokens (a second at the large model) held up short ones behind it. Cause of the second: after all processes had lost power, entries refused for 1.1 s until a leader was elected, and callers came back within that time.

--- a/sesamebeam/src/gateway/answer.rs
+++ b/sesamebeam/src/gateway/answer.rs
@@ -56,10 +56,23 @@
     answer
 }
 
+/// Time after which a caller is asked to come back to an entry that has just
+/// started: it knows nothing until a control replica leads again.
+const START_TAKES: Duration = Duration::from_millis(1200);
+
 /// Refuses a request that has not run and says when to come back.
 pub(super) fn come_back(status: StatusCode) -> Answer {
+    come_back_after(status, RETRY_AFTER_MIN)
+}
+
+/// Refuses a request because this entry has just started.
+pub(super) fn come_back_when_started() -> Answer {
+    come_back_after(StatusCode::SERVICE_UNAVAILABLE, START_TAKES)
+}
+
+fn come_back_after(status: StatusCode, least: Duration) -> Answer {
     let spread = RETRY_AFTER_SPREAD.mul_f64(rand::rng().random());
-    let after = RETRY_AFTER_MIN + spread;
+    let after = least + spread;
     let mut answer = own(status);
     if let Ok(value) = format!("{:.2}", after.as_secs_f64()).parse() {
         answer.headers_mut().insert(header::RETRY_AFTER, value);
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -358,7 +358,7 @@
             keep_from = keep_from,
             waited_ms = waited.as_millis() as u64, tokens = self.req.head.prompt_tokens,
             prompt:? = self.req.head.prompt, session:? = self.req.head.session,
-            route:% = self.plan.route.name, rank = self.plan.rank,
+            route:% = self.plan.route.name, rank = self.plan.engine_rank,
             org:? = self.plan.organisation,
             config = self.plan.table.config().version;
             "stream began"
@@ -444,7 +444,7 @@
     let version = gateway.router().version();
     log::info!(id = id, why:% = refusal, config:? = version; "request refused");
     match refusal {
-        Refusal::NoConfig | Refusal::Busy => answer::come_back(StatusCode::SERVICE_UNAVAILABLE),
+        Refusal::NoConfig => answer::come_back_when_started(),
         Refusal::NoRoute => answer::own(StatusCode::NOT_FOUND),
         Refusal::UnknownKey => answer::own(StatusCode::UNAUTHORIZED),
     }
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -91,7 +91,7 @@
             server: &choice.id,
             deadline: left,
             organisation: plan.organisation.as_deref(),
-            rank: plan.rank,
+            rank: plan.engine_rank,
             model,
             resume_after,
         };
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -88,16 +88,17 @@
     frames,
 };
 
-/// Pause between two heartbeats of a leader. A tenth of the election time-out,
+/// Pause between two heartbeats of a leader. A sixth of the election time-out,
 /// so that lost packets do not end a leadership.
-const HEARTBEAT: Duration = Duration::from_millis(75);
+const HEARTBEAT: Duration = Duration::from_millis(60);
 
 /// Shortest election time-out. A new leader and its first entry within a second
-/// and a half of the loss; twice the longest pause of a busy small machine.
-const ELECTION: Duration = Duration::from_millis(500);
+/// of the loss; three times the pause of an instance whose share of a processor
+/// is used up until the next tenth of a second.
+const ELECTION: Duration = Duration::from_millis(350);
 
 /// Leader lease; shorter than the election time-out, so that it is over first.
-const LEASE: Duration = Duration::from_millis(400);
+const LEASE: Duration = Duration::from_millis(280);
 
 /// Most that clocks' rates differ from true time.
 const DRIFT: f64 = 0.01;
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -73,6 +73,19 @@
 /// from the end of its last request, which a caller sees a little later.
 const SESSION_MARGIN: Duration = Duration::from_millis(1500);
 
+/// Most that an engine tells ranks apart.
+const ENGINE_RANKS: usize = 10;
+
+/// Lengths of prompts that are told apart: short, usual and long.
+const SIZES: usize = 3;
+
+/// How many times longer or shorter than the mean of its route a prompt is to
+/// count as long or short.
+const SIZE_STEP: f64 = 2.0;
+
+/// Weight of the newest prompt in the mean of its route.
+const SIZE_WEIGHT: f64 = 0.02;
+
 /// Weight of the newest time to the first byte in the mean of its route.
 const TIME_WEIGHT: f64 = 0.05;
 
@@ -102,9 +115,6 @@
     /// Its key is not known.
     #[error("unknown key")]
     UnknownKey,
-    /// No backend server takes it now.
-    #[error("no backend server takes it now")]
-    Busy,
 }
 
 /// What was decided about a request before its first send.
@@ -120,6 +130,8 @@
     pub organisation: Option<OrgId>,
     /// Rank.
     pub rank: Rank,
+    /// Rank that the engine is told: within a rank, short prompts go first.
+    pub engine_rank: Rank,
     /// Model to ask first, where the caller leaves the choice open.
     pub model: Option<ModelId>,
     /// Hash of what it shares with other requests.
@@ -162,6 +174,8 @@
     times: HashMap<(SmolStr, Option<ModelId>), f64>,
     /// Version that each session ran on last, and when.
     sessions: HashMap<SmolStr, (SmolStr, MonoTime)>,
+    /// Mean length of the prompts of each route, in tokens.
+    lengths: HashMap<SmolStr, f64>,
     count: u64,
 }
 
@@ -180,6 +194,7 @@
             evidence: HashMap::new(),
             times: HashMap::new(),
             sessions: HashMap::new(),
+            lengths: HashMap::new(),
             count: 0,
         }
     }
@@ -258,13 +273,15 @@
         self.budget.request(now, &service);
         let target = self.rollouts.get(&service).map(|r| r.target.clone());
         let on_trial = target.is_some_and(|target| self.is_on_trial(now, head, &target));
+        let rank = table::rank(route, &caller);
         let open = head
             .model
             .as_deref()
             .is_none_or(|m| m == crate::ids::ANY_MODEL);
         let model = route.sizes.first().filter(|_| open).cloned();
         Ok(Plan {
-            rank: table::rank(route, &caller),
+            engine_rank: self.engine_rank(&table, route, rank, head.prompt_tokens),
+            rank,
             route: route.clone(),
             organisation,
             model,
@@ -395,6 +412,27 @@
         self.evidence.drain().map(|(_, counts)| counts).collect()
     }
 
+    /// Returns the rank that an engine is told.
+    ///
+    /// An engine reads prompts one after the other within a rank: one of 50,000
+    /// tokens before one of 500 makes it wait for a second. Shorter ones first
+    /// shortens the mean wait; a rank never passes a more urgent one.
+    fn engine_rank(&mut self, table: &Table, route: &RouteConfig, rank: Rank, tokens: u32) -> Rank {
+        let tokens = f64::from(tokens);
+        let mean = self.lengths.entry(route.name.clone()).or_insert(tokens);
+        *mean += SIZE_WEIGHT * (tokens - *mean);
+        let mean = *mean;
+        let (place, ranks) = table.place(rank);
+        let sizes = (ENGINE_RANKS / ranks.max(1)).clamp(1, SIZES);
+        let size = match tokens {
+            t if t > mean * SIZE_STEP => SIZES - 1,
+            t if t > mean / SIZE_STEP => SIZES - 2,
+            _ => 0,
+        };
+        let told = place * sizes + size * sizes / SIZES;
+        Rank::try_from(told.min(ENGINE_RANKS - 1)).unwrap_or(Rank::MAX)
+    }
+
     fn keep_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
         if let Some(session) = &plan.session {
             let ran = (choice.version.clone(), now);
--- a/sesamebeam_core/src/gateway/table.rs
+++ b/sesamebeam_core/src/gateway/table.rs
@@ -1,7 +1,10 @@
 //! A configuration made ready for look-ups.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     sync::Arc, //
 };
 
@@ -25,6 +28,8 @@
     hosts: HashMap<SmolStr, Vec<usize>>,
     /// Organisation of each key.
     keys: HashMap<SmolStr, usize>,
+    /// All ranks that requests may have, the most urgent first.
+    ranks: Vec<Rank>,
 }
 
 /// Who sends a request.
@@ -55,6 +60,7 @@
             }
         }
         Arc::new(Self {
+            ranks: ranks_of(&config),
             config,
             hosts,
             keys,
@@ -66,6 +72,13 @@
         &self.config
     }
 
+    /// Returns the place of a rank among those that requests may have, and their
+    /// number.
+    pub fn place(&self, rank: Rank) -> (usize, usize) {
+        let before = self.ranks.iter().filter(|&&r| r < rank).count();
+        (before, self.ranks.len())
+    }
+
     /// Finds the route with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteConfig> {
         let mut routes = self
@@ -106,6 +119,14 @@
 pub fn rank(route: &RouteConfig, caller: &Caller<'_>) -> Rank {
     match caller {
         Caller::Of(org) => org.rank.unwrap_or(route.rank),
-        _ => route.rank,
+        Caller::Anonymous | Caller::Unknown => route.rank,
     }
 }
+
+/// Collects all ranks that requests may have.
+fn ranks_of(config: &GatewayConfig) -> Vec<Rank> {
+    let routes = config.routes.iter().map(|r| r.rank);
+    let organisations = config.organisations.iter().filter_map(|o| o.rank);
+    let ranks: BTreeSet<Rank> = routes.chain(organisations).collect();
+    ranks.into_iter().collect()
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -0,0 +1,161 @@
+//! Choice of a backend server.
+
+use std::collections::BTreeSet;
+
+use sesamebeam_core::gateway::{
+    balance::{
+        Balance,
+        Need,
+        Outcome, //
+    },
+    directory::{
+        Announcement,
+        Known, //
+    },
+    request::Load,
+};
+
+use crate::make::{
+    announcement,
+    ms, //
+};
+
+const NEED: Need<'static> = Need {
+    affinity: None,
+    domain: "hall-1",
+    tried: &[],
+    seed: 1,
+};
+
+fn known(said: Announcement) -> Known {
+    Known {
+        said,
+        heard_at: ms(0),
+    }
+}
+
+fn servers(count: u8) -> Vec<Known> {
+    (0..count).map(|n| known(announcement(n))).collect()
+}
+
+fn choose(balance: &mut Balance, now: u64, servers: &[Known], need: &Need<'_>) -> String {
+    let all: Vec<&Known> = servers.iter().collect();
+    let chosen = balance.choose(ms(now), &all, need);
+    chosen.expect("there is one").said.id.to_string()
+}
+
+#[test]
+fn same_prompt_same_server() {
+    // Two entries that know nothing of each other send requests with the same
+    // prompt to the same backend server, which reads it once.
+    let servers = servers(8);
+    let need = Need {
+        affinity: Some(42),
+        ..NEED
+    };
+    let first = choose(&mut Balance::default(), 0, &servers, &need);
+    let other = choose(
+        &mut Balance::default(),
+        0,
+        &servers,
+        &Need { seed: 9, ..need },
+    );
+    assert_eq!(first, other);
+}
+
+#[test]
+fn hot_prompt_spreads() {
+    // One prompt gets all the traffic. Beyond the bound on its load its
+    // backend server is passed over, and others read the prompt as well.
+    let servers = servers(8);
+    let mut balance = Balance::default();
+    let need = Need {
+        affinity: Some(42),
+        ..NEED
+    };
+    let used: BTreeSet<String> = (0..40)
+        .map(|_| choose(&mut balance, 0, &servers, &need))
+        .collect();
+    assert!(used.len() >= 4, "{used:?}");
+}
+
+#[test]
+fn near_first() {
+    let mut servers = servers(4);
+    servers[3].said.domain = "hall-2".into();
+    servers[0].said.domain = "hall-2".into();
+    let mut balance = Balance::default();
+    for _ in 0..4 {
+        let chosen = choose(&mut balance, 0, &servers, &NEED);
+        assert!(["server-1", "server-2"].contains(&chosen.as_str()));
+    }
+}
+
+#[test]
+fn far_when_near_is_full() {
+    let mut servers = servers(2);
+    servers[1].said.domain = "hall-2".into();
+    let mut balance = Balance::default();
+    let full = Load {
+        running: 10,
+        waiting: 4,
+        slots: 10,
+    };
+    balance.heard(ms(0), &"server-0".into(), Some(full));
+    assert_eq!(choose(&mut balance, 0, &servers, &NEED), "server-1");
+    assert_eq!(choose(&mut balance, 60_000, &servers, &NEED), "server-0");
+}
+
+#[test]
+fn unreachable_rests() {
+    // A backend server cannot be reached. It gets nothing until its pause is
+    // over, and then the next request tries it again.
+    let servers = servers(2);
+    let mut balance = Balance::default();
+    let need = Need {
+        affinity: Some(3),
+        ..NEED
+    };
+    let first = choose(&mut balance, 0, &servers, &need);
+    balance.finished(ms(0), &first.as_str().into(), Outcome::Unreachable);
+    assert_ne!(choose(&mut balance, 100, &servers, &need), first);
+    assert_eq!(choose(&mut balance, 300, &servers, &need), first);
+}
+
+#[test]
+fn failing_one_is_left_out() {
+    // One backend server fails half of its requests though it calls itself
+    // healthy; the others fail one in ten, as the service does.
+    let servers = servers(4);
+    let mut balance = Balance::default();
+    for n in 0..40 {
+        for server in &servers {
+            let bad = server.said.id == "server-2";
+            let outcome = match n % 10 {
+                0 => Outcome::Failed,
+                k if bad && k % 2 == 0 => Outcome::Failed,
+                _ => Outcome::Good,
+            };
+            balance.finished(ms(n), &server.said.id, outcome);
+        }
+    }
+    let chosen: Vec<String> = (0..20)
+        .map(|seed| choose(&mut balance, 50, &servers, &Need { seed, ..NEED }))
+        .collect();
+    assert!(!chosen.contains(&"server-2".to_owned()), "{chosen:?}");
+    assert!(chosen.contains(&"server-1".to_owned()), "{chosen:?}");
+}
+
+#[test]
+fn another_after_a_failure() {
+    let servers = servers(3);
+    let tried = ["server-0".into(), "server-1".into()];
+    let need = Need {
+        tried: &tried,
+        ..NEED
+    };
+    assert_eq!(
+        choose(&mut Balance::default(), 0, &servers, &need),
+        "server-2"
+    );
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/budget.rs
@@ -0,0 +1,72 @@
+//! The budget of repeated sends.
+
+use sesamebeam_core::gateway::budget::{
+    Budget,
+    BudgetConfig, //
+};
+
+use crate::make::ms;
+
+fn budget(entries: u32) -> Budget {
+    let mut budget = Budget::new(BudgetConfig {
+        ratio: 0.5,
+        slack: 20.0,
+        window: ms(10_000),
+    });
+    budget.set_entries(entries);
+    budget
+}
+
+#[test]
+fn failing_service() {
+    // Every request fails and is sent again as often as the budget allows, at
+    // ten entries. Over any window the sum stays within the bound.
+    let mut entries: Vec<Budget> = (0..10).map(|_| budget(10)).collect();
+    let mut repeats = Vec::new();
+    for step in 0..4000u64 {
+        let now = ms(step * 10);
+        for budget in &mut entries {
+            budget.request(now, &"pool".into());
+            for _ in 0..2 {
+                if budget.try_repeat(now, &"pool".into()) {
+                    repeats.push(step);
+                }
+            }
+        }
+    }
+    for start in (0..3000).step_by(100) {
+        let within = repeats
+            .iter()
+            .filter(|&&s| (start..start + 1000).contains(&s));
+        let bound = 0.5 * 10_000.0 + 20.0;
+        assert!(within.count() as f64 <= bound);
+    }
+    assert!(repeats.len() > 10_000, "{} repeats", repeats.len());
+}
+
+#[test]
+fn burst_after_silence() {
+    // An entry starts while its service is down. It has seen no request, so
+    // that only its part of the slack is left to spend.
+    let mut budget = budget(10);
+    let spent = (0..100).filter(|_| budget.try_repeat(ms(5), &"pool".into()));
+    assert!(spent.count() <= 2);
+}
+
+#[test]
+fn unknown_fleet() {
+    // Nobody has said how many entries there are. None of the slack is spent:
+    // each entry might take it for its own.
+    let mut budget = budget(0);
+    assert!(!budget.try_repeat(ms(5), &"pool".into()));
+}
+
+#[test]
+fn services_apart() {
+    let mut budget = budget(1);
+    for _ in 0..100 {
+        budget.request(ms(0), &"pool".into());
+    }
+    let spent = (0..100).filter(|_| budget.try_repeat(ms(5), &"other".into()));
+    assert_eq!(spent.count(), 17);
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/directory.rs
@@ -0,0 +1,116 @@
+//! Merging what backend servers say of themselves.
+
+use proptest::{
+    prelude::*,
+    sample::Index, //
+};
+use sesamebeam_core::gateway::directory::{
+    Announcement,
+    Directory,
+    ServerState, //
+};
+
+use crate::make::{
+    announcement,
+    ms, //
+};
+
+fn ready(directory: &Directory) -> Vec<String> {
+    let ready = directory.ready("pool");
+    ready.map(|k| k.said.id.to_string()).collect()
+}
+
+#[test]
+fn old_draining_word() {
+    // A backend server says that it drains; its word from before is held up on
+    // another path and comes later. It must not count as ready again.
+    let mut directory = Directory::default();
+    let mut draining = announcement(1);
+    draining.state = ServerState::Draining;
+    draining.sequence = 5;
+    assert!(directory.take(ms(0), draining));
+    let mut late = announcement(1);
+    late.sequence = 4;
+    assert!(!directory.take(ms(10), late));
+    assert!(ready(&directory).is_empty());
+}
+
+#[test]
+fn gone_stays_gone() {
+    // A backend server leaves; a beat that a cut held up arrives afterwards with
+    // a higher number than anything heard before. It has left all the same.
+    let mut directory = Directory::default();
+    directory.take(ms(0), announcement(1));
+    assert!(directory.leave(ms(5), "server-1").is_some());
+    let mut late = announcement(1);
+    late.sequence = 99;
+    assert!(!directory.take(ms(10), late));
+    assert!(ready(&directory).is_empty());
+}
+
+#[test]
+fn new_life_at_an_address() {
+    // A backend server crashes and another life starts at its address. The old
+    // life is never heard again, and must not get work meant for it.
+    let mut directory = Directory::default();
+    directory.take(ms(0), announcement(1));
+    let mut next = announcement(2);
+    next.addr = announcement(1).addr;
+    assert!(directory.take(ms(5), next));
+    assert_eq!(ready(&directory), ["server-2"]);
+    let mut late = announcement(1);
+    late.sequence = 7;
+    directory.take(ms(9), late);
+    assert_eq!(ready(&directory), ["server-2"]);
+}
+
+#[test]
+fn refreshes_are_no_news() {
+    let mut directory = Directory::default();
+    assert!(directory.take(ms(0), announcement(1)));
+    let mut again = announcement(1);
+    again.sequence = 2;
+    assert!(!directory.take(ms(9), again));
+    assert_eq!(directory.get("server-1").map(|k| k.heard_at), Some(ms(9)));
+}
+
+#[test]
+fn bounded() {
+    let mut directory = Directory::default();
+    for number in 0..20_000u32 {
+        let mut said = announcement(1);
+        said.id = format!("life-{number}").into();
+        directory.take(ms(u64::from(number)), said);
+    }
+    assert!(directory.all().count() <= 8200);
+}
+
+fn lives() -> impl Strategy<Value = Vec<Announcement>> {
+    let state = prop_oneof![Just(ServerState::Ready), Just(ServerState::Draining)];
+    let one = (0u8..4, 1u64..20, state).prop_map(|(number, sequence, state)| {
+        let mut said = announcement(number);
+        said.sequence = sequence;
+        said.state = state;
+        said
+    });
+    prop::collection::vec(one, 1..30)
+}
+
+proptest! {
+    /// Whatever the order in which announcements arrive, draining is final for a
+    /// life, so that no replica takes a leaving backend server for a ready one
+    /// longer than it takes to hear of it.
+    #[test]
+    fn draining_is_final(said in lives(), at in any::<Index>()) {
+        let mut directory = Directory::default();
+        let leaving = said[at.index(said.len())].clone();
+        for (n, said) in said.into_iter().enumerate() {
+            directory.take(ms(n as u64), said);
+        }
+        let mut draining = leaving.clone();
+        draining.state = ServerState::Draining;
+        directory.take(ms(100), draining);
+        let ready = ready(&directory);
+        prop_assert!(!ready.contains(&leaving.id.to_string()));
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -0,0 +1,133 @@
+//! Replicas that are lost for good, and those that take their places.
+
+use sesamebeam_core::{
+    gateway::{
+        coordinator::{
+            Answer,
+            Call, //
+        },
+        feed::{
+            Question,
+            Reply, //
+        },
+        store::Document,
+    },
+    ids::NodeId,
+    replica::{
+        Members,
+        Saved, //
+    },
+};
+
+use crate::{
+    group::{
+        Group,
+        listens, //
+    },
+    make::ms,
+};
+
+fn apply(version: u64) -> Call {
+    Call::Apply(Document {
+        version,
+        bytes: format!("text {version}").into(),
+    })
+}
+
+/// Has a new process ask for a place until it is a member.
+fn join(group: &mut Group, node: NodeId, at: NodeId) {
+    group.boot(node, Members::default(), Saved::default());
+    for _ in 0..40 {
+        let leader = group.new_leader(None);
+        group.question(
+            leader,
+            Question::Join {
+                node,
+                incarnation: u128::from(node),
+                addr: listens(at),
+            },
+        );
+        group.run(250);
+        if group.processes[&node].core.is_member() {
+            group.run(1000);
+            return;
+        }
+    }
+    panic!("process {node} got no place");
+}
+
+#[test]
+fn another_address() {
+    // A replica is gone for good and an empty one comes at another address. It
+    // takes the place of the silent one, and the group bears one more loss.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(1)), Answer::Done);
+    let gone = (1..=3).find(|&n| n != leader).expect("there are three");
+    group.kill(gone);
+    join(&mut group, 8, 8);
+    let other = (1..=3)
+        .find(|&n| n != leader && n != gone)
+        .expect("one more");
+    group.kill(other);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(2)), Answer::Done);
+}
+
+#[test]
+fn empty_disk() {
+    // A replica loses its disk and comes back at its address. Under its old
+    // number it could vote for a log that lacks what it acknowledged; it comes
+    // back as another replica, and what was acknowledged is still there.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(1)), Answer::Done);
+    group.kill(leader);
+    join(&mut group, 7, leader);
+    let other = (1..=3).find(|&n| n != leader && group.leader() != Some(n));
+    group.kill(other.expect("one more"));
+    let leader = group.new_leader(None);
+    let answer = group.ask(leader, Call::ReadConfig);
+    assert_eq!(answer, Answer::Config("text 1".into()));
+}
+
+#[test]
+fn reserve_waits() {
+    // A process asks for a place while all replicas live. It gets none until
+    // one has been silent for long.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    group.run(500);
+    let question = Question::Join {
+        node: 8,
+        incarnation: 8,
+        addr: listens(8),
+    };
+    group.boot(8, Members::default(), Saved::default());
+    let reply = group.question(leader, question.clone());
+    assert!(
+        matches!(reply, Reply::Group { leads: true, .. }),
+        "{reply:?}"
+    );
+    let gone = (1..=3).find(|&n| n != leader).expect("there are three");
+    group.kill(gone);
+    group.run(2500);
+    let leader = group.new_leader(None);
+    assert_eq!(group.question(leader, question), Reply::Joining);
+}
+
+#[test]
+fn grows_to_five() {
+    // Three seeds form the group; two losses at once are to be borne, so that
+    // two more processes become voters.
+    let mut group = Group::start(3, 2);
+    group.new_leader(None);
+    join(&mut group, 4, 4);
+    join(&mut group, 5, 5);
+    group.run(1000);
+    group.kill(1);
+    group.kill(2);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(1)), Answer::Done);
+    assert!(group.now > ms(0));
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -0,0 +1,14 @@
+//! Routing by host and path, and the state that the control group keeps for it.
+
+mod balance;
+mod budget;
+mod cascade;
+mod config;
+mod directory;
+mod group;
+mod joining;
+mod make;
+mod orders;
+mod rollouts;
+mod router;
+mod table;
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/make.rs
@@ -0,0 +1,150 @@
+//! Values that the tests start from.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use sesamebeam_core::{
+    gateway::{
+        budget::BudgetConfig,
+        config::{
+            GatewayConfig,
+            Limits,
+            OrganisationConfig,
+            Repeat,
+            RouteConfig,
+            ServiceConfig, //
+        },
+        directory::{
+            Announcement,
+            ServerState, //
+        },
+        request::{
+            Head,
+            PromptPart, //
+        },
+        router::{
+            Router,
+            RouterConfig, //
+        },
+    },
+    ids::MonoTime,
+};
+
+/// Returns a point in time.
+pub(crate) fn ms(millis: u64) -> MonoTime {
+    Duration::from_millis(millis)
+}
+
+/// Returns the address of a backend server.
+pub(crate) fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 8080))
+}
+
+/// Returns the first announcement of a backend server of the service `pool`.
+pub(crate) fn announcement(number: u8) -> Announcement {
+    Announcement {
+        id: format!("server-{number}").into(),
+        service: "pool".into(),
+        addr: addr(number),
+        domain: "hall-1".into(),
+        version: "v1".into(),
+        slots: 10,
+        state: ServerState::Ready,
+        cold: Duration::ZERO,
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
+
+/// Returns a route to the service `pool`.
+pub(crate) fn route(name: &str, prefix: &str) -> RouteConfig {
+    RouteConfig {
+        name: name.into(),
+        host: "desk.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::AtMostOnce,
+        streaming: true,
+        resumable: true,
+        timeout: ms(20_000),
+        target: ms(1000),
+        gap: Some(ms(600)),
+        rank: 1,
+        sizes: vec!["small".into(), "large".into()],
+        backends: vec![("pool".into(), 1)],
+        max_attempts: 3,
+        anonymous: false,
+    }
+}
+
+/// Returns a configuration with one route and two organisations.
+pub(crate) fn config(version: u64) -> GatewayConfig {
+    GatewayConfig {
+        version,
+        routes: vec![route("notes", "/notes/")],
+        services: vec![ServiceConfig {
+            name: "pool".into(),
+            health_path: "/health".into(),
+            max_connections: 100,
+            engine: None,
+        }],
+        limits: Limits::default(),
+        organisations: vec![
+            OrganisationConfig {
+                name: "quay".into(),
+                keys: vec!["quay-key".into()],
+                rank: None,
+            },
+            OrganisationConfig {
+                name: "lock".into(),
+                keys: vec!["lock-key".into()],
+                rank: Some(0),
+            },
+        ],
+    }
+}
+
+/// Returns the head of a request on the route of [`config`].
+pub(crate) fn head(id: &str) -> Head {
+    Head {
+        id: id.into(),
+        host: "desk.example".into(),
+        path: "/notes/today".into(),
+        key: Some("quay-key".into()),
+        deadline: Some(ms(20_000)),
+        model: None,
+        prompt: vec![
+            PromptPart { id: 7, tokens: 400 },
+            PromptPart { id: 8, tokens: 50 },
+        ],
+        prompt_tokens: 450,
+        session: None,
+        resume_after: None,
+    }
+}
+
+/// Returns the settings of a router.
+pub(crate) fn router_config() -> RouterConfig {
+    RouterConfig {
+        domain: "hall-1".into(),
+        budget: BudgetConfig {
+            ratio: 0.5,
+            slack: 10.0,
+            window: ms(10_000),
+        },
+        exposure_share: 0.2,
+        session_pause: ms(5000),
+    }
+}
+
+/// Returns a router with a configuration and backend servers.
+pub(crate) fn router(servers: u8) -> Router {
+    let mut router = Router::new(router_config());
+    router.set_config(config(1));
+    router.set_entries(1);
+    for number in 0..servers {
+        router.announced(ms(0), announcement(number));
+    }
+    router
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -0,0 +1,203 @@
+//! Configurations and roll-outs through the group.
+
+use sesamebeam_core::gateway::{
+    coordinator::{
+        Answer,
+        Call,
+        Event, //
+    },
+    directory::ServerState,
+    feed::ToEntry,
+    store::Document,
+};
+
+use crate::{
+    group::{
+        Group,
+        listens, //
+    },
+    make::{
+        announcement,
+        ms, //
+    },
+};
+
+fn apply(version: u64, text: &str) -> Call {
+    Call::Apply(Document {
+        version,
+        bytes: text.to_owned().into(),
+    })
+}
+
+fn read(group: &mut Group) -> Answer {
+    let leader = group.new_leader(None);
+    group.ask(leader, Call::ReadConfig)
+}
+
+#[test]
+fn highest_wins() {
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(5, "five")), Answer::Done);
+    assert_eq!(group.ask(leader, apply(4, "four")), Answer::Done);
+    assert_eq!(group.ask(leader, apply(5, "other")), Answer::Done);
+    assert_eq!(read(&mut group), Answer::Config("five".into()));
+}
+
+#[test]
+fn lost_acknowledgement() {
+    // The operator's acknowledgement is lost, the leader dies, and the same
+    // order comes again at another replica, which must not refuse it.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(5, "five")), Answer::Done);
+    group.kill(leader);
+    let next = group.new_leader(None);
+    assert_eq!(group.ask(next, apply(5, "five")), Answer::Done);
+    assert_eq!(read(&mut group), Answer::Config("five".into()));
+}
+
+#[test]
+fn elsewhere() {
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    group.run(200);
+    let follower = (1..=3).find(|&n| n != leader).expect("there are three");
+    let answer = group.ask(follower, apply(5, "five"));
+    assert_eq!(answer, Answer::Leader(listens(leader)));
+}
+
+#[test]
+fn cut_off_reader() {
+    // The leader is cut off and does not know it; the others elect another, and
+    // a newer configuration is acknowledged there. What the first one says
+    // about the newest configuration must not be the old one.
+    let mut group = Group::start(3, 1);
+    let old = group.new_leader(None);
+    assert_eq!(group.ask(old, apply(5, "five")), Answer::Done);
+    group.isolate(old);
+    let new = group.new_leader(Some(old));
+    assert_eq!(group.ask(new, apply(6, "six")), Answer::Done);
+    let answer = group.ask(old, Call::ReadConfig);
+    assert_eq!(answer, Answer::Unavailable);
+}
+
+#[test]
+fn suspended_leader() {
+    // The leader is suspended with a lease in hand; another is elected and
+    // acknowledges a newer configuration. When the first one wakes up, its
+    // clock shows the time that has passed, and it answers nothing old.
+    let mut group = Group::start(3, 1);
+    let old = group.new_leader(None);
+    assert_eq!(group.ask(old, apply(5, "five")), Answer::Done);
+    group.processes.get_mut(&old).expect("it runs").suspended = true;
+    let new = group.new_leader(Some(old));
+    assert_eq!(group.ask(new, apply(6, "six")), Answer::Done);
+    group.processes.get_mut(&old).expect("it runs").suspended = false;
+    let answer = group.ask(old, Call::ReadConfig);
+    assert_ne!(answer, Answer::Config("five".into()));
+}
+
+#[test]
+fn all_restart() {
+    // All replicas go down at once right after an acknowledgement and come back
+    // with their disks.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    for version in 1..=50 {
+        let order = apply(version, &format!("text {version}"));
+        assert_eq!(group.ask(leader, order), Answer::Done);
+    }
+    let disks: Vec<_> = (1..=3).map(|node| (node, group.kill(node))).collect();
+    group.run(500);
+    for (node, disk) in disks {
+        group.restart(node, disk);
+    }
+    assert_eq!(read(&mut group), Answer::Config("text 50".into()));
+}
+
+#[test]
+fn stalled_disk() {
+    // The leader's disk stops answering. It can acknowledge nothing new, so
+    // that another replica has to lead; that one commits without it.
+    let mut group = Group::start(3, 1);
+    let old = group.new_leader(None);
+    group.processes.get_mut(&old).expect("it runs").stalled = true;
+    group.call(old, apply(5, "five"));
+    let new = group.new_leader(Some(old));
+    assert_eq!(group.ask(new, apply(6, "six")), Answer::Done);
+    group.processes.get_mut(&old).expect("it runs").stalled = false;
+    group.run(2000);
+    assert_eq!(read(&mut group), Answer::Config("six".into()));
+}
+
+#[test]
+fn entries_are_told() {
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    group.event(2, Event::Subscribed(9));
+    group.pushed.clear();
+    assert_eq!(group.ask(leader, apply(5, "five")), Answer::Done);
+    group.run(200);
+    let told = group.pushed.iter().any(|(node, push)| {
+        let State = push;
+        *node == 2 && matches!(State, ToEntry::State { config: Some(c), .. } if c.version == 5)
+    });
+    assert!(told, "{:?}", group.pushed);
+}
+
+#[test]
+fn leaving_server() {
+    // A backend server says at one replica that it leaves. It is answered once
+    // another replica has told its entries as well.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    assert_eq!(group.ask(1, Call::Announce(announcement(1))), Answer::Done);
+    group.run(50);
+    let mut leaving = announcement(1);
+    leaving.state = ServerState::Draining;
+    leaving.sequence = 2;
+    assert_eq!(group.ask(1, Call::Announce(leaving)), Answer::Done);
+    let knows = |node| {
+        let known = group.processes[&node].core.directory().get("server-1");
+        known.map(|k| k.said.state)
+    };
+    assert_eq!(knows(1), Some(ServerState::Draining));
+    assert!(
+        [2, 3]
+            .iter()
+            .any(|&n| knows(n) == Some(ServerState::Draining))
+    );
+}
+
+#[test]
+fn leaving_while_cut_off() {
+    // The same at a replica that is cut off: entries that hear the others only
+    // would go on sending work, so that it must not say yes.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    assert_eq!(group.ask(1, Call::Announce(announcement(1))), Answer::Done);
+    group.run(50);
+    group.isolate(1);
+    let answer = group.ask(1, Call::Leave("server-1".into()));
+    assert_eq!(answer, Answer::Unavailable);
+}
+
+#[test]
+fn roll_out_again() {
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    let order = Call::StartRollout {
+        service: "pool".into(),
+        target: "v2".into(),
+        duration: ms(10_000),
+    };
+    assert_eq!(group.ask(leader, order.clone()), Answer::Done);
+    group.kill(leader);
+    let next = group.new_leader(None);
+    assert_eq!(group.ask(next, order), Answer::Done);
+    let Answer::Rollout(rollout) = group.ask(next, Call::ReadRollout("pool".into())) else {
+        panic!("there is a roll-out");
+    };
+    assert_eq!(rollout.target, "v2");
+}
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -0,0 +1,191 @@
+//! Decisions of an entry about a request.
+
+use std::collections::BTreeMap;
+
+use sesamebeam_core::gateway::{
+    cascade::Step,
+    request::AnswerHead,
+    rollout::{
+        Phase,
+        Rollout, //
+    },
+    router::{
+        Refusal,
+        Router, //
+    },
+};
+use yare::parameterized;
+
+use crate::make::{
+    announcement,
+    config,
+    head,
+    ms,
+    router,
+    router_config, //
+};
+
+/// Starts a roll-out of `v2` and adds backend servers that run it.
+fn roll_out(router: &mut Router, phase: Phase, index: u64) {
+    let rollout = Rollout {
+        target: "v2".into(),
+        duration: ms(20_000),
+        phase,
+    };
+    let rollouts = BTreeMap::from([("pool".into(), rollout)]);
+    router.set_rollouts(index, rollouts);
+    for number in 100..103 {
+        let mut said = announcement(number);
+        said.version = "v2".into();
+        router.announced(ms(0), said);
+    }
+}
+
+/// Sends a request and returns the version that it went to.
+fn send(router: &mut Router, now: u64, id: &str, session: Option<&str>) -> String {
+    let mut head = head(id);
+    head.session = session.map(Into::into);
+    let plan = router.admit(ms(now), &head).expect("it is admitted");
+    let choice = router.choose(ms(now), &plan, plan.model.as_deref(), &[]);
+    choice.expect("there is room").version.to_string()
+}
+
+#[test]
+fn nothing_known() {
+    let mut router = Router::new(router_config());
+    let refused = router
+        .admit(ms(0), &head("a"))
+        .expect_err("no configuration");
+    assert_eq!(refused, Refusal::NoConfig);
+}
+
+#[test]
+fn refusals() {
+    let mut router = router(1);
+    let mut lost = head("a");
+    lost.path = "/elsewhere".into();
+    assert_eq!(router.admit(ms(0), &lost).err(), Some(Refusal::NoRoute));
+    let mut stranger = head("b");
+    stranger.key = None;
+    assert_eq!(
+        router.admit(ms(0), &stranger).err(),
+        Some(Refusal::UnknownKey)
+    );
+}
+
+#[test]
+fn never_goes_back() {
+    // A control replica that lags tells of an older configuration than another
+    // told before. The newer one stays in force.
+    let mut router = Router::new(router_config());
+    assert!(router.set_config(config(7)));
+    assert!(!router.set_config(config(6)));
+    assert!(!router.set_config(config(7)));
+    assert_eq!(router.version(), Some(7));
+}
+
+#[test]
+fn small_model_first() {
+    let mut router = router(2);
+    let plan = router.admit(ms(0), &head("a")).expect("it is admitted");
+    assert_eq!(plan.model.as_deref(), Some("small"));
+    let mut named = head("b");
+    named.model = Some("large".into());
+    let plan = router.admit(ms(0), &named).expect("it is admitted");
+    assert_eq!(plan.model, None);
+}
+
+#[test]
+fn cascade_keeps_to_the_budget() {
+    // Every answer of the small model is unsure. The large one is asked only as
+    // often as repeated sends are allowed; the rest is kept.
+    let mut router = router(2);
+    let unsure = AnswerHead {
+        confidence: Some(0),
+        ..AnswerHead::default()
+    };
+    let asked = (0..200).filter(|n| {
+        let plan = router.admit(ms(*n), &head("a")).expect("it is admitted");
+        let step = router.judge(ms(*n), &plan, "small", &unsure, true);
+        matches!(step, Step::Ask(_))
+    });
+    let asked = asked.count();
+    assert!((80..=110).contains(&asked), "{asked} of 200");
+}
+
+#[parameterized(
+    short = { 100, 3 },
+    usual = { 1000, 4 },
+    long = { 40_000, 5 },
+)]
+fn short_prompts_first(tokens: u32, rank: u8) {
+    let mut router = router(2);
+    for _ in 0..10 {
+        let mut usual = head("usual");
+        usual.prompt_tokens = 1000;
+        assert!(router.admit(ms(0), &usual).is_ok());
+    }
+    let mut head = head("a");
+    head.prompt_tokens = tokens;
+    let plan = router.admit(ms(0), &head).expect("it is admitted");
+    assert_eq!(plan.engine_rank, rank);
+}
+
+#[test]
+fn new_version_gets_a_share() {
+    let mut router = router(4);
+    roll_out(&mut router, Phase::Canary, 1);
+    let new = (0..2000).filter(|n| send(&mut router, *n, &format!("r{n}"), None) == "v2");
+    let new = new.count();
+    assert!((160..=320).contains(&new), "{new} of 2,000");
+}
+
+#[test]
+fn sessions_stay() {
+    // Sessions run when a roll-out starts. As long as their requests follow each
+    // other, all of them stay on the version that they began with.
+    let mut router = router(4);
+    for n in 0..200 {
+        send(&mut router, 0, &format!("a{n}"), Some(&format!("s{n}")));
+    }
+    roll_out(&mut router, Phase::Canary, 1);
+    for at in [3000, 6000, 9000] {
+        for n in 0..200 {
+            let version = send(
+                &mut router,
+                at,
+                &format!("{at}-{n}"),
+                Some(&format!("s{n}")),
+            );
+            assert_eq!(version, "v1");
+        }
+    }
+}
+
+#[test]
+fn bad_version_gets_nothing() {
+    let mut router = router(4);
+    roll_out(&mut router, Phase::Canary, 1);
+    roll_out(&mut router, Phase::RolledBack, 2);
+    let versions = (0..500).map(|n| send(&mut router, n, &format!("r{n}"), None));
+    assert!(versions.into_iter().all(|v| v == "v1"));
+}
+
+#[test]
+fn good_version_gets_all() {
+    let mut router = router(4);
+    send(&mut router, 0, "a", Some("s"));
+    roll_out(&mut router, Phase::Promoted, 1);
+    assert_eq!(send(&mut router, 100, "b", Some("s")), "v2");
+    assert_eq!(send(&mut router, 100, "c", None), "v2");
+}
+
+#[test]
+fn old_roll_outs_are_ignored() {
+    // A replica that lags tells that the new version is on trial after another
+    // told that it was rolled back.
+    let mut router = router(4);
+    roll_out(&mut router, Phase::RolledBack, 5);
+    roll_out(&mut router, Phase::Promoted, 3);
+    assert_eq!(send(&mut router, 0, "a", None), "v1");
+}
