--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -201,3 +201,21 @@
     };
     assert_eq!(rollout.target, "v2");
 }
+
+#[test]
+fn cut_heals() {
+    // A replica misses changes while it is cut off. When the cut has healed it
+    // has them all, and its entries are told the newest configuration.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    let away = (1..=3).find(|&n| n != leader).expect("there are three");
+    group.isolate(away);
+    for version in 1..=60 {
+        let order = apply(version, &format!("text {version}"));
+        assert_eq!(group.ask(leader, order), Answer::Done);
+    }
+    group.heal();
+    group.run(3000);
+    let held = group.processes[&away].core.store().config();
+    assert_eq!(held.map(|c| c.version), Some(60));
+}
