Keep sessions on their version across entries; wait for a first configuration

Entries report drawn sessions that they have seen, and the leader passes them on, before anything goes to the new version. Test: router::sessions_stay_across_entries. Cause of the second: after all processes were killed, entries were up 0.45 s before a leader was, and 178 requests were refused in that time; their callers used up their retries.

--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -36,7 +36,10 @@
 };
 use smol_str::SmolStr;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
 use tokio_util::sync::CancellationToken;
 
 pub use self::protocol::{
@@ -90,6 +93,8 @@
     router: Mutex<Router>,
     client: Client,
     start: Instant,
+    /// Tells that a configuration or backend servers were learned.
+    learned: Notify,
     /// Cancelled when a stop was asked for.
     stopping: CancellationToken,
     /// Cancelled when idle connections are closed during a stop.
@@ -137,6 +142,7 @@
         start: Instant::now(),
         settings,
         protocol,
+        learned: Notify::new(),
         stopping,
         closing: CancellationToken::new(),
         ending: CancellationToken::new(),
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -29,7 +29,10 @@
         Repeat, //
     },
     directory::ServerId,
-    request::AnswerHead,
+    request::{
+        AnswerHead,
+        Head, //
+    },
     router::{
         Choice,
         Plan,
@@ -62,6 +65,10 @@
 /// about then.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
+/// Longest wait of a request for what an entry that has just started lacks: what
+/// an election takes, and less than callers wait for anything.
+const START_WAIT: Duration = Duration::from_millis(700);
+
 /// Most bytes of an answer that is not a stream.
 const MAX_ANSWER: usize = 8 << 20;
 
@@ -120,7 +127,7 @@
             return answer::closing(StatusCode::BAD_REQUEST);
         }
     };
-    let admitted = gateway.router().admit(gateway.now(), &head);
+    let admitted = admit(&gateway, &head, came).await;
     let plan = match admitted {
         Ok(plan) => plan,
         Err(refusal) => return refuse(&gateway, &head.id, refusal),
@@ -163,6 +170,28 @@
     attempt.run().await
 }
 
+/// Decides about a request, once there is something to decide by.
+///
+/// An entry that has just started knows no configuration until a control replica
+/// has one for certain, half a second after all of them were killed together.
+/// Callers that come within it were refused, and used up their retries; waiting
+/// for so short a time serves them instead.
+async fn admit(gateway: &Gateway, head: &Head, came: Instant) -> Result<Plan, Refusal> {
+    loop {
+        let learned = gateway.learned.notified();
+        let admitted = gateway.router().admit(gateway.now(), head);
+        if !matches!(admitted, Err(Refusal::NoConfig)) {
+            return admitted;
+        }
+        if timeout_at((came + START_WAIT).into(), learned)
+            .await
+            .is_err()
+        {
+            return admitted;
+        }
+    }
+}
+
 impl Attempt {
     async fn run(mut self) -> Answer {
         let mut spare = None;
@@ -171,7 +200,7 @@
             if !paid && !self.may_send_again() {
                 break;
             }
-            let Some(choice) = self.choose() else {
+            let Some(choice) = self.choose_soon().await else {
                 break;
             };
             let model = self.model.clone();
@@ -231,6 +260,21 @@
         answer::come_back(status)
     }
 
+    /// Chooses a backend server, waiting for the first to be known.
+    async fn choose_soon(&self) -> Option<Flight> {
+        loop {
+            let learned = self.gateway.learned.notified();
+            let chosen = self.choose();
+            let until = self.req.came + START_WAIT;
+            if chosen.is_some()
+                || !self.tried.is_empty()
+                || timeout_at(until.into(), learned).await.is_err()
+            {
+                return chosen;
+            }
+        }
+    }
+
     pub(super) fn choose(&self) -> Option<Flight> {
         let now = self.gateway.now();
         let mut router = self.gateway.router();
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -130,6 +130,9 @@
     if !crashes.is_empty() {
         let _ = reports.send(FromEntry::Crashed(crashes));
     }
+    for kept in router.take_kept() {
+        let _ = reports.send(FromEntry::Kept(kept));
+    }
     let evidence = router.take_evidence();
     if !evidence.is_empty() {
         // Nobody is connected yet, or all have their queues.
@@ -208,7 +211,8 @@
                         self.take_config(&document);
                     }
                     let rollouts = rollouts.into_iter().collect();
-                    let taken = self.gateway.router().set_rollouts(index, rollouts);
+                    let now = self.gateway.now();
+                    let taken = self.gateway.router().set_rollouts(now, index, rollouts);
                     if taken {
                         log::info!(index = index, replica:% = self.addr; "roll-outs learned");
                     }
@@ -222,10 +226,16 @@
                             log::info!(server:% = id, state:? = state; "backend server learned");
                         }
                     }
+                    drop(router);
+                    self.gateway.learned.notify_waiters();
                 }
                 ToEntry::Quarantined(fingerprints) => {
                     self.gateway.router().set_quarantined(fingerprints);
                 }
+                ToEntry::Kept(kept, all) => {
+                    let now = self.gateway.now();
+                    self.gateway.router().keep_sessions(now, &kept, all);
+                }
                 ToEntry::Alive => {}
             }
         }
@@ -239,7 +249,9 @@
         match self.gateway.protocol.config(&document.bytes) {
             Ok(config) => {
                 let version = config.version;
-                if self.gateway.router().set_config(config) {
+                let taken = self.gateway.router().set_config(config);
+                if taken {
+                    self.gateway.learned.notify_waiters();
                     log::info!(
                         config = version, before:? = held, replica:% = self.addr;
                         "configuration in force"
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -16,5 +16,6 @@
 pub mod request;
 pub mod rollout;
 pub mod router;
+pub mod sessions;
 pub mod store;
 pub mod table;
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -39,6 +39,7 @@
         Between,
         Crash,
         FromEntry,
+        Kept,
         Question,
         Reply,
         ToEntry, //
@@ -320,6 +321,7 @@
             FromEntry::Servers(servers) => self.take_announcements(servers),
             FromEntry::Evidence(evidence) => self.trials.take(self.now, &self.store, &evidence),
             FromEntry::Crashed(crashes) => self.count_crashes(crashes),
+            FromEntry::Kept(kept) => self.keep_sessions(kept),
             FromEntry::Alive => {}
         }
     }
@@ -419,6 +421,10 @@
         self.actions.push(Action::Push(Some(life), servers));
         let push = ToEntry::Quarantined(self.crashes.quarantined());
         self.actions.push(Action::Push(Some(life), push));
+        for (kept, all) in self.trials.kept(self.now) {
+            let push = ToEntry::Kept(kept, all);
+            self.actions.push(Action::Push(Some(life), push));
+        }
     }
 
     /// Makes up what entries are told of the replicated state.
@@ -488,6 +494,16 @@
         }
     }
 
+    /// Passes on which sessions must stay. Entries report to every replica, so
+    /// that one of them is enough to tell the others.
+    fn keep_sessions(&mut self, kept: Kept) {
+        self.trials.keep(&kept);
+        if self.leads() {
+            self.actions
+                .push(Action::Push(None, ToEntry::Kept(kept, false)));
+        }
+    }
+
     fn tell_peers(&mut self, message: &Between) {
         for to in self.peers.others() {
             let message = message.clone();
--- a/sesamebeam_core/src/gateway/coordinator/trial.rs
+++ b/sesamebeam_core/src/gateway/coordinator/trial.rs
@@ -1,6 +1,11 @@
 //! Watching roll-outs and moving them on.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use smol_str::SmolStr;
 
 use super::{
     Coordinator,
@@ -9,11 +14,15 @@
 use crate::{
     gateway::{
         config::ServiceId,
-        feed::Evidence,
+        feed::{
+            Evidence,
+            Kept, //
+        },
         rollout::{
             Rollouts,
             Watch, //
         },
+        sessions::GATHER,
         store::{
             Command,
             Store, //
@@ -25,7 +34,9 @@
 /// Roll-outs that are watched.
 #[derive(Debug, Default)]
 pub(super) struct Trials {
-    watched: BTreeMap<(ServiceId, smol_str::SmolStr), Watch>,
+    watched: BTreeMap<(ServiceId, SmolStr), Watch>,
+    /// Sessions that stay on the versions before.
+    kept: BTreeMap<(ServiceId, SmolStr), BTreeSet<u64>>,
 }
 
 impl Trials {
@@ -34,6 +45,8 @@
         self.watched.retain(|(service, target), _| {
             rollouts.get(service).is_some_and(|r| r.target == *target)
         });
+        let watched = &self.watched;
+        self.kept.retain(|key, _| watched.contains_key(key));
         for (service, rollout) in rollouts {
             let key = (service.clone(), rollout.target.clone());
             self.watched.entry(key).or_insert_with(|| Watch::new(now));
@@ -45,6 +58,28 @@
         self.follow(now, rollouts);
     }
 
+    /// Notes sessions that stay on the versions before a roll-out.
+    pub(super) fn keep(&mut self, kept: &Kept) {
+        let key = (kept.service.clone(), kept.target.clone());
+        let sessions = self.kept.entry(key).or_default();
+        sessions.extend(&kept.sessions);
+    }
+
+    /// Returns the sessions that stay, and whether those that ran when the
+    /// roll-out started have all been reported.
+    pub(super) fn kept(&self, now: MonoTime) -> Vec<(Kept, bool)> {
+        let report = |(key, watch): (&(ServiceId, SmolStr), &Watch)| {
+            let sessions = self.kept.get(key).into_iter().flatten().copied();
+            let kept = Kept {
+                service: key.0.clone(),
+                target: key.1.clone(),
+                sessions: sessions.collect(),
+            };
+            (kept, watch.age(now) > GATHER)
+        };
+        self.watched.iter().map(report).collect()
+    }
+
     /// Takes evidence from an entry.
     pub(super) fn take(&mut self, now: MonoTime, store: &Store, evidence: &[Evidence]) {
         self.follow(now, store.rollouts());
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -61,6 +61,8 @@
     Evidence(Vec<Evidence>),
     /// Requests that were running when backend servers went down.
     Crashed(Vec<Crash>),
+    /// Sessions that must stay on the versions before a roll-out.
+    Kept(Kept),
     /// It lives.
     Alive,
 }
@@ -88,6 +90,9 @@
     Servers(Vec<Announcement>),
     /// Requests that crash what runs them.
     Quarantined(Vec<Digest>),
+    /// Sessions that must stay on the versions before a roll-out, as entries
+    /// have reported, and whether all that were running have been.
+    Kept(Kept, bool),
     /// The sender lives.
     Alive,
 }
@@ -113,6 +118,17 @@
     },
 }
 
+/// Sessions that ran on the versions before a roll-out when it started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Service.
+    pub service: ServiceId,
+    /// Version that is brought in.
+    pub target: SmolStr,
+    /// Hashes of the sessions' names.
+    pub sessions: Vec<u64>,
+}
+
 /// A request that was running when a backend server went down.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Returns for how long it has been watched.
+    pub fn age(&self, now: MonoTime) -> Duration {
+        now.saturating_sub(self.since)
+    }
+
     /// Takes evidence from an entry.
     pub fn take(&mut self, target: &str, evidence: &Evidence) {
         let side = if evidence.version == target {
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -42,7 +42,8 @@
     },
     feed::{
         Crash,
-        Evidence, //
+        Evidence,
+        Kept, //
     },
     request::{
         AnswerHead,
@@ -54,6 +55,7 @@
         Phase,
         Rollouts, //
     },
+    sessions::Sessions,
     table::{
         self,
         Caller,
@@ -76,10 +78,6 @@
 /// kept for repeated sends and for the time until a roll-back is known.
 const CANARY_PART: f64 = 0.6;
 
-/// Time beside the pause for which a session is kept in mind: the pause counts
-/// from the end of its last request, which a caller sees a little later.
-const SESSION_MARGIN: Duration = Duration::from_millis(1500);
-
 /// Most that an engine tells ranks apart.
 const ENGINE_RANKS: usize = 10;
 
@@ -184,8 +182,7 @@
     crashes: Vec<Crash>,
     /// Mean time to the first byte by route and model, in milliseconds.
     times: HashMap<(SmolStr, Option<ModelId>), f64>,
-    /// Version that each session ran on last, and when.
-    sessions: HashMap<SmolStr, (SmolStr, MonoTime)>,
+    sessions: Sessions,
     /// Mean length of the prompts of each route, in tokens.
     lengths: HashMap<SmolStr, f64>,
     count: u64,
@@ -196,6 +193,7 @@
     pub fn new(cfg: RouterConfig) -> Self {
         Self {
             budget: Budget::new(cfg.budget),
+            sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * CANARY_PART),
             cfg,
             table: None,
             index: 0,
@@ -207,7 +205,6 @@
             quarantined: HashSet::new(),
             crashes: Vec::new(),
             times: HashMap::new(),
-            sessions: HashMap::new(),
             lengths: HashMap::new(),
             count: 0,
         }
@@ -239,10 +236,13 @@
     }
 
     /// Takes the roll-outs as of a position of the replicated log.
-    pub fn set_rollouts(&mut self, index: LogIndex, rollouts: Rollouts) -> bool {
+    pub fn set_rollouts(&mut self, now: MonoTime, index: LogIndex, rollouts: Rollouts) -> bool {
         if index < self.index || self.rollouts == rollouts {
             return false;
         }
+        for (service, rollout) in &rollouts {
+            self.sessions.start(now, service, &rollout.target);
+        }
         self.index = index;
         self.rollouts = rollouts;
         true
@@ -262,8 +262,7 @@
     pub fn tidy(&mut self, now: MonoTime) {
         let directory = &self.directory;
         self.balance.retain(|id| directory.get(id).is_some());
-        let kept = self.cfg.session_pause + SESSION_MARGIN;
-        self.sessions.retain(|_, (_, at)| now < *at + kept);
+        self.sessions.tidy(now);
     }
 
     /// Decides what happens to a request.
@@ -285,8 +284,8 @@
         let seed = self.count;
         let service = table.service(route, hash::name(head.id.as_bytes())).clone();
         self.budget.request(now, &service);
-        let target = self.rollouts.get(&service).map(|r| r.target.clone());
-        let on_trial = target.is_some_and(|target| self.is_on_trial(now, head, &target));
+        let session = head.session.as_ref();
+        let on_trial = self.sessions.may_try(now, &service, session, &head.id);
         let rank = table::rank(route, &caller);
         let open = head
             .model
@@ -421,6 +420,16 @@
         self.balance.taken(now, &servers)
     }
 
+    /// Takes sessions that must stay on the versions before a roll-out.
+    pub fn keep_sessions(&mut self, now: MonoTime, kept: &Kept, all: bool) {
+        self.sessions.keep(now, kept, all);
+    }
+
+    /// Takes the sessions that are to be reported as such.
+    pub fn take_kept(&mut self) -> Vec<Kept> {
+        self.sessions.take_fresh()
+    }
+
     /// Takes the requests that crash what runs them, as the control replicas
     /// have found.
     pub fn set_quarantined(&mut self, fingerprints: impl IntoIterator<Item = Digest>) {
@@ -481,8 +490,7 @@
 
     fn keep_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
         if let Some(session) = &plan.session {
-            let ran = (choice.version.clone(), now);
-            self.sessions.insert(session.clone(), ran);
+            self.sessions.ran(now, session, &choice.version);
         }
     }
 
@@ -507,22 +515,6 @@
             .is_some_and(|r| r.target == version)
     }
 
-    /// Returns whether a new version may get a request while it is on trial.
-    ///
-    /// A session keeps its version while its requests follow each other: the
-    /// one that it ran on last decides. Only a session that was not seen of late
-    /// is drawn, by its name, so that every entry draws alike.
-    fn is_on_trial(&self, now: MonoTime, head: &Head, target: &str) -> bool {
-        let name = head.session.as_ref().unwrap_or(&head.id);
-        let kept = head.session.as_ref().and_then(|s| self.sessions.get(s));
-        if let Some((version, at)) = kept
-            && now < *at + self.cfg.session_pause + SESSION_MARGIN
-        {
-            return version == target;
-        }
-        hash::unit(name.as_bytes(), target) < self.cfg.exposure_share * CANARY_PART
-    }
-
     fn allowed(&self, plan: &Plan) -> Allowed {
         let Some(rollout) = self.rollouts.get(&plan.service) else {
             return Allowed::Any;
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -33,7 +33,7 @@
         phase,
     };
     let rollouts = BTreeMap::from([("pool".into(), rollout)]);
-    router.set_rollouts(index, rollouts);
+    router.set_rollouts(ms(0), index, rollouts);
     for number in 100..103 {
         let mut said = announcement(number);
         said.version = "v2".into();
@@ -189,3 +189,27 @@
     roll_out(&mut router, Phase::Promoted, 3);
     assert_eq!(send(&mut router, 0, "a", None), "v1");
 }
+
+#[test]
+fn sessions_stay_across_entries() {
+    // Sessions run through one entry when a roll-out starts, and go on through
+    // another that has never seen them. What the first reports keeps them on
+    // their version there too; sessions that begin later are drawn.
+    let (mut first, mut second) = (router(4), router(4));
+    for n in 0..400 {
+        send(&mut first, 0, &format!("a{n}"), Some(&format!("s{n}")));
+    }
+    roll_out(&mut first, Phase::Canary, 1);
+    roll_out(&mut second, Phase::Canary, 1);
+    for kept in first.take_kept() {
+        second.keep_sessions(ms(300), &kept, false);
+    }
+    for n in 0..400 {
+        let version = send(&mut second, 4000, &format!("b{n}"), Some(&format!("s{n}")));
+        assert_eq!(version, "v1");
+    }
+    let new = (0..400)
+        .filter(|n| send(&mut second, 4000, &format!("c{n}"), Some(&format!("t{n}"))) == "v2");
+    let new = new.count();
+    assert!((20..=80).contains(&new), "{new} of 400");
+}
