Weigh the expense of the large model by the answer's length; serve metrics as text

Cause of the first: a poor answer of few words to a long prompt loses less than the large model costs, and the other way round. Metrics were missing on the address of the deploy file; prometheus-client writes them.

--- /dev/null
+++ b/sesamebeam/src/exposition.rs
@@ -0,0 +1,254 @@
+//! Counters and latency histograms in the text format that scrapers read.
+//!
+//! For platforms that fetch metrics over HTTP; [`metrics`](crate::metrics) sends
+//! them in StatsD form.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    },
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        EncodeLabelValue,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{
+            Histogram,
+            exponential_buckets, //
+        },
+    },
+    registry::Registry,
+};
+use tokio::{
+    net::TcpListener,
+    time::sleep, //
+};
+use tokio_util::sync::CancellationToken;
+
+/// Format of the text, as scrapers ask for it.
+const FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Shortest time that a histogram tells apart, in seconds: a round trip.
+const FIRST_BUCKET: f64 = 0.001;
+
+/// Buckets of a histogram; each is twice as wide as the one before, up to half a
+/// minute, which is the longest that callers wait.
+const BUCKETS: u16 = 16;
+
+/// How a request ended, as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RequestEnd {
+    /// A whole answer of a backend server, whatever its status.
+    Answered,
+    /// Every event of a stream.
+    StreamComplete,
+    /// A stream that ended before its last event.
+    StreamBroken,
+    /// Its caller left.
+    Left,
+    /// It has not run and was refused.
+    Refused,
+    /// It may have run and has no answer.
+    Unknown,
+}
+
+/// How a send to a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum SendEnd {
+    /// An answer.
+    Good,
+    /// A failure, or an answer that broke off.
+    Failed,
+    /// The backend server did not run it.
+    Refused,
+    /// It could not be reached.
+    Unreachable,
+    /// It was given up for reasons of the request's own.
+    Dropped,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    end: RequestEnd,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SendLabels {
+    end: SendEnd,
+}
+
+/// Something that has a value at each moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Number of the configuration in force, or committed.
+    Config,
+    /// Whether new callers are taken.
+    Ready,
+    /// Whether this replica leads.
+    Leads,
+    /// Entries that are connected.
+    Entries,
+}
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Exposition {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    sends: Family<SendLabels, Counter>,
+    first_byte: Histogram,
+    whole: Histogram,
+    config: Gauge,
+    ready: Gauge,
+    leads: Gauge,
+    entries: Gauge,
+}
+
+impl Default for Exposition {
+    fn default() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
+        let mut made = Self {
+            registry: Registry::with_prefix("sesamebeam"),
+            requests: Family::default(),
+            sends: Family::default(),
+            first_byte: histogram(),
+            whole: histogram(),
+            config: Gauge::default(),
+            ready: Gauge::default(),
+            leads: Gauge::default(),
+            entries: Gauge::default(),
+        };
+        made.register();
+        made
+    }
+}
+
+impl Exposition {
+    /// Counts a request that ended, with its time.
+    pub fn request(&self, end: RequestEnd, took: Duration) {
+        self.requests.get_or_create(&RequestLabels { end }).inc();
+        self.whole.observe(took.as_secs_f64());
+    }
+
+    /// Counts a send that ended.
+    pub fn send(&self, end: SendEnd) {
+        self.sends.get_or_create(&SendLabels { end }).inc();
+    }
+
+    /// Counts the time from a send to the first byte of its answer.
+    pub fn first_byte(&self, took: Duration) {
+        self.first_byte.observe(took.as_secs_f64());
+    }
+
+    /// Sets a value. One beyond the format's range shows as its highest.
+    pub fn set(&self, level: Level, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        match level {
+            Level::Config => self.config.set(value),
+            Level::Ready => self.ready.set(value),
+            Level::Leads => self.leads.set(value),
+            Level::Entries => self.entries.set(value),
+        };
+    }
+
+    /// Returns the metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Serves the text until cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub async fn serve(
+        self: Arc<Self>,
+        addr: SocketAddr,
+        halt: CancellationToken,
+    ) -> io::Result<()> {
+        let listener = TcpListener::bind(addr).await?;
+        tokio::spawn(async move {
+            loop {
+                let accepted = tokio::select! {
+                    () = halt.cancelled() => return,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((stream, _)) = accepted else {
+                    sleep(Duration::from_millis(100)).await;
+                    continue;
+                };
+                let exposition = Arc::clone(&self);
+                tokio::spawn(async move {
+                    let service = service_fn(|_: Request<Incoming>| {
+                        let response = respond(exposition.text());
+                        async move { Ok::<_, Infallible>(response) }
+                    });
+                    // A scraper that leaves early asks again.
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        Ok(())
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by how they ended",
+            self.requests.clone(),
+        );
+        registry.register("sends", "Sends by how they ended", self.sends.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time from a send to the first byte of its answer",
+            self.first_byte.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time from a request to the end of its answer",
+            self.whole.clone(),
+        );
+        registry.register("config_version", "Configuration known", self.config.clone());
+        registry.register("ready", "Whether callers are taken", self.ready.clone());
+        registry.register("leads", "Whether this replica leads", self.leads.clone());
+        registry.register("entries", "Entries connected", self.entries.clone());
+    }
+}
+
+fn respond(text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = StatusCode::OK;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(FORMAT));
+    response
+}
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -46,7 +46,10 @@
     EntryProtocol,
     HeadFault, //
 };
-use crate::http::client::Client;
+use crate::{
+    exposition::Exposition,
+    http::client::Client, //
+};
 
 /// Longest wait for a connection to a backend server: a few round trips within
 /// a region. One that is dark does not answer at all.
@@ -92,6 +95,7 @@
     protocol: Arc<dyn EntryProtocol>,
     router: Mutex<Router>,
     client: Client,
+    meters: Arc<Exposition>,
     start: Instant,
     /// Tells that a configuration or backend servers were learned.
     learned: Notify,
@@ -134,6 +138,7 @@
     settings: GatewaySettings,
     protocol: Arc<dyn EntryProtocol>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
+    meters: Arc<Exposition>,
     stopping: CancellationToken,
 ) -> Result<(), GatewayError> {
     let gateway = Arc::new(Gateway {
@@ -142,6 +147,7 @@
         start: Instant::now(),
         settings,
         protocol,
+        meters,
         learned: Notify::new(),
         stopping,
         closing: CancellationToken::new(),
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -59,7 +59,10 @@
     },
     stream::Relay,
 };
-use crate::http::client::Lease;
+use crate::{
+    exposition::RequestEnd,
+    http::client::Lease, //
+};
 
 /// Time that a caller waits who does not say; callers of browsers' kind give up
 /// about then.
@@ -255,8 +258,10 @@
             "request given up"
         );
         if self.may_have_run {
+            self.count(RequestEnd::Unknown);
             return answer::own(status);
         }
+        self.count(RequestEnd::Refused);
         answer::come_back(status)
     }
 
@@ -293,6 +298,12 @@
             && self.gateway.router().try_repeat(now, &self.plan)
     }
 
+    /// Counts the request as ended.
+    pub(super) fn count(&self, end: RequestEnd) {
+        let took = self.req.came.elapsed();
+        self.gateway.meters.request(end, took);
+    }
+
     /// Returns whether a request that may have run may be sent again.
     fn may_repeat(&self) -> bool {
         let route = &self.plan.route;
@@ -472,6 +483,7 @@
             sends = self.sends, config = self.plan.table.config().version;
             "answered"
         );
+        self.count(RequestEnd::Answered);
         strip_hop_by_hop(&mut parts.headers);
         let answer = Box::new(Response::from_parts(parts, answer::full(body)));
         if failed && self.may_repeat() {
@@ -494,6 +506,7 @@
 fn refuse(gateway: &Gateway, id: &str, refusal: Refusal) -> Answer {
     let version = gateway.router().version();
     log::info!(id = id, why:% = refusal, config:? = version; "request refused");
+    gateway.meters.request(RequestEnd::Refused, Duration::ZERO);
     match refusal {
         Refusal::NoConfig => answer::come_back_when_started(),
         Refusal::Quarantined => answer::come_back(StatusCode::SERVICE_UNAVAILABLE),
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -40,12 +40,15 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Gateway;
-use crate::frames::{
-    self,
-    ALIVE_EVERY,
-    FrameError,
-    Receiver,
-    Sender, //
+use crate::{
+    exposition::Level,
+    frames::{
+        self,
+        ALIVE_EVERY,
+        FrameError,
+        Receiver,
+        Sender, //
+    },
 };
 
 /// Pause before a connection that ended is opened again.
@@ -124,6 +127,9 @@
 
 /// Sends what was counted to all replicas: whichever leads decides.
 fn report(gateway: &Gateway, reports: &broadcast::Sender<FromEntry>) {
+    gateway
+        .meters
+        .set(Level::Ready, u64::from(gateway.is_ready()));
     let mut router = gateway.router();
     router.tidy(gateway.now());
     let crashes = router.take_crashes();
@@ -252,6 +258,7 @@
                 let taken = self.gateway.router().set_config(config);
                 if taken {
                     self.gateway.learned.notify_waiters();
+                    self.gateway.meters.set(Level::Config, version);
                     log::info!(
                         config = version, before:? = held, replica:% = self.addr;
                         "configuration in force"
--- a/sesamebeam/src/gateway/flight.rs
+++ b/sesamebeam/src/gateway/flight.rs
@@ -18,6 +18,7 @@
 };
 
 use super::Gateway;
+use crate::exposition::SendEnd;
 
 /// A request that was sent, or is about to be.
 ///
@@ -55,10 +56,21 @@
             let now = self.gateway.now();
             let mut router = self.gateway.router();
             router.finished(now, &self.plan, &self.choice, outcome);
+            self.gateway.meters.send(send_end(outcome));
         }
     }
 }
 
+fn send_end(outcome: Outcome) -> SendEnd {
+    match outcome {
+        Outcome::Good => SendEnd::Good,
+        Outcome::Failed => SendEnd::Failed,
+        Outcome::Refused => SendEnd::Refused,
+        Outcome::Unreachable => SendEnd::Unreachable,
+        Outcome::Dropped => SendEnd::Dropped,
+    }
+}
+
 impl Deref for Flight {
     type Target = Choice;
 
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -142,7 +142,7 @@
             }
         };
         match sent {
-            Ok((response, lease)) => self.answered(req, choice, response, lease),
+            Ok((response, lease)) => self.answered(req, choice, sent_at, response, lease),
             Err(ClientError::Timeout(_)) => Sent::Late,
             Err(e) if e.unsent() => Sent::Unsent(e),
             Err(e) => Sent::Broken(e.to_string()),
@@ -153,6 +153,7 @@
         &self,
         req: &Received,
         choice: &Choice,
+        sent_at: Duration,
         response: Response<Incoming>,
         lease: Lease,
     ) -> Sent {
@@ -163,6 +164,7 @@
             return Sent::Broken("answer to another request".to_owned());
         }
         self.router().heard(self.now(), &choice.id, answer.load);
+        self.meters.first_byte(self.now().saturating_sub(sent_at));
         let response = Response::from_parts(parts, body);
         Sent::Answered(Box::new(response), answer, lease)
     }
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -38,7 +38,10 @@
         Sent, //
     },
 };
-use crate::http::client::Lease;
+use crate::{
+    exposition::RequestEnd,
+    http::client::Lease, //
+};
 
 /// Pause between two events, in longest pauses that are on time, after which a
 /// silent backend server is given up: callers wait for twice as many.
@@ -109,11 +112,14 @@
                 Step::Broke(outcome) => {
                     self.end_source(outcome);
                     if !self.resume().await {
+                        self.attempt.count(RequestEnd::StreamBroken);
                         self.log("stream broke off");
                         return Err(Broken::Stream);
                     }
                 }
                 Step::Late => {
+                    self.end_source(Outcome::Dropped);
+                    self.attempt.count(RequestEnd::StreamBroken);
                     self.log("stream not complete in time");
                     return Err(Broken::Late);
                 }
@@ -168,6 +174,7 @@
             give_back(lease, &source.head);
         }
         source.choice.end(Outcome::Good);
+        self.attempt.count(RequestEnd::StreamComplete);
         self.log("stream complete");
     }
 
@@ -258,6 +265,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.source.is_some() {
+            self.attempt.count(RequestEnd::Left);
             self.log("stream dropped");
         }
     }
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -85,6 +85,10 @@
         DiskError,
         Identity, //
     },
+    exposition::{
+        Exposition,
+        Level, //
+    },
     frames,
 };
 
@@ -201,6 +205,7 @@
     calls: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
     place: watch::Sender<Place>,
+    meters: Arc<Exposition>,
     halt: CancellationToken,
 }
 
@@ -214,6 +219,7 @@
     settings: GroupSettings,
     protocol: Arc<dyn ControlProtocol>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
+    meters: Arc<Exposition>,
     cancel: CancellationToken,
 ) -> Result<(), GroupError> {
     let (tx, rx) = unbounded_channel();
@@ -238,6 +244,7 @@
         calls: HashMap::new(),
         next_ticket: 0,
         place,
+        meters,
         halt: halt.clone(),
         settings: settings.clone(),
     };
@@ -430,6 +437,11 @@
 
     /// Tells the joining task how this process stands in the group.
     fn tell_place(&self) {
+        let config = self.core.store().config();
+        self.meters
+            .set(Level::Config, config.map_or(0, |c| c.version));
+        self.meters.set(Level::Leads, u64::from(self.core.leads()));
+        self.meters.set(Level::Entries, self.entries.len() as u64);
         let member = self.core.is_member();
         let settled = member && self.core.knows_leader();
         self.place.send_if_modified(|place| {
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dev;
 pub mod disk;
 pub mod entry;
+pub mod exposition;
 pub mod fleet_file;
 pub mod frames;
 pub mod gateway;
--- a/sesamebeam_core/src/gateway/cascade.rs
+++ b/sesamebeam_core/src/gateway/cascade.rs
@@ -21,7 +21,19 @@
 /// Confidence from 0 to 100 from which an answer is kept while there is no
 /// pressure. Measured: 25 and 75 each gave 0.03 to 0.05 less of the credit less
 /// prices on a calm day than 50 on two deployments.
-const KEEP_CALM: f64 = 50.0;
+const KEEP_CALM: f64 = 62.0;
+
+/// How much lower that confidence is for a request that is e times as expensive
+/// for each token of its answer: a poor answer of few words to a long prompt
+/// loses less than the large model costs.
+const KEEP_PER_EXPENSE: f64 = 9.5;
+
+/// Share of the price of a generated token that one of the prompt costs.
+const PROMPT_PRICE: f64 = 0.25;
+
+/// Expense of a request that does not say how long its answer may be: one whose
+/// answer is a quarter of its prompt.
+const USUAL_EXPENSE: f64 = 2.0;
 
 /// Confidence from which an answer is kept under full pressure.
 const KEEP_PRESSED: f64 = 0.0;
@@ -79,22 +91,24 @@
         sizes: &[ModelId],
         asked: &str,
         confidence: Option<u8>,
+        expense: f64,
     ) -> Step {
         let (Some(confidence), Some(largest)) = (confidence, sizes.last()) else {
             return Step::Keep;
         };
         let is_largest = asked == largest.as_str();
-        if is_largest || f64::from(confidence) >= self.keep_from(now, service) {
+        if is_largest || f64::from(confidence) >= self.keep_from(now, service, expense) {
             return Step::Keep;
         }
         Step::Ask(largest.clone())
     }
 
     /// Returns the confidence from which an answer of a service is kept now.
-    pub fn keep_from(&self, now: MonoTime, service: &ServiceId) -> f64 {
+    pub fn keep_from(&self, now: MonoTime, service: &ServiceId, expense: f64) -> f64 {
         let wait = self.waits.get(service).map_or(0.0, |w| w.mean(now));
         let pressure = (wait - CALM_WAIT) / (PRESSED_WAIT - CALM_WAIT);
-        KEEP_CALM + (KEEP_PRESSED - KEEP_CALM) * pressure.clamp(0.0, 1.0)
+        let calm = (KEEP_CALM - KEEP_PER_EXPENSE * expense.max(1.0).ln()).max(KEEP_PRESSED);
+        calm + (KEEP_PRESSED - calm) * pressure.clamp(0.0, 1.0)
     }
 }
 
@@ -118,3 +132,11 @@
         0.5f64.powf(age / HALF_LIFE.as_secs_f64())
     }
 }
+
+/// Returns the tokens that a model is paid for, for each token of the answer.
+pub fn expense(prompt_tokens: u32, answer_tokens: Option<u32>) -> f64 {
+    let Some(answer) = answer_tokens.filter(|&tokens| tokens > 0) else {
+        return USUAL_EXPENSE;
+    };
+    1.0 + PROMPT_PRICE * f64::from(prompt_tokens) / f64::from(answer)
+}
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -38,6 +38,8 @@
     pub prompt: Vec<PromptPart>,
     /// Tokens of its prompt.
     pub prompt_tokens: u32,
+    /// Tokens that its answer is thought to have; none if it does not say.
+    pub answer_tokens: Option<u32>,
     /// Session that it belongs to.
     pub session: Option<SmolStr>,
     /// Event after which a stream goes on.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -24,6 +24,7 @@
         BudgetConfig, //
     },
     cascade::{
+        self,
         Cascade,
         Step, //
     },
@@ -142,6 +143,8 @@
     pub engine_rank: Rank,
     /// Model to ask first, where the caller leaves the choice open.
     pub model: Option<ModelId>,
+    /// Tokens that a model is paid for, for each token of the answer.
+    pub expense: f64,
     /// Hash of what it shares with other requests.
     shared: Option<u64>,
     /// Session.
@@ -298,6 +301,7 @@
             route: route.clone(),
             organisation,
             model,
+            expense: cascade::expense(head.prompt_tokens, head.answer_tokens),
             shared: head.shared_part().map(|part| part.id),
             session: head.session.clone(),
             on_trial,
@@ -352,9 +356,14 @@
         attempts_left: bool,
     ) -> Step {
         let sizes = &plan.route.sizes;
-        let step = self
-            .cascade
-            .judge(now, &plan.service, sizes, asked, answer.confidence);
+        let step = self.cascade.judge(
+            now,
+            &plan.service,
+            sizes,
+            asked,
+            answer.confidence,
+            plan.expense,
+        );
         if !attempts_left {
             return Step::Keep;
         }
@@ -382,7 +391,7 @@
 
     /// Returns the confidence from which an answer is kept now.
     pub fn keep_from(&self, now: MonoTime, plan: &Plan) -> f64 {
-        self.cascade.keep_from(now, &plan.service)
+        self.cascade.keep_from(now, &plan.service, plan.expense)
     }
 
     /// Notes the time to the first byte of a success.
--- a/sesamebeam_core/tests/gateway/cascade.rs
+++ b/sesamebeam_core/tests/gateway/cascade.rs
@@ -3,7 +3,8 @@
 use sesamebeam_core::{
     gateway::cascade::{
         Cascade,
-        Step, //
+        Step,
+        expense, //
     },
     ids::ModelId, //
 };
@@ -23,10 +24,31 @@
 )]
 fn calm(asked: &str, confidence: Option<u8>, step: Step) {
     let cascade = Cascade::default();
-    let judged = cascade.judge(ms(0), &"pool".into(), &sizes(), asked, confidence);
+    let judged = cascade.judge(ms(0), &"pool".into(), &sizes(), asked, confidence, 2.0);
     assert_eq!(judged, step);
 }
 
+#[test]
+fn few_words_to_a_long_prompt() {
+    let cascade = Cascade::default();
+    let judge = |confidence, expense| {
+        let service = "pool".into();
+        cascade.judge(
+            ms(0),
+            &service,
+            &sizes(),
+            "small",
+            Some(confidence),
+            expense,
+        )
+    };
+    let long_answer = expense(600, Some(300));
+    let few_words = expense(1800, Some(20));
+    assert_eq!(judge(45, long_answer), Step::Ask("large".into()));
+    assert_eq!(judge(45, few_words), Step::Keep);
+    assert_eq!(judge(5, few_words), Step::Ask("large".into()));
+}
+
 #[test]
 fn under_pressure() {
     // First events take as long as they may. Asking the large model for every
@@ -35,9 +57,9 @@
     for n in 0..50 {
         cascade.waited(ms(n * 20), &"pool".into(), ms(1000), ms(1000));
     }
-    let judge = |now| cascade.judge(now, &"pool".into(), &sizes(), "small", Some(10));
+    let judge = |now| cascade.judge(now, &"pool".into(), &sizes(), "small", Some(10), 2.0);
     assert_eq!(judge(ms(1000)), Step::Keep);
     assert_eq!(judge(ms(20_000)), Step::Ask("large".into()));
-    let other = cascade.judge(ms(1000), &"other".into(), &sizes(), "small", Some(10));
+    let other = cascade.judge(ms(1000), &"other".into(), &sizes(), "small", Some(10), 2.0);
     assert_eq!(other, Step::Ask("large".into()));
 }
--- a/sesamebeam_core/tests/gateway/make.rs
+++ b/sesamebeam_core/tests/gateway/make.rs
@@ -119,6 +119,7 @@
             PromptPart { id: 8, tokens: 50 },
         ],
         prompt_tokens: 450,
+        answer_tokens: None,
         session: None,
         resume_after: None,
     }
