Add a fault soak of the real daemons

Entries and control replicas as processes on loopback, backend servers behind a proxy that delays, resets, cuts one way and silences, signals in series that overlap; callers that keep connections, operators that race and resend.

--- /dev/null
+++ b/sesamebeam_soak/src/books.rs
@@ -0,0 +1,111 @@
+//! What was seen from outside, and the promises that it is held against.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+/// Everything that was seen in one run.
+#[derive(Debug, Default)]
+pub struct Books {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Times that each request that may not be repeated began to run.
+    runs: BTreeMap<String, u32>,
+    /// Requests of which a caller was told that they have not run.
+    refused: BTreeSet<String>,
+    /// Highest configuration that was acknowledged.
+    acknowledged: u64,
+    answered: u64,
+    failed: u64,
+    broken: Vec<String>,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Requests that were answered with success.
+    pub answered: u64,
+    /// Requests that were not.
+    pub failed: u64,
+    /// Promises that were broken, one line each.
+    pub broken: Vec<String>,
+}
+
+impl Books {
+    /// Notes that a request that may not be repeated begins to run.
+    pub fn ran(&self, id: &str) {
+        *self.lock().runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// Notes that a caller was told that its request has not run.
+    pub fn refused(&self, id: &str) {
+        let mut inner = self.lock();
+        inner.failed += 1;
+        inner.refused.insert(id.to_owned());
+    }
+
+    /// Notes an answer that is whole and the request's own.
+    pub fn answered(&self) {
+        self.lock().answered += 1;
+    }
+
+    /// Notes a request without an answer that counts.
+    pub fn failed(&self) {
+        self.lock().failed += 1;
+    }
+
+    /// Notes a promise that was broken.
+    pub fn broke(&self, what: impl Into<String>) {
+        self.lock().broken.push(what.into());
+    }
+
+    /// Notes that a configuration was acknowledged.
+    pub fn acknowledged(&self, version: u64) {
+        let mut inner = self.lock();
+        inner.acknowledged = inner.acknowledged.max(version);
+    }
+
+    /// Returns the highest configuration that was acknowledged.
+    pub fn newest(&self) -> u64 {
+        self.lock().acknowledged
+    }
+
+    /// Returns the number of requests that were answered.
+    pub fn answers(&self) -> u64 {
+        self.lock().answered
+    }
+
+    /// Holds all that was seen against the promises.
+    pub fn verdict(&self) -> Verdict {
+        let inner = self.lock();
+        let mut broken = inner.broken.clone();
+        for (id, runs) in &inner.runs {
+            if *runs > 1 {
+                broken.push(format!("request {id} ran {runs} times"));
+            }
+            if inner.refused.contains(id) {
+                broken.push(format!("request {id} was refused as not run, and ran"));
+            }
+        }
+        Verdict {
+            answered: inner.answered,
+            failed: inner.failed,
+            broken,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/sesamebeam_soak/src/callers.rs
@@ -0,0 +1,160 @@
+//! Callers that keep using open connections until their entry is gone.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    Request,
+    Response,
+    body::Incoming, //
+};
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use sesamebeam::http::client::{
+    Client,
+    Reuse,
+    Terms, //
+};
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    books::Books,
+    server::{
+        EVENTS,
+        body_of, //
+    },
+};
+
+/// Time that a caller waits.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Longest pause between two requests of a caller, in milliseconds.
+const MAX_PAUSE_MS: u64 = 40;
+
+/// Statuses that say that a request has not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// A booking, which may run once.
+    Book,
+    /// A look-up, which may run any number of times.
+    Read,
+    /// A stream.
+    Notes,
+}
+
+/// Sends requests to an entry, one after the other, until cancelled.
+pub async fn call(
+    number: u64,
+    seed: u64,
+    front: SocketAddr,
+    books: Arc<Books>,
+    cancel: CancellationToken,
+) {
+    let client = Client::new(Duration::from_millis(500));
+    let mut rng = StdRng::seed_from_u64(seed ^ number.rotate_left(17));
+    let mut count = 0u64;
+    while !cancel.is_cancelled() {
+        count += 1;
+        let id = format!("{number:x}-{count:x}");
+        let kind = match rng.random_range(0..3) {
+            0 => Kind::Book,
+            1 => Kind::Read,
+            _ => Kind::Notes,
+        };
+        ask(&client, front, kind, &id, &books).await;
+        sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
+    }
+}
+
+async fn ask(client: &Client, front: SocketAddr, kind: Kind, id: &str, books: &Books) {
+    let Some(req) = request(kind, id) else {
+        return;
+    };
+    let terms = Terms {
+        reuse: Reuse::Any,
+        patience: PATIENCE,
+        send_by: None,
+    };
+    let (response, lease) = match client.send(front, req, terms).await {
+        Ok(answered) => answered,
+        Err(_) => return books.failed(),
+    };
+    let status = response.status().as_u16();
+    if status != 200 {
+        if NOT_RUN.contains(&status) {
+            books.refused(id);
+        } else {
+            books.failed();
+        }
+        if timeout(PATIENCE, response.into_body().collect())
+            .await
+            .is_ok()
+        {
+            lease.give_back();
+        }
+        return;
+    }
+    if response.headers().get("response-seal").is_none() {
+        books.broke(format!("request {id}: a success without a mark"));
+    }
+    if check_body(kind, id, response, books).await {
+        books.answered();
+        lease.give_back();
+    } else {
+        books.failed();
+    }
+}
+
+fn request(kind: Kind, id: &str) -> Option<Request<Full<Bytes>>> {
+    let path = match kind {
+        Kind::Book => "/book/1",
+        Kind::Read => "/read/1",
+        Kind::Notes => "/notes/1",
+    };
+    let built = Request::post(path)
+        .header("Host", "desk.example")
+        .header("Request-Id", id)
+        .header("Credential", "k1")
+        .header("Deadline-Ms", PATIENCE.as_millis().to_string())
+        .header("Kv-From", "10.0.0.1:1/x")
+        .body(Full::new(Bytes::from(id.to_owned())));
+    built.ok()
+}
+
+/// Reads a success and returns whether it is complete. One that breaks off is no
+/// fault; one that is complete and wrong is.
+async fn check_body(kind: Kind, id: &str, response: Response<Incoming>, books: &Books) -> bool {
+    let Ok(Ok(body)) = timeout(PATIENCE * 2, response.into_body().collect()).await else {
+        return false;
+    };
+    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    let wanted = match kind {
+        Kind::Book | Kind::Read => body_of(id),
+        Kind::Notes => {
+            let event = |n| format!("id: {n}\ndata: piece {n}\n\n");
+            (1..=EVENTS).map(event).collect()
+        }
+    };
+    if text != wanted {
+        books.broke(format!("request {id}: complete, but it is {text:?}"));
+    }
+    true
+}
--- /dev/null
+++ b/sesamebeam_soak/src/fleet.rs
@@ -0,0 +1,252 @@
+//! The daemons as child processes.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::Stdio,
+    time::Duration,
+};
+
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+use tempfile::TempDir;
+use tokio::{
+    process::{
+        Child,
+        Command, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::schedule::{
+    ENTRIES,
+    REPLICAS,
+    Target, //
+};
+
+/// Port at which callers connect.
+const FRONT: u16 = 8227;
+
+/// Port of the readiness question.
+const READY: u16 = 8220;
+
+/// Port of operators and backend servers.
+const CONTROL: u16 = 8229;
+
+/// First port between processes.
+const INTERNAL: u16 = 7340;
+
+/// Time from the signal to stop to the kill, in seconds.
+const GRACE_S: u64 = 4;
+
+/// The daemons of one run, ended with it.
+#[derive(Debug)]
+pub struct Fleet {
+    program: PathBuf,
+    folder: TempDir,
+    /// Second part of the addresses, so that runs do not meet.
+    slot: u8,
+    running: BTreeMap<Target, Child>,
+    started: BTreeMap<Target, u32>,
+}
+
+impl Fleet {
+    /// Starts all daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a folder or process cannot be made.
+    pub fn start(program: &Path, slot: u8) -> io::Result<Self> {
+        let mut fleet = Self {
+            program: program.to_path_buf(),
+            folder: tempfile::tempdir()?,
+            slot,
+            running: BTreeMap::new(),
+            started: BTreeMap::new(),
+        };
+        for target in targets() {
+            fleet.boot(target)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns where callers connect to an entry.
+    pub fn front(&self, entry: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(Target::Entry(entry)), FRONT)
+    }
+
+    /// Returns where an entry tells whether it is ready.
+    pub fn ready(&self, entry: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(Target::Entry(entry)), READY)
+    }
+
+    /// Returns where operators call a replica.
+    pub fn control(&self, replica: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(Target::Replica(replica)), CONTROL)
+    }
+
+    /// Starts a daemon, if it does not run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings or process cannot be made.
+    pub fn boot(&mut self, target: Target) -> io::Result<()> {
+        if self.running.contains_key(&target) {
+            return Ok(());
+        }
+        let life = self.started.entry(target).or_default();
+        *life += 1;
+        let first = *life == 1;
+        let (name, role) = match target {
+            Target::Replica(n) => (format!("replica-{n}"), "control"),
+            Target::Entry(n) => (format!("entry-{n}"), "entry"),
+        };
+        let settings = self.folder.path().join(format!("{name}.toml"));
+        std::fs::write(&settings, self.settings(target, &name, first))?;
+        let log = self.folder.path().join(format!("{name}.log"));
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)?;
+        let child = Command::new(&self.program)
+            .arg(role)
+            .env("SESAMEBEAM_NODE_FILE", &settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.running.insert(target, child);
+        Ok(())
+    }
+
+    /// Sends a signal to a daemon that runs.
+    pub fn signal(&self, target: Target, signal: Signal) {
+        let pid = self.running.get(&target).and_then(Child::id);
+        let pid = pid.and_then(|pid| Pid::from_raw(pid.cast_signed()));
+        if let Some(pid) = pid {
+            // It may have ended by itself; the wait for it tells.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills a daemon.
+    pub async fn kill(&mut self, target: Target) {
+        if let Some(mut child) = self.running.remove(&target) {
+            // It may have ended by itself.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Asks a daemon to stop and waits; kills it when its time is over. Returns
+    /// whether it ended by itself.
+    pub async fn stop(&mut self, target: Target) -> bool {
+        self.signal(target, Signal::TERM);
+        let Some(mut child) = self.running.remove(&target) else {
+            return true;
+        };
+        let grace = Duration::from_secs(GRACE_S);
+        let ended = timeout(grace, child.wait()).await.is_ok();
+        if !ended {
+            let _ = child.kill().await;
+        }
+        ended
+    }
+
+    /// Returns daemons that have ended by themselves, and starts them again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one cannot be started.
+    pub fn restart_ended(&mut self) -> io::Result<Vec<Target>> {
+        let mut ended = Vec::new();
+        for (&target, child) in &mut self.running {
+            if child.try_wait()?.is_some() {
+                ended.push(target);
+            }
+        }
+        for &target in &ended {
+            self.running.remove(&target);
+            self.boot(target)?;
+        }
+        Ok(ended)
+    }
+
+    /// Keeps the logs of a run that broke a promise.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they cannot be copied.
+    pub fn keep_logs(&self, to: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(to)?;
+        for entry in std::fs::read_dir(self.folder.path())? {
+            let path = entry?.path();
+            if let (true, Some(name)) = (path.is_file(), path.file_name()) {
+                std::fs::copy(&path, to.join(name))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all daemons.
+    pub async fn end(mut self) {
+        for target in targets() {
+            self.signal(target, Signal::CONT);
+            self.kill(target).await;
+        }
+        // Ports are free again once the system has seen the ends.
+        sleep(Duration::from_millis(10)).await;
+    }
+
+    fn ip(&self, target: Target) -> IpAddr {
+        let last = match target {
+            Target::Replica(n) => 11 + n as u8,
+            Target::Entry(n) => 31 + n as u8,
+        };
+        IpAddr::V4(Ipv4Addr::new(127, self.slot, 0, last))
+    }
+
+    fn settings(&self, target: Target, name: &str, first: bool) -> String {
+        let ip = self.ip(target);
+        let seeds: Vec<String> = (0..REPLICAS)
+            .map(|n| format!("\"{}\"", self.control(n)))
+            .collect();
+        let data = self.folder.path().join(format!("{name}-data"));
+        let listen = match target {
+            Target::Replica(_) => format!("control = \"{ip}:{CONTROL}\""),
+            Target::Entry(_) => {
+                format!("front = \"{ip}:{FRONT}\"\nready_address = \"{ip}:{READY}\"")
+            }
+        };
+        format!(
+            "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
+             internal_ports = [{INTERNAL}, {INTERNAL}]\nseeds = [{}]\nbootstrap = {first}\n\
+             data_dir = \"{}\"\n[listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n\
+             [bounds]\ngrace_s = {GRACE_S}\nretry_budget_ratio = 0.9\nbudget_window_s = 10\n\
+             budget_slack = 60\nexposure_share = 0.15\nsession_s = 5\n",
+            seeds.join(", "),
+            data.display()
+        )
+    }
+}
+
+/// Returns all daemons of a run.
+pub fn targets() -> impl Iterator<Item = Target> {
+    let replicas = (0..REPLICAS).map(Target::Replica);
+    replicas.chain((0..ENTRIES).map(Target::Entry))
+}
--- /dev/null
+++ b/sesamebeam_soak/src/lib.rs
@@ -0,0 +1,16 @@
+//! A randomized soak of the real daemons.
+//!
+//! Entries and control replicas run as separate processes on loopback, before
+//! scripted backend servers behind proxies. A seeded schedule delays, resets,
+//! cuts and silences connections, and stops, pauses, kills and restarts
+//! processes, in series that overlap. What callers, operators and backend
+//! servers see is written into [`books`], which hold it against the promises.
+
+pub mod books;
+pub mod callers;
+pub mod fleet;
+pub mod operator;
+pub mod proxy;
+pub mod run;
+pub mod schedule;
+pub mod server;
--- /dev/null
+++ b/sesamebeam_soak/src/operator.rs
@@ -0,0 +1,184 @@
+//! Operators that change the configuration, race each other and resend, and
+//! backend servers' announcements.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    Method,
+    Request, //
+};
+use sesamebeam::http::client::{
+    Client,
+    Reuse,
+    Terms, //
+};
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::books::Books;
+
+/// Time that an operator waits for an answer.
+const PATIENCE: Duration = Duration::from_millis(1200);
+
+/// Pause between two calls.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Redirections that are followed.
+const REDIRECTIONS: usize = 2;
+
+/// Returns a configuration.
+pub fn config(version: u64) -> String {
+    let route = |name: &str, kind: &str, more: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"desk.example","path_prefix":"/{name}/","kind":"{kind}",
+            "timeout_ms":4000,"service":"pool","max_attempts":3{more}}}"#
+        )
+    };
+    format!(
+        r#"{{"version":{version},"routes":[{},{},{}],
+        "services":[{{"name":"pool","health_path":"/health","max_connections":500}}],
+        "tenants":[{{"name":"quay","api_keys":["k1"]}}]}}"#,
+        route("book", "non_idempotent", ""),
+        route("read", "idempotent", ""),
+        route("notes", "streaming", r#","stream_resume":true"#),
+    )
+}
+
+/// Calls a replica and returns status and body; redirections are followed.
+pub async fn call(
+    client: &Client,
+    mut addr: SocketAddr,
+    method: &Method,
+    path: &str,
+    body: &str,
+) -> Option<(u16, Bytes)> {
+    for _ in 0..=REDIRECTIONS {
+        let req = Request::builder()
+            .method(method.clone())
+            .uri(path)
+            .header("Host", "control")
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .ok()?;
+        let terms = Terms {
+            reuse: Reuse::Never,
+            patience: PATIENCE,
+            send_by: None,
+        };
+        let (response, _lease) = client.send(addr, req, terms).await.ok()?;
+        let status = response.status().as_u16();
+        let to = response.headers().get("location").cloned();
+        let body = timeout(PATIENCE, response.into_body().collect()).await;
+        let body = body.ok()?.ok()?.to_bytes();
+        if status != 307 {
+            return Some((status, body));
+        }
+        let to = to?.to_str().ok()?.strip_prefix("http://")?.to_owned();
+        addr = to.split('/').next()?.parse().ok()?;
+    }
+    None
+}
+
+/// Puts one configuration after the other in force until cancelled. Several
+/// operators share the counter and race.
+pub async fn change(
+    controls: Vec<SocketAddr>,
+    next: Arc<AtomicU64>,
+    books: Arc<Books>,
+    cancel: CancellationToken,
+) {
+    let client = Client::new(Duration::from_millis(500));
+    while !cancel.is_cancelled() {
+        let version = next.fetch_add(1, Ordering::Relaxed);
+        let text = config(version);
+        for addr in controls.iter().cycle().skip(version as usize % 3).take(9) {
+            let answer = call(&client, *addr, &Method::PUT, "/config", &text).await;
+            match answer {
+                Some((200, _)) => {
+                    books.acknowledged(version);
+                    break;
+                }
+                Some((status @ 400..=499, _)) => {
+                    books.broke(format!("configuration {version} was refused with {status}"));
+                    break;
+                }
+                _ => sleep(PAUSE).await,
+            }
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Reads the configuration at every replica until cancelled. An answer that is
+/// older than what was acknowledged before the question breaks a promise.
+pub async fn read(controls: Vec<SocketAddr>, books: Arc<Books>, cancel: CancellationToken) {
+    let client = Client::new(Duration::from_millis(500));
+    for addr in controls.iter().cycle() {
+        if cancel.is_cancelled() {
+            return;
+        }
+        let least = books.newest();
+        if let Some((200, body)) = call(&client, *addr, &Method::GET, "/config", "").await {
+            let read = version_of(&body);
+            if read.is_none_or(|version| version < least) {
+                books.broke(format!(
+                    "{addr} read {read:?} after {least} was acknowledged"
+                ));
+            }
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Returns the number of a configuration that was read.
+pub fn version_of(body: &[u8]) -> Option<u64> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    value["version"].as_u64()
+}
+
+/// Announces a backend server until cancelled.
+pub async fn announce(
+    life: String,
+    addr: SocketAddr,
+    controls: Vec<SocketAddr>,
+    cancel: CancellationToken,
+) {
+    let client = Client::new(Duration::from_millis(500));
+    let mut sequence = 0u64;
+    for control in controls.iter().cycle() {
+        if cancel.is_cancelled() {
+            return;
+        }
+        sequence += 1;
+        let beat = format!(
+            r#"{{"service":"pool","address":"{addr}","zone":"hall-1","version":"v1","slots":8,
+            "state":"ready","cold_remaining_ms":0,"sequence":{sequence}}}"#
+        );
+        let path = format!("/instances/{life}");
+        // One that is not acknowledged goes to the next replica.
+        let answer = call(&client, *control, &Method::PUT, &path, &beat).await;
+        let pause = if answer.is_some_and(|(status, _)| status == 200) {
+            PAUSE * 5
+        } else {
+            PAUSE
+        };
+        sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/sesamebeam_soak/src/proxy.rs
@@ -0,0 +1,112 @@
+//! A proxy on loopback that misbehaves on demand.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener, TcpStream,
+        tcp::{
+            OwnedReadHalf,
+            OwnedWriteHalf, //
+        },
+    },
+    sync::watch,
+    time::sleep,
+};
+
+/// Delay of a slow connection, for each piece that passes.
+const DELAY: Duration = Duration::from_millis(120);
+
+/// How connections are treated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// Bytes pass.
+    #[default]
+    Pass,
+    /// Bytes pass late.
+    Delay,
+    /// Connections are closed.
+    Reset,
+    /// Bytes pass to the backend server, but not back.
+    CutAnswers,
+    /// Nothing passes.
+    Silence,
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
+/// Starts a proxy and returns where it listens.
+///
+/// # Errors
+///
+/// Fails if no port can be had.
+pub async fn start(to: SocketAddr, mode: watch::Receiver<Mode>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(pass(stream, to, mode.clone()));
+        }
+    });
+    Ok(addr)
+}
+
+/// Passes bytes until either end closes. What a cut holds up is lost, as a
+/// firewall that forgot the connection would lose it.
+async fn pass(near: TcpStream, to: SocketAddr, mode: watch::Receiver<Mode>) {
+    if *mode.borrow() == Mode::Reset {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(to).await else {
+        return;
+    };
+    let (near_rx, near_tx) = near.into_split();
+    let (far_rx, far_tx) = far.into_split();
+    let mut reset = mode.clone();
+    tokio::select! {
+        () = copy(near_rx, far_tx, Way::There, mode.clone()) => {}
+        () = copy(far_rx, near_tx, Way::Back, mode) => {}
+        _ = reset.wait_for(|mode| *mode == Mode::Reset) => {}
+    }
+}
+
+async fn copy(
+    mut rx: OwnedReadHalf,
+    mut tx: OwnedWriteHalf,
+    way: Way,
+    mode: watch::Receiver<Mode>,
+) {
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let Ok(read) = rx.read(&mut buf).await else {
+            return;
+        };
+        if read == 0 {
+            return;
+        }
+        let now = *mode.borrow();
+        let lost = now == Mode::Silence || now == Mode::CutAnswers && way == Way::Back;
+        if lost {
+            continue;
+        }
+        if now == Mode::Delay {
+            sleep(DELAY).await;
+        }
+        if tx.write_all(&buf[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/sesamebeam_soak/src/schedule.rs
@@ -0,0 +1,216 @@
+//! What happens when: drawn from a seed, or read from a file.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use thiserror::Error;
+
+/// Control replicas of a run.
+pub const REPLICAS: usize = 3;
+
+/// Entries of a run.
+pub const ENTRIES: usize = 2;
+
+/// Backend servers of a run.
+pub const SERVERS: usize = 3;
+
+/// Longest pause or cut, in milliseconds: several times what is noticed.
+const LONGEST_MS: u64 = 2500;
+
+/// Shortest pause or cut, in milliseconds.
+const SHORTEST_MS: u64 = 100;
+
+/// Which process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// A control replica.
+    Replica(usize),
+    /// An entry.
+    Entry(usize),
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// A process is killed and started again after a pause.
+    Kill(Target),
+    /// A process is asked to stop and started again when it has ended.
+    Stop(Target),
+    /// A process stands still.
+    Pause(Target),
+    /// A process is told to read its settings again.
+    Reload(Target),
+    /// All control replicas are killed at once.
+    KillAll,
+    /// Connections to a backend server are slow.
+    Delay(usize),
+    /// Connections to a backend server are reset, and new ones too.
+    Reset(usize),
+    /// What a backend server answers is lost.
+    CutAnswers(usize),
+    /// Nothing passes to or from a backend server.
+    Silence(usize),
+}
+
+/// One event of a schedule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// For how long.
+    pub for_ms: u64,
+    /// What.
+    pub fault: Fault,
+}
+
+/// What happens in one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    /// Seed of callers and operators.
+    pub seed: u64,
+    /// Length of the run, in milliseconds.
+    pub length_ms: u64,
+    /// Events by time.
+    #[serde(default)]
+    pub events: Vec<Event>,
+}
+
+/// Why a schedule cannot be used.
+#[derive(Debug, Error)]
+pub enum ScheduleError {
+    /// The file cannot be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// The file is no schedule; the text names line and field.
+    #[error("{path}: {source}")]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong where.
+        source: Box<toml::de::Error>,
+    },
+    /// An event names something that a run does not have.
+    #[error("{path}: event {number} is about {what}, of which there are {count}")]
+    Number {
+        /// The file.
+        path: PathBuf,
+        /// Number of the event.
+        number: usize,
+        /// What it names.
+        what: String,
+        /// How many there are.
+        count: usize,
+    },
+}
+
+impl Schedule {
+    /// Draws a schedule.
+    pub fn draw(seed: u64, length_ms: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let count = rng.random_range(2..=8);
+        let mut events: Vec<Event> = (0..count)
+            .map(|_| Event {
+                at_ms: rng.random_range(0..length_ms.max(1)),
+                for_ms: rng.random_range(SHORTEST_MS..LONGEST_MS),
+                fault: draw_fault(&mut rng),
+            })
+            .collect();
+        events.sort_by_key(|event| event.at_ms);
+        Self {
+            seed,
+            length_ms,
+            events,
+        }
+    }
+
+    /// Reads a schedule.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or is no schedule.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, ScheduleError> {
+        let path = path.as_ref().to_path_buf();
+        let text = fs::read_to_string(&path).map_err(|source| ScheduleError::Read {
+            path: path.clone(),
+            source,
+        })?;
+        let schedule: Self = toml::from_str(&text).map_err(|source| ScheduleError::Parse {
+            path: path.clone(),
+            source: Box::new(source),
+        })?;
+        for (number, event) in schedule.events.iter().enumerate() {
+            check(&path, number, event.fault)?;
+        }
+        Ok(schedule)
+    }
+
+    /// Returns the schedule in the form in which it can be read.
+    pub fn text(&self) -> String {
+        // A schedule has a form: it holds numbers and names alone.
+        toml::to_string(self).unwrap_or_default()
+    }
+}
+
+fn draw_fault(rng: &mut StdRng) -> Fault {
+    let target = match rng.random_range(0..2) {
+        0 => Target::Replica(rng.random_range(0..REPLICAS)),
+        _ => Target::Entry(rng.random_range(0..ENTRIES)),
+    };
+    let server = rng.random_range(0..SERVERS);
+    match rng.random_range(0..11) {
+        0 | 1 => Fault::Kill(target),
+        2 | 3 => Fault::Stop(target),
+        4 | 5 => Fault::Pause(target),
+        6 => Fault::Reload(target),
+        7 => Fault::KillAll,
+        8 => Fault::Delay(server),
+        9 => Fault::Reset(server),
+        _ if rng.random() => Fault::CutAnswers(server),
+        _ => Fault::Silence(server),
+    }
+}
+
+fn check(path: &Path, number: usize, fault: Fault) -> Result<(), ScheduleError> {
+    let (what, at, count) = match fault {
+        Fault::Kill(t) | Fault::Stop(t) | Fault::Pause(t) | Fault::Reload(t) => match t {
+            Target::Replica(n) => ("replica", n, REPLICAS),
+            Target::Entry(n) => ("entry", n, ENTRIES),
+        },
+        Fault::Delay(n) | Fault::Reset(n) | Fault::CutAnswers(n) | Fault::Silence(n) => {
+            ("backend server", n, SERVERS)
+        }
+        Fault::KillAll => return Ok(()),
+    };
+    if at < count {
+        return Ok(());
+    }
+    Err(ScheduleError::Number {
+        path: path.to_path_buf(),
+        number,
+        what: format!("{what} {at}"),
+        count,
+    })
+}
