Say that a request has run when only its unsure answer was dropped

Cause: an answer of the small model was dropped, all backend servers then refused the large one, and the caller was told that its request had not run. A stream is handed over as a value now instead of with the whole attempt. Sends that never left are bounded also before the first one that did.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -106,6 +106,20 @@
     Again(Option<Box<Answer>>),
     /// A larger model is asked; the budget is spent already.
     Larger,
+    /// The caller gets this stream.
+    Stream(Box<Began>),
+}
+
+/// A stream whose head the caller is about to get.
+pub(super) struct Began {
+    /// The run that it comes from.
+    pub(super) choice: Flight,
+    /// Its head and body.
+    pub(super) response: Response<Incoming>,
+    /// What its head says.
+    pub(super) head: AnswerHead,
+    /// The connection that it comes on.
+    pub(super) lease: Lease,
 }
 
 /// Handles a caller's request.
@@ -200,7 +214,7 @@
         let mut spare = None;
         let mut paid = true;
         loop {
-            if !paid && !self.may_send_again() {
+            if !self.has_attempts_left() || !paid && !self.may_repeat_in_budget() {
                 break;
             }
             let Some(choice) = self.choose_soon().await else {
@@ -220,16 +234,9 @@
                     watch,
                 )
                 .await;
-            let (next, back) = self.judge(choice, sent).await;
-            self = match back {
-                Some(attempt) => *attempt,
-                None => match next {
-                    Next::Give(answer) => return *answer,
-                    _ => return answer::own(StatusCode::BAD_GATEWAY),
-                },
-            };
-            match next {
+            match self.judge(choice, sent).await {
                 Next::Give(answer) => return *answer,
+                Next::Stream(began) => return Relay::answer(self, *began),
                 Next::Again(kept) => {
                     spare = kept.or(spare);
                     paid = self.sends == 0;
@@ -241,7 +248,7 @@
     }
 
     /// Ends a request that no backend server answered.
-    fn give_up(self, spare: Option<Box<Answer>>) -> Answer {
+    fn give_up(&self, spare: Option<Box<Answer>>) -> Answer {
         if let Some(answer) = spare {
             return *answer;
         }
@@ -289,13 +296,17 @@
         Some(Flight::new(gateway, Arc::clone(&self.plan), choice))
     }
 
-    /// Returns whether another send is allowed, and spends it.
-    pub(super) fn may_send_again(&self) -> bool {
-        let now = self.gateway.now();
+    /// Returns whether the route and the time allow another send.
+    pub(super) fn has_attempts_left(&self) -> bool {
         self.sends < self.plan.route.max_attempts
             && self.unsent < MAX_UNSENT
             && Instant::now() < self.req.until
-            && self.gateway.router().try_repeat(now, &self.plan)
+    }
+
+    /// Returns whether the budget allows another send, and spends it.
+    pub(super) fn may_repeat_in_budget(&self) -> bool {
+        let now = self.gateway.now();
+        self.gateway.router().try_repeat(now, &self.plan)
     }
 
     /// Counts the request as ended.
@@ -313,16 +324,15 @@
         }
     }
 
-    /// Decides what follows after a send. The attempt comes back unless a stream
-    /// has taken it over.
-    async fn judge(mut self, mut choice: Flight, sent: Sent) -> (Next, Option<Box<Attempt>>) {
+    /// Decides what follows after a send.
+    async fn judge(&mut self, mut choice: Flight, sent: Sent) -> Next {
         let outcome = match sent {
             Sent::Unsent(e) => {
                 log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = e; "not sent");
                 self.unsent += 1;
                 self.tried.push(choice.id.clone());
                 choice.end(Outcome::Unreachable);
-                return (Next::Again(None), Some(Box::new(self)));
+                return Next::Again(None);
             }
             Sent::Answered(response, head, lease) => {
                 self.sends += 1;
@@ -352,23 +362,22 @@
     }
 
     /// Goes on after a send whose request may have run.
-    fn after_failure(mut self, choice: &Choice) -> (Next, Option<Box<Attempt>>) {
+    fn after_failure(&mut self, choice: &Choice) -> Next {
         self.may_have_run = true;
         self.tried.push(choice.id.clone());
         if self.may_repeat() {
-            return (Next::Again(None), Some(Box::new(self)));
+            return Next::Again(None);
         }
-        let answer = self.give_up(None);
-        (Next::Give(Box::new(answer)), None)
+        Next::Give(Box::new(self.give_up(None)))
     }
 
     async fn take_answer(
-        mut self,
+        &mut self,
         mut choice: Flight,
         response: Response<Incoming>,
         head: AnswerHead,
         lease: Lease,
-    ) -> (Next, Option<Box<Attempt>>) {
+    ) -> Next {
         if head.misdirected || head.not_run {
             log::info!(
                 id:% = self.req.head.id, server:% = choice.id, status = head.status;
@@ -382,7 +391,7 @@
             give_back(lease, &head);
             self.tried.push(choice.id.clone());
             choice.end(Outcome::Refused);
-            return (Next::Again(None), Some(Box::new(self)));
+            return Next::Again(None);
         }
         if head.is_success() && !head.sealed {
             choice.end(Outcome::Failed);
@@ -395,12 +404,12 @@
     }
 
     fn take_stream(
-        mut self,
+        &mut self,
         mut choice: Flight,
         response: Response<Incoming>,
         head: AnswerHead,
         lease: Lease,
-    ) -> (Next, Option<Box<Attempt>>) {
+    ) -> Next {
         let now = self.gateway.now();
         let model = self.model.clone().unwrap_or_default();
         let left = self.sends < self.plan.route.max_attempts;
@@ -426,31 +435,33 @@
             "stream began"
         );
         if let Step::Ask(larger) = step {
-            // Closing the connection ends the run.
+            // Closing the connection ends the run, which has begun all the same.
             drop(response);
             drop(lease);
             choice.end(Outcome::Dropped);
+            self.may_have_run = true;
             self.model = Some(larger);
-            return (Next::Larger, Some(Box::new(self)));
+            return Next::Larger;
         }
         let took = self.req.came.elapsed();
         self.gateway
             .router()
             .timed(&self.plan, &choice, Some(&model), took);
-        let (mut parts, body) = response.into_parts();
-        strip_hop_by_hop(&mut parts.headers);
-        let relay = Relay::new(self, choice, body, head, lease);
-        let answer = Response::from_parts(parts, relay.into_body());
-        (Next::Give(Box::new(answer)), None)
+        Next::Stream(Box::new(Began {
+            choice,
+            response,
+            head,
+            lease,
+        }))
     }
 
     async fn take_whole(
-        self,
+        &mut self,
         mut choice: Flight,
         response: Response<Incoming>,
         head: AnswerHead,
         lease: Lease,
-    ) -> (Next, Option<Box<Attempt>>) {
+    ) -> Next {
         let (mut parts, body) = response.into_parts();
         let reading = Limited::new(body, MAX_ANSWER).collect();
         let body = match timeout_at(self.req.until.into(), reading).await {
@@ -489,12 +500,11 @@
         strip_hop_by_hop(&mut parts.headers);
         let answer = Box::new(Response::from_parts(parts, answer::full(body)));
         if failed && self.may_repeat() {
-            let mut again = self;
-            again.may_have_run = true;
-            again.tried.push(choice.id.clone());
-            return (Next::Again(Some(answer)), Some(Box::new(again)));
+            self.may_have_run = true;
+            self.tried.push(choice.id.clone());
+            return Next::Again(Some(answer));
         }
-        (Next::Give(answer), None)
+        Next::Give(answer)
     }
 }
 
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -15,24 +15,29 @@
     BodyExt,
     StreamBody, //
 };
-use hyper::body::{
-    Frame,
-    Incoming, //
+use hyper::{
+    Response,
+    body::{
+        Frame,
+        Incoming, //
+    },
 };
 use sesamebeam_core::gateway::{balance::Outcome, request::AnswerHead};
 use tokio::time::timeout_at;
 
 use super::{
     answer::{
-        Body,
+        Answer,
         Broken, //
     },
     attempt::{
         Attempt,
+        Began,
         give_back, //
     },
     events::Events,
     flight::Flight,
+    head::strip_hop_by_hop,
     send::{
         SILENT_FOR,
         Sent, //
@@ -75,15 +80,17 @@
 }
 
 impl Relay {
-    /// Takes over a stream whose head the caller is about to get.
-    pub(super) fn new(
-        attempt: Attempt,
-        choice: Flight,
-        body: Incoming,
-        head: AnswerHead,
-        lease: Lease,
-    ) -> Self {
-        Self {
+    /// Makes the answer that sends a stream on.
+    pub(super) fn answer(attempt: Attempt, began: Began) -> Answer {
+        let Began {
+            choice,
+            response,
+            head,
+            lease,
+        } = began;
+        let (mut parts, body) = response.into_parts();
+        strip_hop_by_hop(&mut parts.headers);
+        let relay = Self {
             events: Events::after(attempt.req.head.resume_after),
             attempt,
             source: Some(Source {
@@ -92,13 +99,10 @@
                 head,
                 lease: Some(lease),
             }),
-        }
-    }
-
-    /// Makes a body that sends the events on.
-    pub(super) fn into_body(self) -> Body {
-        let frames = try_unfold(self, |relay| async move { relay.next().await });
-        BodyExt::boxed_unsync(StreamBody::new(frames))
+        };
+        let frames = try_unfold(relay, |relay| async move { relay.next().await });
+        let body = BodyExt::boxed_unsync(StreamBody::new(frames));
+        Response::from_parts(parts, body)
     }
 
     async fn next(mut self) -> Result<Option<(Frame<Bytes>, Self)>, Broken> {
@@ -201,7 +205,7 @@
             return false;
         }
         loop {
-            if !self.attempt.may_send_again() {
+            if !self.attempt.has_attempts_left() || !self.attempt.may_repeat_in_budget() {
                 return false;
             }
             let Some(choice) = self.attempt.choose() else {
