Have a replica that lost its place join anew without ending

It gives its folder up now and asks for another place in the same process. Test: joining::replaced_while_away (needs the new call, so it did not run against the code before).

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -4,6 +4,7 @@
 //! forms, admits and replaces its replicas by itself.
 
 mod clock;
+mod folder;
 mod http;
 mod join;
 mod listen;
@@ -162,9 +163,6 @@
     /// The disk thread cannot be started.
     #[error("cannot start the disk thread: {0}")]
     Thread(io::Error),
-    /// The group has given this replica's place to another.
-    #[error("no longer a member of the group")]
-    Removed,
 }
 
 /// What the task that owns the coordinator takes.
@@ -184,10 +182,13 @@
     Removed,
     /// The group in which this process may ask for a place.
     Group(u128),
-    /// The disk tells something.
-    Disk(DiskNotice),
+    /// A disk tells something.
+    Disk(Incarnation, DiskNotice),
 }
 
+/// Incarnation of a data folder.
+type Incarnation = u128;
+
 /// Sends inputs to the task that owns the coordinator.
 type Inputs = UnboundedSender<Input>;
 
@@ -196,7 +197,9 @@
     settings: GroupSettings,
     clock: Clock,
     core: Coordinator,
-    disk: Option<DiskThread>,
+    disk: Option<(Incarnation, DiskThread)>,
+    /// Folder that is in use.
+    folder: PathBuf,
     tx: Inputs,
     peers: Peers,
     senders: HashMap<NodeId, PeerSender>,
@@ -213,8 +216,7 @@
 ///
 /// # Errors
 ///
-/// Fails if an address or the data folder cannot be used, or if the group gave
-/// the replica's place to another; started again it asks for a new one.
+/// Fails if an address or the data folder cannot be used.
 pub async fn run(
     settings: GroupSettings,
     protocol: Arc<dyn ControlProtocol>,
@@ -236,6 +238,7 @@
         core: Coordinator::new(cfg, clock.now()),
         clock,
         disk: None,
+        folder: PathBuf::new(),
         tx: tx.clone(),
         peers: Peers::default(),
         senders: HashMap::new(),
@@ -303,18 +306,43 @@
                 self.event(Event::Tick);
             }
             Input::Group(group) => self.prepare(group)?,
-            Input::Removed => {
-                Disk::remove(&self.settings.data)?;
-                return Err(GroupError::Removed);
-            }
-            Input::Disk(DiskNotice::Synced(write)) => self.event(Event::Synced(write)),
-            Input::Disk(DiskNotice::Full(full)) => self.event(Event::DiskFull(full)),
-            Input::Disk(DiskNotice::Failed(e)) => return Err(e.into()),
+            Input::Removed => self.give_up_place()?,
+            Input::Disk(incarnation, notice) => self.disk_tells(incarnation, notice)?,
         }
         self.tell_place();
         Ok(())
     }
 
+    /// Takes what the disk in use tells. One of a place before may answer late;
+    /// its writes have the numbers of others now.
+    fn disk_tells(
+        &mut self,
+        incarnation: Incarnation,
+        notice: DiskNotice,
+    ) -> Result<(), GroupError> {
+        if self.disk.as_ref().is_none_or(|(i, _)| *i != incarnation) {
+            return Ok(());
+        }
+        match notice {
+            DiskNotice::Synced(write) => self.event(Event::Synced(write)),
+            DiskNotice::Full(full) => self.event(Event::DiskFull(full)),
+            DiskNotice::Failed(e) => return Err(e.into()),
+        }
+        Ok(())
+    }
+
+    /// Starts over, as the group has given this replica's place to another.
+    fn give_up_place(&mut self) -> Result<(), GroupError> {
+        if self.disk.take().is_none() {
+            return Ok(());
+        }
+        log::warn!(folder:% = self.folder.display(); "place in the group given up");
+        folder::give_up(&self.folder)?;
+        self.core.leave();
+        self.place.send_replace(Place::default());
+        Ok(())
+    }
+
     fn event(&mut self, event: Event) {
         // The clock is read here, after every wait: a replica that was
         // suspended must not act on a lease that ended meanwhile.
@@ -327,7 +355,7 @@
             match action {
                 Action::Send { to, message } => self.send(to, message),
                 Action::Write { write, ops } => {
-                    if let Some(disk) = &self.disk {
+                    if let Some((_, disk)) = &self.disk {
                         disk.write(write, ops);
                     }
                 }
@@ -393,17 +421,15 @@
     /// Opens the data folder, or makes it if this process is one of the first
     /// replicas.
     fn open(&mut self) -> Result<(), GroupError> {
-        let data = &self.settings.data;
-        if Disk::is_made(data) {
-            let (disk, saved) = Disk::open(data)?;
+        if let Some(path) = folder::current(&self.settings.data) {
+            let (disk, saved) = Disk::open(&path)?;
+            self.folder = path;
             return self.start(disk, saved, Members::default());
         }
-        let Some((identity, members)) = join::first_group(&self.settings) else {
-            return Ok(());
-        };
-        Disk::create(data, &identity)?;
-        let (disk, saved) = Disk::open(data)?;
-        self.start(disk, saved, members)
+        match join::first_group(&self.settings) {
+            Some((identity, members)) => self.make_folder(&identity, members),
+            None => Ok(()),
+        }
     }
 
     /// Makes a data folder for a place in a group that others have formed.
@@ -416,16 +442,24 @@
             node: rand::random(),
             incarnation: rand::random(),
         };
-        Disk::create(&self.settings.data, &identity)?;
-        let (disk, saved) = Disk::open(&self.settings.data)?;
-        self.start(disk, saved, Members::default())
+        self.make_folder(&identity, Members::default())
+    }
+
+    fn make_folder(&mut self, identity: &Identity, members: Members) -> Result<(), GroupError> {
+        let path = folder::fresh(&self.settings.data);
+        Disk::create(&path, identity)?;
+        let (disk, saved) = Disk::open(&path)?;
+        self.folder = path;
+        self.start(disk, saved, members)
     }
 
     fn start(&mut self, disk: Disk, saved: Saved, members: Members) -> Result<(), GroupError> {
         let identity = disk.identity();
         let tx = self.tx.clone();
-        let tell = move |notice| tx.send(Input::Disk(notice)).is_ok();
-        self.disk = Some(DiskThread::start(disk, tell).map_err(GroupError::Thread)?);
+        let incarnation = identity.incarnation;
+        let tell = move |notice| tx.send(Input::Disk(incarnation, notice)).is_ok();
+        let disk = DiskThread::start(disk, tell).map_err(GroupError::Thread)?;
+        self.disk = Some((incarnation, disk));
         let cfg = replica_config(&identity, members);
         let actions = self.core.start(cfg, saved, self.clock.now());
         self.carry(actions);
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -252,6 +252,17 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Gives its place in the group up. What it knows beside the replicated state
+    /// stays; the state comes anew with the next place.
+    pub fn leave(&mut self) {
+        self.replica = None;
+        self.store = Store::default();
+        self.waiting.clear();
+        self.writing = None;
+        self.disk_full = false;
+        self.disk_stalled = false;
+    }
+
     /// Handles an event at a time that never goes back.
     pub fn handle(&mut self, now: MonoTime, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -131,3 +131,37 @@
     assert_eq!(group.ask(leader, apply(1)), Answer::Done);
     assert!(group.now > ms(0));
 }
+
+#[test]
+fn replaced_while_away() {
+    // A replica is away for so long that a process in reserve gets its place.
+    // When it comes back it is told so, gives its place up, and serves as a
+    // reserve under another number in its turn.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    assert_eq!(group.ask(leader, apply(1)), Answer::Done);
+    let away = (1..=3).find(|&n| n != leader).expect("there are three");
+    let disk = group.kill(away);
+    join(&mut group, 8, 8);
+    group.restart(away, disk);
+    group.run(1000);
+    let leader = group.new_leader(None);
+    let Reply::Group {
+        replicas, leads, ..
+    } = group.question(leader, Question::Group)
+    else {
+        panic!("there is a group");
+    };
+    assert!(leads && replicas.iter().all(|(n, _)| *n != away));
+    let process = group.processes.get_mut(&away).expect("it runs");
+    process.core.leave();
+    assert!(!process.core.is_member());
+    assert_eq!(process.core.store().config(), None);
+    group.kill(away);
+    let other = (1..=3).find(|&n| n != leader && n != away);
+    group.kill(other.expect("one more"));
+    join(&mut group, 9, away);
+    let leader = group.new_leader(None);
+    let answer = group.ask(leader, Call::ReadConfig);
+    assert_eq!(answer, Answer::Config("text 1".into()));
+}
