Wait longer for a first configuration, within a share of the caller's patience

Cause: control replicas start 0.4 s after entries when all have lost power, so that requests of the first half second still found no configuration after 0.7 s.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -69,8 +69,12 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
 /// Longest wait of a request for what an entry that has just started lacks: what
-/// an election takes, and less than callers wait for anything.
-const START_WAIT: Duration = Duration::from_millis(700);
+/// the start of a control replica and an election take.
+const START_WAIT: Duration = Duration::from_millis(1200);
+
+/// Share of a caller's patience for which its request waits for that, so that
+/// there is time to serve it.
+const START_SHARE: f64 = 0.4;
 
 /// Most bytes of an answer that is not a stream.
 const MAX_ANSWER: usize = 8 << 20;
@@ -200,7 +204,7 @@
         if !matches!(admitted, Err(Refusal::NoConfig)) {
             return admitted;
         }
-        if timeout_at((came + START_WAIT).into(), learned)
+        if timeout_at(start_wait(head, came).into(), learned)
             .await
             .is_err()
         {
@@ -209,6 +213,13 @@
     }
 }
 
+/// Returns until when a request waits for what an entry that has just started
+/// lacks.
+fn start_wait(head: &Head, came: Instant) -> Instant {
+    let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    came + START_WAIT.min(patience.mul_f64(START_SHARE))
+}
+
 impl Attempt {
     async fn run(mut self) -> Answer {
         let mut spare = None;
@@ -277,7 +288,7 @@
         loop {
             let learned = self.gateway.learned.notified();
             let chosen = self.choose();
-            let until = self.req.came + START_WAIT;
+            let until = start_wait(&self.req.head, self.req.came);
             if chosen.is_some()
                 || !self.tried.is_empty()
                 || timeout_at(until.into(), learned).await.is_err()
