--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -5,7 +5,6 @@
 
 use std::{
     convert::Infallible,
-    io,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -43,12 +42,13 @@
     },
     registry::Registry,
 };
-use tokio::{
-    net::TcpListener,
-    time::sleep, //
-};
 use tokio_util::sync::CancellationToken;
 
+use crate::listen::{
+    self,
+    ListenError, //
+};
+
 /// Format of the text, as scrapers ask for it.
 const FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -192,31 +192,21 @@
         self: Arc<Self>,
         addr: SocketAddr,
         halt: CancellationToken,
-    ) -> io::Result<()> {
-        let listener = TcpListener::bind(addr).await?;
-        tokio::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    () = halt.cancelled() => return,
-                    accepted = listener.accept() => accepted,
-                };
-                let Ok((stream, _)) = accepted else {
-                    sleep(Duration::from_millis(100)).await;
-                    continue;
-                };
-                let exposition = Arc::clone(&self);
-                tokio::spawn(async move {
-                    let service = service_fn(|_: Request<Incoming>| {
-                        let response = respond(exposition.text());
-                        async move { Ok::<_, Infallible>(response) }
-                    });
-                    // A scraper that leaves early asks again.
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
+    ) -> Result<(), ListenError> {
+        let listener = listen::bind(addr).await?;
+        tokio::spawn(listen::accept(listener, halt, move |stream| {
+            let exposition = Arc::clone(&self);
+            async move {
+                let service = service_fn(|_: Request<Incoming>| {
+                    let response = respond(exposition.text());
+                    async move { Ok::<_, Infallible>(response) }
                 });
+                // A scraper that leaves early asks again.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
             }
-        });
+        }));
         Ok(())
     }
 
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -13,7 +13,6 @@
 mod stream;
 
 use std::{
-    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -35,7 +34,6 @@
     ids::MonoTime,
 };
 use smol_str::SmolStr;
-use thiserror::Error;
 use tokio::sync::{
     Notify,
     watch, //
@@ -48,7 +46,8 @@
 };
 use crate::{
     exposition::Exposition,
-    http::client::Client, //
+    http::client::Client,
+    listen::ListenError, //
 };
 
 /// Longest wait for a connection to a backend server: a few round trips within
@@ -76,19 +75,6 @@
     pub router: RouterConfig,
 }
 
-/// Why an entry could not start.
-#[derive(Debug, Error)]
-pub enum GatewayError {
-    /// An address cannot be used.
-    #[error("cannot listen on {addr}: {source}")]
-    Listen {
-        /// The address.
-        addr: SocketAddr,
-        /// Why not.
-        source: io::Error,
-    },
-}
-
 /// What all tasks of an entry share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -140,7 +126,7 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
     meters: Arc<Exposition>,
     stopping: CancellationToken,
-) -> Result<(), GatewayError> {
+) -> Result<(), ListenError> {
     let gateway = Arc::new(Gateway {
         router: Mutex::new(Router::new(settings.router.clone())),
         client: Client::new(CONNECT_TIMEOUT).with_max_idle(MAX_IDLE),
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -111,12 +111,12 @@
     /// A larger model is asked; the budget is spent already.
     Larger,
     /// The caller gets this stream.
-    Stream(Box<Began>),
+    Stream(Box<Arrived>),
 }
 
-/// A stream whose head the caller is about to get.
-pub(super) struct Began {
-    /// The run that it comes from.
+/// An answer whose head has come.
+pub(super) struct Arrived {
+    /// The send that it answers.
     pub(super) choice: Flight,
     /// Its head and body.
     pub(super) response: Response<Incoming>,
@@ -247,7 +247,7 @@
                 .await;
             match self.judge(choice, sent).await {
                 Next::Give(answer) => return *answer,
-                Next::Stream(began) => return Relay::answer(self, *began),
+                Next::Stream(arrived) => return Relay::answer(self, *arrived),
                 Next::Again(kept) => {
                     spare = kept.or(spare);
                     paid = self.sends == 0;
@@ -347,7 +347,13 @@
             }
             Sent::Answered(response, head, lease) => {
                 self.sends += 1;
-                return self.take_answer(choice, *response, head, lease).await;
+                let arrived = Arrived {
+                    choice,
+                    response: *response,
+                    head,
+                    lease,
+                };
+                return self.take_answer(arrived).await;
             }
             Sent::Broken(why) => {
                 log::info!(
@@ -382,45 +388,49 @@
         Next::Give(Box::new(self.give_up(None)))
     }
 
-    async fn take_answer(
-        &mut self,
-        mut choice: Flight,
-        response: Response<Incoming>,
-        head: AnswerHead,
-        lease: Lease,
-    ) -> Next {
+    async fn take_answer(&mut self, arrived: Arrived) -> Next {
+        let head = &arrived.head;
         if head.misdirected || head.not_run {
-            log::info!(
-                id:% = self.req.head.id, server:% = choice.id, status = head.status;
-                "backend server refused"
-            );
-            if head.misdirected {
-                self.gateway
-                    .router()
-                    .displaced(self.gateway.now(), &choice.id);
-            }
-            give_back(lease, &head);
-            self.tried.push(choice.id.clone());
-            choice.end(Outcome::Refused);
-            return Next::Again(None);
+            return self.take_refusal(arrived);
         }
-        if head.is_success() && !head.sealed {
+        let success = head.is_success();
+        if success && !head.sealed {
+            let mut choice = arrived.choice;
             choice.end(Outcome::Failed);
             return self.after_failure(&choice);
         }
-        if head.is_success() && self.plan.route.streaming {
-            return self.take_stream(choice, response, head, lease);
+        if success && self.plan.route.streaming {
+            return self.take_stream(arrived);
         }
-        self.take_whole(choice, response, head, lease).await
+        self.take_whole(arrived).await
     }
 
-    fn take_stream(
-        &mut self,
-        mut choice: Flight,
-        response: Response<Incoming>,
-        head: AnswerHead,
-        lease: Lease,
-    ) -> Next {
+    /// Goes on after the word of a backend server that it did not run the
+    /// request.
+    fn take_refusal(&mut self, arrived: Arrived) -> Next {
+        let Arrived {
+            mut choice,
+            head,
+            lease,
+            ..
+        } = arrived;
+        log::info!(
+            id:% = self.req.head.id, server:% = choice.id, status = head.status;
+            "backend server refused"
+        );
+        if head.misdirected {
+            let now = self.gateway.now();
+            self.gateway.router().displaced(now, &choice.id);
+        }
+        give_back(lease, &head);
+        self.tried.push(choice.id.clone());
+        choice.end(Outcome::Refused);
+        Next::Again(None)
+    }
+
+    /// Keeps a stream, or drops it for that of a larger model.
+    fn take_stream(&mut self, mut arrived: Arrived) -> Next {
+        let (choice, head) = (&mut arrived.choice, &arrived.head);
         let now = self.gateway.now();
         let model = self.model.clone().unwrap_or_default();
         let left = self.sends < self.plan.route.max_attempts;
@@ -429,7 +439,7 @@
             let mut router = self.gateway.router();
             router.waited(now, &self.plan, waited);
             let step = match self.model {
-                Some(_) => router.judge(now, &self.plan, &model, &head, left),
+                Some(_) => router.judge(now, &self.plan, &model, head, left),
                 None => Step::Keep,
             };
             (step, router.keep_from(now, &self.plan))
@@ -446,10 +456,9 @@
             "stream began"
         );
         if let Step::Ask(larger) = step {
-            // Closing the connection ends the run, which has begun all the same.
-            drop(response);
-            drop(lease);
             choice.end(Outcome::Dropped);
+            // Closing the connection ends the run, which has begun all the same.
+            drop(arrived);
             self.may_have_run = true;
             self.model = Some(larger);
             return Next::Larger;
@@ -457,22 +466,18 @@
         let took = self.req.came.elapsed();
         self.gateway
             .router()
-            .timed(&self.plan, &choice, Some(&model), took);
-        Next::Stream(Box::new(Began {
-            choice,
+            .timed(&self.plan, choice, Some(&model), took);
+        Next::Stream(Box::new(arrived))
+    }
+
+    /// Reads an answer that is not a stream before any of it goes on.
+    async fn take_whole(&mut self, arrived: Arrived) -> Next {
+        let Arrived {
+            mut choice,
             response,
             head,
             lease,
-        }))
-    }
-
-    async fn take_whole(
-        &mut self,
-        mut choice: Flight,
-        response: Response<Incoming>,
-        head: AnswerHead,
-        lease: Lease,
-    ) -> Next {
+        } = arrived;
         let (mut parts, body) = response.into_parts();
         let reading = Limited::new(body, MAX_ANSWER).collect();
         let body = match timeout_at(self.req.until.into(), reading).await {
--- a/sesamebeam/src/gateway/front.rs
+++ b/sesamebeam/src/gateway/front.rs
@@ -32,19 +32,19 @@
 };
 use sesamebeam_core::gateway::config::Limits;
 use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    time::sleep,
+    net::TcpStream,
+    time::sleep, //
 };
 use tokio_util::sync::CancellationToken;
 
 use super::{
     Gateway,
-    GatewayError,
     attempt, //
 };
+use crate::listen::{
+    self,
+    ListenError, //
+};
 
 /// Time after the signal to stop during which new callers may still come: the
 /// balancer asks once a second and takes an entry out after two misses.
@@ -82,15 +82,22 @@
 }
 
 /// Serves callers until a stop was asked for and they have been answered.
-pub(super) async fn run(
-    gateway: Arc<Gateway>,
-    halt: CancellationToken,
-) -> Result<(), GatewayError> {
-    let ready = listen(gateway.settings.ready).await?;
-    let front = listen(gateway.settings.front).await?;
-    tokio::spawn(answer_readiness(Arc::clone(&gateway), ready, halt.clone()));
+pub(super) async fn run(gateway: Arc<Gateway>, halt: CancellationToken) -> Result<(), ListenError> {
+    let ready = listen::bind(gateway.settings.ready).await?;
+    let front = listen::bind(gateway.settings.front).await?;
+    let asked = Arc::clone(&gateway);
+    tokio::spawn(listen::accept(ready, halt.clone(), move |stream| {
+        answer_readiness(Arc::clone(&asked), stream)
+    }));
     let open = Arc::new(AtomicUsize::new(0));
-    let accepting = accept(Arc::clone(&gateway), front, Arc::clone(&open));
+    let accepting = listen::accept(front, halt, |stream| {
+        let counted = Open::new(&open);
+        let gateway = Arc::clone(&gateway);
+        async move {
+            serve(gateway, stream).await;
+            drop(counted);
+        }
+    });
     tokio::select! {
         () = accepting => {}
         () = stop(&gateway, &open) => {}
@@ -116,34 +123,7 @@
     log::info!(open = open.load(Ordering::Relaxed); "stopped");
 }
 
-async fn listen(addr: std::net::SocketAddr) -> Result<TcpListener, GatewayError> {
-    let listener = TcpListener::bind(addr).await;
-    listener.map_err(|source| GatewayError::Listen { addr, source })
-}
-
-async fn accept(gateway: Arc<Gateway>, listener: TcpListener, open: Arc<AtomicUsize>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let counted = Open::new(&open);
-                let gateway = Arc::clone(&gateway);
-                tokio::spawn(async move {
-                    serve(gateway, stream).await;
-                    drop(counted);
-                });
-            }
-            Err(e) => {
-                log::warn!(error:% = e; "caller not accepted");
-                sleep(LOOK_EVERY).await;
-            }
-        }
-    }
-}
-
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
-    if let Err(e) = stream.set_nodelay(true) {
-        log::debug!(error:% = e; "no option set");
-    }
     let limits = gateway
         .router()
         .table()
@@ -174,26 +154,15 @@
 }
 
 /// Tells the balancer whether this entry takes callers.
-async fn answer_readiness(gateway: Arc<Gateway>, listener: TcpListener, halt: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            () = halt.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            sleep(LOOK_EVERY).await;
-            continue;
-        };
-        let gateway = Arc::clone(&gateway);
-        tokio::spawn(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                let ready = gateway.is_ready();
-                async move { Ok::<_, Infallible>(readiness(ready)) }
-            });
-            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = conn.await;
-        });
-    }
+async fn answer_readiness(gateway: Arc<Gateway>, stream: TcpStream) {
+    let service = service_fn(|_: Request<Incoming>| {
+        let ready = gateway.is_ready();
+        async move { Ok::<_, Infallible>(readiness(ready)) }
+    });
+    // A balancer that goes away asks again.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
 }
 
 fn readiness(ready: bool) -> Response<Full<Bytes>> {
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -31,8 +31,8 @@
         Broken, //
     },
     attempt::{
+        Arrived,
         Attempt,
-        Began,
         give_back, //
     },
     events::Events,
@@ -81,13 +81,13 @@
 
 impl Relay {
     /// Makes the answer that sends a stream on.
-    pub(super) fn answer(attempt: Attempt, began: Began) -> Answer {
-        let Began {
+    pub(super) fn answer(attempt: Attempt, arrived: Arrived) -> Answer {
+        let Arrived {
             choice,
             response,
             head,
             lease,
-        } = began;
+        } = arrived;
         let (mut parts, body) = response.into_parts();
         strip_hop_by_hop(&mut parts.headers);
         let relay = Self {
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -7,7 +7,7 @@
 mod folder;
 mod http;
 mod join;
-mod listen;
+mod links;
 mod notes;
 mod peer;
 
@@ -91,6 +91,7 @@
         Level, //
     },
     frames,
+    listen::ListenError,
 };
 
 /// Pause between two heartbeats of a leader. A sixth of the election time-out,
@@ -153,13 +154,8 @@
     #[error(transparent)]
     Disk(#[from] DiskError),
     /// An address cannot be used.
-    #[error("cannot listen on {addr}: {source}")]
-    Listen {
-        /// The address.
-        addr: SocketAddr,
-        /// Why not.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// The disk thread cannot be started.
     #[error("cannot start the disk thread: {0}")]
     Thread(io::Error),
@@ -252,7 +248,7 @@
         settings: settings.clone(),
     };
     runner.open()?;
-    listen::start(&settings, tx.clone(), halt.clone()).await?;
+    links::start(&settings, tx.clone(), halt.clone()).await?;
     http::start(&settings, protocol, tx.clone(), halt.clone()).await?;
     tokio::spawn(join::run(settings, seeds, place_rx, tx, halt.clone()));
     let ended = runner.run(rx, &cancel).await;
--- a/sesamebeam/src/group/http.rs
+++ b/sesamebeam/src/group/http.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -31,14 +30,7 @@
     Answer,
     Call, //
 };
-use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    sync::oneshot,
-    time::timeout,
-};
+use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -48,6 +40,7 @@
     Inputs,
     control_of, //
 };
+use crate::listen;
 
 /// Most bytes of a call: a configuration of 10,000 routes.
 const MAX_BODY: usize = 8 << 20;
@@ -99,38 +92,20 @@
     tx: Inputs,
     halt: CancellationToken,
 ) -> Result<(), GroupError> {
-    let addr = settings.control;
-    let listener = TcpListener::bind(addr).await;
-    let listener = listener.map_err(|source| GroupError::Listen { addr, source })?;
+    let listener = listen::bind(settings.control).await?;
     let cx = Arc::new(Context {
         settings: settings.clone(),
         protocol,
         tx,
     });
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = halt.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, from)) => {
-                    tokio::spawn(serve(stream, from, Arc::clone(&cx), halt.clone()));
-                }
-                Err(e) => {
-                    log::warn!(error:% = e; "call not accepted");
-                    tokio::time::sleep(Duration::from_millis(100)).await;
-                }
-            }
-        }
-    });
+    let cancel = halt.clone();
+    tokio::spawn(listen::accept(listener, halt, move |stream| {
+        serve(stream, Arc::clone(&cx), cancel.clone())
+    }));
     Ok(())
 }
 
-async fn serve(stream: TcpStream, from: SocketAddr, cx: Arc<Context>, halt: CancellationToken) {
-    if let Err(e) = stream.set_nodelay(true) {
-        log::debug!(from:% = from, error:% = e; "no option set");
-    }
+async fn serve(stream: TcpStream, cx: Arc<Context>, halt: CancellationToken) {
     let service = service_fn(|req| {
         let cx = Arc::clone(&cx);
         async move { Ok::<_, Infallible>(handle(req, &cx).await) }
@@ -143,7 +118,7 @@
         () = halt.cancelled() => {}
         ended = conn => {
             if let Err(e) = ended {
-                log::debug!(from:% = from, error:% = e; "caller's connection ended");
+                log::debug!(error:% = e; "caller's connection ended");
             }
         }
     }
--- a/sesamebeam/src/group/listen.rs
+++ b/sesamebeam/src/group/links.rs
@@ -14,10 +14,7 @@
 };
 use smol_str::SmolStr;
 use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
+    net::TcpStream,
     sync::{
         mpsc::{
             Receiver as Queue,
@@ -38,12 +35,15 @@
     Input,
     Inputs, //
 };
-use crate::frames::{
-    self,
-    ALIVE_EVERY,
-    FrameError,
-    Receiver,
-    Sender, //
+use crate::{
+    frames::{
+        self,
+        ALIVE_EVERY,
+        FrameError,
+        Receiver,
+        Sender, //
+    },
+    listen,
 };
 
 /// Messages that wait for one entry; one that lets more gather is cut.
@@ -55,40 +55,22 @@
     tx: Inputs,
     halt: CancellationToken,
 ) -> Result<(), GroupError> {
-    let addr = settings.internal;
-    let listener = TcpListener::bind(addr).await;
-    let listener = listener.map_err(|source| GroupError::Listen { addr, source })?;
-    tokio::spawn(async move {
-        tokio::select! {
-            () = halt.cancelled() => {}
-            () = accept(listener, tx, halt.clone()) => {}
-        }
-    });
-    Ok(())
-}
-
-async fn accept(listener: TcpListener, tx: Inputs, halt: CancellationToken) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (tx, halt) = (tx.clone(), halt.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = halt.cancelled() => {}
-                        ended = serve(stream, tx) => {
-                            if let Err(e) = ended {
-                                log::debug!(error:% = e; "connection ended");
-                            }
-                        }
+    let listener = listen::bind(settings.internal).await?;
+    let cancel = halt.clone();
+    tokio::spawn(listen::accept(listener, halt, move |stream| {
+        let (tx, halt) = (tx.clone(), cancel.clone());
+        async move {
+            tokio::select! {
+                () = halt.cancelled() => {}
+                ended = serve(stream, tx) => {
+                    if let Err(e) = ended {
+                        log::debug!(error:% = e; "connection ended");
                     }
-                });
-            }
-            Err(e) => {
-                log::warn!(error:% = e; "connection not accepted");
-                tokio::time::sleep(ALIVE_EVERY).await;
+                }
             }
         }
-    }
+    }));
+    Ok(())
 }
 
 async fn serve(stream: TcpStream, tx: Inputs) -> Result<(), FrameError> {
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod keys;
 pub mod limit;
 pub mod link;
+pub mod listen;
 pub mod local;
 pub mod logging;
 pub mod metrics;
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -4,8 +4,6 @@
 //! is told all that changes as soon as that replica knows it. Whatever arrives
 //! twice or late is ordered by its version, log position or sequence number.
 
-use std::net::SocketAddr;
-
 use serde::{
     Deserialize,
     Serialize, //
@@ -28,7 +26,8 @@
     ids::{
         Digest,
         LogIndex,
-        NodeId, //
+        NodeId,
+        ProcessAddr, //
     },
     replica::ReplicaMessage,
 };
@@ -73,7 +72,7 @@
     /// Where the control replicas listen, and how many entries are connected.
     Fleet {
         /// Addresses of the control replicas.
-        replicas: Vec<SocketAddr>,
+        replicas: Vec<ProcessAddr>,
         /// Entries connected to the sender.
         entries: u32,
     },
@@ -150,7 +149,7 @@
         /// Incarnation of its data folder.
         incarnation: u128,
         /// Where it listens.
-        addr: SocketAddr,
+        addr: ProcessAddr,
     },
 }
 
@@ -162,7 +161,7 @@
         /// Its identity.
         group: u128,
         /// All replicas with their addresses.
-        replicas: Vec<(NodeId, SocketAddr)>,
+        replicas: Vec<(NodeId, ProcessAddr)>,
         /// Whether the sender leads for certain.
         leads: bool,
     },
