Notice slow versions by the pace of their streams, and load a version on trial

The mean time between the events of a stream is compared now as well, and a trial goes to so few backend servers that they are loaded like the others. Tests: rollouts::slow_streams, rollouts::slow_on_few_requests_of_each_route, router::trial_is_loaded.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -438,6 +438,7 @@
         let (step, keep_from) = {
             let mut router = self.gateway.router();
             router.waited(now, &self.plan, waited);
+            router.timed(&self.plan, choice, Some(&model), waited);
             let step = match self.model {
                 Some(_) => router.judge(now, &self.plan, &model, head, left),
                 None => Step::Keep,
@@ -463,10 +464,6 @@
             self.model = Some(larger);
             return Next::Larger;
         }
-        let took = self.req.came.elapsed();
-        self.gateway
-            .router()
-            .timed(&self.plan, choice, Some(&model), took);
         Next::Stream(Box::new(arrived))
     }
 
@@ -501,9 +498,8 @@
             Outcome::Good
         };
         if !failed {
-            let took = self.req.came.elapsed();
             let mut router = self.gateway.router();
-            router.timed(&self.plan, &choice, None, took);
+            router.timed(&self.plan, &choice, None, choice.since());
             router.completed(self.req.fingerprint);
         }
         choice.end(outcome);
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -56,6 +56,8 @@
 pub(super) struct Relay {
     attempt: Attempt,
     events: Events,
+    /// When the first events came.
+    began: Option<Instant>,
     source: Option<Source>,
 }
 
@@ -93,6 +95,7 @@
         let relay = Self {
             events: Events::after(attempt.req.head.resume_after),
             attempt,
+            began: None,
             source: Some(Source {
                 choice,
                 body,
@@ -108,12 +111,16 @@
     async fn next(mut self) -> Result<Option<(Frame<Bytes>, Self)>, Broken> {
         loop {
             match self.step().await {
-                Step::Events(events) => return Ok(Some((Frame::data(events), self))),
+                Step::Events(events) => {
+                    self.began.get_or_insert_with(Instant::now);
+                    return Ok(Some((Frame::data(events), self)));
+                }
                 Step::Done => {
                     self.complete();
                     return Ok(None);
                 }
                 Step::Broke(outcome) => {
+                    self.began = None;
                     self.end_source(outcome);
                     if !self.resume().await {
                         self.attempt.count(RequestEnd::StreamBroken);
@@ -177,6 +184,7 @@
         if let Some(lease) = source.lease.take() {
             give_back(lease, &source.head);
         }
+        self.note_pace(&source.choice);
         source.choice.end(Outcome::Good);
         let fingerprint = self.attempt.req.fingerprint;
         self.attempt.gateway.router().completed(fingerprint);
@@ -184,6 +192,22 @@
         self.log("stream complete");
     }
 
+    /// Notes the pace of a stream that came from one run.
+    fn note_pace(&self, choice: &Flight) {
+        let gaps = self.events.count().saturating_sub(1);
+        if gaps == 0 {
+            return;
+        }
+        let Some(began) = self.began else {
+            return;
+        };
+        let pace = began.elapsed().div_f64(gaps as f64);
+        let attempt = &self.attempt;
+        let model = attempt.model.as_deref();
+        let mut router = attempt.gateway.router();
+        router.paced(&attempt.plan, choice, model, pace);
+    }
+
     fn end_source(&mut self, outcome: Outcome) {
         if let Some(mut source) = self.source.take() {
             if outcome == Outcome::Unreachable {
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -184,7 +184,13 @@
     pub good: u32,
     /// Answers that failed.
     pub bad: u32,
-    /// Sum of the times to the first byte of good answers, in milliseconds,
-    /// each divided by the mean of its route and model on other versions.
+    /// First bytes that were timed, those of answers that were dropped included.
+    pub timed: u32,
+    /// Sum of the times to them, each divided by the mean of its route and model
+    /// on other versions.
     pub slowness: f64,
+    /// Streams whose pace was measured.
+    pub paced: u32,
+    /// Sum of the times between their events, divided in the same way.
+    pub pace: f64,
 }
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -38,7 +38,7 @@
 /// fail from a tenth of their answers on.
 const BAD_EXCESS: f64 = 0.12;
 
-/// Good answers from which times are compared.
+/// Timed answers from which times are compared.
 const MIN_TIMED: u32 = 8;
 
 /// How many times slower than the versions before a bad one answers; within
@@ -74,7 +74,10 @@
 struct Counts {
     good: u32,
     bad: u32,
+    timed: u32,
     slowness: f64,
+    paced: u32,
+    pace: f64,
 }
 
 /// What a leader weighs about one running roll-out.
@@ -110,7 +113,10 @@
         let counts = side.entry(evidence.route.clone()).or_default();
         counts.good += evidence.good;
         counts.bad += evidence.bad;
+        counts.timed += evidence.timed;
         counts.slowness += evidence.slowness;
+        counts.paced += evidence.paced;
+        counts.pace += evidence.pace;
     }
 
     /// Returns the phase that the roll-out should be in now.
@@ -141,7 +147,9 @@
 
     fn is_bad(&self) -> bool {
         let (new, old) = (total(&self.new), total(&self.old));
-        if fails_more(new, old) {
+        // Times are shares of the mean of their route, so that those of all
+        // routes tell sooner than each by itself.
+        if fails_more(new, old) || is_slower(new, old) {
             return true;
         }
         let routes = self.new.iter();
@@ -154,7 +162,10 @@
     side.values().fold(Counts::default(), |a, b| Counts {
         good: a.good + b.good,
         bad: a.bad + b.bad,
+        timed: a.timed + b.timed,
         slowness: a.slowness + b.slowness,
+        paced: a.paced + b.paced,
+        pace: a.pace + b.pace,
     })
 }
 
@@ -163,9 +174,17 @@
     new.bad >= MIN_BAD && share(new) > share(old) + BAD_EXCESS
 }
 
+/// Returns whether the first bytes, or the events after them, come more slowly.
+///
+/// With few requests on a new version its first bytes are as fast as ever; what
+/// is slow about it then shows in the pace of its streams alone.
 fn is_slower(new: Counts, old: Counts) -> bool {
-    let mean = |c: Counts| c.slowness / f64::from(c.good.max(1));
-    new.good >= MIN_TIMED && old.good >= MIN_TIMED && mean(new) > mean(old) * SLOW_RATIO
+    let slower = |new: (u32, f64), old: (u32, f64)| {
+        let mean = |(count, sum): (u32, f64)| sum / f64::from(count.max(1));
+        new.0 >= MIN_TIMED && old.0 >= MIN_TIMED && mean(new) > mean(old) * SLOW_RATIO
+    };
+    let first = slower((new.timed, new.slowness), (old.timed, old.slowness));
+    first || slower((new.paced, new.pace), (old.paced, old.pace))
 }
 
 /// Which versions of a service a request may go to.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -171,6 +171,9 @@
     pub version: SmolStr,
 }
 
+/// Means by route and model.
+type Means = HashMap<(SmolStr, Option<ModelId>), f64>;
+
 /// Key of counts of answers.
 type EvidenceKey = (ServiceId, SmolStr, SmolStr);
 
@@ -190,8 +193,10 @@
     crashes: Vec<Crash>,
     /// Requests that completed of late, the oldest first.
     completed: IndexSet<Digest>,
-    /// Mean time to the first byte by route and model, in milliseconds.
-    times: HashMap<(SmolStr, Option<ModelId>), f64>,
+    /// Mean time to the first byte, in milliseconds.
+    times: Means,
+    /// Mean time between events, in milliseconds.
+    paces: Means,
     sessions: Sessions,
     /// Mean length of the prompts of each route, in tokens.
     lengths: HashMap<SmolStr, f64>,
@@ -215,7 +220,8 @@
             quarantined: HashSet::new(),
             crashes: Vec::new(),
             completed: IndexSet::new(),
-            times: HashMap::new(),
+            times: Means::new(),
+            paces: Means::new(),
             lengths: HashMap::new(),
             count: 0,
         }
@@ -330,6 +336,9 @@
         let allowed = self.allowed(plan);
         let mut fit: Vec<&Known> = self.directory.ready(&plan.service).collect();
         fit.retain(|k| allowed.has(&k.said.version));
+        if plan.on_trial && self.is_canary(&plan.service) {
+            self.keep_few(&mut fit, plan, tried);
+        }
         let affinity = plan
             .shared
             .map(|part| part ^ hash::name(model.unwrap_or_default().as_bytes()));
@@ -402,17 +411,22 @@
         self.cascade.keep_from(now, &plan.service, plan.expense)
     }
 
-    /// Notes the time to the first byte of a success.
+    /// Notes the time from a send to the first byte of its success.
     pub fn timed(&mut self, plan: &Plan, choice: &Choice, model: Option<&str>, took: Duration) {
         let on_trial = self.is_target(&plan.service, &choice.version);
-        let key = (plan.route.name.clone(), model.map(SmolStr::new));
-        let millis = took.as_secs_f64() * 1e3;
-        let mean = self.times.entry(key).or_insert(millis);
-        let slowness = millis / mean.max(0.1);
-        if !on_trial {
-            *mean += TIME_WEIGHT * (millis - *mean);
-        }
-        self.evidence_of(plan, choice).slowness += slowness;
+        let slowness = compare(&mut self.times, plan, model, took, on_trial);
+        let evidence = self.evidence_of(plan, choice);
+        evidence.timed += 1;
+        evidence.slowness += slowness;
+    }
+
+    /// Notes the mean time between the events of a stream.
+    pub fn paced(&mut self, plan: &Plan, choice: &Choice, model: Option<&str>, pace: Duration) {
+        let on_trial = self.is_target(&plan.service, &choice.version);
+        let slowness = compare(&mut self.paces, plan, model, pace, on_trial);
+        let evidence = self.evidence_of(plan, choice);
+        evidence.paced += 1;
+        evidence.pace += slowness;
     }
 
     /// Notes how a send ended.
@@ -547,6 +561,28 @@
             .is_some_and(|r| r.target == version)
     }
 
+    fn is_canary(&self, service: &str) -> bool {
+        let rollout = self.rollouts.get(service);
+        rollout.is_some_and(|r| r.phase == Phase::Canary)
+    }
+
+    /// Leaves so few of the backend servers of a version on trial that each has
+    /// about as many requests as those of the versions before.
+    ///
+    /// Some versions fail only under load. Spread over all of them, the share of
+    /// a trial loads none, and such a version takes over with no evidence against
+    /// it. Every entry leaves the same ones.
+    fn keep_few(&self, fit: &mut Vec<&Known>, plan: &Plan, tried: &[ServerId]) {
+        let before = self.directory.ready(&plan.service).count() - fit.len();
+        let share = self.cfg.exposure_share * CANARY_PART;
+        let few = (share * before as f64).floor().max(1.0) as usize;
+        fit.retain(|k| !tried.contains(&k.said.id));
+        fit.sort_by_key(|k| {
+            std::cmp::Reverse(hash::rendezvous(&k.said.version, k.said.id.as_bytes()))
+        });
+        fit.truncate(few);
+    }
+
     fn allowed(&self, plan: &Plan) -> Allowed {
         let Some(rollout) = self.rollouts.get(&plan.service) else {
             return Allowed::Any;
@@ -564,3 +600,22 @@
         }
     }
 }
+
+/// Returns a time as a share of the mean of its route and model, which follows
+/// the times of versions that are not on trial.
+fn compare(
+    means: &mut Means,
+    plan: &Plan,
+    model: Option<&str>,
+    took: Duration,
+    on_trial: bool,
+) -> f64 {
+    let key = (plan.route.name.clone(), model.map(SmolStr::new));
+    let millis = took.as_secs_f64() * 1e3;
+    let mean = means.entry(key).or_insert(millis);
+    let share = millis / mean.max(0.1);
+    if !on_trial {
+        *mean += TIME_WEIGHT * (millis - *mean);
+    }
+    share
+}
--- a/sesamebeam_core/tests/gateway/rollouts.rs
+++ b/sesamebeam_core/tests/gateway/rollouts.rs
@@ -27,7 +27,9 @@
         route: "notes".into(),
         good,
         bad,
+        timed: good,
         slowness: slowness * f64::from(good),
+        ..Evidence::default()
     }
 }
 
@@ -79,3 +81,59 @@
     let phase = watch.phase(ms(15_000), &rollout(Phase::Canary));
     assert_eq!(phase, Phase::Canary);
 }
+
+#[test]
+fn slow_on_few_requests_of_each_route() {
+    // A new version answers eight times as slowly. Within its trial each of three
+    // routes has seen it six times only; all of them together are enough.
+    let mut watch = Watch::new(ms(0));
+    for route in ["notes", "sheets", "codes"] {
+        let of_route = |version, good, slowness| Evidence {
+            route: route.into(),
+            ..evidence(version, good, 0, slowness)
+        };
+        watch.take("v2", &of_route("v1", 200, 1.0));
+        watch.take("v2", &of_route("v2", 6, 8.0));
+    }
+    let phase = watch.phase(ms(5000), &rollout(Phase::Canary));
+    assert_eq!(phase, Phase::RolledBack);
+}
+
+#[test]
+fn slow_streams() {
+    // A new version's first bytes come as fast as ever, but its events eight
+    // times as slowly.
+    let mut watch = Watch::new(ms(0));
+    let paced = |version, count, pace| Evidence {
+        paced: count,
+        pace: pace * f64::from(count),
+        ..evidence(version, count, 0, 1.0)
+    };
+    watch.take("v2", &paced("v1", 200, 1.0));
+    watch.take("v2", &paced("v2", 9, 8.0));
+    let phase = watch.phase(ms(5000), &rollout(Phase::Canary));
+    assert_eq!(phase, Phase::RolledBack);
+}
+
+#[test]
+fn exposure_without_evidence() {
+    // A new version is bad in a way that nothing shows before the end of its
+    // roll-out, say only under a load that does not come. What reached it until
+    // then must be within the allowed share all the same.
+    const SHARE: f64 = 0.15;
+    const ON_TRIAL: f64 = 0.6 * SHARE;
+    let mut watch = Watch::new(ms(0));
+    watch.take("v2", &evidence("v1", 300, 0, 1.0));
+    watch.take("v2", &evidence("v2", 30, 0, 1.0));
+    let mut now = rollout(Phase::Canary);
+    let mut exposed = 0.0;
+    for at in 0..200 {
+        now.phase = watch.phase(ms(at * 100), &now);
+        exposed += match now.phase {
+            Phase::Canary => ON_TRIAL,
+            Phase::Promoted | Phase::Completed => 1.0,
+            Phase::RolledBack => 0.0,
+        } / 200.0;
+    }
+    assert!(exposed <= SHARE, "{exposed:.2} of the requests");
+}
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -233,3 +233,25 @@
     router.set_quarantined([5]);
     assert!(router.check_fingerprint(5).is_ok());
 }
+
+#[test]
+fn trial_is_loaded() {
+    // A new version is on trial at three backend servers beside four old ones.
+    // Its share goes to one of them, which has as many requests as an old one
+    // then: what fails under load fails there.
+    let mut router = router(4);
+    roll_out(&mut router, Phase::Canary, 1);
+    let mut used = std::collections::BTreeSet::new();
+    for n in 0..2000 {
+        let plan = router
+            .admit(ms(n), &head(&format!("r{n}")))
+            .expect("it is admitted");
+        let choice = router
+            .choose(ms(n), &plan, None, &[])
+            .expect("there is room");
+        if choice.version == "v2" {
+            used.insert(choice.id.clone());
+        }
+    }
+    assert_eq!(used.len(), 1);
+}
