Have a version take over so late that its exposure is bounded without evidence

Change: it takes over when what is left of the time, with its trial, is within the allowed share; it is complete 1.2 s before the end.

--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -186,11 +186,13 @@
             name: self.gateway.settings.name.clone(),
         })
         .await?;
-        // A replica that has just started learns the backend servers from here.
-        let servers = {
+        // A replica that has just started learns from here what it does not keep.
+        let (servers, ages) = {
             let router = self.gateway.router();
-            router.directory().all().map(|k| k.said.clone()).collect()
+            let servers = router.directory().all().map(|k| k.said.clone());
+            (servers.collect(), router.rollout_ages(self.gateway.now()))
         };
+        tx.send(&FromEntry::Ages(ages)).await?;
         tx.send(&FromEntry::Servers(servers)).await?;
         *reached = true;
         log::info!(replica:% = self.addr; "control replica reached");
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -145,6 +145,8 @@
     pub data: PathBuf,
     /// Replicas that may be lost at once.
     pub tolerated: usize,
+    /// Share of a service's requests that a bad version may get.
+    pub exposure: f64,
 }
 
 /// Why a control replica had to stop.
@@ -226,6 +228,7 @@
     let cfg = CoordinatorConfig {
         addr: settings.internal,
         tolerated: settings.tolerated,
+        exposure: settings.exposure,
         patience: PATIENCE,
         disk_patience: DISK_PATIENCE,
     };
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -82,6 +82,9 @@
     pub addr: SocketAddr,
     /// Replicas that may be lost at once; twice as many and one vote.
     pub tolerated: usize,
+    /// Share of a service's requests that a bad version may get until the end of
+    /// its roll-out.
+    pub exposure: f64,
     /// Longest time for an answer to a caller; it asks another replica then.
     pub patience: Duration,
     /// Time for which a write may stay unsynced before the disk counts as
@@ -333,6 +336,7 @@
             FromEntry::Evidence(evidence) => self.trials.take(self.now, &self.store, &evidence),
             FromEntry::Crashed(crashes) => self.count_crashes(crashes),
             FromEntry::Kept(kept) => self.keep_sessions(kept),
+            FromEntry::Ages(ages) => self.trials.have_run(self.now, &self.store, &ages),
             FromEntry::Alive => {}
         }
     }
--- a/sesamebeam_core/src/gateway/coordinator/trial.rs
+++ b/sesamebeam_core/src/gateway/coordinator/trial.rs
@@ -15,6 +15,7 @@
     gateway::{
         config::ServiceId,
         feed::{
+            Age,
             Evidence,
             Kept, //
         },
@@ -35,6 +36,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Trials {
     watched: BTreeMap<(ServiceId, SmolStr), Watch>,
+    /// When roll-outs started that are not applied here yet.
+    heard: BTreeMap<(ServiceId, SmolStr), MonoTime>,
     /// Sessions that stay on the versions before.
     kept: BTreeMap<(ServiceId, SmolStr), BTreeSet<u64>>,
 }
@@ -49,7 +52,10 @@
         self.kept.retain(|key, _| watched.contains_key(key));
         for (service, rollout) in rollouts {
             let key = (service.clone(), rollout.target.clone());
-            self.watched.entry(key).or_insert_with(|| Watch::new(now));
+            if !self.watched.contains_key(&key) {
+                let started = self.heard.remove(&key).unwrap_or(now);
+                self.watched.insert(key, Watch::new(started));
+            }
         }
     }
 
@@ -58,6 +64,28 @@
         self.follow(now, rollouts);
     }
 
+    /// Notes how long roll-outs have run, those that are not applied here yet
+    /// included: a replica that starts hears of them first.
+    pub(super) fn have_run(&mut self, now: MonoTime, store: &Store, ages: &[Age]) {
+        self.follow(now, store.rollouts());
+        for Age {
+            service,
+            target,
+            age,
+        } in ages
+        {
+            let key = (service.clone(), target.clone());
+            match self.watched.get_mut(&key) {
+                Some(watch) => watch.has_run(now, *age),
+                None => {
+                    let started = now.saturating_sub(*age);
+                    let heard = self.heard.entry(key).or_insert(started);
+                    *heard = started.min(*heard);
+                }
+            }
+        }
+    }
+
     /// Notes sessions that stay on the versions before a roll-out.
     pub(super) fn keep(&mut self, kept: &Kept) {
         let key = (kept.service.clone(), kept.target.clone());
@@ -106,7 +134,7 @@
             let Some(watch) = self.trials.watched.get(&key) else {
                 continue;
             };
-            let phase = watch.phase(self.now, &rollout);
+            let phase = watch.phase(self.now, &rollout, self.cfg.exposure);
             if phase == rollout.phase {
                 continue;
             }
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -4,6 +4,8 @@
 //! is told all that changes as soon as that replica knows it. Whatever arrives
 //! twice or late is ordered by its version, log position or sequence number.
 
+use std::time::Duration;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -62,6 +64,8 @@
     Crashed(Vec<Crash>),
     /// Sessions that must stay on the versions before a roll-out.
     Kept(Kept),
+    /// How long roll-outs have run, for a replica that has started since.
+    Ages(Vec<Age>),
     /// It lives.
     Alive,
 }
@@ -128,6 +132,17 @@
     pub sessions: Vec<u64>,
 }
 
+/// How long a roll-out has run, as one entry knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Age {
+    /// Service.
+    pub service: ServiceId,
+    /// Version that is brought in.
+    pub target: SmolStr,
+    /// Time since the entry first heard of it.
+    pub age: Duration,
+}
+
 /// A request that was running when a backend server went down.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -23,13 +23,17 @@
 };
 use crate::ids::MonoTime;
 
-/// Share of the time that a roll-out may take after which a version without
-/// evidence against it takes over. Sessions must not change version before.
-const PROMOTE_AT: f64 = 0.52;
+/// Part of the allowed exposure that the share of a new version on trial takes:
+/// the rest is for the time after it has taken over.
+pub const TRIAL_PART: f64 = 0.4;
 
-/// Share of the time after which a version that took over is called complete,
-/// if requests on old ones have not ended before.
-const COMPLETE_AT: f64 = 0.88;
+/// Earliest share of the time of a roll-out at which a version takes over.
+/// Sessions must not change version in the first half.
+const PROMOTE_FROM: f64 = 0.52;
+
+/// Time before the end at which a version that took over is called complete:
+/// operators ask about once a second how far it is.
+const COMPLETE_BEFORE: Duration = Duration::from_millis(1200);
 
 /// Failures from which a new version is suspected at all: two may be chance.
 const MIN_BAD: u32 = 4;
@@ -98,6 +102,14 @@
         }
     }
 
+    /// Takes how long it has run at least.
+    ///
+    /// A replica that has started since knows nothing of that; counted from its
+    /// own start, a roll-out would end too late by the time before.
+    pub fn has_run(&mut self, now: MonoTime, age: Duration) {
+        self.since = self.since.min(now.saturating_sub(age));
+    }
+
     /// Returns for how long it has been watched.
     pub fn age(&self, now: MonoTime) -> Duration {
         now.saturating_sub(self.since)
@@ -119,8 +131,9 @@
         counts.pace += evidence.pace;
     }
 
-    /// Returns the phase that the roll-out should be in now.
-    pub fn phase(&self, now: MonoTime, rollout: &Rollout) -> Phase {
+    /// Returns the phase that the roll-out should be in now. `exposure` is the
+    /// share of the requests until its end that a bad version may get.
+    pub fn phase(&self, now: MonoTime, rollout: &Rollout, exposure: f64) -> Phase {
         match rollout.phase {
             Phase::Completed | Phase::RolledBack => return rollout.phase,
             Phase::Canary | Phase::Promoted => {}
@@ -128,12 +141,13 @@
         if self.is_bad() {
             return Phase::RolledBack;
         }
-        let elapsed = now.saturating_sub(self.since).as_secs_f64();
-        let part = elapsed / rollout.duration.as_secs_f64().max(0.001);
+        let elapsed = now.saturating_sub(self.since);
+        let part = elapsed.as_secs_f64() / rollout.duration.as_secs_f64().max(0.001);
+        let left = rollout.duration.saturating_sub(elapsed);
         let seen: u32 = self.new.values().map(|c| c.good).sum();
         match rollout.phase {
-            Phase::Canary if part >= PROMOTE_AT && seen > 0 => Phase::Promoted,
-            Phase::Promoted if part >= COMPLETE_AT => Phase::Completed,
+            Phase::Canary if part >= promote_at(exposure) && seen > 0 => Phase::Promoted,
+            Phase::Promoted if left <= COMPLETE_BEFORE => Phase::Completed,
             phase => phase,
         }
     }
@@ -158,6 +172,17 @@
     }
 }
 
+/// Returns the share of the time at which a version takes over.
+///
+/// What is bad about a version may show only under a load that does not come.
+/// It takes over so late that even then it gets no more until the end than a bad
+/// version may: taking over at half of the time gave it over half of all.
+fn promote_at(exposure: f64) -> f64 {
+    let on_trial = TRIAL_PART * exposure;
+    let latest = (1.0 - exposure) / (1.0 - on_trial).max(f64::EPSILON);
+    latest.max(PROMOTE_FROM)
+}
+
 fn total(side: &BTreeMap<RouteId, Counts>) -> Counts {
     side.values().fold(Counts::default(), |a, b| Counts {
         good: a.good + b.good,
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -43,6 +43,7 @@
         ServerId, //
     },
     feed::{
+        Age,
         Crash,
         Evidence,
         Kept, //
@@ -55,7 +56,8 @@
     rollout::{
         Allowed,
         Phase,
-        Rollouts, //
+        Rollouts,
+        TRIAL_PART, //
     },
     sessions::Sessions,
     table::{
@@ -76,10 +78,6 @@
     policy::hash,
 };
 
-/// Part of the allowed exposure that the share of a new version takes: some is
-/// kept for repeated sends and for the time until a roll-back is known.
-const CANARY_PART: f64 = 0.6;
-
 /// Requests that completed of late and are kept in mind: some minutes of an
 /// entry's traffic, in 100 KB.
 const MAX_COMPLETED: usize = 2048;
@@ -208,7 +206,7 @@
     pub fn new(cfg: RouterConfig) -> Self {
         Self {
             budget: Budget::new(cfg.budget),
-            sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * CANARY_PART),
+            sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * TRIAL_PART),
             cfg,
             table: None,
             index: 0,
@@ -456,6 +454,11 @@
         self.sessions.keep(now, kept, all);
     }
 
+    /// Returns how long each roll-out has run.
+    pub fn rollout_ages(&self, now: MonoTime) -> Vec<Age> {
+        self.sessions.ages(now)
+    }
+
     /// Takes the sessions that are to be reported as such.
     pub fn take_kept(&mut self) -> Vec<Kept> {
         self.sessions.take_fresh()
@@ -574,7 +577,7 @@
     /// it. Every entry leaves the same ones.
     fn keep_few(&self, fit: &mut Vec<&Known>, plan: &Plan, tried: &[ServerId]) {
         let before = self.directory.ready(&plan.service).count() - fit.len();
-        let share = self.cfg.exposure_share * CANARY_PART;
+        let share = self.cfg.exposure_share * TRIAL_PART;
         let few = (share * before as f64).floor().max(1.0) as usize;
         fit.retain(|k| !tried.contains(&k.said.id));
         fit.sort_by_key(|k| {
--- a/sesamebeam_core/src/gateway/sessions.rs
+++ b/sesamebeam_core/src/gateway/sessions.rs
@@ -20,7 +20,10 @@
 
 use super::{
     config::ServiceId,
-    feed::Kept, //
+    feed::{
+        Age,
+        Kept, //
+    },
 };
 use crate::{
     ids::{
@@ -42,6 +45,8 @@
 #[derive(Debug)]
 struct Trial {
     target: SmolStr,
+    /// When it was first heard of.
+    since: MonoTime,
     /// When sessions may go to the new version.
     from: MonoTime,
     /// Drawn sessions that stay on the versions before.
@@ -95,6 +100,7 @@
         let kept: HashSet<u64> = drawn.map(|(s, _)| hash::name(s.as_bytes())).collect();
         let trial = Trial {
             target: target.clone(),
+            since: now,
             from: now + GATHER,
             fresh: kept.iter().copied().collect(),
             kept,
@@ -116,6 +122,16 @@
         }
     }
 
+    /// Returns how long each roll-out has run.
+    pub fn ages(&self, now: MonoTime) -> Vec<Age> {
+        let age = |(service, trial): (&ServiceId, &Trial)| Age {
+            service: service.clone(),
+            target: trial.target.clone(),
+            age: now.saturating_sub(trial.since),
+        };
+        self.trials.iter().map(age).collect()
+    }
+
     /// Takes what is to be reported.
     pub fn take_fresh(&mut self) -> Vec<Kept> {
         let with_fresh = self.trials.iter_mut().filter(|(_, t)| !t.fresh.is_empty());
--- a/sesamebeam_core/tests/gateway/group.rs
+++ b/sesamebeam_core/tests/gateway/group.rs
@@ -134,6 +134,7 @@
         let cfg = CoordinatorConfig {
             addr: listens(node),
             tolerated: self.tolerated,
+            exposure: 0.15,
             patience: ms(800),
             disk_patience: ms(400),
         };
