--- a/sesamebeam/src/group/clock.rs
+++ b/sesamebeam/src/group/clock.rs
@@ -8,7 +8,7 @@
 };
 use sesamebeam_core::ids::MonoTime;
 
-/// A clock that goes on while the machine is suspended.
+/// A clock that goes on while the instance is suspended.
 ///
 /// The monotonic clock stands still meanwhile: a leader that wakes up would
 /// believe in a lease that ended while another was elected, and answer reads
