--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -22,7 +22,10 @@
         Incoming, //
     },
 };
-use sesamebeam_core::gateway::{balance::Outcome, request::AnswerHead};
+use sesamebeam_core::gateway::{
+    balance::Outcome,
+    request::AnswerHead, //
+};
 use tokio::time::timeout_at;
 
 use super::{
--- a/sesamebeam/src/group/http.rs
+++ b/sesamebeam/src/group/http.rs
@@ -30,7 +30,11 @@
     Answer,
     Call, //
 };
-use tokio::{net::TcpStream, sync::oneshot, time::timeout};
+use tokio::{
+    net::TcpStream,
+    sync::oneshot,
+    time::timeout, //
+};
 use tokio_util::sync::CancellationToken;
 
 use super::{
