Tell the others of a leaving backend server that is unknown here

Tests: orders::leaving_server_unknown_here, orders::leaving_server_at_a_reserve; both failed before.

--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -1,6 +1,9 @@
 //! Announcements of backend servers, and passing them on.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use super::{
     Action,
@@ -10,6 +13,7 @@
 };
 use crate::{
     gateway::{
+        config::ServiceId,
         directory::{
             Announcement,
             ServerState, //
@@ -21,7 +25,8 @@
     },
     ids::{
         MonoTime,
-        NodeId, //
+        NodeId,
+        ServerAddr, //
     },
     replica::Ticket,
 };
@@ -77,11 +82,18 @@
     }
 
     /// Takes the word of a backend server that it leaves, by its id alone.
+    ///
+    /// One that is unknown here may be known to all others: this replica has just
+    /// started, or has no place in the group. Said yes to without telling them,
+    /// it left while entries went on sending it work, 41 requests in one case.
     pub(super) fn left(&mut self, ticket: Ticket, id: &str) {
-        let Some(said) = self.directory.leave(self.now, id) else {
-            // Nobody here was ever told of it, so nothing is sent to it.
-            self.actions.push(Action::Answer(ticket, Answer::Done));
-            return;
+        let said = match self.directory.leave(self.now, id) {
+            Some(said) => said,
+            None => {
+                let said = gone(id);
+                self.directory.take(self.now, said.clone());
+                said
+            }
         };
         self.note_server(&said);
         self.push_servers(vec![said.clone()]);
@@ -161,3 +173,20 @@
         });
     }
 }
+
+/// Returns the announcement of a backend server that left and of which nothing
+/// else is known.
+fn gone(id: &str) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: ServiceId::default(),
+        addr: ServerAddr::from(([0, 0, 0, 0], 0)),
+        domain: Default::default(),
+        version: Default::default(),
+        slots: 0,
+        state: ServerState::Gone,
+        cold: Duration::ZERO,
+        models: Vec::new(),
+        sequence: 0,
+    }
+}
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -6,7 +6,10 @@
         Call,
         Event, //
     },
-    directory::ServerState,
+    directory::{
+        Announcement,
+        ServerState, //
+    },
     feed::{
         Age,
         Evidence,
@@ -17,6 +20,11 @@
     store::Document,
 };
 
+use sesamebeam_core::replica::{
+    Members,
+    Saved, //
+};
+
 use crate::{
     group::{
         Group,
@@ -265,3 +273,35 @@
     };
     assert_eq!(rollout.phase, Phase::Completed);
 }
+
+#[test]
+fn leaving_server_unknown_here() {
+    // A replica has just started, or was never told of a backend server, which
+    // says by its id alone that it leaves. Entries that hear the other replicas
+    // know it and go on sending work, so that they have to be told.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    group.event(2, Event::Said(FromEntry::Servers(vec![announcement(1)])));
+    group.run(50);
+    group.pushed.clear();
+    assert_eq!(group.ask(1, Call::Leave("server-1".into())), Answer::Done);
+    let told = group.pushed.iter().any(|(node, push)| {
+        let ToEntry::Servers(servers) = push else {
+            return false;
+        };
+        let gone = |s: &Announcement| s.id == "server-1" && s.state == ServerState::Gone;
+        *node == 2 && servers.iter().any(gone)
+    });
+    assert!(told, "{:?}", group.pushed);
+}
+
+#[test]
+fn leaving_server_at_a_reserve() {
+    // The same at a process that has no place in the group: nobody hears what it
+    // knows, so that it must not say yes.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    group.boot(8, Members::default(), Saved::default());
+    let answer = group.ask(8, Call::Leave("server-1".into()));
+    assert_eq!(answer, Answer::Unavailable);
+}
