--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -55,6 +55,7 @@
     bytes_lost_midway = { "112-bytes-lost-midway", 201 },
     stop_while_paused = { "145-stop-while-paused", 202 },
     reload_at_start = { "1000-reload-at-start", 204 },
+    reload_at_start_and_kill = { "2008-reload-at-start", 206 },
     reload_at_start_again = { "2022-reload-at-start", 205 },
 )]
 fn failed_once(name: &str, slot: u8) {
