Take out what nothing calls

Found on reading the change again: Budget::spent and Directory::hear had no caller, Trials::restart was another name for follow, the control daemon kept a copy of its peers that nothing read, and both branches of subscribe made the same message. Behaviour is the same.

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -199,7 +199,6 @@
     /// Folder that is in use.
     folder: PathBuf,
     tx: Inputs,
-    peers: Peers,
     senders: HashMap<NodeId, PeerSender>,
     entries: HashMap<EntryLife, Sender<Bytes>>,
     questions: HashMap<Ticket, oneshot::Sender<Reply>>,
@@ -239,7 +238,6 @@
         disk: None,
         folder: PathBuf::new(),
         tx: tx.clone(),
-        peers: Peers::default(),
         senders: HashMap::new(),
         entries: HashMap::new(),
         questions: HashMap::new(),
@@ -369,7 +367,7 @@
                     }
                 }
                 Action::Push(to, message) => self.push(to, &message),
-                Action::Peers(peers) => self.set_peers(peers),
+                Action::Peers(peers) => self.set_peers(&peers),
                 Action::Note(note) => notes::log(&note),
             }
         }
@@ -403,7 +401,7 @@
         }
     }
 
-    fn set_peers(&mut self, peers: Peers) {
+    fn set_peers(&mut self, peers: &Peers) {
         self.senders
             .retain(|&node, sender| peers.addr(node) == Some(sender.addr()));
         let own = self.core.id();
@@ -414,7 +412,6 @@
             let sender = PeerSender::start(own.unwrap_or_default(), addr, self.halt.child_token());
             self.senders.insert(node, sender);
         }
-        self.peers = peers;
     }
 
     /// Opens the data folder, or makes it if this process is one of the first
--- a/sesamebeam_core/src/gateway/budget.rs
+++ b/sesamebeam_core/src/gateway/budget.rs
@@ -90,14 +90,6 @@
         true
     }
 
-    /// Returns the share of the budget of a service that is spent.
-    pub fn spent(&mut self, now: MonoTime, service: &ServiceId) -> f64 {
-        self.part(now, service);
-        let (requests, repeats) = self.counted(service);
-        let allowed = self.cfg.ratio * f64::from(requests) * SPENT;
-        f64::from(repeats) / allowed.max(1.0)
-    }
-
     fn counted(&self, service: &ServiceId) -> (u32, u32) {
         let parts = self.services.get(service).into_iter().flatten();
         parts.fold((0, 0), |(requests, repeats), p| {
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -421,14 +421,11 @@
     fn subscribe(&mut self, life: EntryLife) {
         self.entries.insert(life);
         let entries = self.entries.len() as u32;
-        if entries > self.most_entries {
-            self.most_entries = entries;
-            let fleet = self.fleet();
-            self.actions.push(Action::Push(None, fleet));
-        } else {
-            let fleet = self.fleet();
-            self.actions.push(Action::Push(Some(life), fleet));
-        }
+        let grew = entries > self.most_entries;
+        self.most_entries = self.most_entries.max(entries);
+        let told = if grew { None } else { Some(life) };
+        let fleet = self.fleet();
+        self.actions.push(Action::Push(told, fleet));
         let state = self.state(true);
         self.actions.push(Action::Push(Some(life), state));
         let servers = self.directory.all().map(|k| k.said.clone()).collect();
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -134,7 +134,7 @@
     pub(super) fn role_changed(&mut self, role: Role) {
         self.note(Note::Role(role));
         if role == Role::Leader {
-            self.trials.restart(self.now, self.store.rollouts());
+            self.trials.follow(self.now, self.store.rollouts());
         }
     }
 
--- a/sesamebeam_core/src/gateway/coordinator/trial.rs
+++ b/sesamebeam_core/src/gateway/coordinator/trial.rs
@@ -59,11 +59,6 @@
         }
     }
 
-    /// Follows the roll-outs as a leader; every replica has watched them.
-    pub(super) fn restart(&mut self, now: MonoTime, rollouts: &Rollouts) {
-        self.follow(now, rollouts);
-    }
-
     /// Notes how long roll-outs have run, those that are not applied here yet
     /// included: a replica that starts hears of them first.
     pub(super) fn have_run(&mut self, now: MonoTime, store: &Store, ages: &[Age]) {
--- a/sesamebeam_core/src/gateway/directory.rs
+++ b/sesamebeam_core/src/gateway/directory.rs
@@ -116,13 +116,6 @@
         Some(said)
     }
 
-    /// Notes that a backend server was heard of.
-    pub fn hear(&mut self, now: MonoTime, id: &str) {
-        if let Some(known) = self.servers.get_mut(id) {
-            known.heard_at = known.heard_at.max(now);
-        }
-    }
-
     /// Returns a backend server.
     pub fn get(&self, id: &str) -> Option<&Known> {
         self.servers.get(id)
