--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -51,6 +51,13 @@
 /// First port between processes.
 const INTERNAL: u16 = 7340;
 
+/// Longest time from a start until the daemon catches SIGHUP. It takes a few
+/// milliseconds; the rest is for a machine that is busy with other work.
+const CATCHES_WITHIN: Duration = Duration::from_secs(2);
+
+/// Pause between two looks at whether it does.
+const CATCH_LOOK_EVERY: Duration = Duration::from_millis(1);
+
 /// Time from the signal to stop to the kill, in seconds.
 const GRACE_S: u64 = 4;
 
@@ -71,7 +78,7 @@
     /// # Errors
     ///
     /// Fails if a folder or process cannot be made.
-    pub fn start(program: &Path, slot: u8) -> io::Result<Self> {
+    pub async fn start(program: &Path, slot: u8) -> io::Result<Self> {
         let mut fleet = Self {
             program: program.to_path_buf(),
             folder: tempfile::tempdir()?,
@@ -80,7 +87,7 @@
             started: BTreeMap::new(),
         };
         for target in targets() {
-            fleet.boot(target)?;
+            fleet.boot(target).await?;
         }
         Ok(fleet)
     }
@@ -100,15 +107,32 @@
         SocketAddr::new(self.ip(Target::Replica(replica)), CONTROL)
     }
 
-    /// Starts a daemon, if it does not run.
+    /// Starts a daemon, if it does not run, and waits until it catches SIGHUP.
+    ///
+    /// Before its program is loaded a process can catch nothing, and the signal
+    /// ends it; this is so for every program.
     ///
     /// # Errors
     ///
-    /// Fails if its settings or process cannot be made.
-    pub fn boot(&mut self, target: Target) -> io::Result<()> {
+    /// Fails if its settings or process cannot be made, or if it takes longer to
+    /// catch the signal than a daemon may.
+    pub async fn boot(&mut self, target: Target) -> io::Result<()> {
         if self.running.contains_key(&target) {
             return Ok(());
         }
+        let child = self.spawn(target)?;
+        let pid = child.id();
+        self.running.insert(target, child);
+        let caught = timeout(CATCHES_WITHIN, async {
+            while pid.is_some_and(|pid| !catches_reload(pid)) {
+                sleep(CATCH_LOOK_EVERY).await;
+            }
+        });
+        let late = |_| io::Error::other(format!("it does not catch SIGHUP in {CATCHES_WITHIN:?}"));
+        caught.await.map_err(late)
+    }
+
+    fn spawn(&mut self, target: Target) -> io::Result<Child> {
         let life = self.started.entry(target).or_default();
         *life += 1;
         let first = *life == 1;
@@ -123,16 +147,14 @@
             .create(true)
             .append(true)
             .open(log)?;
-        let child = Command::new(&self.program)
+        Command::new(&self.program)
             .arg(role)
             .env("SESAMEBEAM_NODE_FILE", &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .kill_on_drop(true)
-            .spawn()?;
-        self.running.insert(target, child);
-        Ok(())
+            .spawn()
     }
 
     /// Sends a signal to a daemon that runs.
@@ -174,7 +196,7 @@
     /// # Errors
     ///
     /// Fails if one cannot be started.
-    pub fn restart_ended(&mut self) -> io::Result<Vec<Target>> {
+    pub async fn restart_ended(&mut self) -> io::Result<Vec<Target>> {
         let mut ended = Vec::new();
         for (&target, child) in &mut self.running {
             if child.try_wait()?.is_some() {
@@ -183,7 +205,7 @@
         }
         for &target in &ended {
             self.running.remove(&target);
-            self.boot(target)?;
+            self.boot(target).await?;
         }
         Ok(ended)
     }
@@ -251,3 +273,18 @@
     let replicas = (0..REPLICAS).map(Target::Replica);
     replicas.chain((0..ENTRIES).map(Target::Entry))
 }
+
+/// Returns whether a process catches SIGHUP, or has ended.
+fn catches_reload(pid: u32) -> bool {
+    let Ok(status) = std::fs::read_to_string(format!("/proc/{pid}/status")) else {
+        return true;
+    };
+    let field = |name: &str| {
+        let mut lines = status.lines();
+        lines.find_map(|line| Some(line.strip_prefix(name)?.trim().to_owned()))
+    };
+    // The lowest bit is the first signal's, which is SIGHUP.
+    let caught = field("SigCgt:").and_then(|mask| u64::from_str_radix(&mask, 16).ok());
+    let ended = field("State:").is_some_and(|state| state.starts_with('Z'));
+    ended || caught.is_some_and(|mask| mask & 1 == 1)
+}
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -87,7 +87,7 @@
     logs: Option<&Path>,
 ) -> io::Result<Verdict> {
     let books = Arc::new(Books::default());
-    let fleet = Fleet::start(program, slot)?;
+    let fleet = Fleet::start(program, slot).await?;
     let controls: Vec<SocketAddr> = (0..REPLICAS).map(|n| fleet.control(n)).collect();
     let fronts: Vec<SocketAddr> = (0..ENTRIES).map(|n| fleet.front(n)).collect();
     let cancel = CancellationToken::new();
@@ -183,7 +183,7 @@
     let mut fleet = stage.fleet.lock().await;
     for target in targets() {
         fleet.signal(target, Signal::CONT);
-        if let Err(e) = fleet.boot(target) {
+        if let Err(e) = fleet.boot(target).await {
             stage
                 .books
                 .broke(format!("{target:?} cannot be started: {e}"));
@@ -233,7 +233,7 @@
 }
 
 async fn boot(stage: &Stage, target: Target) {
-    if let Err(e) = stage.fleet.lock().await.boot(target) {
+    if let Err(e) = stage.fleet.lock().await.boot(target).await {
         stage
             .books
             .broke(format!("{target:?} cannot be started: {e}"));
@@ -251,7 +251,7 @@
 /// Starts daemons that ended by themselves again. Entries have no reason to;
 /// a replica has one, when its place was given to another.
 async fn restart_ended(stage: &Stage) {
-    match stage.fleet.lock().await.restart_ended() {
+    match stage.fleet.lock().await.restart_ended().await {
         Ok(ended) => {
             for target in ended {
                 if let Target::Entry(_) = target {
