Open connections anew after a place is given up

A replica whose place was given to another starts over with a new number, but its connections to the others stayed open and had introduced it under the old one. Appends reached it, its answers were dropped as a removed replica's: chosen at 36.5 s to replace a replica that was cut off, it had not caught up by 45.6 s, and the group had a step owed when two others lost their disks.

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -401,15 +401,23 @@
         }
     }
 
+    /// Keeps a connection to each other replica.
+    ///
+    /// One that was opened under a number that this process has given up is
+    /// opened anew: the others would take what it says for the old replica's,
+    /// so that its new place would never be filled.
     fn set_peers(&mut self, peers: &Peers) {
-        self.senders
-            .retain(|&node, sender| peers.addr(node) == Some(sender.addr()));
-        let own = self.core.id();
+        let id = self.core.id();
+        let own = id.unwrap_or_default();
+        self.senders.retain(|&node, sender| {
+            let addr = peers.addr(node);
+            addr.is_some_and(|addr| sender.connects(own, addr))
+        });
         for (node, addr) in peers.all() {
-            if Some(node) == own || self.senders.contains_key(&node) {
+            if Some(node) == id || self.senders.contains_key(&node) {
                 continue;
             }
-            let sender = PeerSender::start(own.unwrap_or_default(), addr, self.halt.child_token());
+            let sender = PeerSender::start(own, addr, self.halt.child_token());
             self.senders.insert(node, sender);
         }
     }
--- a/sesamebeam/src/group/peer.rs
+++ b/sesamebeam/src/group/peer.rs
@@ -38,6 +38,8 @@
 /// The sending side of a connection that is kept open.
 #[derive(Debug)]
 pub(super) struct PeerSender {
+    /// Number under which this process has introduced itself.
+    own: NodeId,
     addr: SocketAddr,
     tx: Sender<Between>,
     halt: CancellationToken,
@@ -54,12 +56,17 @@
                 () = keep(own, addr, rx) => {}
             }
         });
-        Self { addr, tx, halt }
+        Self {
+            own,
+            addr,
+            tx,
+            halt,
+        }
     }
 
-    /// Returns where it sends to.
-    pub(super) fn addr(&self) -> SocketAddr {
-        self.addr
+    /// Returns whether it sends from one replica to an address.
+    pub(super) fn connects(&self, own: NodeId, addr: SocketAddr) -> bool {
+        self.own == own && self.addr == addr
     }
 
     /// Sends a message, or drops it if too many wait.
