Take no membership step that loses the quorum

After two of five voters had lost their disks, the new leader took the step that was still owed to a learner: out went the replica that it replaced, cut off when that began, alive again by now. Four voters were left, two of them alive: nothing could be committed any more, for good.

A step is taken only if the voters that the leader has heard of late make a quorum after it; if the old one cannot go first, the new one votes first. Tried and dropped: always letting a replica that lives go last. Heard of late is not alive for certain, and survivor_alone, which loses the leader right after the promotion, failed.

membership::repair_outlived: not within 60 s before, passes now.

--- a/sesamebeam_core/src/replica/leading.rs
+++ b/sesamebeam_core/src/replica/leading.rs
@@ -341,8 +341,17 @@
         let Standing::Leader(leader) = &self.standing else {
             return false;
         };
-        let heard = leader.silent(self.cfg.id, node, self.now) <= self.cfg.election;
-        heard && leader.progress.get(&node).is_some_and(|p| p.caught_up)
+        self.is_heard(node) && leader.progress.get(&node).is_some_and(|p| p.caught_up)
+    }
+
+    /// Returns whether a replica has answered this leader of late.
+    pub(super) fn is_heard(&self, node: NodeId) -> bool {
+        let Standing::Leader(leader) = &self.standing else {
+            return false;
+        };
+        let heard_at = leader.progress.get(&node).and_then(|p| p.heard_at);
+        let of_late = |at| self.now.saturating_sub(at) <= self.cfg.election;
+        node == self.cfg.id || heard_at.is_some_and(of_late)
     }
 
     /// Returns when the leader's lease ends; nothing for other roles.
--- a/sesamebeam_core/src/replica/member.rs
+++ b/sesamebeam_core/src/replica/member.rs
@@ -187,21 +187,29 @@
     }
 
     /// Returns the membership after the next step that is owed to a learner
-    /// that has caught up: first the replica it replaces goes, then it votes.
+    /// that has caught up: the replica it replaces goes, and it votes.
     ///
     /// The gone one leaves first, because counting it beside its replacement
-    /// would need one more live replica for each commit. With a single voter
-    /// left the order turns round, since a group needs at least one.
-    pub fn next_step(&self, learner: NodeId) -> Option<Members> {
+    /// would need one more live replica for each commit. A step after which the
+    /// voters that live make no quorum is not taken: a replica that was cut off
+    /// when its replacement began may be the one that the group cannot do without
+    /// when it is back and others are lost, and no later step could be committed.
+    pub fn next_step(&self, learner: NodeId, lives: impl Fn(NodeId) -> bool) -> Option<Members> {
         let member = self.get(learner)?;
         let gone = member.replaces.filter(|&gone| self.get(gone).is_some());
-        let mut next = self.clone();
-        match gone {
-            Some(gone) if member.voter || self.check_removable(gone).is_ok() => next.remove(gone),
-            _ if !member.voter && member.promote => next.promote(learner),
-            _ => return None,
-        }
-        Some(next)
+        let without = gone.filter(|&gone| self.check_removable(gone).is_ok());
+        let without = without.map(|gone| {
+            let mut next = self.clone();
+            next.remove(gone);
+            next
+        });
+        let promoted = (!member.voter && member.promote).then(|| {
+            let mut next = self.clone();
+            next.promote(learner);
+            next
+        });
+        let mut steps = [without, promoted].into_iter().flatten();
+        steps.find(|next| next.voters().filter(|&n| lives(n)).count() >= next.quorum())
     }
 
     /// Makes a learner a voter.
--- a/sesamebeam_core/src/replica/membership.rs
+++ b/sesamebeam_core/src/replica/membership.rs
@@ -118,7 +118,7 @@
             let wants = member.promote || member.replaces.is_some();
             let ready = wants && (member.voter || self.has_caught_up(node));
             if ready {
-                self.members().next_step(node)
+                self.members().next_step(node, |voter| self.is_heard(voter))
             } else {
                 None
             }
--- a/sesamebeam_core/tests/membership.rs
+++ b/sesamebeam_core/tests/membership.rs
@@ -199,6 +199,42 @@
     net.assert_sound();
 }
 
+#[test]
+fn repair_outlived() {
+    // Operators' changes are accepted to the end, though no more replicas are
+    // lost than five bear. One is cut off and is to be replaced; before its
+    // replacement has caught up, it is back and two others are lost. Taken out
+    // first, as one that is lost, it left four voters with two of them alive.
+    let mut net = Net::new(5, 18, Faults::default());
+    net.commit(1);
+    let leader = net.settle_leader();
+    let mut others = (1..=5).filter(|&id| id != leader);
+    let [gone, first, second] = [(); 3].map(|()| others.next().expect("five"));
+    net.isolate(gone);
+    let change = MemberChange::Replace {
+        gone,
+        new: 6,
+        incarnation: 600,
+        addr: None,
+    };
+    net.change(leader, CHANGE, change);
+    net.run_until("the first step", Duration::from_secs(5), |net| {
+        net.changed.contains(&CHANGE)
+    });
+    net.heal();
+    net.run(Duration::from_secs(1));
+    net.crash(first);
+    net.crash(second);
+    net.run(Duration::from_secs(1));
+    net.add(config(6, 600, 18, Faults::default()));
+    net.run_until("the repair", Duration::from_secs(60), |net| {
+        let members = net.replica(6).members();
+        members.is_voter(6) && members.get(gone).is_none()
+    });
+    net.commit(2);
+    net.assert_sound();
+}
+
 #[test]
 fn grown_group() {
     // A group that starts with one replica grows to three.
