Find the way to a failure domain cut as a whole

Two that cannot be reached, with nothing heard from their failure domain between, now tell of all of it; then one request at a time tries the way. balance::way_cut failed first; balance::one_down keeps one that is down by itself from taking the others with it.

--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -15,10 +15,14 @@
         Known,
         ServerId, //
     },
+    paths::Paths,
     request::Load,
 };
 use crate::{
-    ids::MonoTime,
+    ids::{
+        DomainId,
+        MonoTime, //
+    },
     policy::hash, //
 };
 
@@ -59,6 +63,8 @@
 /// What one entry knows of a backend server from its own requests.
 #[derive(Clone, Debug, Default)]
 struct Seen {
+    /// Its failure domain.
+    domain: DomainId,
     /// Own requests that are there.
     in_flight: u32,
     /// Load that it reported, when, and own requests there at that time.
@@ -105,6 +111,7 @@
 #[derive(Debug, Default)]
 pub struct Balance {
     seen: HashMap<ServerId, Seen>,
+    paths: Paths,
 }
 
 impl Balance {
@@ -120,10 +127,10 @@
             Some(affinity) => self.by_prompt(now, &fit, affinity),
             None => self.by_load(now, &fit, need),
         }?;
-        self.seen
-            .entry(chosen.said.id.clone())
-            .or_default()
-            .in_flight += 1;
+        let seen = self.seen.entry(chosen.said.id.clone()).or_default();
+        seen.in_flight += 1;
+        seen.domain = chosen.said.domain.clone();
+        self.paths.tries(now, &chosen.said.domain);
         Some(chosen)
     }
 
@@ -133,6 +140,7 @@
         seen.heard_at = now;
         seen.avoid_until = MonoTime::ZERO;
         seen.pause = Duration::ZERO;
+        self.paths.heard(&seen.domain);
         if let Some(load) = load {
             seen.load = Some((load, now, seen.in_flight));
         }
@@ -152,7 +160,10 @@
             Outcome::Failed => {
                 seen.failures = seen.failures * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
             }
-            Outcome::Unreachable => seen.pause_after(now),
+            Outcome::Unreachable => {
+                seen.pause_after(now);
+                self.paths.unreached(now, &seen.domain, id);
+            }
             Outcome::Refused | Outcome::Dropped => {}
         }
     }
@@ -168,8 +179,8 @@
         self.seen.retain(|id, seen| seen.in_flight > 0 || known(id));
     }
 
-    /// Leaves out those that were tried or could not be reached, as long as
-    /// others are left.
+    /// Leaves out those that were tried, could not be reached or are behind a way
+    /// that is cut, as long as others are left.
     fn fit<'a>(&self, now: MonoTime, all: &[&'a Known], tried: &[ServerId]) -> Vec<&'a Known> {
         let fresh: Vec<&Known> = all
             .iter()
@@ -178,7 +189,8 @@
             .collect();
         let reached = |k: &&Known| {
             let seen = self.seen.get(&k.said.id);
-            seen.is_none_or(|s| s.avoid_until <= now)
+            let rested = seen.is_none_or(|s| s.avoid_until <= now);
+            rested && !self.paths.avoids(now, &k.said.domain)
         };
         let mean = self.mean_failures(&fresh);
         let sound = |k: &&Known| self.failures(k) <= mean + FAILURE_EXCESS;
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -159,3 +159,75 @@
         "server-2"
     );
 }
+
+/// Returns where requests with different prompts go, one a time.
+fn domains(balance: &mut Balance, times: &[u64], servers: &[Known]) -> Vec<String> {
+    let domain = |&now: &u64| {
+        let need = Need {
+            affinity: Some(now * 7919),
+            ..NEED
+        };
+        let chosen = choose(balance, now, servers, &need);
+        let chosen = servers.iter().find(|k| k.said.id == chosen);
+        chosen.expect("one of them").said.domain.to_string()
+    };
+    times.iter().map(domain).collect()
+}
+
+#[test]
+fn way_cut() {
+    // Callers' answers are late by a wait for a connection, again and again: the
+    // way to a failure domain with many backend servers is cut, and each of them
+    // had to fail by itself. Two of them now tell of the rest; then one request
+    // at a time tries the way, until one is heard.
+    let mut servers = servers(20);
+    for known in &mut servers[2..] {
+        known.said.domain = "hall-2".into();
+    }
+    let mut balance = Balance::default();
+    let far: Vec<&Known> = servers[2..].iter().collect();
+    for _ in 0..2 {
+        let chosen = balance.choose(ms(0), &far, &NEED).expect("there is one");
+        balance.finished(ms(0), &chosen.said.id, Outcome::Unreachable);
+    }
+    let soon: Vec<u64> = (1..240).collect();
+    let soon = domains(&mut balance, &soon, &servers);
+    assert!(soon.iter().all(|d| d == "hall-1"), "{soon:?}");
+    let later: Vec<u64> = (600..800).collect();
+    let later = domains(&mut balance, &later, &servers);
+    let tries = later.iter().filter(|d| *d == "hall-2").count();
+    assert_eq!(tries, 1, "{later:?}");
+    let tried = servers.iter().find(|k| k.said.domain == "hall-2");
+    let tried = tried.expect("there is one").said.id.clone();
+    let only: Vec<&Known> = servers.iter().filter(|k| k.said.id == tried).collect();
+    balance.choose(ms(801), &only, &NEED).expect("there is one");
+    balance.heard(ms(802), &tried, None);
+    let healed: Vec<u64> = (803..900).collect();
+    let healed = domains(&mut balance, &healed, &servers);
+    assert!(healed.iter().any(|d| d == "hall-2"), "{healed:?}");
+}
+
+#[test]
+fn one_down() {
+    // One backend server is down while others of its failure domain answer: that
+    // tells nothing of the way to them.
+    let mut servers = servers(8);
+    for known in &mut servers[2..] {
+        known.said.domain = "hall-2".into();
+    }
+    let mut balance = Balance::default();
+    let far: Vec<&Known> = servers[2..].iter().collect();
+    for _ in 0..4 {
+        let chosen = balance.choose(ms(0), &far, &NEED).expect("there is one");
+        let id = chosen.said.id.clone();
+        balance.finished(ms(0), &id, Outcome::Unreachable);
+        let other = far.iter().find(|k| k.said.id != id).expect("another");
+        balance
+            .choose(ms(0), &[other], &NEED)
+            .expect("there is one");
+        balance.heard(ms(1), &other.said.id, None);
+    }
+    let soon: Vec<u64> = (2..100).collect();
+    let soon = domains(&mut balance, &soon, &servers);
+    assert!(soon.iter().any(|d| d == "hall-2"), "{soon:?}");
+}
