Leave no request for silence that cannot go on elsewhere

A stream was given up after 2.4 s of silence, its backend server at work on it still (its engine had put it back for lack of memory), and it was the last of three sends: the caller's answer was cut off in the middle.

Silence now ends a send only if the request could go on at another backend server. streams::silent_and_last failed first (cut after the first of three events).

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -232,7 +232,7 @@
                 break;
             };
             let model = self.model.clone();
-            let watch = self.may_repeat();
+            let watch = self.may_repeat() && self.could_go_on(self.sends + 1, &choice);
             let resume = self.req.head.resume_after;
             let sent = self
                 .gateway
@@ -314,6 +314,17 @@
             && Instant::now() < self.req.until
     }
 
+    /// Returns whether, after the last of some sends, which is under way, there
+    /// could be another.
+    ///
+    /// A busy backend server is silent for seconds. Given up as the last one, a
+    /// request that it would have finished ends as a failure.
+    pub(super) fn could_go_on(&self, sends: u32, under_way: &Choice) -> bool {
+        let router = self.gateway.router();
+        sends < self.plan.route.max_attempts
+            && router.has_another(&self.plan, &self.tried, &under_way.id)
+    }
+
     /// Returns whether the budget allows another send, and spends it.
     pub(super) fn may_repeat_in_budget(&self) -> bool {
         let now = self.gateway.now();
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -154,9 +154,11 @@
             match frame {
                 Err(_) if Instant::now() >= until => return Step::Late,
                 Err(_) => {
-                    let gateway = &self.attempt.gateway;
-                    let heard = gateway.router().heard_at(&source.choice.id);
-                    if gateway.now().saturating_sub(heard) > SILENT_FOR {
+                    let attempt = &self.attempt;
+                    let heard = attempt.gateway.router().heard_at(&source.choice.id);
+                    let silent = attempt.gateway.now().saturating_sub(heard) > SILENT_FOR;
+                    let resumable = attempt.plan.route.resumable;
+                    if silent && resumable && attempt.could_go_on(attempt.sends, &source.choice) {
                         return Step::Broke(Outcome::Unreachable);
                     }
                 }
@@ -248,6 +250,7 @@
         let attempt = &self.attempt;
         let last = self.events.last();
         let model = attempt.model.clone();
+        let watch = attempt.could_go_on(attempt.sends + 1, &choice);
         let sent = attempt
             .gateway
             .send(
@@ -256,7 +259,7 @@
                 &choice,
                 model.as_deref(),
                 last,
-                true,
+                watch,
             )
             .await;
         let outcome = match sent {
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -356,6 +356,17 @@
         Some(choice)
     }
 
+    /// Returns whether a request could go on at another backend server than those
+    /// that had their turn.
+    pub fn has_another(&self, plan: &Plan, tried: &[ServerId], now_at: &ServerId) -> bool {
+        let allowed = self.allowed(plan);
+        let mut ready = self.directory.ready(&plan.service);
+        ready.any(|k| {
+            let id = &k.said.id;
+            id != now_at && !tried.contains(id) && allowed.has(&k.said.version)
+        })
+    }
+
     /// Returns whether one more send of a request is in the budget, and spends it.
     pub fn try_repeat(&mut self, now: MonoTime, plan: &Plan) -> bool {
         self.budget.try_repeat(now, &plan.service)
