Elect sooner after all replicas were down

A replica that starts waited for a leader as long as one that had heard one of late, and one whose pre-vote came before the others' promises were over waited as long again.

--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -145,7 +145,7 @@
         if bootstraps {
             replica.bootstrap();
         }
-        replica.reset_election();
+        replica.set_first_election();
         if replica.is_sole_voter() {
             replica.election_at = now;
         }
--- a/sesamebeam_core/src/replica/election.rs
+++ b/sesamebeam_core/src/replica/election.rs
@@ -44,6 +44,28 @@
         self.election_at = self.now + election + extra;
     }
 
+    /// Sets the time at which a replica that has just started stands.
+    ///
+    /// A leader that is there makes itself heard within two heartbeats. When all
+    /// replicas were down, nobody is served until one leads, and they may vote as
+    /// soon as what they promised before is over; waiting for a leader as long as
+    /// one that was heard of late only prolongs that.
+    pub(super) fn set_first_election(&mut self) {
+        let heard = self.now + self.cfg.heartbeat * 2;
+        let extra = self.cfg.heartbeat.mul_f64(self.rng.random::<f64>());
+        self.election_at = self.promise_until.max(heard) + extra;
+    }
+
+    /// Sets the next time at which a replica asks for pre-votes again.
+    ///
+    /// The others may still be bound by what they promised, or not be reached
+    /// yet. Asking does no harm, and two that ask at once do not stand in each
+    /// other's way.
+    fn ask_again_soon(&mut self) {
+        let extra = self.cfg.heartbeat.mul_f64(self.rng.random::<f64>());
+        self.election_at = self.now + self.cfg.heartbeat + extra;
+    }
+
     /// Stands for election if this replica may.
     pub(super) fn stand_if_eligible(&mut self) {
         self.reset_election();
@@ -55,6 +77,7 @@
             return;
         }
         self.leader = None;
+        self.ask_again_soon();
         let mut votes = Votes::default();
         votes.granted.insert(self.cfg.id);
         self.take_role(Standing::PreCandidate(votes));
--- a/sesamebeam_core/tests/election.rs
+++ b/sesamebeam_core/tests/election.rs
@@ -105,3 +105,30 @@
     println!("takeover in leases: p50 {p50:.2}, p99 {p99:.2}, most {most:.2}");
     assert!(p50 < 1.6 && most < 4.0);
 }
+
+#[test]
+fn restart_time() {
+    // Nobody is served after all replicas went down at once until one leads.
+    // They start a little apart, so that the first ones ask for pre-votes while
+    // the last are still bound by their promises; these asked once and waited.
+    let mut times = Vec::new();
+    for seed in 0..200 {
+        let mut net = Net::new(5, seed, Faults::default());
+        net.commit(1);
+        net.run(Duration::from_millis(seed * 7 % 200));
+        (1..=5).for_each(|id| net.crash(id));
+        let apart = net::LEASE / 50;
+        for id in 1..=5 {
+            net.run(apart);
+            net.start(id);
+        }
+        let started = net.now;
+        net.settle_leader();
+        times.push((net.now - started).div_duration_f64(net::LEASE));
+        net.assert_sound();
+    }
+    times.sort_by(f64::total_cmp);
+    let (p50, p99, most) = (times[100], times[198], times[199]);
+    println!("restart in leases: p50 {p50:.2}, p99 {p99:.2}, most {most:.2}");
+    assert!(p50 < 1.1 && p99 < 1.3);
+}
