Tell all entries the loads that each has heard

An entry has 8 requests a second for 95 engines, hears from each once in ten seconds, and a report counts half after 0.5 s: the bound on the load of the preferred engine never held.

--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -139,6 +139,9 @@
     for kept in router.take_kept() {
         let _ = reports.send(FromEntry::Kept(kept));
     }
+    if let Some(loads) = router.take_loads(gateway.now()) {
+        let _ = reports.send(FromEntry::Loads(loads));
+    }
     let evidence = router.take_evidence();
     if !evidence.is_empty() {
         // Nobody is connected yet, or all have their queues.
@@ -237,6 +240,10 @@
                     drop(router);
                     self.gateway.learned.notify_waiters();
                 }
+                ToEntry::Loads(told) => {
+                    let now = self.gateway.now();
+                    self.gateway.router().told_loads(now, told);
+                }
                 ToEntry::Quarantined(fingerprints) => {
                     self.gateway.router().set_quarantined(fingerprints);
                 }
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod crashes;
 pub mod directory;
 pub mod feed;
+pub mod loads;
 mod paths;
 pub mod request;
 pub mod rollout;
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -15,6 +15,10 @@
         Known,
         ServerId, //
     },
+    loads::{
+        LoadOf,
+        Loads, //
+    },
     paths::Paths,
     request::Load,
 };
@@ -67,8 +71,10 @@
     domain: DomainId,
     /// Own requests that are there.
     in_flight: u32,
-    /// Load that it reported, when, and own requests there at that time.
-    load: Option<(Load, MonoTime, u32)>,
+    /// Load that it reported to this entry.
+    load: Option<Reported>,
+    /// Load that it reported to another entry.
+    shared: Option<Reported>,
     /// Share of its answers that failed.
     failures: f64,
     /// Until when it gets nothing, as it could not be reached.
@@ -79,6 +85,17 @@
     heard_at: MonoTime,
 }
 
+/// Load that a backend server reported.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    running: u32,
+    waiting: u32,
+    /// When it came here.
+    at: MonoTime,
+    /// Own requests that were there at that time.
+    own: u32,
+}
+
 /// What a choice is made by.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -112,6 +129,8 @@
 pub struct Balance {
     seen: HashMap<ServerId, Seen>,
     paths: Paths,
+    /// What was heard here and is to be told to the others.
+    heard: Loads,
 }
 
 impl Balance {
@@ -142,10 +161,32 @@
         seen.pause = Duration::ZERO;
         self.paths.heard(&seen.domain);
         if let Some(load) = load {
-            seen.load = Some((load, now, seen.in_flight));
+            seen.load = Some(Reported {
+                running: load.running,
+                waiting: load.waiting,
+                at: now,
+                own: seen.in_flight,
+            });
+            self.heard.take([LoadOf::new(id, load)]);
         }
     }
 
+    /// Notes a load that another entry has heard.
+    pub fn told(&mut self, now: MonoTime, id: &ServerId, load: LoadOf) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.shared = Some(Reported {
+            running: load.running,
+            waiting: load.waiting,
+            at: now,
+            own: seen.in_flight,
+        });
+    }
+
+    /// Takes the loads that the others should be told of, if it is time.
+    pub fn take_heard(&mut self, now: MonoTime) -> Option<Vec<LoadOf>> {
+        self.heard.due(now)
+    }
+
     /// Returns when anything last came from a backend server.
     pub fn heard_at(&self, id: &ServerId) -> MonoTime {
         self.seen.get(id).map_or(MonoTime::ZERO, |s| s.heard_at)
@@ -171,7 +212,8 @@
     /// Returns the share of the slots of some backend servers that are taken.
     pub fn taken(&self, now: MonoTime, servers: &[&Known]) -> f64 {
         let count = servers.len().max(1) as f64;
-        servers.iter().map(|k| self.load(now, k)).sum::<f64>() / count
+        let loads = servers.iter().map(|k| self.shared_load(now, k));
+        loads.sum::<f64>() / count
     }
 
     /// Forgets backend servers that are gone.
@@ -213,12 +255,13 @@
         let spare = LOAD_SPARE / f64::from(slots.max(1));
         let bound = self.taken(now, fit) * (1.0 + LOAD_MARGIN) + spare;
         let key = affinity.to_le_bytes();
-        let within = fit.iter().filter(|k| self.load(now, k) <= bound);
+        let within = fit.iter().filter(|k| self.shared_load(now, k) <= bound);
         let best = within.max_by_key(|k| hash::rendezvous(&k.said.id, &key));
         best.copied().or_else(|| {
-            let lightest = fit
-                .iter()
-                .min_by(|a, b| self.load(now, a).total_cmp(&self.load(now, b)));
+            let lightest = fit.iter().min_by(|a, b| {
+                self.shared_load(now, a)
+                    .total_cmp(&self.shared_load(now, b))
+            });
             lightest.copied()
         })
     }
@@ -237,23 +280,24 @@
         best.copied()
     }
 
-    /// Returns the requests at a backend server as a share of its slots.
-    ///
-    /// A report gives way to what this entry sees itself: left standing, an old
-    /// report of an idle engine draws every entry to it at once.
+    /// Returns the requests at a backend server as a share of its slots, as far as
+    /// this entry has heard from it.
     fn load(&self, now: MonoTime, known: &Known) -> f64 {
-        let slots = f64::from(known.said.slots.max(1));
+        let seen = self.seen.get(&known.said.id);
+        seen.map_or(0.0, |seen| seen.load(now, known.said.slots, seen.load))
+    }
+
+    /// Returns the same from what any entry has heard.
+    ///
+    /// It bounds who may get a request and never says who is the best: all entries
+    /// are told the same at once, and would all send to one.
+    fn shared_load(&self, now: MonoTime, known: &Known) -> f64 {
         let Some(seen) = self.seen.get(&known.said.id) else {
             return 0.0;
         };
-        let own = f64::from(seen.in_flight);
-        let Some((load, at, own_then)) = seen.load else {
-            return own / slots;
-        };
-        let there = f64::from(load.running) + WAITING_WEIGHT * f64::from(load.waiting);
-        let others = (there - f64::from(own_then)).max(0.0);
-        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        (own + others * 0.5f64.powf(age)) / slots
+        let newest = [seen.load, seen.shared].into_iter().flatten();
+        let newest = newest.max_by_key(|reported| reported.at);
+        seen.load(now, known.said.slots, newest)
     }
 
     fn failures(&self, known: &Known) -> f64 {
@@ -267,6 +311,20 @@
 }
 
 impl Seen {
+    /// Returns the requests there as a share of the slots.
+    ///
+    /// A report gives way to what this entry sees itself: left standing, an old
+    /// report of an idle engine draws every entry to it at once.
+    fn load(&self, now: MonoTime, slots: u32, reported: Option<Reported>) -> f64 {
+        let own = f64::from(self.in_flight);
+        let others = reported.map_or(0.0, |r| {
+            let there = f64::from(r.running) + WAITING_WEIGHT * f64::from(r.waiting);
+            let age = now.saturating_sub(r.at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+            (there - f64::from(r.own)).max(0.0) * 0.5f64.powf(age)
+        });
+        (own + others) / f64::from(slots.max(1))
+    }
+
     fn pause_after(&mut self, now: MonoTime) {
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.avoid_until = now + self.pause;
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -44,6 +44,7 @@
         Reply,
         ToEntry, //
     },
+    loads::Loads,
     rollout::Phase,
     store::{
         Command,
@@ -213,6 +214,7 @@
     confirming: BTreeMap<u64, Confirming>,
     next_ticket: u64,
     crashes: Crashes,
+    loads: Loads,
     look_at: MonoTime,
     /// Write that is not synced yet, and since when.
     writing: Option<(WriteId, MonoTime)>,
@@ -238,6 +240,7 @@
             confirming: BTreeMap::new(),
             next_ticket: 1,
             crashes: Crashes::default(),
+            loads: Loads::default(),
             look_at: now,
             writing: None,
             disk_full: false,
@@ -334,6 +337,7 @@
         match said {
             FromEntry::Servers(servers) => self.take_announcements(servers),
             FromEntry::Evidence(evidence) => self.trials.take(self.now, &self.store, &evidence),
+            FromEntry::Loads(loads) => self.loads.take(loads),
             FromEntry::Crashed(crashes) => self.count_crashes(crashes),
             FromEntry::Kept(kept) => self.keep_sessions(kept),
             FromEntry::Ages(ages) => self.trials.have_run(self.now, &self.store, &ages),
@@ -492,6 +496,18 @@
         self.give_up_late();
         self.mend_group();
         self.move_rollouts();
+        self.tell_loads();
+    }
+
+    /// Tells all entries of the loads that any of them has heard. Entries report
+    /// to every replica; one that does not lead drops them.
+    fn tell_loads(&mut self) {
+        let Some(loads) = self.loads.due(self.now) else {
+            return;
+        };
+        if self.leads() {
+            self.actions.push(Action::Push(None, ToEntry::Loads(loads)));
+        }
     }
 
     /// Counts crashes and tells entries of requests that caused several.
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -21,6 +21,7 @@
         Announcement,
         ServerId, //
     },
+    loads::LoadOf,
     rollout::Rollout,
     store::Document,
 };
@@ -60,6 +61,8 @@
     Servers(Vec<Announcement>),
     /// Answers counted since the last message.
     Evidence(Vec<Evidence>),
+    /// Loads that backend servers have told since the last message.
+    Loads(Vec<LoadOf>),
     /// Requests that were running when backend servers went down.
     Crashed(Vec<Crash>),
     /// Sessions that must stay on the versions before a roll-out.
@@ -91,6 +94,8 @@
     },
     /// Backend servers that announced something new.
     Servers(Vec<Announcement>),
+    /// Loads that backend servers have told any entry of late.
+    Loads(Vec<LoadOf>),
     /// Requests that crash what runs them.
     Quarantined(Vec<Digest>),
     /// Sessions that must stay on the versions before a roll-out, as entries
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -48,6 +48,11 @@
         Evidence,
         Kept, //
     },
+    loads::{
+        self,
+        LoadOf,
+        ServerKey, //
+    },
     request::{
         AnswerHead,
         Head,
@@ -404,6 +409,22 @@
         self.balance.heard(now, id, load);
     }
 
+    /// Takes the loads that other entries should be told of, if it is time.
+    pub fn take_loads(&mut self, now: MonoTime) -> Option<Vec<LoadOf>> {
+        self.balance.take_heard(now)
+    }
+
+    /// Notes loads that any entry has heard.
+    pub fn told_loads(&mut self, now: MonoTime, told: Vec<LoadOf>) {
+        let told: HashMap<ServerKey, LoadOf> = told.into_iter().map(|l| (l.server, l)).collect();
+        for known in self.directory.all() {
+            let id = &known.said.id;
+            if let Some(&load) = told.get(&loads::key(id)) {
+                self.balance.told(now, id, load);
+            }
+        }
+    }
+
     /// Returns when anything last came from a backend server.
     pub fn heard_at(&self, id: &ServerId) -> MonoTime {
         self.balance.heard_at(id)
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -12,6 +12,7 @@
         Announcement,
         Known, //
     },
+    loads::LoadOf,
     request::Load,
 };
 
@@ -231,3 +232,46 @@
     let soon = domains(&mut balance, &soon, &servers);
     assert!(soon.iter().any(|d| d == "hall-2"), "{soon:?}");
 }
+
+#[test]
+fn load_heard_by_others() {
+    // Callers wait for a second behind the queue of one engine while others have
+    // free slots. Each of many entries hears from an engine once in ten seconds,
+    // so that the bound on the load of the preferred one never held; what one
+    // hears the others are told.
+    let servers = servers(8);
+    let mut balance = Balance::default();
+    let need = Need {
+        affinity: Some(42),
+        ..NEED
+    };
+    let first = choose(&mut balance, 0, &servers, &need);
+    let id = first.as_str().into();
+    balance.finished(ms(0), &id, Outcome::Good);
+    let queue = Load {
+        running: 8,
+        waiting: 6,
+        slots: 8,
+    };
+    balance.told(ms(10), &id, LoadOf::new(&id, queue));
+    assert_ne!(choose(&mut balance, 20, &servers, &need), first);
+    assert_eq!(choose(&mut balance, 20_000, &servers, &need), first);
+}
+
+#[test]
+fn told_load_draws_nobody() {
+    // All entries are told at once that one is idle. Where nothing else sets them
+    // apart they must not all send to it.
+    let servers = servers(2);
+    let mut balance = Balance::default();
+    let busy = Load {
+        running: 8,
+        waiting: 0,
+        slots: 8,
+    };
+    let chosen = choose(&mut balance, 0, &servers, &NEED);
+    let id = chosen.as_str().into();
+    balance.finished(ms(0), &id, Outcome::Good);
+    balance.told(ms(0), &id, LoadOf::new(&id, busy));
+    assert_eq!(choose(&mut balance, 1, &servers, &NEED), chosen);
+}
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -16,6 +16,7 @@
         FromEntry,
         ToEntry, //
     },
+    loads::LoadOf,
     rollout::Phase,
     store::Document,
 };
@@ -274,6 +275,32 @@
     assert_eq!(rollout.phase, Phase::Completed);
 }
 
+#[test]
+fn loads_told() {
+    // What entries have heard of loads, each from a few backend servers, comes
+    // back to all of them in one report of the leader.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    group.pushed.clear();
+    for number in 0..3 {
+        let heard = LoadOf {
+            server: number,
+            running: 7,
+            waiting: number,
+        };
+        for node in 1..=3 {
+            group.event(node, Event::Said(FromEntry::Loads(vec![heard])));
+        }
+    }
+    group.run(300);
+    let mut told = group.pushed.iter().filter_map(|(node, push)| match push {
+        ToEntry::Loads(loads) => Some((*node, loads.len())),
+        _ => None,
+    });
+    assert_eq!(told.next(), Some((leader, 3)));
+    assert_eq!(told.next(), None);
+}
+
 #[test]
 fn leaving_server_unknown_here() {
     // A replica has just started, or was never told of a backend server, which
