Tell replicas that can be reached again of all backend servers

Ruled out: the engines (they went on announcing themselves), the version that is allowed (one for all), entries' connections (they follow the group's members).

A replica now tells another of all backend servers when a connection to it stands. orders::announced_to_nobody failed to compile first (the event is new).

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -417,7 +417,8 @@
             if Some(node) == id || self.senders.contains_key(&node) {
                 continue;
             }
-            let sender = PeerSender::start(own, addr, self.halt.child_token());
+            let (inputs, halt) = (self.tx.clone(), self.halt.child_token());
+            let sender = PeerSender::start(own, node, addr, inputs, halt);
             self.senders.insert(node, sender);
         }
     }
--- a/sesamebeam/src/group/peer.rs
+++ b/sesamebeam/src/group/peer.rs
@@ -7,9 +7,12 @@
 
 use bytes::Bytes;
 use sesamebeam_core::{
-    gateway::feed::{
-        Between,
-        Hello, //
+    gateway::{
+        coordinator::Event,
+        feed::{
+            Between,
+            Hello, //
+        },
     },
     ids::NodeId,
 };
@@ -23,6 +26,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use super::{
+    Input,
+    Inputs, //
+};
 use crate::frames::{
     self,
     FrameError, //
@@ -46,14 +53,26 @@
 }
 
 impl PeerSender {
-    /// Starts the task that keeps the connection.
-    pub(super) fn start(own: NodeId, addr: SocketAddr, halt: CancellationToken) -> Self {
+    /// Starts the task that keeps the connection to a replica.
+    pub(super) fn start(
+        own: NodeId,
+        to: NodeId,
+        addr: SocketAddr,
+        inputs: Inputs,
+        halt: CancellationToken,
+    ) -> Self {
         let (tx, rx) = channel(MAX_WAITING);
         let cancel = halt.clone();
+        let link = Link {
+            own,
+            to,
+            addr,
+            inputs,
+        };
         tokio::spawn(async move {
             tokio::select! {
                 () = cancel.cancelled() => {}
-                () = keep(own, addr, rx) => {}
+                () = link.keep(rx) => {}
             }
         });
         Self {
@@ -81,48 +100,58 @@
     }
 }
 
-async fn keep(own: NodeId, addr: SocketAddr, mut rx: Receiver<Between>) {
-    let mut reached = false;
-    loop {
-        let ended = forward(own, addr, &mut rx, &mut reached).await;
-        let Err(e) = ended else {
-            return;
-        };
-        if std::mem::take(&mut reached) {
-            log::warn!(peer:% = addr, error:% = e; "control replica lost");
-        }
-        sleep(RETRY_AFTER).await;
-        while rx.try_recv().is_ok() {}
-    }
-}
-
-/// Sends until the connection ends, or nobody has anything more to send.
-async fn forward(
+/// What the task of a connection works with.
+struct Link {
     own: NodeId,
+    to: NodeId,
     addr: SocketAddr,
-    rx: &mut Receiver<Between>,
-    reached: &mut bool,
-) -> Result<(), FrameError> {
-    let (mut tx, mut back) = frames::connect(addr).await?;
-    tx.send(&Hello::Replica { node: own }).await?;
-    *reached = true;
-    log::info!(peer:% = addr; "control replica reached");
-    // The other end says that it lives; silence shows a path that is lost.
-    let alive = async {
+    inputs: Inputs,
+}
+
+impl Link {
+    async fn keep(&self, mut rx: Receiver<Between>) {
+        let mut reached = false;
         loop {
-            if let Err(e) = back.next::<Bytes>().await {
-                return e;
+            let ended = self.forward(&mut rx, &mut reached).await;
+            let Err(e) = ended else {
+                return;
+            };
+            if std::mem::take(&mut reached) {
+                log::warn!(peer:% = self.addr, error:% = e; "control replica lost");
             }
+            sleep(RETRY_AFTER).await;
+            while rx.try_recv().is_ok() {}
         }
-    };
-    let sending = async {
-        while let Some(message) = rx.recv().await {
-            tx.send(&message).await?;
+    }
+
+    /// Sends until the connection ends, or nobody has anything more to send.
+    async fn forward(
+        &self,
+        rx: &mut Receiver<Between>,
+        reached: &mut bool,
+    ) -> Result<(), FrameError> {
+        let (mut tx, mut back) = frames::connect(self.addr).await?;
+        tx.send(&Hello::Replica { node: self.own }).await?;
+        *reached = true;
+        log::info!(peer:% = self.addr; "control replica reached");
+        let _ = self.inputs.send(Input::Event(Event::Reached(self.to)));
+        // The other end says that it lives; silence shows a path that is lost.
+        let alive = async {
+            loop {
+                if let Err(e) = back.next::<Bytes>().await {
+                    return e;
+                }
+            }
+        };
+        let sending = async {
+            while let Some(message) = rx.recv().await {
+                tx.send(&message).await?;
+            }
+            Ok(())
+        };
+        tokio::select! {
+            e = alive => Err(e),
+            sent = sending => sent,
         }
-        Ok(())
-    };
-    tokio::select! {
-        e = alive => Err(e),
-        sent = sending => sent,
     }
 }
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -105,6 +105,8 @@
         /// What it says.
         message: Between,
     },
+    /// A connection to another replica stands.
+    Reached(NodeId),
     /// An entry has connected.
     Subscribed(EntryLife),
     /// An entry's connection has ended.
@@ -275,6 +277,7 @@
         match event {
             Event::Tick => self.step(ReplicaEvent::Tick),
             Event::Peer { from, message } => self.peer(from, message),
+            Event::Reached(to) => self.tell_servers(to),
             Event::Subscribed(life) => self.subscribe(life),
             Event::Unsubscribed(life) => {
                 self.entries.remove(&life);
--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -57,6 +57,20 @@
         self.push_servers(news);
     }
 
+    /// Tells a replica that can be reached now of all backend servers.
+    ///
+    /// What was announced here while there was no connection went nowhere, and is
+    /// no news when it is announced again. After all processes had been started
+    /// anew, 20 of 78 engines stood unused for good: the replica that they had
+    /// reported to was a moment ahead of its connections.
+    pub(super) fn tell_servers(&mut self, to: NodeId) {
+        let servers: Vec<Announcement> = self.directory.all().map(|k| k.said.clone()).collect();
+        if !servers.is_empty() {
+            let message = Between::Servers(servers);
+            self.actions.push(Action::Send { to, message });
+        }
+    }
+
     /// Takes an announcement from a backend server itself.
     ///
     /// One that leaves is answered only once most other replicas have it as
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -301,6 +301,29 @@
     assert_eq!(told.next(), None);
 }
 
+#[test]
+fn announced_to_nobody() {
+    // Engines stand unused for good after a restart. They announce themselves to
+    // a replica that has no connection to the others yet; to it their next
+    // announcement is no news, and nobody else hears of them.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    group.isolate(2);
+    let said = announcement(5);
+    assert_eq!(group.ask(2, Call::Announce(said)), Answer::Done);
+    group.run(100);
+    group.heal();
+    group.event(2, Event::Reached(1));
+    group.run(50);
+    assert!(
+        group.processes[&1]
+            .core
+            .directory()
+            .get("server-5")
+            .is_some()
+    );
+}
+
 #[test]
 fn leaving_server_unknown_here() {
     // A replica has just started, or was never told of a backend server, which
