Have the test of a frozen leader wait for all leases

It now waits until the leader shows a lease on the new revision for every entry; the promise (no entry under a lease runs the withdrawn version) is asserted as before.

--- a/sesamebeam/tests/real/freezes.rs
+++ b/sesamebeam/tests/real/freezes.rs
@@ -5,7 +5,10 @@
 use http_body_util::BodyExt;
 use rustix::process::Signal;
 use sesamebeam::local::LocalPlan;
-use sesamebeam_core::fleet::VersionState;
+use sesamebeam_core::{
+    fleet::VersionState,
+    message::control::EntryStatus, //
+};
 use sesamebeam_fakes::expected_answer_of;
 
 use super::fleet::{
@@ -18,7 +21,9 @@
 /// The leader of the control group is frozen. The others elect a new one, which
 /// accepts a withdrawal. When the frozen one goes on, it takes itself for the
 /// leader for an instant, but its lease is over: it answers nothing, follows the
-/// new leader, and the withdrawal stays in force at every entry.
+/// new leader, and the withdrawal stays in force at every entry that has a lease.
+/// One that has none, as it was not run for that long, goes on with the settled
+/// version that it knows, so that the test waits for all leases.
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_leader() {
     let Served {
@@ -43,6 +48,12 @@
     processes
         .until_any(|status| status.node == leader && status.revision == revision)
         .await;
+    processes
+        .until(|status| {
+            let leased = |e: &EntryStatus| e.revision >= revision && !e.lease_left.is_zero();
+            status.entries.iter().filter(|e| leased(e)).count() == DOMAINS.len()
+        })
+        .await;
     for entry in 0..DOMAINS.len() {
         let answer = processes
             .caller(entry)
