Have each entry told of loads by a replica that it reaches

Each entry asks the first replica that it has reached, and another once that one is lost. orders::loads_told, with a replica that is cut off with its entry, failed first (nothing was told).

--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -9,7 +9,12 @@
         BTreeSet, //
     },
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
     time::Duration,
 };
 
@@ -73,6 +78,7 @@
     let life: u64 = rand::rng().random();
     let (found, mut heard) = unbounded_channel::<Vec<SocketAddr>>();
     let (reports, _) = broadcast::channel(MAX_WAITING);
+    let teller = Teller::default();
     let mut replicas: BTreeSet<SocketAddr> = BTreeSet::new();
     let mut kept: BTreeMap<SocketAddr, CancellationToken> = BTreeMap::new();
     let mut ticks = interval(REPORT_EVERY);
@@ -102,6 +108,7 @@
                     life,
                     found: found.clone(),
                     reports: reports.clone(),
+                    teller: teller.clone(),
                 };
                 tokio::spawn(keep(link, token.clone()));
                 token
@@ -149,6 +156,27 @@
     }
 }
 
+/// The replica that tells this entry of loads: the first that was reached, and
+/// another once that one is lost.
+#[derive(Clone, Debug, Default)]
+struct Teller(Arc<Mutex<Option<SocketAddr>>>);
+
+impl Teller {
+    /// Returns whether it is this replica, which it becomes if there is none.
+    fn is(&self, addr: SocketAddr) -> bool {
+        *self.lock().get_or_insert(addr) == addr
+    }
+
+    /// Notes that a replica is lost.
+    fn lost(&self, addr: SocketAddr) {
+        self.lock().take_if(|teller| *teller == addr);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// One connection.
 struct Link {
     gateway: Arc<Gateway>,
@@ -156,6 +184,7 @@
     life: u64,
     found: UnboundedSender<Vec<SocketAddr>>,
     reports: broadcast::Sender<FromEntry>,
+    teller: Teller,
 }
 
 async fn keep(link: Link, cancel: CancellationToken) {
@@ -163,8 +192,12 @@
     loop {
         let mut reached = false;
         let ended = tokio::select! {
-            () = cancel.cancelled() => return,
-            ended = link.follow(&mut reached) => ended,
+            () = cancel.cancelled() => None,
+            ended = link.follow(&mut reached) => Some(ended),
+        };
+        link.teller.lost(link.addr);
+        let Some(ended) = ended else {
+            return;
         };
         if let Err(e) = ended
             && reached
@@ -202,7 +235,7 @@
         let reports = self.reports.subscribe();
         tokio::select! {
             ended = self.read(&mut rx) => ended,
-            ended = write(&mut tx, reports) => ended,
+            ended = self.write(&mut tx, reports) => ended,
         }
     }
 
@@ -279,24 +312,33 @@
             }
         }
     }
-}
 
-async fn write(
-    tx: &mut Sender,
-    mut reports: broadcast::Receiver<FromEntry>,
-) -> Result<(), FrameError> {
-    let mut ticks = interval(ALIVE_EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            report = reports.recv() => match report {
-                Ok(report) => tx.send(&report).await?,
-                Err(broadcast::error::RecvError::Lagged(missed)) => {
-                    log::warn!(missed = missed; "reports dropped");
+    async fn write(
+        &self,
+        tx: &mut Sender,
+        mut reports: broadcast::Receiver<FromEntry>,
+    ) -> Result<(), FrameError> {
+        let mut ticks = interval(ALIVE_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut told = false;
+        loop {
+            tokio::select! {
+                report = reports.recv() => match report {
+                    Ok(report) => tx.send(&report).await?,
+                    Err(broadcast::error::RecvError::Lagged(missed)) => {
+                        log::warn!(missed = missed; "reports dropped");
+                    }
+                    Err(broadcast::error::RecvError::Closed) => return Err(FrameError::Closed),
+                },
+                _ = ticks.tick() => {
+                    tx.send(&FromEntry::Alive).await?;
+                    let tells = self.teller.is(self.addr);
+                    if tells != told {
+                        tx.send(&FromEntry::WantsLoads(tells)).await?;
+                        told = tells;
+                    }
                 }
-                Err(broadcast::error::RecvError::Closed) => return Err(FrameError::Closed),
-            },
-            _ = ticks.tick() => tx.send(&FromEntry::Alive).await?,
+            }
         }
     }
 }
--- a/sesamebeam/src/group/links.rs
+++ b/sesamebeam/src/group/links.rs
@@ -7,6 +7,7 @@
         Event, //
     },
     feed::{
+        FromEntry,
         Hello,
         Question,
         ToEntry, //
@@ -132,8 +133,11 @@
     let _ = tx.send(Input::Entry(life, push));
     let reading = async {
         loop {
-            let said = rx.next().await?;
-            if tx.send(Input::Event(Event::Said(said))).is_err() {
+            let event = match rx.next().await? {
+                FromEntry::WantsLoads(wants) => Event::WantsLoads(life, wants),
+                said => Event::Said(said),
+            };
+            if tx.send(Input::Event(event)).is_err() {
                 return Ok(());
             }
         }
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -111,7 +111,9 @@
     Subscribed(EntryLife),
     /// An entry's connection has ended.
     Unsubscribed(EntryLife),
-    /// An entry says something.
+    /// An entry wants to be told of loads from here, or from elsewhere.
+    WantsLoads(EntryLife, bool),
+    /// An entry says something else.
     Said(FromEntry),
     /// A process asks about the group.
     Asked(Ticket, Question),
@@ -217,6 +219,8 @@
     next_ticket: u64,
     crashes: Crashes,
     loads: Loads,
+    /// Entries that are told of loads from here.
+    load_readers: BTreeSet<EntryLife>,
     look_at: MonoTime,
     /// Write that is not synced yet, and since when.
     writing: Option<(WriteId, MonoTime)>,
@@ -243,6 +247,7 @@
             next_ticket: 1,
             crashes: Crashes::default(),
             loads: Loads::default(),
+            load_readers: BTreeSet::new(),
             look_at: now,
             writing: None,
             disk_full: false,
@@ -281,6 +286,13 @@
             Event::Subscribed(life) => self.subscribe(life),
             Event::Unsubscribed(life) => {
                 self.entries.remove(&life);
+                self.load_readers.remove(&life);
+            }
+            Event::WantsLoads(life, true) => {
+                self.load_readers.insert(life);
+            }
+            Event::WantsLoads(life, false) => {
+                self.load_readers.remove(&life);
             }
             Event::Said(said) => self.said(said),
             Event::Asked(ticket, question) => self.asked(ticket, question),
@@ -344,7 +356,8 @@
             FromEntry::Crashed(crashes) => self.count_crashes(crashes),
             FromEntry::Kept(kept) => self.keep_sessions(kept),
             FromEntry::Ages(ages) => self.trials.have_run(self.now, &self.store, &ages),
-            FromEntry::Alive => {}
+            // The edge makes events of its own of these, with the entry's number.
+            FromEntry::WantsLoads(_) | FromEntry::Alive => {}
         }
     }
 
@@ -502,14 +515,18 @@
         self.tell_loads();
     }
 
-    /// Tells all entries of the loads that any of them has heard. Entries report
-    /// to every replica; one that does not lead drops them.
+    /// Tells of the loads that any entry has heard.
+    ///
+    /// Entries report to every replica that they reach and are told by one. Told
+    /// by the leader alone, those of a failure domain that is cut off from it knew
+    /// nothing of the loads on their side.
     fn tell_loads(&mut self) {
         let Some(loads) = self.loads.due(self.now) else {
             return;
         };
-        if self.leads() {
-            self.actions.push(Action::Push(None, ToEntry::Loads(loads)));
+        for &life in &self.load_readers {
+            let push = ToEntry::Loads(loads.clone());
+            self.actions.push(Action::Push(Some(life), push));
         }
     }
 
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -63,6 +63,8 @@
     Evidence(Vec<Evidence>),
     /// Loads that backend servers have told since the last message.
     Loads(Vec<LoadOf>),
+    /// Whether the receiver should tell the sender of the loads that others hear.
+    WantsLoads(bool),
     /// Requests that were running when backend servers went down.
     Crashed(Vec<Crash>),
     /// Sessions that must stay on the versions before a roll-out.
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -278,9 +278,14 @@
 #[test]
 fn loads_told() {
     // What entries have heard of loads, each from a few backend servers, comes
-    // back to all of them in one report of the leader.
+    // back to each in one report, of the replica that it has asked. One that is
+    // cut off with its side of the group hears of the loads there.
     let mut group = Group::start(3, 1);
     let leader = group.new_leader(None);
+    let asked = leader % 3 + 1;
+    group.isolate(asked);
+    group.event(asked, Event::Subscribed(9));
+    group.event(asked, Event::WantsLoads(9, true));
     group.pushed.clear();
     for number in 0..3 {
         let heard = LoadOf {
@@ -297,7 +302,7 @@
         ToEntry::Loads(loads) => Some((*node, loads.len())),
         _ => None,
     });
-    assert_eq!(told.next(), Some((leader, 3)));
+    assert_eq!(told.next(), Some((asked, 3)));
     assert_eq!(told.next(), None);
 }
 
