--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -55,6 +55,15 @@
 /// troubles and another lost 0.015, as its long shared prompts were read thrice.
 const NEAR_BELOW: u32 = 2_000;
 
+/// Tokens of a prompt that make others wait as long as one waiting request does:
+/// some 30 to 100 ms of an engine's time.
+const TOKENS_AS_WAITING: u32 = 4_000;
+
+/// Tokens from which a prompt is told of as soon as it is sent. While an engine
+/// reads 40,000 it says nothing for over a second and looked idle, and 27 requests
+/// gathered behind it. Shorter ones are over before the others are told.
+const LONG_PROMPT: u32 = 8_000;
+
 /// First pause after a backend server could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -118,6 +127,8 @@
 pub struct Need<'a> {
     /// What is shared; none if any backend server will do.
     pub affinity: Option<Affinity>,
+    /// Tokens of its prompt that no other shares.
+    pub tokens: u32,
     /// Failure domain of this entry.
     pub domain: &'a str,
     /// Backend servers that were tried already.
@@ -167,6 +178,9 @@
         seen.in_flight += 1;
         seen.domain = chosen.said.domain.clone();
         self.paths.tries(now, &chosen.said.domain);
+        if need.tokens >= LONG_PROMPT {
+            self.expect_queue(now, &chosen.said.id, need.tokens);
+        }
         Some(chosen)
     }
 
@@ -199,6 +213,21 @@
         });
     }
 
+    /// Notes that a long prompt is on its way, here and for the others, until
+    /// something is heard from the engine that has to read it.
+    fn expect_queue(&mut self, now: MonoTime, id: &ServerId, tokens: u32) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        let newest = seen.newest();
+        let load = Load {
+            running: newest.map_or(0, |r| r.running),
+            waiting: newest.map_or(0, |r| r.waiting) + tokens / TOKENS_AS_WAITING,
+            slots: 0,
+        };
+        let load = LoadOf::new(id, load);
+        self.heard.take([load]);
+        self.told(now, id, load);
+    }
+
     /// Takes the loads that the others should be told of, if it is time.
     pub fn take_heard(&mut self, now: MonoTime) -> Option<Vec<LoadOf>> {
         self.heard.due(now)
@@ -323,9 +352,7 @@
         let Some(seen) = self.seen.get(&known.said.id) else {
             return 0.0;
         };
-        let newest = [seen.load, seen.shared].into_iter().flatten();
-        let newest = newest.max_by_key(|reported| reported.at);
-        seen.load(now, known.said.slots, newest)
+        seen.load(now, known.said.slots, seen.newest())
     }
 
     fn failures(&self, known: &Known) -> f64 {
@@ -339,6 +366,12 @@
 }
 
 impl Seen {
+    /// Returns the newest report that any entry has heard.
+    fn newest(&self) -> Option<Reported> {
+        let reports = [self.load, self.shared].into_iter().flatten();
+        reports.max_by_key(|reported| reported.at)
+    }
+
     /// Returns the requests there as a share of the slots.
     ///
     /// A report gives way to what this entry sees itself: left standing, an old
--- a/sesamebeam_core/src/gateway/loads.rs
+++ b/sesamebeam_core/src/gateway/loads.rs
@@ -63,6 +63,10 @@
             waiting: load.waiting,
         }
     }
+
+    fn total(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
 }
 
 /// Loads that were heard since the last report.
@@ -73,10 +77,16 @@
 }
 
 impl Loads {
-    /// Takes loads that were heard; newer ones take the place of older ones.
+    /// Takes loads that were heard. Of several of one backend server the highest
+    /// is told: what waits there was heard of by one entry, and others may hear of
+    /// the time before it later.
     pub fn take(&mut self, loads: impl IntoIterator<Item = LoadOf>) {
-        let loads = loads.into_iter().map(|load| (load.server, load));
-        self.fresh.extend(loads);
+        for load in loads {
+            let held = self.fresh.entry(load.server).or_insert(load);
+            if load.total() > held.total() {
+                *held = load;
+            }
+        }
     }
 
     /// Returns what is to be told now, if its time has come.
@@ -86,7 +96,7 @@
         }
         self.told_at = now;
         let mut told: Vec<LoadOf> = self.fresh.drain().map(|(_, load)| load).collect();
-        told.sort_by_key(|load| (std::cmp::Reverse(load.waiting + load.running), load.server));
+        told.sort_by_key(|load| (std::cmp::Reverse(load.total()), load.server));
         told.truncate(MOST_TOLD);
         Some(told)
     }
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -52,6 +52,12 @@
     pub fn shared_part(&self) -> Option<&PromptPart> {
         self.prompt.iter().rev().nth(1)
     }
+
+    /// Returns the tokens of the prompt that no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        let own = self.prompt.last().map(|part| part.tokens);
+        own.unwrap_or(self.prompt_tokens)
+    }
 }
 
 /// What is set on a request that goes to a backend server.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -157,6 +157,8 @@
     pub expense: f64,
     /// What it shares with other requests.
     shared: Option<PromptPart>,
+    /// Tokens of its prompt that no other shares.
+    own_tokens: u32,
     /// Session.
     session: Option<SmolStr>,
     /// Whether a new version gets it while it is on trial.
@@ -322,6 +324,7 @@
             model,
             expense: cascade::expense(head.prompt_tokens, head.answer_tokens),
             shared: head.shared_part().copied(),
+            own_tokens: head.own_tokens(),
             session: head.session.clone(),
             on_trial,
             seed,
@@ -350,6 +353,7 @@
         });
         let need = Need {
             affinity,
+            tokens: plan.own_tokens,
             domain: &self.cfg.domain,
             tried,
             seed: plan.seed,
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -24,6 +24,7 @@
 
 const NEED: Need<'static> = Need {
     affinity: None,
+    tokens: 500,
     domain: "hall-1",
     tried: &[],
     seed: 1,
@@ -307,3 +308,34 @@
     assert_eq!(far(500), 0);
     assert!(far(5_000) > 20);
 }
+
+#[test]
+fn long_prompt_on_its_way() {
+    // Callers with short questions wait for over a second behind a prompt of
+    // 43,000 tokens. The engine that reads it answers nobody meanwhile, so that
+    // every entry took it for idle; now it is known from the moment it is sent,
+    // here and to the others.
+    let servers = servers(8);
+    let need = Need {
+        affinity: Some(sharing(42)),
+        ..NEED
+    };
+    let long = Need {
+        tokens: 43_000,
+        ..need
+    };
+    let mut balance = Balance::default();
+    let first = choose(&mut balance, 500, &servers, &long);
+    assert_ne!(choose(&mut balance, 510, &servers, &need), first);
+    let told = balance.take_heard(ms(510)).expect("it is time");
+    let mut other = Balance::default();
+    other.told(ms(520), &first.as_str().into(), told[0]);
+    assert_ne!(choose(&mut other, 600, &servers, &need), first);
+    let idle = Load {
+        running: 1,
+        waiting: 0,
+        slots: 8,
+    };
+    other.heard(ms(900), &first.as_str().into(), Some(idle));
+    assert_eq!(choose(&mut other, 910, &servers, &need), first);
+}
