Split the router by what its parts own

router.rs had grown to 663 lines. Counts of answers (tallies), requests that crash what runs them (suspects) and lengths of prompts (lengths) are structs of their own now, each with its constants. No behaviour is changed.

--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -1,16 +1,12 @@
 //! All decisions of an entry that passes requests through.
 
 use std::{
-    collections::{
-        HashMap,
-        HashSet, //
-    },
+    collections::HashMap,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
-use indexmap::IndexSet;
 use smol_str::SmolStr;
 use thiserror::Error;
 
@@ -49,6 +45,7 @@
         Evidence,
         Kept, //
     },
+    lengths::Lengths,
     loads::{
         self,
         LoadOf,
@@ -67,11 +64,16 @@
         TRIAL_PART, //
     },
     sessions::Sessions,
+    suspects::Suspects,
     table::{
         self,
         Caller,
         Table, //
     },
+    tallies::{
+        Sender,
+        Tallies, //
+    },
 };
 use crate::{
     ids::{
@@ -85,26 +87,6 @@
     policy::hash,
 };
 
-/// Requests that completed of late and are kept in mind: some minutes of an
-/// entry's traffic, in 100 KB.
-const MAX_COMPLETED: usize = 2048;
-
-/// Most that an engine tells ranks apart.
-const ENGINE_RANKS: usize = 10;
-
-/// Lengths of prompts that are told apart: short, usual and long.
-const SIZES: usize = 3;
-
-/// How many times longer or shorter than the mean of its route a prompt is to
-/// count as long or short.
-const SIZE_STEP: f64 = 2.0;
-
-/// Weight of the newest prompt in the mean of its route.
-const SIZE_WEIGHT: f64 = 0.02;
-
-/// Weight of the newest time to the first byte in the mean of its route.
-const TIME_WEIGHT: f64 = 0.05;
-
 /// Settings of a router.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterConfig {
@@ -167,6 +149,17 @@
     seed: u64,
 }
 
+impl Plan {
+    /// Returns what answers of a backend server are counted by.
+    fn sender(&self, choice: &Choice) -> Sender {
+        Sender {
+            service: self.service.clone(),
+            version: choice.version.clone(),
+            route: self.route.name.clone(),
+        }
+    }
+}
+
 /// A backend server that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -178,12 +171,6 @@
     pub version: SmolStr,
 }
 
-/// Means by route and model.
-type Means = HashMap<(SmolStr, Option<ModelId>), f64>;
-
-/// Key of counts of answers.
-type EvidenceKey = (ServiceId, SmolStr, SmolStr);
-
 /// All decisions of one entry.
 #[derive(Debug)]
 pub struct Router {
@@ -195,18 +182,10 @@
     balance: Balance,
     budget: Budget,
     cascade: Cascade,
-    evidence: HashMap<EvidenceKey, Evidence>,
-    quarantined: HashSet<Digest>,
-    crashes: Vec<Crash>,
-    /// Requests that completed of late, the oldest first.
-    completed: IndexSet<Digest>,
-    /// Mean time to the first byte, in milliseconds.
-    times: Means,
-    /// Mean time between events, in milliseconds.
-    paces: Means,
+    tallies: Tallies,
+    suspects: Suspects,
     sessions: Sessions,
-    /// Mean length of the prompts of each route, in tokens.
-    lengths: HashMap<SmolStr, f64>,
+    lengths: Lengths,
     count: u64,
 }
 
@@ -223,13 +202,9 @@
             directory: Directory::default(),
             balance: Balance::default(),
             cascade: Cascade::default(),
-            evidence: HashMap::new(),
-            quarantined: HashSet::new(),
-            crashes: Vec::new(),
-            completed: IndexSet::new(),
-            times: Means::new(),
-            paces: Means::new(),
-            lengths: HashMap::new(),
+            tallies: Tallies::default(),
+            suspects: Suspects::default(),
+            lengths: Lengths::default(),
             count: 0,
         }
     }
@@ -317,7 +292,9 @@
             .is_none_or(|m| m == crate::ids::ANY_MODEL);
         let model = route.sizes.first().filter(|_| open).cloned();
         Ok(Plan {
-            engine_rank: self.engine_rank(&table, route, rank, head.prompt_tokens),
+            engine_rank: self
+                .lengths
+                .engine_rank(&table, route, rank, head.prompt_tokens),
             rank,
             route: route.clone(),
             organisation,
@@ -451,30 +428,22 @@
     /// Notes the time from a send to the first byte of its success.
     pub fn timed(&mut self, plan: &Plan, choice: &Choice, model: Option<&str>, took: Duration) {
         let on_trial = self.is_target(&plan.service, &choice.version);
-        let slowness = compare(&mut self.times, plan, model, took, on_trial);
-        let evidence = self.evidence_of(plan, choice);
-        evidence.timed += 1;
-        evidence.slowness += slowness;
+        self.tallies
+            .timed(&plan.sender(choice), model, took, on_trial);
     }
 
     /// Notes the mean time between the events of a stream.
     pub fn paced(&mut self, plan: &Plan, choice: &Choice, model: Option<&str>, pace: Duration) {
         let on_trial = self.is_target(&plan.service, &choice.version);
-        let slowness = compare(&mut self.paces, plan, model, pace, on_trial);
-        let evidence = self.evidence_of(plan, choice);
-        evidence.paced += 1;
-        evidence.pace += slowness;
+        self.tallies
+            .paced(&plan.sender(choice), model, pace, on_trial);
     }
 
     /// Notes how a send ended.
     pub fn finished(&mut self, now: MonoTime, plan: &Plan, choice: &Choice, outcome: Outcome) {
         self.balance.finished(now, &choice.id, outcome);
         self.keep_session(now, plan, choice);
-        match outcome {
-            Outcome::Good => self.evidence_of(plan, choice).good += 1,
-            Outcome::Failed => self.evidence_of(plan, choice).bad += 1,
-            Outcome::Refused | Outcome::Unreachable | Outcome::Dropped => {}
-        }
+        self.tallies.ended(&plan.sender(choice), outcome);
     }
 
     /// Notes that another life answers at the address of a backend server.
@@ -506,7 +475,7 @@
     /// Takes the requests that crash what runs them, as the control replicas
     /// have found.
     pub fn set_quarantined(&mut self, fingerprints: impl IntoIterator<Item = Digest>) {
-        self.quarantined.extend(fingerprints);
+        self.suspects.quarantine(fingerprints);
     }
 
     /// Returns whether a request may run.
@@ -515,65 +484,30 @@
     ///
     /// Fails if it crashes what runs it.
     pub fn check_fingerprint(&self, fingerprint: Digest) -> Result<(), Refusal> {
-        let convicted = self.quarantined.contains(&fingerprint);
-        match convicted && !self.completed.contains(&fingerprint) {
-            true => Err(Refusal::Quarantined),
-            false => Ok(()),
+        match self.suspects.may_run(fingerprint) {
+            true => Ok(()),
+            false => Err(Refusal::Quarantined),
         }
     }
 
     /// Notes that a request ran to its end.
-    ///
-    /// A common question without a body has the same fingerprint each time, and
-    /// is on board of many crashes by chance; it is never blamed.
     pub fn completed(&mut self, fingerprint: Digest) {
-        if self.completed.len() >= MAX_COMPLETED {
-            self.completed.shift_remove_index(0);
-        }
-        self.completed.insert(fingerprint);
+        self.suspects.completed(fingerprint);
     }
 
     /// Notes that a request was running when a backend server went down.
     pub fn crashed(&mut self, fingerprint: Digest, server: &ServerId) {
-        if self.completed.contains(&fingerprint) {
-            return;
-        }
-        let server = server.clone();
-        self.crashes.push(Crash {
-            fingerprint,
-            server,
-        });
+        self.suspects.crashed(fingerprint, server);
     }
 
     /// Takes the crashes noted since the last call.
     pub fn take_crashes(&mut self) -> Vec<Crash> {
-        std::mem::take(&mut self.crashes)
+        self.suspects.take_crashes()
     }
 
     /// Takes the answers counted since the last call.
     pub fn take_evidence(&mut self) -> Vec<Evidence> {
-        self.evidence.drain().map(|(_, counts)| counts).collect()
-    }
-
-    /// Returns the rank that an engine is told.
-    ///
-    /// An engine reads prompts one after the other within a rank: one of 50,000
-    /// tokens before one of 500 makes it wait for a second. Shorter ones first
-    /// shortens the mean wait; a rank never passes a more urgent one.
-    fn engine_rank(&mut self, table: &Table, route: &RouteConfig, rank: Rank, tokens: u32) -> Rank {
-        let tokens = f64::from(tokens);
-        let mean = self.lengths.entry(route.name.clone()).or_insert(tokens);
-        *mean += SIZE_WEIGHT * (tokens - *mean);
-        let mean = *mean;
-        let (place, ranks) = table.place(rank);
-        let sizes = (ENGINE_RANKS / ranks.max(1)).clamp(1, SIZES);
-        let size = match tokens {
-            t if t > mean * SIZE_STEP => SIZES - 1,
-            t if t > mean / SIZE_STEP => SIZES - 2,
-            _ => 0,
-        };
-        let told = place * sizes + size * sizes / SIZES;
-        Rank::try_from(told.min(ENGINE_RANKS - 1)).unwrap_or(Rank::MAX)
+        self.tallies.take()
     }
 
     fn keep_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
@@ -582,21 +516,6 @@
         }
     }
 
-    fn evidence_of(&mut self, plan: &Plan, choice: &Choice) -> &mut Evidence {
-        let key = (
-            plan.service.clone(),
-            choice.version.clone(),
-            plan.route.name.clone(),
-        );
-        let (service, version, route) = key.clone();
-        self.evidence.entry(key).or_insert_with(|| Evidence {
-            service,
-            version,
-            route,
-            ..Evidence::default()
-        })
-    }
-
     fn is_target(&self, service: &str, version: &str) -> bool {
         self.rollouts
             .get(service)
@@ -642,22 +561,3 @@
         }
     }
 }
-
-/// Returns a time as a share of the mean of its route and model, which follows
-/// the times of versions that are not on trial.
-fn compare(
-    means: &mut Means,
-    plan: &Plan,
-    model: Option<&str>,
-    took: Duration,
-    on_trial: bool,
-) -> f64 {
-    let key = (plan.route.name.clone(), model.map(SmolStr::new));
-    let millis = took.as_secs_f64() * 1e3;
-    let mean = means.entry(key).or_insert(millis);
-    let share = millis / mean.max(0.1);
-    if !on_trial {
-        *mean += TIME_WEIGHT * (millis - *mean);
-    }
-    share
-}
