--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -129,8 +129,6 @@
     pub service: ServiceId,
     /// Organisation of its caller.
     pub organisation: Option<OrgId>,
-    /// Rank.
-    pub rank: Rank,
     /// Rank that the engine is told: within a rank, short prompts go first.
     pub engine_rank: Rank,
     /// Model to ask first, where the caller leaves the choice open.
@@ -295,7 +293,6 @@
             engine_rank: self
                 .lengths
                 .engine_rank(&table, route, rank, head.prompt_tokens),
-            rank,
             route: route.clone(),
             organisation,
             model,
