Leave the elections of the other group as they were

Standing at once after a start is a setting of a group now, on for the platform's, whose callers cannot be served without a leader, off for the other, whose entries serve on under their leases. The goldens are unchanged. The schedules, leases and memberships of tests/group run with it on.

--- a/sesamebeam/src/control.rs
+++ b/sesamebeam/src/control.rs
@@ -506,6 +506,7 @@
         max_batch_bytes: MAX_BATCH,
         snapshot_every: timings.snapshot_every,
         snapshot_chunk: SNAPSHOT_CHUNK,
+        eager: false,
         seed: rand::random(),
         faults: Default::default(),
     };
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -522,6 +522,7 @@
         max_batch_bytes: MAX_BATCH,
         snapshot_every: SNAPSHOT_EVERY,
         snapshot_chunk: SNAPSHOT_CHUNK,
+        eager: true,
         seed: rand::random(),
         faults: Default::default(),
     }
--- a/sesamebeam_core/examples/drive.rs
+++ b/sesamebeam_core/examples/drive.rs
@@ -98,6 +98,7 @@
             max_batch_bytes: 1 << 20,
             snapshot_every: 1000,
             snapshot_chunk: 64 << 10,
+            eager: false,
             seed: 1,
             faults: Default::default(),
         };
--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -145,7 +145,11 @@
         if bootstraps {
             replica.bootstrap();
         }
-        replica.set_first_election();
+        if replica.cfg.eager {
+            replica.set_first_election();
+        } else {
+            replica.reset_election();
+        }
         if replica.is_sole_voter() {
             replica.election_at = now;
         }
--- a/sesamebeam_core/src/replica/config.rs
+++ b/sesamebeam_core/src/replica/config.rs
@@ -32,6 +32,10 @@
     pub snapshot_every: u64,
     /// Bytes in a part of a snapshot.
     pub snapshot_chunk: usize,
+    /// Whether a replica that has just started stands as soon as its promise is
+    /// over, and repeats pre-votes that found no majority: for groups whose callers
+    /// cannot be served without a leader.
+    pub eager: bool,
     /// Seed of the election time-outs.
     pub seed: u64,
     /// Safeguards switched off, for tests alone.
--- a/sesamebeam_core/src/replica/election.rs
+++ b/sesamebeam_core/src/replica/election.rs
@@ -77,7 +77,9 @@
             return;
         }
         self.leader = None;
-        self.ask_again_soon();
+        if self.cfg.eager {
+            self.ask_again_soon();
+        }
         let mut votes = Votes::default();
         votes.granted.insert(self.cfg.id);
         self.take_role(Standing::PreCandidate(votes));
--- a/sesamebeam_core/tests/control/group.rs
+++ b/sesamebeam_core/tests/control/group.rs
@@ -428,6 +428,7 @@
         max_batch_bytes: 1 << 20,
         snapshot_every: 200,
         snapshot_chunk: 1 << 16,
+        eager: false,
         seed: 11,
         faults: Default::default(),
     }
--- a/sesamebeam_core/tests/gateway/group.rs
+++ b/sesamebeam_core/tests/gateway/group.rs
@@ -104,6 +104,7 @@
         max_batch_bytes: 1 << 20,
         snapshot_every: 20,
         snapshot_chunk: 64 << 10,
+        eager: true,
         seed: node,
         faults: Default::default(),
     }
--- a/sesamebeam_core/tests/group/net.rs
+++ b/sesamebeam_core/tests/group/net.rs
@@ -426,6 +426,7 @@
         max_batch_bytes: 16 << 10,
         snapshot_every: 1_000,
         snapshot_chunk: 4 << 10,
+        eager: true,
         seed,
         faults,
     }
--- a/sesamebeam_core/tests/proofs/world/group.rs
+++ b/sesamebeam_core/tests/proofs/world/group.rs
@@ -86,6 +86,7 @@
             max_batch_bytes: 1 << 20,
             snapshot_every: 40,
             snapshot_chunk: 1 << 12,
+            eager: false,
             seed,
             faults: Default::default(),
         });
