--- a/sesamebeam_bench/src/commit/records.rs
+++ b/sesamebeam_bench/src/commit/records.rs
@@ -59,25 +59,25 @@
         "  snapshot: {snapshot:.0} bytes a claim, written in {written:.0?}, read in {read:.0?}"
     );
     Ok(vec![
-        found(
+        Found::new(
             "claim.log",
             bare.claim + bare.end,
             "bytes/claim",
             "log entries of a claim and its end, encoded",
         ),
-        found(
+        Found::new(
             "claim.memory",
             bare.memory,
             "bytes/claim",
             "claim with its end and billing entry, resident",
         ),
-        found(
+        Found::new(
             "claim.body.memory",
             (with_body.memory - bare.memory) / BODY as f64,
             "bytes/byte",
             "kept answer, resident for each byte",
         ),
-        found(
+        Found::new(
             "claim.snapshot",
             snapshot,
             "bytes/claim",
@@ -145,12 +145,3 @@
         at: 0,
     })
 }
-
-fn found(name: &'static str, value: f64, unit: &'static str, of: &'static str) -> Found {
-    Found {
-        name,
-        value,
-        unit,
-        of,
-    }
-}
--- a/sesamebeam_bench/src/commit/subscribers.rs
+++ b/sesamebeam_bench/src/commit/subscribers.rs
@@ -195,37 +195,37 @@
     let told = files(&replicas, &board, &mut large, &mut revision, most, core).await?;
     cancel.cancel();
     Ok(vec![
-        found(
+        Found::new(
             "leader.subscriber",
             core,
             "s/s",
             "leader, an entry's renewals",
         ),
-        found(
+        Found::new(
             "leader.subscriber.memory",
             bytes,
             "bytes",
             "leader, resident for an entry",
         ),
-        found(
+        Found::new(
             "leader.subscriber.change",
             told.core,
             "s/change",
             "leader, telling one entry of a change",
         ),
-        found(
+        Found::new(
             "change.in_force",
             told.longest,
             "s",
             "apply to in force at 720 subscribers, longest",
         ),
-        found(
+        Found::new(
             "change.bytes",
             told.bytes,
             "bytes/change",
             "answer that tells one entry of a change",
         ),
-        found(
+        Found::new(
             "fleet.large",
             wire::encode(&large)?.len() as f64,
             "bytes",
@@ -399,12 +399,3 @@
         ..model.clone()
     }
 }
-
-fn found(name: &'static str, value: f64, unit: &'static str, of: &'static str) -> Found {
-    Found {
-        name,
-        value,
-        unit,
-        of,
-    }
-}
--- a/sesamebeam_bench/src/commit/writers.rs
+++ b/sesamebeam_bench/src/commit/writers.rs
@@ -126,20 +126,20 @@
         WRITERS[0],
     );
     Ok(vec![
-        found("commit.fsync", seconds(&fsync), "s", "one fsync, p50"),
-        found(
+        Found::new("commit.fsync", seconds(&fsync), "s", "one fsync, p50"),
+        Found::new(
             "commit.lone",
             seconds(&lone.latency),
             "s",
             "commit of a lone writer over the link, p50",
         ),
-        found(
+        Found::new(
             "leader.commit",
             leader,
             "s/commit",
             "leader, processor time of a commit with 8 writers",
         ),
-        found(
+        Found::new(
             "follower.commit",
             follower,
             "s/commit",
@@ -254,12 +254,3 @@
 fn seconds(histogram: &Histogram<u64>) -> f64 {
     micros_of(histogram) / 1e6
 }
-
-fn found(name: &'static str, value: f64, unit: &'static str, of: &'static str) -> Found {
-    Found {
-        name,
-        value,
-        unit,
-        of,
-    }
-}
--- a/sesamebeam_bench/src/load/announce.rs
+++ b/sesamebeam_bench/src/load/announce.rs
@@ -124,25 +124,25 @@
         memory / 1e3
     );
     Ok(vec![
-        found(
+        Found::new(
             "entry.announcement",
             take,
             "s/announcement",
             "entry, an announcement of a known backend server",
         ),
-        found(
+        Found::new(
             "entry.told",
             tell,
             "s/announcement",
             "another entry, told that it is alive",
         ),
-        found(
+        Found::new(
             "entry.server.memory",
             memory,
             "bytes/server",
             "entry, resident for a known backend server",
         ),
-        found(
+        Found::new(
             "announcement.bytes",
             bytes as f64,
             "bytes",
@@ -250,12 +250,3 @@
         speed: 40.0,
     }
 }
-
-fn found(name: &'static str, value: f64, unit: &'static str, of: &'static str) -> Found {
-    Found {
-        name,
-        value,
-        unit,
-        of,
-    }
-}
--- a/sesamebeam_bench/src/load/slope_runs.rs
+++ b/sesamebeam_bench/src/load/slope_runs.rs
@@ -75,25 +75,25 @@
     bed.pace(Duration::ZERO);
     let at_once = series(bed, "at once", &COALESCED, Duration::ZERO, length).await?;
     Ok(vec![
-        found(
+        Found::new(
             "entry.request",
             paced[0],
             "s/request",
             "entry, a request, paced",
         ),
-        found(
+        Found::new(
             "entry.token",
             paced[1],
             "s/token",
             "entry, a token that arrives by itself",
         ),
-        found(
+        Found::new(
             "entry.request.at_once",
             at_once[0],
             "s/request",
             "entry, a request whose answer arrives at once",
         ),
-        found(
+        Found::new(
             "entry.token.at_once",
             at_once[1],
             "s/token",
@@ -184,12 +184,3 @@
         tally,
     })
 }
-
-fn found(name: &'static str, value: f64, unit: &'static str, of: &'static str) -> Found {
-    Found {
-        name,
-        value,
-        unit,
-        of,
-    }
-}
--- a/sesamebeam_bench/src/slopes.rs
+++ b/sesamebeam_bench/src/slopes.rs
@@ -144,6 +144,18 @@
     pub of: &'static str,
 }
 
+impl Found {
+    /// Makes one.
+    pub fn new(name: &'static str, value: f64, unit: &'static str, of: &'static str) -> Self {
+        Self {
+            name,
+            value,
+            unit,
+            of,
+        }
+    }
+}
+
 /// Cuts a value to four digits: the rest is noise.
 fn significant(value: f64) -> f64 {
     format!("{value:.3e}").parse().unwrap_or(value)
