Encode what several entries are told once

A push went to one entry or to all, so that a report of loads to the entries that read it here was copied, encoded and packed anew for each of them, five times a second. A push names its receivers now and is encoded once for them; what each entry is told is the same. Found by reading; the processor time was not measured.

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -34,7 +34,8 @@
             CoordinatorConfig,
             EntryLife,
             Event,
-            Peers, //
+            Peers,
+            Receivers, //
         },
         feed::{
             Between,
@@ -381,7 +382,7 @@
 
     /// Hands a message to the connections of entries. One that does not keep up
     /// is cut, and told everything when it comes back.
-    fn push(&mut self, to: Option<EntryLife>, message: &ToEntry) {
+    fn push(&mut self, to: Receivers, message: &ToEntry) {
         let bytes = match frames::encode(message) {
             Ok(bytes) => bytes,
             Err(e) => {
@@ -392,12 +393,14 @@
         let fits =
             |tx: &Sender<Bytes>| !matches!(tx.try_send(bytes.clone()), Err(TrySendError::Full(_)));
         match to {
-            Some(life) => {
-                if self.entries.get(&life).is_some_and(|tx| !fits(tx)) {
-                    self.entries.remove(&life);
+            Receivers::These(lives) => {
+                for life in lives {
+                    if self.entries.get(&life).is_some_and(|tx| !fits(tx)) {
+                        self.entries.remove(&life);
+                    }
                 }
             }
-            None => self.entries.retain(|_, tx| fits(tx)),
+            Receivers::All => self.entries.retain(|_, tx| fits(tx)),
         }
     }
 
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -125,6 +125,15 @@
     DiskFull(bool),
 }
 
+/// Entries that are told the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Receivers {
+    /// All that are connected.
+    All,
+    /// Only these.
+    These(Vec<EntryLife>),
+}
+
 /// What a coordinator wants done.
 #[derive(Debug, PartialEq)]
 pub enum Action {
@@ -146,8 +155,8 @@
     Reply(Ticket, Reply),
     /// Answers a caller.
     Answer(Ticket, Answer),
-    /// Tells one entry, or all of them.
-    Push(Option<EntryLife>, ToEntry),
+    /// Tells entries.
+    Push(Receivers, ToEntry),
     /// The replicas of the group have changed.
     Peers(Peers),
     /// Something that belongs into the log.
@@ -420,7 +429,7 @@
         }
         self.trials.follow(self.now, self.store.rollouts());
         let push = self.state(version.is_some());
-        self.actions.push(Action::Push(None, push));
+        self.actions.push(Action::Push(Receivers::All, push));
     }
 
     fn take_snapshot(&mut self, index: LogIndex) {
@@ -435,7 +444,7 @@
         }
         self.trials.follow(self.now, self.store.rollouts());
         let push = self.state(true);
-        self.actions.push(Action::Push(None, push));
+        self.actions.push(Action::Push(Receivers::All, push));
     }
 
     fn subscribe(&mut self, life: EntryLife) {
@@ -443,19 +452,20 @@
         let entries = self.entries.len() as u32;
         let grew = entries > self.most_entries;
         self.most_entries = self.most_entries.max(entries);
-        let told = if grew { None } else { Some(life) };
+        let this = Receivers::These(vec![life]);
+        let told = if grew { Receivers::All } else { this.clone() };
         let fleet = self.fleet();
         self.actions.push(Action::Push(told, fleet));
         let state = self.state(true);
-        self.actions.push(Action::Push(Some(life), state));
+        self.actions.push(Action::Push(this.clone(), state));
         let servers = self.directory.all().map(|k| k.said.clone()).collect();
         let servers = ToEntry::Servers(servers);
-        self.actions.push(Action::Push(Some(life), servers));
+        self.actions.push(Action::Push(this.clone(), servers));
         let push = ToEntry::Quarantined(self.crashes.quarantined());
-        self.actions.push(Action::Push(Some(life), push));
+        self.actions.push(Action::Push(this.clone(), push));
         for (kept, all) in self.trials.kept(self.now) {
             let push = ToEntry::Kept(kept, all);
-            self.actions.push(Action::Push(Some(life), push));
+            self.actions.push(Action::Push(this.clone(), push));
         }
     }
 
@@ -524,10 +534,13 @@
         let Some(loads) = self.loads.due(self.now) else {
             return;
         };
-        for &life in &self.load_readers {
-            let push = ToEntry::Loads(loads.clone());
-            self.actions.push(Action::Push(Some(life), push));
+        if self.load_readers.is_empty() {
+            return;
         }
+        let readers = self.load_readers.iter().copied().collect();
+        let push = ToEntry::Loads(loads);
+        self.actions
+            .push(Action::Push(Receivers::These(readers), push));
     }
 
     /// Counts crashes and tells entries of requests that caused several.
@@ -538,7 +551,7 @@
         }
         if found {
             let push = ToEntry::Quarantined(self.crashes.quarantined());
-            self.actions.push(Action::Push(None, push));
+            self.actions.push(Action::Push(Receivers::All, push));
         }
     }
 
@@ -548,7 +561,7 @@
         self.trials.keep(&kept);
         if self.leads() {
             self.actions
-                .push(Action::Push(None, ToEntry::Kept(kept, false)));
+                .push(Action::Push(Receivers::All, ToEntry::Kept(kept, false)));
         }
     }
 
--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -9,7 +9,8 @@
     Action,
     Answer,
     Coordinator,
-    Note, //
+    Note,
+    Receivers, //
 };
 use crate::{
     gateway::{
@@ -174,7 +175,7 @@
     fn push_servers(&mut self, servers: Vec<Announcement>) {
         if !servers.is_empty() {
             let push = ToEntry::Servers(servers);
-            self.actions.push(Action::Push(None, push));
+            self.actions.push(Action::Push(Receivers::All, push));
         }
     }
 
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -9,7 +9,8 @@
 use super::{
     Action,
     Coordinator,
-    Note, //
+    Note,
+    Receivers, //
 };
 use crate::{
     gateway::feed::{
@@ -243,6 +244,6 @@
         self.peers = peers.clone();
         self.actions.push(Action::Peers(peers));
         let fleet = self.fleet();
-        self.actions.push(Action::Push(None, fleet));
+        self.actions.push(Action::Push(Receivers::All, fleet));
     }
 }
