Keep growing pauses and loads of a choice once

The pause that grows after something could not be reached stood in balance and in paths; it is a type of its own. Choosing by prompt worked the load of each backend server out twice, with a power each time; it is worked out once. Reports and means are made in one place. The longest pauses (4 s, 2 s) and all bounds are as before.

--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -16,6 +16,7 @@
 mod lengths;
 pub mod loads;
 mod paths;
+mod pause;
 pub mod request;
 pub mod rollout;
 pub mod router;
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -20,6 +20,7 @@
         Loads, //
     },
     paths::Paths,
+    pause::Pause,
     request::Load,
 };
 use crate::{
@@ -64,9 +65,6 @@
 /// gathered behind it. Shorter ones are over before the others are told.
 const LONG_PROMPT: u32 = 8_000;
 
-/// First pause after a backend server could not be reached.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-
 /// Longest pause after a backend server could not be reached; below the time
 /// that one takes to come back.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
@@ -94,10 +92,8 @@
     shared: Option<Reported>,
     /// Share of its answers that failed.
     failures: f64,
-    /// Until when it gets nothing, as it could not be reached.
-    avoid_until: MonoTime,
-    /// Length of the last pause.
-    pause: Duration,
+    /// Pause in which it gets nothing, as it could not be reached.
+    pause: Pause,
     /// When anything last came from it.
     heard_at: MonoTime,
 }
@@ -188,29 +184,19 @@
     pub fn heard(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
         let seen = self.seen.entry(id.clone()).or_default();
         seen.heard_at = now;
-        seen.avoid_until = MonoTime::ZERO;
-        seen.pause = Duration::ZERO;
+        seen.pause = Pause::default();
         self.paths.heard(&seen.domain);
         if let Some(load) = load {
-            seen.load = Some(Reported {
-                running: load.running,
-                waiting: load.waiting,
-                at: now,
-                own: seen.in_flight,
-            });
-            self.heard.take([LoadOf::new(id, load)]);
+            let load = LoadOf::new(id, load);
+            seen.load = Some(seen.reported(now, load));
+            self.heard.take([load]);
         }
     }
 
     /// Notes a load that another entry has heard.
     pub fn told(&mut self, now: MonoTime, id: &ServerId, load: LoadOf) {
         let seen = self.seen.entry(id.clone()).or_default();
-        seen.shared = Some(Reported {
-            running: load.running,
-            waiting: load.waiting,
-            at: now,
-            own: seen.in_flight,
-        });
+        seen.shared = Some(seen.reported(now, load));
     }
 
     /// Notes that a long prompt is on its way, here and for the others, until
@@ -248,7 +234,7 @@
                 seen.failures = seen.failures * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
             }
             Outcome::Unreachable => {
-                seen.pause_after(now);
+                seen.pause.lengthen(now, MAX_PAUSE);
                 self.paths.unreached(now, &seen.domain, id);
             }
             Outcome::Refused | Outcome::Dropped => {}
@@ -257,9 +243,8 @@
 
     /// Returns the share of the slots of some backend servers that are taken.
     pub fn taken(&self, now: MonoTime, servers: &[&Known]) -> f64 {
-        let count = servers.len().max(1) as f64;
-        let loads = servers.iter().map(|k| self.shared_load(now, k));
-        loads.sum::<f64>() / count
+        let loads: Vec<f64> = servers.iter().map(|k| self.shared_load(now, k)).collect();
+        mean(&loads)
     }
 
     /// Forgets backend servers that are gone.
@@ -277,7 +262,7 @@
             .collect();
         let reached = |k: &&Known| {
             let seen = self.seen.get(&k.said.id);
-            let rested = seen.is_none_or(|s| s.avoid_until <= now);
+            let rested = seen.is_none_or(|s| s.pause.is_over(now));
             rested && !self.paths.avoids(now, &k.said.domain)
         };
         let mean = self.mean_failures(&fresh);
@@ -306,21 +291,18 @@
     ) -> Option<&'a Known> {
         let slots = fit.iter().map(|k| k.said.slots).max().unwrap_or(1);
         let spare = LOAD_SPARE / f64::from(slots.max(1));
-        let bound = self.taken(now, fit) * (1.0 + LOAD_MARGIN) + spare;
+        let loads: Vec<f64> = fit.iter().map(|k| self.shared_load(now, k)).collect();
+        let bound = mean(&loads) * (1.0 + LOAD_MARGIN) + spare;
         let key = affinity.key.to_le_bytes();
         let near_first = affinity.tokens < NEAR_BELOW;
-        let within = fit.iter().filter(|k| self.shared_load(now, k) <= bound);
-        let best = within.max_by_key(|k| {
+        let loaded = || fit.iter().copied().zip(loads.iter().copied());
+        let within = loaded().filter(|(_, load)| *load <= bound);
+        let best = within.max_by_key(|(k, _)| {
             let near = near_first && k.said.domain == domain;
             (near, hash::rendezvous(&k.said.id, &key))
         });
-        best.copied().or_else(|| {
-            let lightest = fit.iter().min_by(|a, b| {
-                self.shared_load(now, a)
-                    .total_cmp(&self.shared_load(now, b))
-            });
-            lightest.copied()
-        })
+        let lightest = || loaded().min_by(|(_, a), (_, b)| a.total_cmp(b));
+        best.or_else(lightest).map(|(k, _)| k)
     }
 
     fn by_load<'a>(&self, now: MonoTime, fit: &[&'a Known], need: &Need<'_>) -> Option<&'a Known> {
@@ -360,8 +342,8 @@
     }
 
     fn mean_failures(&self, fit: &[&Known]) -> f64 {
-        let count = fit.len().max(1) as f64;
-        fit.iter().map(|k| self.failures(k)).sum::<f64>() / count
+        let failures: Vec<f64> = fit.iter().map(|k| self.failures(k)).collect();
+        mean(&failures)
     }
 }
 
@@ -386,8 +368,18 @@
         (own + others) / f64::from(slots.max(1))
     }
 
-    fn pause_after(&mut self, now: MonoTime) {
-        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
-        self.avoid_until = now + self.pause;
+    /// Makes a report of what was said now.
+    fn reported(&self, now: MonoTime, load: LoadOf) -> Reported {
+        Reported {
+            running: load.running,
+            waiting: load.waiting,
+            at: now,
+            own: self.in_flight,
+        }
     }
 }
+
+/// Returns the mean, 0 of nothing.
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
--- a/sesamebeam_core/src/gateway/paths.rs
+++ b/sesamebeam_core/src/gateway/paths.rs
@@ -11,7 +11,10 @@
     time::Duration, //
 };
 
-use super::directory::ServerId;
+use super::{
+    directory::ServerId,
+    pause::Pause, //
+};
 use crate::ids::{
     DomainId,
     MonoTime, //
@@ -21,9 +24,6 @@
 /// failure domain counts as cut: one is often down by itself.
 const CUT_FROM: usize = 2;
 
-/// First pause after a way was found cut.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-
 /// Longest pause: what a request that tries the way then waits in vain is a
 /// small share of it, and backend servers behind a way that is whole again stand
 /// unused for no longer.
@@ -34,10 +34,8 @@
 struct Way {
     /// Those that could not be reached since anything was heard from there.
     unreached: Vec<ServerId>,
-    /// Until when requests go elsewhere.
-    avoid_until: MonoTime,
-    /// Length of the last pause.
-    pause: Duration,
+    /// Pause in which requests go elsewhere.
+    pause: Pause,
 }
 
 /// What one entry knows of the ways to failure domains.
@@ -58,8 +56,8 @@
         if !way.is_cut() && !way.unreached.contains(id) {
             way.unreached.push(id.clone());
         }
-        if way.is_cut() && way.avoid_until <= now {
-            way.pause_after(now);
+        if way.is_cut() && way.pause.is_over(now) {
+            way.pause.lengthen(now, MAX_PAUSE);
         }
     }
 
@@ -70,14 +68,14 @@
         if let Some(way) = self.ways.get_mut(domain)
             && way.is_cut()
         {
-            way.pause_after(now);
+            way.pause.lengthen(now, MAX_PAUSE);
         }
     }
 
     /// Returns whether requests should go elsewhere.
     pub(super) fn avoids(&self, now: MonoTime, domain: &str) -> bool {
         let way = self.ways.get(domain);
-        way.is_some_and(|way| way.is_cut() && way.avoid_until > now)
+        way.is_some_and(|way| way.is_cut() && !way.pause.is_over(now))
     }
 }
 
@@ -85,9 +83,4 @@
     fn is_cut(&self) -> bool {
         self.unreached.len() >= CUT_FROM
     }
-
-    fn pause_after(&mut self, now: MonoTime) {
-        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
-        self.avoid_until = now + self.pause;
-    }
 }
