--- a/sesamebeam_core/tests/membership.rs
+++ b/sesamebeam_core/tests/membership.rs
@@ -75,6 +75,16 @@
     assert!(net.saw(lost));
 }
 
+/// Makes up the change that replaces a replica, with a folder of the new one's own.
+fn replace(gone: u64, new: u64) -> MemberChange {
+    MemberChange::Replace {
+        gone,
+        new,
+        incarnation: u128::from(new) * 100,
+        addr: None,
+    }
+}
+
 /// Replaces a replica with a lost disk by number 4, over a link that is slow in
 /// bulk, and takes a second replica down as soon as the repair is reported.
 fn repair_then_fail(faults: Faults) -> (Net, bool) {
@@ -97,12 +107,7 @@
     cfg.max_batch_bytes = 40;
     net.add(cfg);
     net.weather.delay = Duration::from_millis(20);
-    let change = MemberChange::Replace {
-        gone: others[0],
-        new: 4,
-        incarnation: 400,
-        addr: None,
-    };
+    let change = replace(others[0], 4);
     net.change(leader, CHANGE, change);
     net.run_until("the repair", Duration::from_secs(60), |net| {
         let members = net.replica(leader).members();
@@ -153,12 +158,7 @@
     net.lose_disk(gone);
     net.start(gone);
     net.add(config(4, 400, 13, Faults::default()));
-    let change = MemberChange::Replace {
-        gone,
-        new: 4,
-        incarnation: 400,
-        addr: None,
-    };
+    let change = replace(gone, 4);
     net.change(leader, CHANGE, change);
     net.run_until("the repair", Duration::from_secs(60), |net| {
         net.replica(4).members().is_voter(4) && net.changed.contains(&CHANGE)
@@ -179,12 +179,7 @@
     let leader = net.settle_leader();
     let gone = if leader == 1 { 2 } else { 1 };
     net.crash(gone);
-    let change = MemberChange::Replace {
-        gone,
-        new: 6,
-        incarnation: 600,
-        addr: None,
-    };
+    let change = replace(gone, 6);
     net.change(leader, CHANGE, change);
     net.run_until("the first step", Duration::from_secs(5), |net| {
         net.changed.contains(&CHANGE)
@@ -211,12 +206,7 @@
     let mut others = (1..=5).filter(|&id| id != leader);
     let [gone, first, second] = [(); 3].map(|()| others.next().expect("five"));
     net.isolate(gone);
-    let change = MemberChange::Replace {
-        gone,
-        new: 6,
-        incarnation: 600,
-        addr: None,
-    };
+    let change = replace(gone, 6);
     net.change(leader, CHANGE, change);
     net.run_until("the first step", Duration::from_secs(5), |net| {
         net.changed.contains(&CHANGE)
