Tell seeds that have no place who is in the group

The group was well: a-2 led 0.31 s after the start and had committed everything 12 ms later. Entries and replicas without a place ask the seeds alone, and members never spoke to them.

Now the leader, while it holds its lease, tells the seeds of its settings that are no members, at its election and twice a second. seeds::seeds_forgot plays it in virtual time and fails without the call.

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -250,6 +250,12 @@
         settings: settings.clone(),
     };
     runner.open()?;
+    tokio::spawn(join::follow_seeds(
+        settings.clone(),
+        seeds.clone(),
+        tx.clone(),
+        halt.clone(),
+    ));
     links::start(&settings, tx.clone(), halt.clone()).await?;
     http::start(&settings, protocol, tx.clone(), halt.clone()).await?;
     tokio::spawn(join::run(settings, seeds, place_rx, tx, halt.clone()));
@@ -357,6 +363,9 @@
                         disk.write(write, ops);
                     }
                 }
+                Action::Tell { to, told } => {
+                    tokio::spawn(join::tell(to, told));
+                }
                 Action::Reply(ticket, reply) => {
                     if let Some(back) = self.questions.remove(&ticket) {
                         let _ = back.send(reply);
@@ -486,11 +495,16 @@
         self.meters.set(Level::Entries, self.entries.len() as u64);
         let member = self.core.is_member();
         let settled = member && self.core.knows_leader();
+        let known = self.core.peers().addrs();
         self.place.send_if_modified(|place| {
-            let had_place = place.had_place || member;
-            let changed = place.settled != settled || place.had_place != had_place;
-            place.settled = settled;
-            place.had_place = had_place;
+            let next = Place {
+                identity: place.identity,
+                settled,
+                had_place: place.had_place || member,
+                known,
+            };
+            let changed = next != *place;
+            *place = next;
             changed
         });
     }
--- a/sesamebeam/src/group/join.rs
+++ b/sesamebeam/src/group/join.rs
@@ -7,10 +7,13 @@
 };
 
 use sesamebeam_core::{
-    gateway::feed::{
-        Hello,
-        Question,
-        Reply, //
+    gateway::{
+        coordinator::Event,
+        feed::{
+            Hello,
+            Question,
+            Reply, //
+        },
     },
     ids::NodeId,
     replica::{
@@ -51,7 +54,7 @@
 const PATIENT_ROUNDS: u32 = 8;
 
 /// How this process stands in the group.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Place {
     /// Whose data folder this process has.
     pub(super) identity: Option<Identity>,
@@ -59,6 +62,8 @@
     pub(super) settled: bool,
     /// Whether it was a member at any time.
     pub(super) had_place: bool,
+    /// Where replicas listen, as far as this process was told.
+    pub(super) known: Vec<SocketAddr>,
 }
 
 /// Makes up the first group, if this process belongs to it.
@@ -69,11 +74,7 @@
     if !settings.first_start {
         return None;
     }
-    let seeds: BTreeSet<SocketAddr> = settings
-        .seeds
-        .iter()
-        .map(|&seed| internal_of(settings, seed))
-        .collect();
+    let seeds = seeds_of(settings, &settings.seeds);
     if !seeds.contains(&settings.internal) {
         return None;
     }
@@ -114,9 +115,9 @@
             continue;
         }
         unsettled += 1;
-        let asked = seeds.borrow().clone();
-        let asked = asked.into_iter().map(|seed| internal_of(&settings, seed));
-        let mut asked: BTreeSet<SocketAddr> = asked.chain(known.iter().copied()).collect();
+        known.extend(now.known.iter().copied());
+        let mut asked = seeds_of(&settings, &seeds.borrow());
+        asked.extend(known.iter().copied());
         asked.remove(&settings.internal);
         let question = question(&settings, &now);
         let replies = asked.iter().map(|&addr| ask(addr, question.clone()));
@@ -129,6 +130,33 @@
     }
 }
 
+/// Hands the seeds on whenever the settings name others.
+pub(super) async fn follow_seeds(
+    settings: GroupSettings,
+    mut seeds: watch::Receiver<Vec<SocketAddr>>,
+    tx: Inputs,
+    halt: CancellationToken,
+) {
+    loop {
+        let named = seeds_of(&settings, &seeds.borrow_and_update());
+        if tx.send(Input::Event(Event::Seeds(named))).is_err() {
+            return;
+        }
+        tokio::select! {
+            () = halt.cancelled() => return,
+            changed = seeds.changed() => if changed.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns where the seeds listen for other processes.
+fn seeds_of(settings: &GroupSettings, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+    let addrs = seeds.iter().map(|&seed| internal_of(settings, seed));
+    addrs.collect()
+}
+
 fn question(settings: &GroupSettings, place: &Place) -> Question {
     match &place.identity {
         None => Question::Group,
@@ -167,6 +195,13 @@
     let _ = tx.send(input);
 }
 
+/// Tells a process of the group; one that is down is told again later.
+pub(super) async fn tell(addr: SocketAddr, told: Question) {
+    if let Err(e) = ask(addr, told).await {
+        log::debug!(to:% = addr, error:% = e; "process not told of the group");
+    }
+}
+
 async fn ask(addr: SocketAddr, question: Question) -> Result<Reply, FrameError> {
     let (mut tx, mut rx) = frames::connect(addr).await?;
     tx.send(&Hello::Asker).await?;
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -107,6 +107,8 @@
     },
     /// A connection to another replica stands.
     Reached(NodeId),
+    /// Where the first replicas of the settings listen for others.
+    Seeds(BTreeSet<SocketAddr>),
     /// An entry has connected.
     Subscribed(EntryLife),
     /// An entry's connection has ended.
@@ -151,6 +153,13 @@
         /// What is written.
         ops: Vec<DiskOp>,
     },
+    /// Tells a process that is no member of the group.
+    Tell {
+        /// Where it listens for others.
+        to: SocketAddr,
+        /// What it is told.
+        told: Question,
+    },
     /// Answers a question about the group.
     Reply(Ticket, Reply),
     /// Answers a caller.
@@ -217,6 +226,10 @@
     now: MonoTime,
     replica: Option<Replica>,
     peers: Peers,
+    /// Where processes ask that know of nobody.
+    seeds: BTreeSet<SocketAddr>,
+    /// When those of them that are no members are told of the group.
+    tell_seeds_at: MonoTime,
     store: Store,
     directory: Directory,
     entries: BTreeSet<EntryLife>,
@@ -246,6 +259,8 @@
             now,
             replica: None,
             peers: Peers::default(),
+            seeds: BTreeSet::new(),
+            tell_seeds_at: now,
             store: Store::default(),
             directory: Directory::default(),
             entries: BTreeSet::new(),
@@ -292,6 +307,7 @@
             Event::Tick => self.step(ReplicaEvent::Tick),
             Event::Peer { from, message } => self.peer(from, message),
             Event::Reached(to) => self.tell_servers(to),
+            Event::Seeds(seeds) => self.seeds = seeds,
             Event::Subscribed(life) => self.subscribe(life),
             Event::Unsubscribed(life) => {
                 self.entries.remove(&life);
@@ -332,6 +348,11 @@
         &self.directory
     }
 
+    /// Returns the replicas of the group, as far as this process knows.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
     /// Returns whether this process leads the group.
     pub fn leads(&self) -> bool {
         self.replica
@@ -521,6 +542,7 @@
         }
         self.give_up_late();
         self.mend_group();
+        self.tell_seeds();
         self.move_rollouts();
         self.tell_loads();
     }
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -34,6 +34,12 @@
 /// replica must be back in full.
 const SILENT_FOR: Duration = Duration::from_secs(2);
 
+/// Pause between two times that seeds without a place are told of the group.
+/// Entries that know of nobody else ask them; with this and the round trip they
+/// are served again within a second, an eighth of the shortest time that users
+/// give a recovery. Each time costs the leader one connection to each such seed.
+const TELL_SEEDS_EVERY: Duration = Duration::from_millis(500);
+
 /// Replicas of a group with their addresses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Peers {
@@ -109,6 +115,10 @@
     /// Answers a question about the group.
     pub(super) fn asked(&mut self, ticket: Ticket, question: Question) {
         let reply = match (&self.replica, question) {
+            (_, Question::Told { replicas, .. }) => {
+                self.learn_peers(replicas);
+                Reply::None
+            }
             (None, _) => Reply::None,
             (Some(_), Question::Group) => self.group_reply(),
             (
@@ -135,6 +145,7 @@
     pub(super) fn role_changed(&mut self, role: Role) {
         self.note(Note::Role(role));
         if role == Role::Leader {
+            self.tell_seeds_at = self.now;
             self.trials.follow(self.now, self.store.rollouts());
         }
     }
@@ -145,6 +156,32 @@
         self.peers.addr(replica.leader()?)
     }
 
+    /// Tells seeds without a place who is in the group.
+    ///
+    /// Over time other processes take the places of seeds. When all processes
+    /// have lost their power then, with the disks of some, every process that
+    /// starts without a place asks the seeds, and none of them knows the members:
+    /// the group led and committed, and no entry ever heard of it. The leader
+    /// knows the seeds from its settings, so that it is the one to speak first.
+    pub(super) fn tell_seeds(&mut self) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        if !replica.has_lease(self.now) || self.now < self.tell_seeds_at {
+            return;
+        }
+        self.tell_seeds_at = self.now + TELL_SEEDS_EVERY;
+        let told = Question::Told {
+            group: replica.group(),
+            replicas: self.peers.all().collect(),
+        };
+        let members = self.peers.addrs();
+        for &to in self.seeds.iter().filter(|seed| !members.contains(seed)) {
+            let told = told.clone();
+            self.actions.push(Action::Tell { to, told });
+        }
+    }
+
     /// Takes out a silent replica that is not needed any more.
     ///
     /// A replica that was added before its forerunner left makes the group one
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -173,6 +173,13 @@
         /// Where it listens.
         addr: ProcessAddr,
     },
+    /// No question: the leader tells of the group.
+    Told {
+        /// Its identity.
+        group: u128,
+        /// All replicas with their addresses.
+        replicas: Vec<(NodeId, ProcessAddr)>,
+    },
 }
 
 /// Answer to a question.
--- a/sesamebeam_core/tests/gateway/group.rs
+++ b/sesamebeam_core/tests/gateway/group.rs
@@ -73,6 +73,8 @@
     pub(crate) answers: BTreeMap<u64, Answer>,
     pub(crate) replies: BTreeMap<u64, Reply>,
     pub(crate) pushed: Vec<(NodeId, ToEntry)>,
+    /// What processes outside the group were told, with their addresses.
+    pub(crate) told: VecDeque<(SocketAddr, Question)>,
     next_ticket: u64,
     tolerated: usize,
 }
@@ -121,6 +123,7 @@
             answers: BTreeMap::new(),
             replies: BTreeMap::new(),
             pushed: Vec::new(),
+            told: VecDeque::new(),
             next_ticket: 1,
             tolerated,
         };
@@ -132,24 +135,34 @@
 
     /// Starts a process with what its disk holds.
     pub(crate) fn boot(&mut self, node: NodeId, members: Members, disk: Saved) {
-        let cfg = CoordinatorConfig {
-            addr: listens(node),
-            tolerated: self.tolerated,
-            exposure: 0.15,
-            patience: ms(800),
-            disk_patience: ms(400),
-        };
-        let mut core = Coordinator::new(cfg, self.now);
-        let actions = core.start(replica(node, members), disk.clone(), self.now);
+        self.start_empty(node);
+        let now = self.now;
+        let process = self.processes.get_mut(&node).expect("it was started");
+        process.disk = disk.clone();
+        let actions = process.core.start(replica(node, members), disk, now);
+        self.carry(node, actions);
+    }
+
+    /// Starts a process with an empty disk, which has no place yet.
+    pub(crate) fn start_empty(&mut self, node: NodeId) {
         let process = Process {
-            core,
-            disk,
+            core: Coordinator::new(self.settings(node), self.now),
+            disk: Saved::default(),
             writes: VecDeque::new(),
             stalled: false,
             suspended: false,
         };
         self.processes.insert(node, process);
-        self.carry(node, actions);
+    }
+
+    fn settings(&self, node: NodeId) -> CoordinatorConfig {
+        CoordinatorConfig {
+            addr: listens(node),
+            tolerated: self.tolerated,
+            exposure: 0.15,
+            patience: ms(800),
+            disk_patience: ms(400),
+        }
     }
 
     /// Stops a process and returns its disk.
@@ -294,6 +307,7 @@
                         process.writes.push_back((at, write, ops));
                     }
                 }
+                Action::Tell { to, told } => self.told.push_back((to, told)),
                 Action::Reply(ticket, reply) => {
                     self.replies.insert(ticket, reply);
                 }
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -12,4 +12,5 @@
 mod orders;
 mod rollouts;
 mod router;
+mod seeds;
 mod table;
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/seeds.rs
@@ -0,0 +1,90 @@
+//! Seeds that have no place in the group any more.
+
+use std::collections::BTreeSet;
+
+use sesamebeam_core::{
+    gateway::{
+        coordinator::Event,
+        feed::ToEntry, //
+    },
+    ids::NodeId,
+};
+
+use crate::group::{
+    Group,
+    listens, //
+};
+
+/// Number of the entry in these tests.
+const ENTRY: u64 = 50;
+
+/// Hands what was told to those who listen, until nothing is left.
+fn deliver(group: &mut Group) {
+    while let Some((to, told)) = group.told.pop_front() {
+        let node = (1..=9).find(|&n| listens(n) == to).expect("it is known");
+        if group.processes.contains_key(&node) {
+            group.question(node, told);
+        }
+    }
+}
+
+fn name_seeds(group: &mut Group, nodes: impl IntoIterator<Item = NodeId>) {
+    let seeds: BTreeSet<_> = nodes.into_iter().map(listens).collect();
+    let processes: Vec<NodeId> = group.processes.keys().copied().collect();
+    for node in processes {
+        group.event(node, Event::Seeds(seeds.clone()));
+    }
+}
+
+#[test]
+fn seeds_forgot() {
+    // All processes lose their power. The members are 1 to 3; the seeds that the
+    // settings name, 7 to 9, are none any more, and come back with empty disks.
+    // An entry that starts asks the seeds alone: it is served only if a seed
+    // learns who the members are, and no seed can find them by itself.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    let disks: Vec<_> = (1..=3).map(|n| (n, group.kill(n))).collect();
+    for (node, disk) in disks {
+        group.restart(node, disk);
+    }
+    (7..=9).for_each(|node| group.start_empty(node));
+    name_seeds(&mut group, 7..=9);
+    group.event(8, Event::Subscribed(ENTRY));
+    group.new_leader(None);
+    group.run(700);
+    deliver(&mut group);
+    let members: Vec<_> = (1..=3).map(listens).collect();
+    let told = group.pushed.iter().filter(|(node, _)| *node == 8);
+    let last = told.filter_map(|(_, push)| match push {
+        ToEntry::Fleet { replicas, .. } => Some(replicas.clone()),
+        _ => None,
+    });
+    assert_eq!(last.last(), Some(members));
+}
+
+#[test]
+fn members_know() {
+    // Seeds that are members hear of the group by its log. Telling them too
+    // would cost the leader connections for ever.
+    let mut group = Group::start(3, 1);
+    name_seeds(&mut group, 1..=3);
+    group.new_leader(None);
+    group.run(2000);
+    assert!(group.told.is_empty(), "{:?}", group.told);
+}
+
+#[test]
+fn cut_leader_silent() {
+    // A leader that is cut off does not know who is in the group any more. What
+    // it told could send entries to processes that have left.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    group.isolate(leader);
+    group.run(600);
+    group.told.clear();
+    group.event(leader, Event::Seeds(BTreeSet::from([listens(9)])));
+    let before = group.told.len();
+    group.event(leader, Event::Tick);
+    assert_eq!(group.told.len(), before);
+}
