Tell the lives of a backend server apart by id and start

Its new life was taken for old news for good, as it had left or had a lower number. Heartbeats of another writer were filled up with defaults, and one that named a service that nobody has ended the life that works at its address.

A life is (id, born) now. A later start is another life, an earlier one is ignored, also when it leaves late; what became of sends to a life before says nothing of the new one. A life stays at its address and of its service.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -431,7 +431,7 @@
         );
         if head.misdirected {
             let now = self.gateway.now();
-            self.gateway.router().displaced(now, &choice.id);
+            self.gateway.router().displaced(now, &choice);
         }
         give_back(lease, &head);
         self.tried.push(choice.id.clone());
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -207,7 +207,7 @@
                 && e.kind() == ErrorKind::ConnectionRefused
             {
                 log::info!(id:% = id, server:% = choice.id; "backend server went down");
-                gateway.router().crashed(fingerprint, &choice.id);
+                gateway.router().crashed(fingerprint, &choice);
             }
         });
     }
--- a/sesamebeam/src/group/notes.rs
+++ b/sesamebeam/src/group/notes.rs
@@ -22,10 +22,11 @@
         Note::Server {
             id,
             service,
+            born,
             state,
             sequence,
         } => log::info!(
-            server:% = id, service:% = service, state:? = state, sequence = sequence;
+            server:% = id, born = born, service:% = service, state:? = state, sequence = sequence;
             "backend server announced"
         ),
         Note::Membership { joins, leaves } => {
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -193,6 +193,18 @@
         }
     }
 
+    /// Forgets what was seen of an older life under a name: the new one is back,
+    /// empty, and has failed nothing.
+    pub fn reborn(&mut self, id: &ServerId) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            *seen = Seen {
+                domain: seen.domain.clone(),
+                in_flight: seen.in_flight,
+                ..Seen::default()
+            };
+        }
+    }
+
     /// Notes a load that another entry has heard.
     pub fn told(&mut self, now: MonoTime, id: &ServerId, load: LoadOf) {
         let seen = self.seen.entry(id.clone()).or_default();
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -201,6 +201,8 @@
         id: SmolStr,
         /// Its service.
         service: ServiceId,
+        /// When it started.
+        born: super::directory::Born,
         /// Its state.
         state: super::directory::ServerState,
         /// Number of the announcement.
--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -17,6 +17,8 @@
         config::ServiceId,
         directory::{
             Announcement,
+            BORN_UNKNOWN,
+            Born,
             ServerState, //
         },
         feed::{
@@ -50,7 +52,7 @@
     pub(super) fn take_announcements(&mut self, servers: Vec<Announcement>) {
         let mut news = Vec::new();
         for said in servers {
-            if self.directory.take(self.now, said.clone()) {
+            if self.learn(said.clone()) {
                 self.note_server(&said);
                 news.push(said);
             }
@@ -58,6 +60,13 @@
         self.push_servers(news);
     }
 
+    /// Takes an announcement and returns whether it tells anything new. Which
+    /// services there are shows by their other backend servers.
+    fn learn(&mut self, said: Announcement) -> bool {
+        let is_named = self.directory.has_other(&said);
+        self.directory.take(self.now, said, is_named)
+    }
+
     /// Tells a replica that can be reached now of all backend servers.
     ///
     /// What was announced here while there was no connection went nowhere, and is
@@ -78,7 +87,7 @@
     /// well. Otherwise an entry that is connected to them alone would go on
     /// sending it work after it was told that it is free to go.
     pub(super) fn announced(&mut self, ticket: Ticket, said: Announcement) {
-        let news = self.directory.take(self.now, said.clone());
+        let news = self.learn(said.clone());
         let leaves = said.state != ServerState::Ready;
         let known = self.directory.get(&said.id).map(|k| k.said.clone());
         let told = known.unwrap_or(said);
@@ -96,17 +105,21 @@
         self.actions.push(Action::Answer(ticket, Answer::Done));
     }
 
-    /// Takes the word of a backend server that it leaves, by its id alone.
+    /// Takes the word of a backend server that it leaves, by its id and, if it
+    /// says, when it started. An older life of it leaves in vain.
     ///
     /// One that is unknown here may be known to all others: this replica has just
     /// started, or has no place in the group. Said yes to without telling them,
     /// it left while entries went on sending it work, 41 requests in one case.
-    pub(super) fn left(&mut self, ticket: Ticket, id: &str) {
-        let said = match self.directory.leave(self.now, id) {
+    pub(super) fn left(&mut self, ticket: Ticket, id: &str, born: Option<Born>) {
+        let said = match self.directory.leave(self.now, id, born) {
             Some(said) => said,
             None => {
-                let said = gone(id);
-                self.directory.take(self.now, said.clone());
+                let said = gone(id, born.unwrap_or(BORN_UNKNOWN));
+                if !self.learn(said.clone()) {
+                    self.actions.push(Action::Answer(ticket, Answer::Done));
+                    return;
+                }
                 said
             }
         };
@@ -183,6 +196,7 @@
         self.note(Note::Server {
             id: said.id.clone(),
             service: said.service.clone(),
+            born: said.born,
             state: said.state,
             sequence: said.sequence,
         });
@@ -191,9 +205,10 @@
 
 /// Returns the announcement of a backend server that left and of which nothing
 /// else is known.
-fn gone(id: &str) -> Announcement {
+fn gone(id: &str, born: Born) -> Announcement {
     Announcement {
         id: id.into(),
+        born,
         service: ServiceId::default(),
         addr: ServerAddr::from(([0, 0, 0, 0], 0)),
         domain: Default::default(),
--- a/sesamebeam_core/src/gateway/coordinator/calls.rs
+++ b/sesamebeam_core/src/gateway/coordinator/calls.rs
@@ -17,6 +17,7 @@
         config::ServiceId,
         directory::{
             Announcement,
+            Born,
             ServerId, //
         },
         rollout::Rollout,
@@ -39,7 +40,12 @@
     /// A backend server tells of itself.
     Announce(Announcement),
     /// A backend server leaves.
-    Leave(ServerId),
+    Leave {
+        /// Its name.
+        id: ServerId,
+        /// When it started, if it says.
+        born: Option<Born>,
+    },
     /// An operator puts a checked configuration in force.
     Apply(Document),
     /// An operator reads the newest configuration.
@@ -86,7 +92,7 @@
     pub(super) fn called(&mut self, ticket: Ticket, call: Call) {
         match call {
             Call::Announce(said) => self.announced(ticket, said),
-            Call::Leave(id) => self.left(ticket, &id),
+            Call::Leave { id, born } => self.left(ticket, &id, born),
             Call::Apply(ref document) if self.holds(document.version) => {
                 self.answer(ticket, Answer::Done);
             }
--- a/sesamebeam_core/src/gateway/crashes.rs
+++ b/sesamebeam_core/src/gateway/crashes.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    directory::ServerId,
+    directory::Life,
     feed::Crash, //
 };
 use crate::ids::Digest;
@@ -27,7 +27,7 @@
 /// Crashes by the request that was running.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
-    kept: VecDeque<(Digest, BTreeSet<ServerId>)>,
+    kept: VecDeque<(Digest, BTreeSet<Life>)>,
 }
 
 impl Crashes {
--- a/sesamebeam_core/src/gateway/directory.rs
+++ b/sesamebeam_core/src/gateway/directory.rs
@@ -23,9 +23,27 @@
     MonoTime, //
 };
 
-/// Name of one life of a backend server; a restart has another.
+/// Name of a backend server. One that starts again may have another or the same.
 pub type ServerId = SmolStr;
 
+/// When a backend server started, in Unix milliseconds by its own clock; 0 if it
+/// does not say.
+pub type Born = u64;
+
+/// Start of a life that left and of which nothing else is known: no announcement
+/// of that name may bring it back.
+pub const BORN_UNKNOWN: Born = Born::MAX;
+
+/// One life of a backend server. What it holds, and the numbers of what it says,
+/// end with it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Life {
+    /// Its name.
+    pub id: ServerId,
+    /// When it started.
+    pub born: Born,
+}
+
 /// Lives that have ended and are remembered, so that a late announcement does
 /// not bring one back. 8,192 are an hour of replacing two a second; each takes
 /// some 200 bytes.
@@ -45,8 +63,10 @@
 /// What a backend server said of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
-    /// This life of the backend server.
+    /// Name of the backend server.
     pub id: ServerId,
+    /// When this life of it started.
+    pub born: Born,
     /// Service that it belongs to.
     pub service: ServiceId,
     /// Where it takes requests.
@@ -89,15 +109,30 @@
     ///
     /// A life that has left stays gone, and a new life at an address ends the
     /// older one there: an announcement held up by a cut would otherwise send
-    /// work to a process that is not there any more.
-    pub fn take(&mut self, now: MonoTime, said: Announcement) -> bool {
-        if let Some(known) = self.servers.get_mut(&said.id) {
-            return known.update(now, said, &mut self.ended);
+    /// work to a process that is not there any more. A name that starts again is
+    /// another life, told apart by when it started: its numbers start anew, and
+    /// what an older life said arrives in vain.
+    ///
+    /// `is_named` tells whether its service is one that there is. What another
+    /// writer says under a service that nobody has must not end a life that works.
+    pub fn take(&mut self, now: MonoTime, said: Announcement, is_named: bool) -> bool {
+        let before = self.servers.get_mut(&said.id);
+        match before {
+            Some(known) if said.born < known.said.born => return false,
+            Some(known) if said.born == known.said.born => {
+                return known.update(now, said, &mut self.ended);
+            }
+            Some(known) if known.said.state == ServerState::Gone => self.ended -= 1,
+            Some(_) | None => {}
         }
-        if said.state != ServerState::Gone {
-            self.end_at(now, said.addr);
-        } else {
+        let mut said = said;
+        if said.state != ServerState::Gone && self.is_outlived(&said) {
+            said.state = ServerState::Gone;
+        }
+        if said.state == ServerState::Gone {
             self.ended += 1;
+        } else if is_named {
+            self.end_at(now, &said);
         }
         let id = said.id.clone();
         let heard_at = now;
@@ -106,9 +141,19 @@
         true
     }
 
-    /// Notes that a backend server has left, by its id alone.
-    pub fn leave(&mut self, now: MonoTime, id: &str) -> Option<Announcement> {
+    /// Returns whether a service has any other backend server.
+    pub fn has_other(&self, said: &Announcement) -> bool {
+        let mut others = self.servers.values().filter(|k| k.said.id != said.id);
+        others.any(|k| k.said.service == said.service)
+    }
+
+    /// Notes that a backend server has left, by its id and, if it says, when it
+    /// started.
+    pub fn leave(&mut self, now: MonoTime, id: &str, born: Option<Born>) -> Option<Announcement> {
         let known = self.servers.get_mut(id)?;
+        if born.is_some_and(|born| born != known.said.born) {
+            return None;
+        }
         let mut said = known.said.clone();
         said.state = ServerState::Gone;
         said.sequence += 1;
@@ -133,11 +178,17 @@
             .filter(move |k| k.said.service == service && k.said.state == ServerState::Ready)
     }
 
-    fn end_at(&mut self, now: MonoTime, addr: SocketAddr) {
-        let older = self
-            .servers
-            .values_mut()
-            .filter(|k| k.said.addr == addr && k.said.state != ServerState::Gone);
+    /// Returns whether a life that started later is at its address.
+    fn is_outlived(&self, said: &Announcement) -> bool {
+        let mut lives = self.servers.values().filter(|k| k.said.addr == said.addr);
+        lives.any(|k| k.said.state != ServerState::Gone && k.said.born > said.born)
+    }
+
+    fn end_at(&mut self, now: MonoTime, newer: &Announcement) {
+        let older = self.servers.values_mut().filter(|k| {
+            let at_place = k.said.addr == newer.addr && k.said.id != newer.id;
+            at_place && k.said.state != ServerState::Gone && k.said.born <= newer.born
+        });
         for known in older {
             known.said.state = ServerState::Gone;
             known.heard_at = now;
@@ -162,10 +213,22 @@
 }
 
 impl Known {
-    /// Takes a newer announcement and returns whether it tells anything new.
+    /// Returns the life that is known.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.said.id.clone(),
+            born: self.said.born,
+        }
+    }
+
+    /// Takes a newer announcement of the same life and returns whether it tells
+    /// anything new. A life stays where it is and what it is: one that is said to
+    /// be of another service or elsewhere was not announced by itself.
     fn update(&mut self, now: MonoTime, said: Announcement, ended: &mut usize) -> bool {
         let older = said.sequence <= self.said.sequence && said.state <= self.said.state;
-        if self.said.state == ServerState::Gone || older {
+        let moved = said.state != ServerState::Gone
+            && (&said.service, said.addr) != (&self.said.service, self.said.addr);
+        if self.said.state == ServerState::Gone || older || moved {
             return false;
         }
         self.heard_at = now;
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -19,7 +19,7 @@
     },
     directory::{
         Announcement,
-        ServerId, //
+        Life, //
     },
     loads::LoadOf,
     rollout::Rollout,
@@ -156,7 +156,7 @@
     /// Fingerprint of the request.
     pub fingerprint: Digest,
     /// The life that ended.
-    pub server: ServerId,
+    pub server: Life,
 }
 
 /// A question of a process that is no member.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -35,8 +35,10 @@
     },
     directory::{
         Announcement,
+        Born,
         Directory,
         Known,
+        Life,
         ServerId, //
     },
     feed::{
@@ -163,12 +165,24 @@
 pub struct Choice {
     /// Which.
     pub id: ServerId,
+    /// When the life started that was chosen.
+    pub born: Born,
     /// Where.
     pub addr: SocketAddr,
     /// Its version.
     pub version: SmolStr,
 }
 
+impl Choice {
+    /// Returns the life that was chosen.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// All decisions of one entry.
 #[derive(Debug)]
 pub struct Router {
@@ -252,7 +266,16 @@
 
     /// Takes an announcement.
     pub fn announced(&mut self, now: MonoTime, said: Announcement) -> bool {
-        self.directory.take(now, said)
+        let table = self.table.as_ref();
+        let is_named = table.is_some_and(|t| t.config().service(&said.service).is_some());
+        let before = self.directory.get(&said.id).map(Known::life);
+        let id = said.id.clone();
+        let news = self.directory.take(now, said, is_named);
+        let after = self.directory.get(&id).map(Known::life);
+        if before.is_some() && before != after {
+            self.balance.reborn(&id);
+        }
+        news
     }
 
     /// Forgets what is only kept for backend servers and sessions that ended.
@@ -335,6 +358,7 @@
         let chosen = self.balance.choose(now, &fit, &need)?;
         let choice = Choice {
             id: chosen.said.id.clone(),
+            born: chosen.said.born,
             addr: chosen.said.addr,
             version: chosen.said.version.clone(),
         };
@@ -437,15 +461,27 @@
     }
 
     /// Notes how a send ended.
+    ///
+    /// What became of an older life says nothing of the one that has its name now.
     pub fn finished(&mut self, now: MonoTime, plan: &Plan, choice: &Choice, outcome: Outcome) {
+        let outcome = match self.lives(choice) {
+            true => outcome,
+            false => Outcome::Dropped,
+        };
         self.balance.finished(now, &choice.id, outcome);
         self.keep_session(now, plan, choice);
         self.tallies.ended(&plan.sender(choice), outcome);
     }
 
     /// Notes that another life answers at the address of a backend server.
-    pub fn displaced(&mut self, now: MonoTime, id: &ServerId) {
-        self.directory.leave(now, id);
+    pub fn displaced(&mut self, now: MonoTime, choice: &Choice) {
+        self.directory.leave(now, &choice.id, Some(choice.born));
+    }
+
+    /// Returns whether the life that was chosen is still the one of its name.
+    fn lives(&self, choice: &Choice) -> bool {
+        let known = self.directory.get(&choice.id);
+        known.is_none_or(|k| k.said.born == choice.born)
     }
 
     /// Returns the share of the slots of a plan's service that are taken.
@@ -493,8 +529,8 @@
     }
 
     /// Notes that a request was running when a backend server went down.
-    pub fn crashed(&mut self, fingerprint: Digest, server: &ServerId) {
-        self.suspects.crashed(fingerprint, server);
+    pub fn crashed(&mut self, fingerprint: Digest, choice: &Choice) {
+        self.suspects.crashed(fingerprint, choice.life());
     }
 
     /// Takes the crashes noted since the last call.
--- a/sesamebeam_core/src/gateway/suspects.rs
+++ b/sesamebeam_core/src/gateway/suspects.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 
 use super::{
-    directory::ServerId,
+    directory::Life,
     feed::Crash, //
 };
 use crate::ids::Digest;
@@ -48,11 +48,10 @@
     }
 
     /// Notes that a request was running when a backend server went down.
-    pub(super) fn crashed(&mut self, fingerprint: Digest, server: &ServerId) {
+    pub(super) fn crashed(&mut self, fingerprint: Digest, server: Life) {
         if self.completed.contains(&fingerprint) {
             return;
         }
-        let server = server.clone();
         self.crashes.push(Crash {
             fingerprint,
             server,
--- a/sesamebeam_core/tests/gateway/crashes.rs
+++ b/sesamebeam_core/tests/gateway/crashes.rs
@@ -2,13 +2,17 @@
 
 use sesamebeam_core::gateway::{
     crashes::Crashes,
+    directory::Life,
     feed::Crash, //
 };
 
 fn crash(fingerprint: u128, server: &str) -> Crash {
     Crash {
         fingerprint,
-        server: server.into(),
+        server: Life {
+            id: server.into(),
+            born: 1,
+        },
     }
 }
 
--- a/sesamebeam_core/tests/gateway/directory.rs
+++ b/sesamebeam_core/tests/gateway/directory.rs
@@ -28,10 +28,10 @@
     let mut draining = announcement(1);
     draining.state = ServerState::Draining;
     draining.sequence = 5;
-    assert!(directory.take(ms(0), draining));
+    assert!(directory.take(ms(0), draining, true));
     let mut late = announcement(1);
     late.sequence = 4;
-    assert!(!directory.take(ms(10), late));
+    assert!(!directory.take(ms(10), late, true));
     assert!(ready(&directory).is_empty());
 }
 
@@ -40,11 +40,11 @@
     // A backend server leaves; a beat that a cut held up arrives afterwards with
     // a higher number than anything heard before. It has left all the same.
     let mut directory = Directory::default();
-    directory.take(ms(0), announcement(1));
-    assert!(directory.leave(ms(5), "server-1").is_some());
+    directory.take(ms(0), announcement(1), true);
+    assert!(directory.leave(ms(5), "server-1", None).is_some());
     let mut late = announcement(1);
     late.sequence = 99;
-    assert!(!directory.take(ms(10), late));
+    assert!(!directory.take(ms(10), late, true));
     assert!(ready(&directory).is_empty());
 }
 
@@ -53,24 +53,24 @@
     // A backend server crashes and another life starts at its address. The old
     // life is never heard again, and must not get work meant for it.
     let mut directory = Directory::default();
-    directory.take(ms(0), announcement(1));
+    directory.take(ms(0), announcement(1), true);
     let mut next = announcement(2);
     next.addr = announcement(1).addr;
-    assert!(directory.take(ms(5), next));
+    assert!(directory.take(ms(5), next, true));
     assert_eq!(ready(&directory), ["server-2"]);
     let mut late = announcement(1);
     late.sequence = 7;
-    directory.take(ms(9), late);
+    directory.take(ms(9), late, true);
     assert_eq!(ready(&directory), ["server-2"]);
 }
 
 #[test]
 fn refreshes_are_no_news() {
     let mut directory = Directory::default();
-    assert!(directory.take(ms(0), announcement(1)));
+    assert!(directory.take(ms(0), announcement(1), true));
     let mut again = announcement(1);
     again.sequence = 2;
-    assert!(!directory.take(ms(9), again));
+    assert!(!directory.take(ms(9), again, true));
     assert_eq!(directory.get("server-1").map(|k| k.heard_at), Some(ms(9)));
 }
 
@@ -80,11 +80,82 @@
     for number in 0..20_000u32 {
         let mut said = announcement(1);
         said.id = format!("life-{number}").into();
-        directory.take(ms(u64::from(number)), said);
+        directory.take(ms(u64::from(number)), said, true);
     }
     assert!(directory.all().count() <= 8200);
 }
 
+/// Returns what a life says that started at a time.
+fn said_by(born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        born,
+        sequence,
+        ..announcement(1)
+    }
+}
+
+#[test]
+fn starts_again() {
+    // A backend server crashes and starts again under its name; its numbers
+    // start anew. It takes work again, although it had left.
+    let mut directory = Directory::default();
+    directory.take(ms(0), said_by(100, 40), true);
+    directory.leave(ms(1), "server-1", Some(100));
+    assert!(ready(&directory).is_empty());
+    assert!(directory.take(ms(2), said_by(200, 1), true));
+    assert_eq!(ready(&directory), ["server-1"]);
+}
+
+#[test]
+fn old_life_late() {
+    // What an older life said is held up by a cut and arrives after the new one
+    // has announced itself: that it drains, that it left. The new one works on.
+    let mut directory = Directory::default();
+    directory.take(ms(0), said_by(200, 1), true);
+    let mut draining = said_by(100, 41);
+    draining.state = ServerState::Draining;
+    assert!(!directory.take(ms(1), draining, true));
+    assert!(directory.leave(ms(2), "server-1", Some(100)).is_none());
+    assert_eq!(ready(&directory), ["server-1"]);
+}
+
+#[test]
+fn outlived_at_an_address() {
+    // Two names at one address, and the older one is heard last. It is over.
+    let mut directory = Directory::default();
+    directory.take(ms(0), said_by(200, 1), true);
+    let mut older = said_by(100, 7);
+    older.id = "server-0".into();
+    directory.take(ms(1), older, true);
+    assert_eq!(ready(&directory), ["server-1"]);
+}
+
+#[test]
+fn unknown_service() {
+    // Another writer announces a service that nobody has at the address of a
+    // backend server that works. It goes on.
+    let mut directory = Directory::default();
+    directory.take(ms(0), announcement(1), true);
+    let mut forged = announcement(2);
+    forged.addr = announcement(1).addr;
+    forged.service = "nowhere".into();
+    directory.take(ms(1), forged, false);
+    assert_eq!(ready(&directory), ["server-1"]);
+}
+
+#[test]
+fn stays_what_it_is() {
+    // A life is said to be of another service, by a writer that copied the rest.
+    // Its callers would be refused while it works.
+    let mut directory = Directory::default();
+    directory.take(ms(0), announcement(1), true);
+    let mut forged = announcement(1);
+    forged.sequence = 9;
+    forged.service = "nowhere".into();
+    assert!(!directory.take(ms(1), forged, false));
+    assert_eq!(ready(&directory), ["server-1"]);
+}
+
 fn lives() -> impl Strategy<Value = Vec<Announcement>> {
     let state = prop_oneof![Just(ServerState::Ready), Just(ServerState::Draining)];
     let one = (0u8..4, 1u64..20, state).prop_map(|(number, sequence, state)| {
@@ -105,11 +176,11 @@
         let mut directory = Directory::default();
         let leaving = said[at.index(said.len())].clone();
         for (n, said) in said.into_iter().enumerate() {
-            directory.take(ms(n as u64), said);
+            directory.take(ms(n as u64), said, true);
         }
         let mut draining = leaving.clone();
         draining.state = ServerState::Draining;
-        directory.take(ms(100), draining);
+        directory.take(ms(100), draining, true);
         let ready = ready(&directory);
         prop_assert!(!ready.contains(&leaving.id.to_string()));
     }
--- a/sesamebeam_core/tests/gateway/make.rs
+++ b/sesamebeam_core/tests/gateway/make.rs
@@ -16,6 +16,7 @@
             RouteConfig,
             ServiceConfig, //
         },
+        coordinator::Call,
         directory::{
             Announcement,
             ServerState, //
@@ -42,10 +43,19 @@
     SocketAddr::from(([10, 0, 0, number], 8080))
 }
 
+/// Makes the call by which a backend server leaves.
+pub(crate) fn leave(id: &str) -> Call {
+    Call::Leave {
+        id: id.into(),
+        born: None,
+    }
+}
+
 /// Returns the first announcement of a backend server of the service `pool`.
 pub(crate) fn announcement(number: u8) -> Announcement {
     Announcement {
         id: format!("server-{number}").into(),
+        born: 0,
         service: "pool".into(),
         addr: addr(number),
         domain: "hall-1".into(),
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -33,6 +33,7 @@
     },
     make::{
         announcement,
+        leave,
         ms, //
     },
 };
@@ -193,7 +194,7 @@
     assert_eq!(group.ask(1, Call::Announce(announcement(1))), Answer::Done);
     group.run(50);
     group.isolate(1);
-    let answer = group.ask(1, Call::Leave("server-1".into()));
+    let answer = group.ask(1, leave("server-1"));
     assert_eq!(answer, Answer::Unavailable);
 }
 
@@ -339,7 +340,7 @@
     group.event(2, Event::Said(FromEntry::Servers(vec![announcement(1)])));
     group.run(50);
     group.pushed.clear();
-    assert_eq!(group.ask(1, Call::Leave("server-1".into())), Answer::Done);
+    assert_eq!(group.ask(1, leave("server-1")), Answer::Done);
     let told = group.pushed.iter().any(|(node, push)| {
         let ToEntry::Servers(servers) = push else {
             return false;
@@ -357,6 +358,6 @@
     let mut group = Group::start(3, 1);
     group.new_leader(None);
     group.boot(8, Members::default(), Saved::default());
-    let answer = group.ask(8, Call::Leave("server-1".into()));
+    let answer = group.ask(8, leave("server-1"));
     assert_eq!(answer, Answer::Unavailable);
 }
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use sesamebeam_core::gateway::{
+    balance,
     cascade::Step,
     request::AnswerHead,
     rollout::{
@@ -228,7 +229,9 @@
     // backend server goes down. It runs to its end every time it gets there.
     let mut router = router(2);
     router.completed(5);
-    router.crashed(5, &"server-0".into());
+    let plan = router.admit(ms(0), &head("r")).expect("it is admitted");
+    let choice = router.choose(ms(0), &plan, None, &[]);
+    router.crashed(5, &choice.expect("there is room"));
     assert!(router.take_crashes().is_empty());
     router.set_quarantined([5]);
     assert!(router.check_fingerprint(5).is_ok());
@@ -255,3 +258,32 @@
     }
     assert_eq!(used.len(), 1);
 }
+
+#[test]
+fn reborn_is_tried() {
+    // A backend server cannot be reached and rests; it starts again under its
+    // name, and the end of a send to its life before comes late. The new life
+    // gets requests at once.
+    let mut router = router(1);
+    let plan = router.admit(ms(0), &head("r")).expect("it is admitted");
+    let choice = router
+        .choose(ms(0), &plan, None, &[])
+        .expect("there is room");
+    router.finished(ms(1), &plan, &choice, balance::Outcome::Unreachable);
+    let mut other = announcement(9);
+    other.sequence = 1;
+    router.announced(ms(2), other);
+    let mut again = router
+        .directory()
+        .get(&choice.id)
+        .expect("it is known")
+        .said
+        .clone();
+    again.born += 5000;
+    again.sequence = 1;
+    router.announced(ms(3), again);
+    router.finished(ms(4), &plan, &choice, balance::Outcome::Unreachable);
+    let tried = ["server-9".into()];
+    let next = router.choose(ms(5), &plan, None, &tried);
+    assert_eq!(next.map(|c| c.born), Some(5000));
+}
