Tell entries the replicated state as one, and deny nothing before it is certain

Replicas that start apply their whole log at once and told each change by itself; entries that had started too put 25 configurations in force one after the other for 30 ms, and the keys of these callers came with later ones.

Now one message tells the state after an event, with whether it is current: all that was committed before the sender started is applied. Until an entry hears that, a route or key that it does not know is no reason to refuse for good.

Kept: callers are denied nothing that they may have.

--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -250,10 +250,15 @@
                     index,
                     config,
                     rollouts,
+                    current,
                 } => {
                     if let Some(document) = config {
                         self.take_config(&document);
                     }
+                    if current {
+                        self.gateway.router().set_current();
+                        self.gateway.learned.notify_waiters();
+                    }
                     let rollouts = rollouts.into_iter().collect();
                     let now = self.gateway.now();
                     let taken = self.gateway.router().set_rollouts(now, index, rollouts);
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -246,6 +246,11 @@
     /// Entries that are told of loads from here.
     load_readers: BTreeSet<EntryLife>,
     look_at: MonoTime,
+    /// What entries are to be told of the replicated state, and whether the
+    /// configuration is part of it.
+    news: Option<bool>,
+    /// Whether entries were told that the state is current.
+    told_current: bool,
     /// Write that is not synced yet, and since when.
     writing: Option<(WriteId, MonoTime)>,
     disk_full: bool,
@@ -275,6 +280,8 @@
             loads: Loads::default(),
             load_readers: BTreeSet::new(),
             look_at: now,
+            news: None,
+            told_current: false,
             writing: None,
             disk_full: false,
             disk_stalled: false,
@@ -287,7 +294,9 @@
         self.now = self.now.max(now);
         let (replica, actions) = Replica::new(cfg, saved, self.now);
         self.replica = Some(replica);
+        self.told_current = false;
         self.carry(actions);
+        self.push_news();
         std::mem::take(&mut self.actions)
     }
 
@@ -331,6 +340,7 @@
             }
         }
         self.look();
+        self.push_news();
         std::mem::take(&mut self.actions)
     }
 
@@ -451,8 +461,7 @@
             self.note(Note::Accepted { version, index });
         }
         self.trials.follow(self.now, self.store.rollouts());
-        let push = self.state(version.is_some());
-        self.actions.push(Action::Push(Receivers::All, push));
+        self.note_news(version.is_some());
     }
 
     fn take_snapshot(&mut self, index: LogIndex) {
@@ -466,8 +475,30 @@
             Err(_) => self.note(Note::Unreadable(index)),
         }
         self.trials.follow(self.now, self.store.rollouts());
-        let push = self.state(true);
-        self.actions.push(Action::Push(Receivers::All, push));
+        self.note_news(true);
+    }
+
+    /// Notes that the replicated state has changed.
+    fn note_news(&mut self, with_config: bool) {
+        self.news = Some(with_config || self.news.unwrap_or_default());
+    }
+
+    /// Tells entries of the replicated state as it is after an event.
+    ///
+    /// A replica that has started applies its whole log at once. Told of each
+    /// change by itself, entries that had started too put 25 configurations in
+    /// force one after the other, for 30 ms, and answered 23 callers whose keys
+    /// came with one of the later ones that there is no such key.
+    fn push_news(&mut self) {
+        let current = self.replica.as_ref().is_some_and(Replica::is_current);
+        if current && !self.told_current {
+            self.told_current = true;
+            self.note_news(true);
+        }
+        if let Some(with_config) = self.news.take() {
+            let push = self.state(with_config);
+            self.actions.push(Action::Push(Receivers::All, push));
+        }
     }
 
     fn subscribe(&mut self, life: EntryLife) {
@@ -500,6 +531,7 @@
             index: self.store.index(),
             config,
             rollouts,
+            current: self.replica.as_ref().is_some_and(Replica::is_current),
         }
     }
 
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -93,6 +93,8 @@
         config: Option<Document>,
         /// All roll-outs.
         rollouts: Vec<(ServiceId, Rollout)>,
+        /// Whether the sender has all that was committed before it started.
+        current: bool,
     },
     /// Backend servers that announced something new.
     Servers(Vec<Announcement>),
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -106,7 +106,8 @@
 /// Why a request is not sent to any backend server.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum Refusal {
-    /// No configuration is known yet.
+    /// No configuration is known yet, or it may be out of date and does not
+    /// allow the request.
     #[error("no configuration yet")]
     NoConfig,
     /// No route takes it.
@@ -188,6 +189,8 @@
 pub struct Router {
     cfg: RouterConfig,
     table: Option<Arc<Table>>,
+    /// Whether the configuration is as new as any was when this entry started.
+    current: bool,
     index: LogIndex,
     rollouts: Rollouts,
     directory: Directory,
@@ -209,6 +212,7 @@
             sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * TRIAL_PART),
             cfg,
             table: None,
+            current: false,
             index: 0,
             rollouts: Rollouts::new(),
             directory: Directory::default(),
@@ -246,6 +250,11 @@
         true
     }
 
+    /// Notes that a replica whose state is current has told all of it.
+    pub fn set_current(&mut self) {
+        self.current = true;
+    }
+
     /// Takes the roll-outs as of a position of the replicated log.
     pub fn set_rollouts(&mut self, now: MonoTime, index: LogIndex, rollouts: Rollouts) -> bool {
         if index < self.index || self.rollouts == rollouts {
@@ -293,10 +302,11 @@
     pub fn admit(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
         let table = self.table.clone().ok_or(Refusal::NoConfig)?;
         let path = head.path.split('?').next().unwrap_or_default();
-        let route = table.route(&head.host, path).ok_or(Refusal::NoRoute)?;
+        let route = table.route(&head.host, path);
+        let route = route.ok_or(self.if_current(Refusal::NoRoute))?;
         let caller = table.caller(route, head.key.as_deref());
         let organisation = match &caller {
-            Caller::Unknown => return Err(Refusal::UnknownKey),
+            Caller::Unknown => return Err(self.if_current(Refusal::UnknownKey)),
             Caller::Anonymous => None,
             Caller::Of(org) => Some(org.name.clone()),
         };
@@ -330,6 +340,18 @@
         })
     }
 
+    /// Returns a refusal for what the configuration does not have.
+    ///
+    /// After all processes have started anew, an entry may be told of an old one
+    /// first. Callers do not come back after being told that there is no such
+    /// route or key, so that this is said only for certain.
+    fn if_current(&self, refusal: Refusal) -> Refusal {
+        match self.current {
+            true => refusal,
+            false => Refusal::NoConfig,
+        }
+    }
+
     /// Chooses a backend server for the next send and counts it as sent.
     pub fn choose(
         &mut self,
--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -108,6 +108,8 @@
     writer: Writer,
     /// Last entry known to be committed. All of them are applied.
     committed: LogIndex,
+    /// Whether what was committed before this process started is applied.
+    current: bool,
     /// End of the newest snapshot.
     snapshot_end: LogEnd,
     /// What the present role holds.
@@ -210,6 +212,13 @@
         self.committed
     }
 
+    /// Returns whether all that was committed before this process started has been
+    /// applied here. What a replica finds on its disk may be long out of date, and
+    /// it learns how far that is committed only from a leader.
+    pub fn is_current(&self) -> bool {
+        self.current
+    }
+
     /// Returns the end of the log, synced or not.
     pub fn last_index(&self) -> LogIndex {
         self.log.end().index
@@ -281,6 +290,7 @@
             log,
             memberships,
             committed: end.index,
+            current: false,
             snapshot_end: end,
             standing: Standing::Follower,
             leader: None,
--- a/sesamebeam_core/src/replica/following.rs
+++ b/sesamebeam_core/src/replica/following.rs
@@ -48,6 +48,9 @@
         let grew = self.take_entries(entries);
         self.verified = self.verified.max(end);
         self.commit_to(committed.min(self.verified));
+        // An entry of the leader's own term is committed after all before it.
+        let in_term = self.log.term_at(committed) == Some(self.state.term);
+        self.current |= in_term && committed <= self.committed;
         if !took_all {
             let hint = self.log.agreement(prev);
             self.acknowledge(from, Some(hint));
--- a/sesamebeam_core/src/replica/leading.rs
+++ b/sesamebeam_core/src/replica/leading.rs
@@ -298,6 +298,7 @@
         let own_term = self.log.term_at(index) == Some(self.state.term);
         if index > self.committed && (own_term || self.cfg.faults.commit_old_terms) {
             self.commit_to(index);
+            self.current = true;
         }
     }
 
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -361,3 +361,32 @@
     let answer = group.ask(8, leave("server-1"));
     assert_eq!(answer, Answer::Unavailable);
 }
+
+#[test]
+fn log_told_as_one() {
+    // All replicas start anew and apply their logs at once. Entries hear of the
+    // newest configuration and of none before it: with an older one in force they
+    // would refuse callers whose keys came later.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    for version in 1..=6 {
+        assert_eq!(group.ask(leader, apply(version, "text")), Answer::Done);
+    }
+    let disks: Vec<_> = (1..=3).map(|n| (n, group.kill(n))).collect();
+    group.pushed.clear();
+    for (node, disk) in disks {
+        group.restart(node, disk);
+    }
+    group.new_leader(None);
+    group.run(1000);
+    for (node, push) in &group.pushed {
+        if let ToEntry::State {
+            config: Some(c),
+            current,
+            ..
+        } = push
+        {
+            assert_eq!((c.version, *current), (6, true), "replica {node}");
+        }
+    }
+}
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -287,3 +287,18 @@
     let next = router.choose(ms(5), &plan, None, &tried);
     assert_eq!(next.map(|c| c.born), Some(5000));
 }
+
+#[test]
+fn old_config_denies_nothing() {
+    // All processes start anew, and an entry is told of an old configuration
+    // first: the route of a request, or its key, came with a later one. Its caller
+    // would not come back after a refusal for good. It waits until it is certain.
+    let mut router = Router::new(router_config());
+    router.set_config(config(1));
+    let mut other = head("r");
+    other.path = "/nowhere/".into();
+    assert_eq!(router.admit(ms(0), &other).err(), Some(Refusal::NoConfig));
+    assert!(router.admit(ms(0), &head("s")).is_ok());
+    router.set_current();
+    assert_eq!(router.admit(ms(0), &other).err(), Some(Refusal::NoRoute));
+}
