Pass over engines for as long as they read long prompts

Such a prompt was told as a queue of 4,000 tokens a request, as if the small model read it, faded to a quarter within a second, and was forgotten with the next, older word of the engine: 5 to 25 requests gathered behind each.

Now how long each model takes for a token is learned from the waits for first events (the 30th percentile, as waits hold queues too). A prompt that takes over 150 ms is known from its sending to its first event, here and at the others, and engines that read for more than 100 ms more are passed over while there are others. Loads that are told carry the time for which an engine reads.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -446,9 +446,9 @@
         let model = self.model.clone().unwrap_or_default();
         let left = self.sends < self.plan.route.max_attempts;
         let waited = choice.since();
+        choice.begin(Some(&model));
         let (step, keep_from) = {
             let mut router = self.gateway.router();
-            router.waited(now, &self.plan, waited);
             router.timed(&self.plan, choice, Some(&model), waited);
             let step = match self.model {
                 Some(_) => router.judge(now, &self.plan, &model, head, left),
@@ -460,7 +460,8 @@
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
             confidence:? = head.confidence, step:? = step, load:? = head.load,
             keep_from = keep_from,
-            waited_ms = waited.as_millis() as u64, tokens = self.req.head.prompt_tokens,
+            waited_ms = waited.as_millis() as u64,
+            since_ms = self.req.came.elapsed().as_millis() as u64, sends = self.sends, tokens = self.req.head.prompt_tokens,
             prompt:? = self.req.head.prompt, session:? = self.req.head.session,
             route:% = self.plan.route.name, rank = self.plan.engine_rank,
             org:? = self.plan.organisation,
--- a/sesamebeam/src/gateway/flight.rs
+++ b/sesamebeam/src/gateway/flight.rs
@@ -30,6 +30,7 @@
     plan: Arc<Plan>,
     choice: Choice,
     started: Instant,
+    began: bool,
     ended: bool,
 }
 
@@ -41,6 +42,7 @@
             plan,
             choice,
             started: Instant::now(),
+            began: false,
             ended: false,
         }
     }
@@ -50,11 +52,24 @@
         self.started.elapsed()
     }
 
+    /// Notes that its answer has begun.
+    pub(super) fn begin(&mut self, model: Option<&str>) {
+        if !std::mem::replace(&mut self.began, true) {
+            let now = self.gateway.now();
+            let took = self.since();
+            let mut router = self.gateway.router();
+            router.waited(now, &self.plan, &self.choice, model, took);
+        }
+    }
+
     /// Notes how it ended.
     pub(super) fn end(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.gateway.now();
             let mut router = self.gateway.router();
+            if !self.began {
+                router.never_began(now, &self.choice);
+            }
             router.finished(now, &self.plan, &self.choice, outcome);
             self.gateway.meters.send(send_end(outcome));
         }
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -265,6 +265,7 @@
         let outcome = match sent {
             Sent::Answered(response, head, lease) if head.is_success() && head.sealed => {
                 self.attempt.sends += 1;
+                choice.begin(model.as_deref());
                 log::info!(
                     id:% = self.attempt.req.head.id, server:% = choice.id, after:? = last;
                     "stream goes on"
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod loads;
 mod paths;
 mod pause;
+mod reading;
 pub mod request;
 pub mod rollout;
 pub mod router;
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -21,6 +21,10 @@
     },
     paths::Paths,
     pause::Pause,
+    reading::{
+        self,
+        Queue, //
+    },
     request::Load,
 };
 use crate::{
@@ -56,14 +60,9 @@
 /// troubles and another lost 0.015, as its long shared prompts were read thrice.
 const NEAR_BELOW: u32 = 2_000;
 
-/// Tokens of a prompt that make others wait as long as one waiting request does:
-/// some 30 to 100 ms of an engine's time.
-const TOKENS_AS_WAITING: u32 = 4_000;
-
-/// Tokens from which a prompt is told of as soon as it is sent. While an engine
-/// reads 40,000 it says nothing for over a second and looked idle, and 27 requests
-/// gathered behind it. Shorter ones are over before the others are told.
-const LONG_PROMPT: u32 = 8_000;
+/// Longest time for which an engine reads what was sent there before and is still
+/// preferred for the prompt that it keeps: what reading that prompt anew takes.
+const READS_FOR: Duration = Duration::from_millis(100);
 
 /// Longest pause after a backend server could not be reached; below the time
 /// that one takes to come back.
@@ -96,6 +95,8 @@
     pause: Pause,
     /// When anything last came from it.
     heard_at: MonoTime,
+    /// Long prompts that it has yet to read.
+    queue: Queue,
 }
 
 /// Load that a backend server reported.
@@ -123,8 +124,8 @@
 pub struct Need<'a> {
     /// What is shared; none if any backend server will do.
     pub affinity: Option<Affinity>,
-    /// Tokens of its prompt that no other shares.
-    pub tokens: u32,
+    /// Time that an engine takes to read what no other request shares.
+    pub reading: Duration,
     /// Failure domain of this entry.
     pub domain: &'a str,
     /// Backend servers that were tried already.
@@ -174,8 +175,8 @@
         seen.in_flight += 1;
         seen.domain = chosen.said.domain.clone();
         self.paths.tries(now, &chosen.said.domain);
-        if need.tokens >= LONG_PROMPT {
-            self.expect_queue(now, &chosen.said.id, need.tokens);
+        if need.reading >= reading::LONG {
+            self.expect_queue(now, &chosen.said.id, need.reading);
         }
         Some(chosen)
     }
@@ -189,7 +190,8 @@
         if let Some(load) = load {
             let load = LoadOf::new(id, load);
             seen.load = Some(seen.reported(now, load));
-            self.heard.take([load]);
+            let load = load.reading(seen.queue.own_left(now));
+            self.heard.take(now, [load]);
         }
     }
 
@@ -209,21 +211,35 @@
     pub fn told(&mut self, now: MonoTime, id: &ServerId, load: LoadOf) {
         let seen = self.seen.entry(id.clone()).or_default();
         seen.shared = Some(seen.reported(now, load));
+        seen.queue.told(now, load.reads_for());
     }
 
-    /// Notes that a long prompt is on its way, here and for the others, until
-    /// something is heard from the engine that has to read it.
-    fn expect_queue(&mut self, now: MonoTime, id: &ServerId, tokens: u32) {
+    /// Notes that a long prompt is on its way, here and for the others, until its
+    /// first event comes.
+    ///
+    /// While an engine reads one it says nothing and looks idle: up to 27 requests
+    /// gathered behind it, and were late. Told as a queue of so many tokens, it was
+    /// taken for one that the small model reads, and faded within a second.
+    fn expect_queue(&mut self, now: MonoTime, id: &ServerId, reading: Duration) {
         let seen = self.seen.entry(id.clone()).or_default();
+        seen.queue.send(now, reading);
         let newest = seen.newest();
         let load = Load {
             running: newest.map_or(0, |r| r.running),
-            waiting: newest.map_or(0, |r| r.waiting) + tokens / TOKENS_AS_WAITING,
+            waiting: newest.map_or(0, |r| r.waiting),
             slots: 0,
         };
-        let load = LoadOf::new(id, load);
-        self.heard.take([load]);
-        self.told(now, id, load);
+        let load = LoadOf::new(id, load).reading(seen.queue.own_left(now));
+        self.heard.take(now, [load]);
+    }
+
+    /// Notes that a long prompt was read, or that its request ended before.
+    pub fn read(&mut self, now: MonoTime, id: &ServerId, reading: Duration) {
+        if reading >= reading::LONG
+            && let Some(seen) = self.seen.get_mut(id)
+        {
+            seen.queue.done(now, reading);
+        }
     }
 
     /// Takes the loads that the others should be told of, if it is time.
@@ -308,12 +324,17 @@
         let key = affinity.key.to_le_bytes();
         let near_first = affinity.tokens < NEAR_BELOW;
         let loaded = || fit.iter().copied().zip(loads.iter().copied());
-        let within = loaded().filter(|(_, load)| *load <= bound);
+        let within = loaded().filter(|(k, load)| {
+            let reads_for = self.reads_for(now, k);
+            *load <= bound && reads_for <= READS_FOR
+        });
         let best = within.max_by_key(|(k, _)| {
             let near = near_first && k.said.domain == domain;
             (near, hash::rendezvous(&k.said.id, &key))
         });
-        let lightest = || loaded().min_by(|(_, a), (_, b)| a.total_cmp(b));
+        // A second of reading holds up as many as a full engine.
+        let held_up = |(k, load): &(&Known, f64)| load + self.reads_for(now, k).as_secs_f64();
+        let lightest = || loaded().min_by(|a, b| held_up(a).total_cmp(&held_up(b)));
         best.or_else(lightest).map(|(k, _)| k)
     }
 
@@ -349,6 +370,12 @@
         seen.load(now, known.said.slots, seen.newest())
     }
 
+    /// Returns for how long an engine reads long prompts that were sent there.
+    fn reads_for(&self, now: MonoTime, known: &Known) -> Duration {
+        let seen = self.seen.get(&known.said.id);
+        seen.map_or(Duration::ZERO, |seen| seen.queue.left(now))
+    }
+
     fn failures(&self, known: &Known) -> f64 {
         self.seen.get(&known.said.id).map_or(0.0, |s| s.failures)
     }
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -394,7 +394,7 @@
         match said {
             FromEntry::Servers(servers) => self.take_announcements(servers),
             FromEntry::Evidence(evidence) => self.trials.take(self.now, &self.store, &evidence),
-            FromEntry::Loads(loads) => self.loads.take(loads),
+            FromEntry::Loads(loads) => self.loads.take(self.now, loads),
             FromEntry::Crashed(crashes) => self.count_crashes(crashes),
             FromEntry::Kept(kept) => self.keep_sessions(kept),
             FromEntry::Ages(ages) => self.trials.have_run(self.now, &self.store, &ages),
--- a/sesamebeam_core/src/gateway/loads.rs
+++ b/sesamebeam_core/src/gateway/loads.rs
@@ -29,7 +29,7 @@
 /// 200 ms between looks at what is due. A queue that matters lasts for longer.
 pub const TELL_EVERY: Duration = Duration::from_millis(180);
 
-/// Most loads in one report: with seven bytes each, 9 KB a second, which with
+/// Most loads in one report: with eight bytes each, 11 KB a second, which with
 /// the rest stays below the 14 KB that an entry may receive.
 pub const MOST_TOLD: usize = 256;
 
@@ -52,6 +52,8 @@
     pub running: u32,
     /// Requests that wait there.
     pub waiting: u32,
+    /// Milliseconds for which it reads long prompts.
+    pub reading: u16,
 }
 
 impl LoadOf {
@@ -61,9 +63,21 @@
             server: key(id),
             running: load.running,
             waiting: load.waiting,
+            reading: 0,
         }
     }
 
+    /// Adds for how long it reads long prompts.
+    pub fn reading(self, left: Duration) -> Self {
+        let reading = u16::try_from(left.as_millis()).unwrap_or(u16::MAX);
+        Self { reading, ..self }
+    }
+
+    /// Returns for how long it reads long prompts.
+    pub fn reads_for(&self) -> Duration {
+        Duration::from_millis(self.reading.into())
+    }
+
     fn total(&self) -> u32 {
         self.running.saturating_add(self.waiting)
     }
@@ -72,7 +86,8 @@
 /// Loads that were heard since the last report.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
-    fresh: HashMap<ServerKey, LoadOf>,
+    /// Each with when the engine will have read its long prompts.
+    fresh: HashMap<ServerKey, (LoadOf, MonoTime)>,
     told_at: MonoTime,
 }
 
@@ -80,12 +95,14 @@
     /// Takes loads that were heard. Of several of one backend server the highest
     /// is told: what waits there was heard of by one entry, and others may hear of
     /// the time before it later.
-    pub fn take(&mut self, loads: impl IntoIterator<Item = LoadOf>) {
+    pub fn take(&mut self, now: MonoTime, loads: impl IntoIterator<Item = LoadOf>) {
         for load in loads {
-            let held = self.fresh.entry(load.server).or_insert(load);
+            let until = now + load.reads_for();
+            let (held, held_until) = self.fresh.entry(load.server).or_insert((load, until));
             if load.total() > held.total() {
                 *held = load;
             }
+            *held_until = until.max(*held_until);
         }
     }
 
@@ -95,8 +112,11 @@
             return None;
         }
         self.told_at = now;
-        let mut told: Vec<LoadOf> = self.fresh.drain().map(|(_, load)| load).collect();
-        told.sort_by_key(|load| (std::cmp::Reverse(load.total()), load.server));
+        let fresh = self.fresh.drain();
+        let left =
+            |(_, (load, until)): (_, (LoadOf, MonoTime))| load.reading(until.saturating_sub(now));
+        let mut told: Vec<LoadOf> = fresh.map(left).collect();
+        told.sort_by_key(|load| (std::cmp::Reverse((load.reading, load.total())), load.server));
         told.truncate(MOST_TOLD);
         Some(told)
     }
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -53,6 +53,7 @@
         LoadOf,
         ServerKey, //
     },
+    reading::ReadingTimes,
     request::{
         AnswerHead,
         Head,
@@ -172,6 +173,8 @@
     pub addr: SocketAddr,
     /// Its version.
     pub version: SmolStr,
+    /// Time that it is expected to take to read the prompt.
+    pub reading: Duration,
 }
 
 impl Choice {
@@ -201,6 +204,7 @@
     suspects: Suspects,
     sessions: Sessions,
     lengths: Lengths,
+    reading: ReadingTimes,
     count: u64,
 }
 
@@ -221,6 +225,7 @@
             tallies: Tallies::default(),
             suspects: Suspects::default(),
             lengths: Lengths::default(),
+            reading: ReadingTimes::default(),
             count: 0,
         }
     }
@@ -370,9 +375,10 @@
             key: part.id ^ hash::name(model.unwrap_or_default().as_bytes()),
             tokens: part.tokens,
         });
+        let reading = self.reading.expect(&plan.service, model, plan.own_tokens);
         let need = Need {
             affinity,
-            tokens: plan.own_tokens,
+            reading,
             domain: &self.cfg.domain,
             tried,
             seed: plan.seed,
@@ -383,6 +389,7 @@
             born: chosen.said.born,
             addr: chosen.said.addr,
             version: chosen.said.version.clone(),
+            reading,
         };
         self.keep_session(now, plan, &choice);
         Some(choice)
@@ -458,9 +465,24 @@
     }
 
     /// Notes how long the first event of a send took.
-    pub fn waited(&mut self, now: MonoTime, plan: &Plan, took: Duration) {
+    pub fn waited(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        choice: &Choice,
+        model: Option<&str>,
+        took: Duration,
+    ) {
         let target = plan.route.target;
         self.cascade.waited(now, &plan.service, took, target);
+        self.reading
+            .note(&plan.service, model, plan.own_tokens, took);
+        self.balance.read(now, &choice.id, choice.reading);
+    }
+
+    /// Notes that a send ended, or goes on elsewhere, before its first event.
+    pub fn never_began(&mut self, now: MonoTime, choice: &Choice) {
+        self.balance.read(now, &choice.id, choice.reading);
     }
 
     /// Returns the confidence from which an answer is kept now.
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -1,6 +1,9 @@
 //! Choice of a backend server.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use sesamebeam_core::gateway::{
     balance::{
@@ -24,7 +27,7 @@
 
 const NEED: Need<'static> = Need {
     affinity: None,
-    tokens: 500,
+    reading: Duration::from_millis(5),
     domain: "hall-1",
     tried: &[],
     seed: 1,
@@ -311,17 +314,18 @@
 
 #[test]
 fn long_prompt_on_its_way() {
-    // Callers with short questions wait for over a second behind a prompt of
-    // 43,000 tokens. The engine that reads it answers nobody meanwhile, so that
-    // every entry took it for idle; now it is known from the moment it is sent,
-    // here and to the others.
+    // Callers with short questions wait behind a prompt of 43,000 tokens. The
+    // engine that reads it answers nobody meanwhile, so that every entry took it
+    // for idle; now it is known from the moment it is sent, here and to the
+    // others, for as long as it is read: what the engine said of before counts
+    // for nothing.
     let servers = servers(8);
     let need = Need {
         affinity: Some(sharing(42)),
         ..NEED
     };
     let long = Need {
-        tokens: 43_000,
+        reading: ms(380),
         ..need
     };
     let mut balance = Balance::default();
@@ -336,6 +340,33 @@
         waiting: 0,
         slots: 8,
     };
+    other.heard(ms(700), &first.as_str().into(), Some(idle));
+    assert_ne!(choose(&mut other, 710, &servers, &need), first);
     other.heard(ms(900), &first.as_str().into(), Some(idle));
     assert_eq!(choose(&mut other, 910, &servers, &need), first);
 }
+
+#[test]
+fn long_prompts_apart() {
+    // Eight prompts that a large model reads for two seconds each come at once,
+    // and short questions after them. Two at one engine would make the second
+    // late, and the questions behind them; there is an engine for each, and for
+    // the questions the one that is done first.
+    let servers = servers(8);
+    let need = Need {
+        affinity: Some(sharing(42)),
+        ..NEED
+    };
+    let long = Need {
+        reading: ms(2000),
+        ..need
+    };
+    let mut balance = Balance::default();
+    let used: BTreeSet<String> = (0..8)
+        .map(|n| choose(&mut balance, 500 + n, &servers, &long))
+        .collect();
+    assert_eq!(used.len(), 8);
+    let done = used.iter().next_back().expect("there are eight");
+    balance.read(ms(1500), &done.as_str().into(), long.reading);
+    assert_eq!(&choose(&mut balance, 1510, &servers, &need), done);
+}
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -293,6 +293,7 @@
             server: number,
             running: 7,
             waiting: number,
+            reading: 0,
         };
         for node in 1..=3 {
             group.event(node, Event::Said(FromEntry::Loads(vec![heard])));
