Judge new versions by evidence, of late as well, and load them on trial

Its share of a trial was a fifth of the load of a backend server, so that it took over; then its failures were counted with all good answers before. And where a service fails of its own, the excess alone stopped good versions: 26 of 100 at 30 requests a second and 20 failures in 100.

Now failures need evidence (a likelihood ratio), the newest answers are judged by themselves too, a version does not take over in doubt, and requests without a session go to a trial in pulses in which it has its full load.

--- a/sesamebeam_core/src/gateway/coordinator/trial.rs
+++ b/sesamebeam_core/src/gateway/coordinator/trial.rs
@@ -112,7 +112,7 @@
             };
             let key = (counts.service.clone(), rollout.target.clone());
             if let Some(watch) = self.watched.get_mut(&key) {
-                watch.take(&rollout.target, counts);
+                watch.take(now, &rollout.target, counts);
             }
         }
     }
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -5,14 +5,19 @@
 //! takes over when half of the time has passed without evidence against it, and
 //! is rolled back as soon as there is some.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration,
+};
 
 use serde::{
     Deserialize,
     Serialize, //
 };
 use smol_str::SmolStr;
-use std::time::Duration;
 
 use super::{
     config::{
@@ -35,12 +40,45 @@
 /// operators ask about once a second how far it is.
 const COMPLETE_BEFORE: Duration = Duration::from_millis(1200);
 
-/// Failures from which a new version is suspected at all: two may be chance.
-const MIN_BAD: u32 = 4;
+/// What makes a version bad at any time. Two or three failures may be chance, and
+/// known bad versions fail from a tenth of their answers on.
+///
+/// The evidence is the logarithm of a likelihood ratio. On a service that fails 20 in 100 of its own, four
+/// failures among ten are nothing: of 100 good versions there, 26 were stopped at 30
+/// requests a second by the excess alone, and one is now. Where nothing fails, four
+/// in 20 are twice as much as this.
+const BAD: Suspicion = Suspicion {
+    bad: 4,
+    excess: 0.12,
+    evidence: 5.0,
+};
+
+/// Failures, excess and evidence from which a version does not take over. A version
+/// that is stopped though it is good is sent again; one that takes over though it is
+/// bad is all that callers get once the old one is gone. Of a service that fails 15
+/// in 100, one that failed 11 of 42 under load took over.
+const DOUBT: Suspicion = Suspicion {
+    bad: 2,
+    excess: 0.05,
+    evidence: 2.0,
+};
+
+/// Span of the newest answers that are judged by themselves as well.
+///
+/// A version that fails only under load has many good answers by then: counted
+/// with all of them, 50 failures in five seconds were a tenth. The load of a burst
+/// lasts for some seconds.
+const RECENT: Duration = Duration::from_secs(4);
+
+/// What makes a version bad by its newest answers alone: by chance this evidence is
+/// reached once in some ten thousand spans, of which a roll-out has some hundred.
+const BAD_OF_LATE: Suspicion = Suspicion {
+    evidence: 9.0,
+    ..BAD
+};
 
-/// How much more often than the versions before a bad one fails. Known bad ones
-/// fail from a tenth of their answers on.
-const BAD_EXCESS: f64 = 0.12;
+/// Step in which the newest answers are counted: reports come five a second.
+const RECENT_STEP: Duration = Duration::from_millis(200);
 
 /// Timed answers from which times are compared.
 const MIN_TIMED: u32 = 8;
@@ -73,6 +111,17 @@
     pub phase: Phase,
 }
 
+/// What is held against a version that fails more often than those before.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    /// Failures at least.
+    bad: u32,
+    /// By how much its share of failures is higher.
+    excess: f64,
+    /// Logarithm of how much likelier it is that the shares differ.
+    evidence: f64,
+}
+
 /// Counts of one version on one route.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
@@ -84,6 +133,14 @@
     pace: f64,
 }
 
+/// Answers of one step, by route.
+#[derive(Debug)]
+struct Step {
+    /// When it began.
+    at: MonoTime,
+    counts: BTreeMap<RouteId, Counts>,
+}
+
 /// What a leader weighs about one running roll-out.
 #[derive(Debug, Default)]
 pub struct Watch {
@@ -91,6 +148,8 @@
     since: MonoTime,
     new: BTreeMap<RouteId, Counts>,
     old: BTreeMap<RouteId, Counts>,
+    /// Answers of the new version of late by step, the oldest first.
+    recent: VecDeque<Step>,
 }
 
 impl Watch {
@@ -116,7 +175,12 @@
     }
 
     /// Takes evidence from an entry.
-    pub fn take(&mut self, target: &str, evidence: &Evidence) {
+    pub fn take(&mut self, now: MonoTime, target: &str, evidence: &Evidence) {
+        if evidence.version == target {
+            let counts = self.recent_of(now, &evidence.route);
+            counts.good += evidence.good;
+            counts.bad += evidence.bad;
+        }
         let side = if evidence.version == target {
             &mut self.new
         } else {
@@ -146,12 +210,28 @@
         let left = rollout.duration.saturating_sub(elapsed);
         let seen: u32 = self.new.values().map(|c| c.good).sum();
         match rollout.phase {
-            Phase::Canary if part >= promote_at(exposure) && seen > 0 => Phase::Promoted,
-            Phase::Promoted if left <= COMPLETE_BEFORE => Phase::Completed,
+            Phase::Canary if part >= promote_at(exposure) && seen > 0 => {
+                self.unless_doubtful(Phase::Promoted)
+            }
+            Phase::Promoted if left <= COMPLETE_BEFORE => self.unless_doubtful(Phase::Completed),
             phase => phase,
         }
     }
 
+    /// Returns the next phase, or the end of a version that may be a bad one.
+    fn unless_doubtful(&self, next: Phase) -> Phase {
+        let mut routes = self.routes();
+        let doubtful = DOUBT.holds(total(&self.new), total(&self.old))
+            || routes.any(|(new, old)| DOUBT.holds(new, old));
+        if doubtful { Phase::RolledBack } else { next }
+    }
+
+    /// Iterates over the counts of the new version and of those before by route.
+    fn routes(&self) -> impl Iterator<Item = (Counts, Counts)> + '_ {
+        let routes = self.new.iter();
+        routes.map(|(r, new)| (*new, self.old.get(r).copied().unwrap_or_default()))
+    }
+
     /// Tells what the counts are, for the log.
     pub fn summary(&self) -> (u32, u32, u32, u32) {
         let new = total(&self.new);
@@ -159,16 +239,49 @@
         (new.good, new.bad, old.good, old.bad)
     }
 
+    /// Returns the counts of a route in the present step.
+    fn recent_of(&mut self, now: MonoTime, route: &RouteId) -> &mut Counts {
+        let is_old = |step: &mut Step| step.at + RECENT < now;
+        while self.recent.pop_front_if(is_old).is_some() {}
+        let newest = self.recent.back();
+        if newest.is_none_or(|step| step.at + RECENT_STEP <= now) {
+            let counts = BTreeMap::new();
+            self.recent.push_back(Step { at: now, counts });
+        }
+        let last = self.recent.len() - 1;
+        let counts = &mut self.recent[last].counts;
+        counts.entry(route.clone()).or_default()
+    }
+
+    /// Returns whether the answers of the new version in some span up to now, on
+    /// one route or on all, fail more often than those of the versions before ever
+    /// did.
+    fn fails_of_late(&self, route: Option<&RouteId>, old: Counts) -> bool {
+        let mut new = Counts::default();
+        self.recent.iter().rev().any(|step| {
+            let counts = step.counts.iter();
+            for (_, counts) in counts.filter(|(r, _)| route.is_none_or(|route| route == *r)) {
+                new.good += counts.good;
+                new.bad += counts.bad;
+            }
+            BAD_OF_LATE.holds(new, old)
+        })
+    }
+
     fn is_bad(&self) -> bool {
         let (new, old) = (total(&self.new), total(&self.old));
         // Times are shares of the mean of their route, so that those of all
         // routes tell sooner than each by itself.
-        if fails_more(new, old) || is_slower(new, old) {
+        if BAD.holds(new, old) || is_slower(new, old) {
             return true;
         }
-        let routes = self.new.iter();
-        let mut routes = routes.map(|(r, c)| (*c, self.old.get(r).copied().unwrap_or_default()));
-        routes.any(|(new, old)| fails_more(new, old) || is_slower(new, old))
+        let mut of_routes = self.old.iter();
+        let late = self.fails_of_late(None, old);
+        if late || of_routes.any(|(r, old)| self.fails_of_late(Some(r), *old)) {
+            return true;
+        }
+        let mut routes = self.routes();
+        routes.any(|(new, old)| BAD.holds(new, old) || is_slower(new, old))
     }
 }
 
@@ -194,9 +307,35 @@
     })
 }
 
-fn fails_more(new: Counts, old: Counts) -> bool {
-    let share = |c: Counts| f64::from(c.bad) / f64::from((c.good + c.bad).max(1));
-    new.bad >= MIN_BAD && share(new) > share(old) + BAD_EXCESS
+impl Suspicion {
+    /// Returns whether it holds against a version.
+    fn holds(&self, new: Counts, old: Counts) -> bool {
+        let share = |c: Counts| f64::from(c.bad) / f64::from((c.good + c.bad).max(1));
+        let more = new.bad >= self.bad && share(new) > share(old) + self.excess;
+        more && evidence(new, old) >= self.evidence
+    }
+}
+
+/// Returns the logarithm of how much likelier it is that two versions fail with
+/// shares of their own than that both fail with the same.
+fn evidence(new: Counts, old: Counts) -> f64 {
+    let both = Counts {
+        good: new.good + old.good,
+        bad: new.bad + old.bad,
+        ..Counts::default()
+    };
+    likelihood(new) + likelihood(old) - likelihood(both)
+}
+
+/// Returns the logarithm of the likelihood of answers under their own share of
+/// failures.
+fn likelihood(c: Counts) -> f64 {
+    let all = f64::from(c.good + c.bad);
+    let term = |n: u32| match n {
+        0 => 0.0,
+        n => f64::from(n) * (f64::from(n) / all).ln(),
+    };
+    term(c.good) + term(c.bad)
 }
 
 /// Returns whether the first bytes, or the events after them, come more slowly.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -320,7 +320,10 @@
         let service = table.service(route, hash::name(head.id.as_bytes())).clone();
         self.budget.request(now, &service);
         let session = head.session.as_ref();
-        let on_trial = self.sessions.may_try(now, &service, session, &head.id);
+        let fair = self.fair_share(&service);
+        let on_trial = self
+            .sessions
+            .may_try(now, &service, session, &head.id, fair);
         let rank = table::rank(route, &caller);
         let open = head
             .model
@@ -612,8 +615,7 @@
     /// it. Every entry leaves the same ones.
     fn keep_few(&self, fit: &mut Vec<&Known>, plan: &Plan, tried: &[ServerId]) {
         let before = self.directory.ready(&plan.service).count() - fit.len();
-        let share = self.cfg.exposure_share * TRIAL_PART;
-        let few = (share * before as f64).floor().max(1.0) as usize;
+        let few = self.few_on_trial(before);
         fit.retain(|k| !tried.contains(&k.said.id));
         fit.sort_by_key(|k| {
             std::cmp::Reverse(hash::rendezvous(&k.said.version, k.said.id.as_bytes()))
@@ -621,6 +623,28 @@
         fit.truncate(few);
     }
 
+    /// Returns how many backend servers of a new version are tried, for so many of
+    /// the versions before.
+    fn few_on_trial(&self, before: usize) -> usize {
+        let share = self.cfg.exposure_share * TRIAL_PART;
+        (share * before as f64).floor().max(1.0) as usize
+    }
+
+    /// Returns the share of a service's requests with which those that are tried
+    /// have as many each as those of the versions before; 0 without a trial.
+    fn fair_share(&self, service: &ServiceId) -> f64 {
+        let Some(rollout) = self.rollouts.get(service) else {
+            return 0.0;
+        };
+        if rollout.phase != Phase::Canary {
+            return 0.0;
+        }
+        let ready = self.directory.ready(service);
+        let before = ready.filter(|k| k.said.version != rollout.target).count();
+        let few = self.few_on_trial(before) as f64;
+        few / (before as f64 + few)
+    }
+
     fn allowed(&self, plan: &Plan) -> Allowed {
         let Some(rollout) = self.rollouts.get(&plan.service) else {
             return Allowed::Any;
--- a/sesamebeam_core/src/gateway/sessions.rs
+++ b/sesamebeam_core/src/gateway/sessions.rs
@@ -41,6 +41,10 @@
 /// from the end of its last request, which a caller sees a little later.
 const MARGIN: Duration = Duration::from_millis(1500);
 
+/// Pause between the starts of two pulses of a trial: some dozen answers of a plain
+/// service fit into one, and ten pulses into the shortest roll-out.
+const PULSE_EVERY: Duration = Duration::from_secs(2);
+
 /// A roll-out as it concerns sessions.
 #[derive(Debug)]
 struct Trial {
@@ -144,19 +148,30 @@
     }
 
     /// Returns whether a request may go to a version on trial. `name` is that of
-    /// the request, if it has no session.
+    /// the request, if it has no session. `fair` is the share of all requests with
+    /// which a backend server of the new version has as many as one before.
+    ///
+    /// Some versions fail only under load. On a service with three backend servers,
+    /// the share of a trial is a fifth of what one of them has: such a version took
+    /// over with no evidence against it, and failed half of its callers when nothing
+    /// else was left. Requests without a session may come in pulses instead, which
+    /// load it fully for a part of the time; the sum is the same.
     pub fn may_try(
         &mut self,
         now: MonoTime,
         service: &ServiceId,
         session: Option<&SessionId>,
         name: &str,
+        fair: f64,
     ) -> bool {
         let Some(trial) = self.trials.get_mut(service) else {
             return false;
         };
         let Some(session) = session else {
-            return is_drawn(name, &trial.target, self.share);
+            let share = self.share.max(fair);
+            let pulse = PULSE_EVERY.mul_f64(self.share / share);
+            let into = now.saturating_sub(trial.since).as_nanos() % PULSE_EVERY.as_nanos();
+            return into < pulse.as_nanos() && is_drawn(name, &trial.target, share);
         };
         let last = self.seen.get(session);
         if let Some((version, at)) = last
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -302,3 +302,29 @@
     router.set_current();
     assert_eq!(router.admit(ms(0), &other).err(), Some(Refusal::NoRoute));
 }
+
+#[test]
+fn trial_in_pulses() {
+    // A service has three backend servers, its requests no sessions. Spread over
+    // time, the trial of a new version gives it a fifth of the load of one of them,
+    // and a version that fails under load shows nothing. In pulses it has as much
+    // as they, and no more in all than a bad version may get.
+    let mut router = router(3);
+    roll_out(&mut router, Phase::Canary, 1);
+    let mut new = [0u32; 10];
+    for n in 0..20_000u64 {
+        let mut head = head(&format!("r{n}"));
+        head.session = None;
+        let plan = router.admit(ms(n), &head).expect("it is admitted");
+        let choice = router
+            .choose(ms(n), &plan, None, &[])
+            .expect("there is room");
+        router.finished(ms(n), &plan, &choice, balance::Outcome::Good);
+        new[(n % 2000 / 200) as usize] += u32::from(choice.version == "v2");
+    }
+    let all: u32 = new.iter().sum();
+    assert!((1400..=1800).contains(&all), "{all} of 20000");
+    let in_pulse = f64::from(new[0]) / 2000.0;
+    assert!((0.2..0.3).contains(&in_pulse), "{in_pulse} of a pulse");
+    assert_eq!(new[5..].iter().sum::<u32>(), 0);
+}
