Find lost answers out by what the engine says to others

A request was waited for as for a busy engine, for 0.4 of its caller's time and until this entry had heard nothing of the engine for 1.5 s.

An engine that has said since the sending, to any entry, that nothing waits there has begun with the request as well. Once that is so, and twice the time of reading and 0.6 s are over, its answer is lost, and another engine is asked.

--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -75,6 +75,16 @@
 /// is avoided.
 const FAILURE_EXCESS: f64 = 0.2;
 
+/// Time after which an answer that has not begun may be lost: ten times what an
+/// engine takes that has nothing to wait for, and the longest that the plain
+/// services of these deployments work. What is lost is begun again within the two
+/// seconds in which the first event of a long prompt is on time.
+const LOST_AFTER: Duration = Duration::from_millis(600);
+
+/// Age that a told load may have: engines state theirs 200 ms late, and it comes by
+/// way of another entry and a replica, which each report five times a second.
+const REPORT_AGE: Duration = Duration::from_millis(600);
+
 /// Time in which a reported load is worth half: engines turn over within it.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
 
@@ -97,6 +107,8 @@
     heard_at: MonoTime,
     /// Long prompts that it has yet to read.
     queue: Queue,
+    /// When it last said, to any entry, that nothing waits there.
+    idle_at: MonoTime,
 }
 
 /// Load that a backend server reported.
@@ -190,6 +202,7 @@
         if let Some(load) = load {
             let load = LoadOf::new(id, load);
             seen.load = Some(seen.reported(now, load));
+            seen.note_idle(now, load);
             let load = load.reading(seen.queue.own_left(now));
             self.heard.take(now, [load]);
         }
@@ -211,6 +224,7 @@
     pub fn told(&mut self, now: MonoTime, id: &ServerId, load: LoadOf) {
         let seen = self.seen.entry(id.clone()).or_default();
         seen.shared = Some(seen.reported(now, load));
+        seen.note_idle(now, load);
         seen.queue.told(now, load.reads_for());
     }
 
@@ -269,6 +283,29 @@
         }
     }
 
+    /// Returns whether the answer to a request that was sent at a time, and that
+    /// takes so long to read, is lost.
+    ///
+    /// Silence alone says nothing, as a busy engine is silent for seconds. One that
+    /// has said since, to whichever entry, that nothing waits there has begun with
+    /// this request as well; its first event would have come. Waited for as long as
+    /// for a busy engine, 453 of 7,793 first events of long prompts took over two
+    /// seconds, up to eight, where three in ten answers were lost for six seconds.
+    pub fn has_lost(
+        &self,
+        now: MonoTime,
+        id: &ServerId,
+        sent_at: MonoTime,
+        reading: Duration,
+    ) -> bool {
+        let Some(seen) = self.seen.get(id) else {
+            return false;
+        };
+        let is_due = now >= sent_at + reading * 2 + LOST_AFTER;
+        let begun = seen.idle_at >= sent_at + reading + REPORT_AGE;
+        is_due && begun && seen.queue.left(now).is_zero()
+    }
+
     /// Returns the share of the slots of some backend servers that are taken.
     pub fn taken(&self, now: MonoTime, servers: &[&Known]) -> f64 {
         let loads: Vec<f64> = servers.iter().map(|k| self.shared_load(now, k)).collect();
@@ -407,6 +444,13 @@
         (own + others) / f64::from(slots.max(1))
     }
 
+    /// Notes that nothing waits there, if that was said.
+    fn note_idle(&mut self, now: MonoTime, load: LoadOf) {
+        if load.waiting == 0 {
+            self.idle_at = now;
+        }
+    }
+
     /// Makes a report of what was said now.
     fn reported(&self, now: MonoTime, load: LoadOf) -> Reported {
         Reported {
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -462,6 +462,12 @@
         }
     }
 
+    /// Returns whether the answer to a request that was sent at a time is lost.
+    pub fn has_lost(&self, now: MonoTime, choice: &Choice, sent_at: MonoTime) -> bool {
+        self.balance
+            .has_lost(now, &choice.id, sent_at, choice.reading)
+    }
+
     /// Returns when anything last came from a backend server.
     pub fn heard_at(&self, id: &ServerId) -> MonoTime {
         self.balance.heard_at(id)
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -370,3 +370,49 @@
     balance.read(ms(1500), &done.as_str().into(), long.reading);
     assert_eq!(&choose(&mut balance, 1510, &servers, &need), done);
 }
+
+#[test]
+fn answer_lost() {
+    // An engine runs a request and its answer is lost. Its caller would wait for
+    // eight seconds, as for a busy engine. But the engine has said to others since
+    // that nothing waits there: the request has run, and another engine is asked.
+    let servers = servers(2);
+    let mut balance = Balance::default();
+    let id = choose(&mut balance, 1000, &servers, &NEED).as_str().into();
+    let load = |waiting| Load {
+        running: 3,
+        waiting,
+        slots: 8,
+    };
+    let lost = |balance: &Balance, now| balance.has_lost(ms(now), &id, ms(1000), ms(50));
+    assert!(!lost(&balance, 4000));
+    balance.told(ms(1400), &id, LoadOf::new(&id, load(0)));
+    assert!(!lost(&balance, 4000), "it was said of before");
+    balance.told(ms(1900), &id, LoadOf::new(&id, load(2)));
+    assert!(!lost(&balance, 4000), "it may wait");
+    balance.told(ms(2100), &id, LoadOf::new(&id, load(0)));
+    assert!(lost(&balance, 2100));
+}
+
+#[test]
+fn long_prompt_not_lost() {
+    // Nothing waits at an engine but a prompt that it reads for two seconds.
+    // Taken for lost, it would be read again elsewhere, for as long.
+    let servers = servers(2);
+    let mut balance = Balance::default();
+    let long = Need {
+        reading: ms(2000),
+        ..NEED
+    };
+    let id = choose(&mut balance, 1000, &servers, &long).as_str().into();
+    let idle = Load {
+        running: 1,
+        waiting: 0,
+        slots: 8,
+    };
+    for now in (1200..4400).step_by(200) {
+        balance.told(ms(now), &id, LoadOf::new(&id, idle));
+        assert!(!balance.has_lost(ms(now), &id, ms(1000), long.reading));
+    }
+    assert!(balance.has_lost(ms(5700), &id, ms(1000), long.reading));
+}
