--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -5,11 +5,17 @@
 //! to the same few backend servers from every entry, by rendezvous hashing, so
 //! that the prompt is read once; load bounds how far that goes.
 
+mod seen;
+
 use std::{
     collections::HashMap,
     time::Duration, //
 };
 
+use self::seen::{
+    Estimate,
+    Seen, //
+};
 use super::{
     directory::{
         Known,
@@ -21,17 +27,11 @@
     },
     paths::Paths,
     pause::Pause,
-    reading::{
-        self,
-        Queue, //
-    },
+    reading,
     request::Load,
 };
 use crate::{
-    ids::{
-        DomainId,
-        MonoTime, //
-    },
+    ids::MonoTime,
     policy::hash, //
 };
 
@@ -44,10 +44,6 @@
 /// backend server has hardly any.
 const LOAD_SPARE: f64 = 2.0;
 
-/// How much more a waiting request says of the load than a running one: it
-/// holds up all that comes, where a running one only slows it.
-const WAITING_WEIGHT: f64 = 3.0;
-
 /// Load, as a share of the slots, that a hop to another failure domain is worth:
 /// one round trip between domains against the work of a request.
 const FAR_COST: f64 = 0.25;
@@ -85,54 +81,6 @@
 /// way of another entry and a replica, which each report five times a second.
 const REPORT_AGE: Duration = Duration::from_millis(600);
 
-/// Time in which a reported load is worth half: engines turn over within it.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
-
-/// What one entry knows of a backend server from its own requests.
-#[derive(Clone, Debug, Default)]
-struct Seen {
-    /// Its failure domain.
-    domain: DomainId,
-    /// Own requests that are there.
-    in_flight: u32,
-    /// Load that it reported to this entry.
-    load: Option<Reported>,
-    /// Load that it reported to another entry.
-    shared: Option<Reported>,
-    /// Share of its answers that failed.
-    failures: f64,
-    /// Pause in which it gets nothing, as it could not be reached.
-    pause: Pause,
-    /// When anything last came from it.
-    heard_at: MonoTime,
-    /// Long prompts that it has yet to read.
-    queue: Queue,
-    /// When it last said, to any entry, that nothing waits there.
-    idle_at: MonoTime,
-}
-
-/// What is known of a load, in shares of the slots.
-#[derive(Clone, Copy, Debug, Default)]
-struct Estimate {
-    /// Own requests.
-    own: f64,
-    /// Requests of others, as of the newest report.
-    others: f64,
-    /// How much that report counts, 0 to 1.
-    weight: f64,
-}
-
-/// Load that a backend server reported.
-#[derive(Clone, Copy, Debug)]
-struct Reported {
-    running: u32,
-    waiting: u32,
-    /// When it came here.
-    at: MonoTime,
-    /// Own requests that were there at that time.
-    own: u32,
-}
-
 /// What a request shares with others.
 #[derive(Clone, Copy, Debug)]
 pub struct Affinity {
@@ -454,66 +402,6 @@
     }
 }
 
-impl Seen {
-    /// Returns the newest report that any entry has heard.
-    fn newest(&self) -> Option<Reported> {
-        let reports = [self.load, self.shared].into_iter().flatten();
-        reports.max_by_key(|reported| reported.at)
-    }
-
-    /// Returns the requests there as a share of the slots.
-    ///
-    /// A report gives way to what this entry sees itself: left standing, an old
-    /// report of an idle engine draws every entry to it at once.
-    fn load(&self, now: MonoTime, slots: u32, reported: Option<Reported>) -> f64 {
-        let own = f64::from(self.in_flight);
-        let others = reported.map_or(0.0, |r| r.others() * r.weight(now));
-        (own + others) / f64::from(slots.max(1))
-    }
-
-    /// Returns what any entry has heard of it.
-    fn estimate(&self, now: MonoTime, slots: u32) -> Estimate {
-        let slots = f64::from(slots.max(1));
-        let newest = self.newest();
-        Estimate {
-            own: f64::from(self.in_flight) / slots,
-            others: newest.map_or(0.0, |r| r.others() / slots),
-            weight: newest.map_or(0.0, |r| r.weight(now)),
-        }
-    }
-
-    /// Notes that nothing waits there, if that was said.
-    fn note_idle(&mut self, now: MonoTime, load: LoadOf) {
-        if load.waiting == 0 {
-            self.idle_at = now;
-        }
-    }
-
-    /// Makes a report of what was said now.
-    fn reported(&self, now: MonoTime, load: LoadOf) -> Reported {
-        Reported {
-            running: load.running,
-            waiting: load.waiting,
-            at: now,
-            own: self.in_flight,
-        }
-    }
-}
-
-impl Reported {
-    /// Returns the requests there that are not this entry's.
-    fn others(&self) -> f64 {
-        let there = f64::from(self.running) + WAITING_WEIGHT * f64::from(self.waiting);
-        (there - f64::from(self.own)).max(0.0)
-    }
-
-    /// Returns how much it still counts.
-    fn weight(&self, now: MonoTime) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        0.5f64.powf(age / LOAD_HALF_LIFE.as_secs_f64())
-    }
-}
-
 /// Returns the mean, 0 of nothing.
 fn mean(values: &[f64]) -> f64 {
     values.iter().sum::<f64>() / values.len().max(1) as f64
