--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -379,10 +379,6 @@
                 self.gateway.client.retire(choice.addr);
                 Outcome::Unreachable
             }
-            Sent::Lost => {
-                log::info!(id:% = self.req.head.id, server:% = choice.id; "answer lost");
-                Outcome::Failed
-            }
             Sent::Late => {
                 log::info!(id:% = self.req.head.id, server:% = choice.id; "no answer in time");
                 Outcome::Dropped
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -99,8 +99,6 @@
     Broken(String),
     /// The backend server fell silent; it may have run.
     Dark,
-    /// The backend server works, but its answer is lost; it may have run.
-    Lost,
     /// The time is over; it may have run.
     Late,
 }
@@ -139,8 +137,8 @@
         let sending = self.client.send(choice.addr, message, terms);
         let sent = tokio::select! {
             sent = sending => sent,
-            given_up = self.gives_up(choice, sent_at, left.mul_f64(PATIENCE_SHARE)), if watch => {
-                return given_up;
+            () = self.fell_silent(choice, sent_at, left.mul_f64(PATIENCE_SHARE)), if watch => {
+                return Sent::Dark;
             }
         };
         match sent {
@@ -172,19 +170,14 @@
     }
 
     /// Waits until a backend server has been silent for long and the patience
-    /// with it is used up, or its answer is lost.
-    async fn gives_up(&self, choice: &Choice, since: Duration, patience: Duration) -> Sent {
+    /// with it is used up.
+    async fn fell_silent(&self, choice: &Choice, since: Duration, patience: Duration) {
+        sleep(patience).await;
         loop {
             sleep(LOOK_EVERY).await;
-            let now = self.now();
-            let router = self.router();
-            if router.has_lost(now, choice, since) {
-                return Sent::Lost;
-            }
-            let heard = router.heard_at(&choice.id).max(since);
-            let is_silent = now.saturating_sub(heard) > SILENT_FOR;
-            if is_silent && now.saturating_sub(since) > patience {
-                return Sent::Dark;
+            let heard = self.router().heard_at(&choice.id).max(since);
+            if self.now().saturating_sub(heard) > SILENT_FOR {
+                return;
             }
         }
     }
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -279,7 +279,7 @@
                 return true;
             }
             Sent::Answered(_, head, _) if head.not_run || head.misdirected => Outcome::Refused,
-            Sent::Answered(..) | Sent::Broken(_) | Sent::Lost => Outcome::Failed,
+            Sent::Answered(..) | Sent::Broken(_) => Outcome::Failed,
             Sent::Unsent(_) | Sent::Dark => Outcome::Unreachable,
             Sent::Late => Outcome::Dropped,
         };
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -5,17 +5,11 @@
 //! to the same few backend servers from every entry, by rendezvous hashing, so
 //! that the prompt is read once; load bounds how far that goes.
 
-mod seen;
-
 use std::{
     collections::HashMap,
     time::Duration, //
 };
 
-use self::seen::{
-    Estimate,
-    Seen, //
-};
 use super::{
     directory::{
         Known,
@@ -27,11 +21,17 @@
     },
     paths::Paths,
     pause::Pause,
-    reading,
+    reading::{
+        self,
+        Queue, //
+    },
     request::Load,
 };
 use crate::{
-    ids::MonoTime,
+    ids::{
+        DomainId,
+        MonoTime, //
+    },
     policy::hash, //
 };
 
@@ -44,6 +44,10 @@
 /// backend server has hardly any.
 const LOAD_SPARE: f64 = 2.0;
 
+/// How much more a waiting request says of the load than a running one: it
+/// holds up all that comes, where a running one only slows it.
+const WAITING_WEIGHT: f64 = 3.0;
+
 /// Load, as a share of the slots, that a hop to another failure domain is worth:
 /// one round trip between domains against the work of a request.
 const FAR_COST: f64 = 0.25;
@@ -71,15 +75,40 @@
 /// is avoided.
 const FAILURE_EXCESS: f64 = 0.2;
 
-/// Time after which an answer that has not begun may be lost: ten times what an
-/// engine takes that has nothing to wait for, and the longest that the plain
-/// services of these deployments work. What is lost is begun again within the two
-/// seconds in which the first event of a long prompt is on time.
-const LOST_AFTER: Duration = Duration::from_millis(600);
+/// Time in which a reported load is worth half: engines turn over within it.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// What one entry knows of a backend server from its own requests.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    /// Its failure domain.
+    domain: DomainId,
+    /// Own requests that are there.
+    in_flight: u32,
+    /// Load that it reported to this entry.
+    load: Option<Reported>,
+    /// Load that it reported to another entry.
+    shared: Option<Reported>,
+    /// Share of its answers that failed.
+    failures: f64,
+    /// Pause in which it gets nothing, as it could not be reached.
+    pause: Pause,
+    /// When anything last came from it.
+    heard_at: MonoTime,
+    /// Long prompts that it has yet to read.
+    queue: Queue,
+}
 
-/// Age that a told load may have: engines state theirs 200 ms late, and it comes by
-/// way of another entry and a replica, which each report five times a second.
-const REPORT_AGE: Duration = Duration::from_millis(600);
+/// Load that a backend server reported.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    running: u32,
+    waiting: u32,
+    /// When it came here.
+    at: MonoTime,
+    /// Own requests that were there at that time.
+    own: u32,
+}
 
 /// What a request shares with others.
 #[derive(Clone, Copy, Debug)]
@@ -161,7 +190,6 @@
         if let Some(load) = load {
             let load = LoadOf::new(id, load);
             seen.load = Some(seen.reported(now, load));
-            seen.note_idle(now, load);
             let load = load.reading(seen.queue.own_left(now));
             self.heard.take(now, [load]);
         }
@@ -183,7 +211,6 @@
     pub fn told(&mut self, now: MonoTime, id: &ServerId, load: LoadOf) {
         let seen = self.seen.entry(id.clone()).or_default();
         seen.shared = Some(seen.reported(now, load));
-        seen.note_idle(now, load);
         seen.queue.told(now, load.reads_for());
     }
 
@@ -242,29 +269,6 @@
         }
     }
 
-    /// Returns whether the answer to a request that was sent at a time, and that
-    /// takes so long to read, is lost.
-    ///
-    /// Silence alone says nothing, as a busy engine is silent for seconds. One that
-    /// has said since, to whichever entry, that nothing waits there has begun with
-    /// this request as well; its first event would have come. Waited for as long as
-    /// for a busy engine, 453 of 7,793 first events of long prompts took over two
-    /// seconds, up to eight, where three in ten answers were lost for six seconds.
-    pub fn has_lost(
-        &self,
-        now: MonoTime,
-        id: &ServerId,
-        sent_at: MonoTime,
-        reading: Duration,
-    ) -> bool {
-        let Some(seen) = self.seen.get(id) else {
-            return false;
-        };
-        let is_due = now >= sent_at + reading * 2 + LOST_AFTER;
-        let begun = seen.idle_at >= sent_at + reading + REPORT_AGE;
-        is_due && begun && seen.queue.left(now).is_zero()
-    }
-
     /// Returns the share of the slots of some backend servers that are taken.
     pub fn taken(&self, now: MonoTime, servers: &[&Known]) -> f64 {
         let loads: Vec<f64> = servers.iter().map(|k| self.shared_load(now, k)).collect();
@@ -315,7 +319,7 @@
     ) -> Option<&'a Known> {
         let slots = fit.iter().map(|k| k.said.slots).max().unwrap_or(1);
         let spare = LOAD_SPARE / f64::from(slots.max(1));
-        let loads = self.estimates(now, fit);
+        let loads: Vec<f64> = fit.iter().map(|k| self.shared_load(now, k)).collect();
         let bound = mean(&loads) * (1.0 + LOAD_MARGIN) + spare;
         let key = affinity.key.to_le_bytes();
         let near_first = affinity.tokens < NEAR_BELOW;
@@ -366,26 +370,6 @@
         seen.load(now, known.said.slots, seen.newest())
     }
 
-    /// Returns the loads of backend servers as far as any entry has heard, with the
-    /// mean of the others for what is not known of one.
-    ///
-    /// A report counts less and less. Faded to nothing, it made whoever had not been
-    /// heard of late look idle and all others exceed the bound: when 700 callers came
-    /// back within 0.4 s, 21 of 52 engines got all of them, up to 91 each, and more
-    /// than half of what came in those seconds was late.
-    fn estimates(&self, now: MonoTime, fit: &[&Known]) -> Vec<f64> {
-        let known = |k: &&Known| {
-            let seen = self.seen.get(&k.said.id);
-            seen.map_or(Estimate::default(), |s| s.estimate(now, k.said.slots))
-        };
-        let known: Vec<Estimate> = fit.iter().map(known).collect();
-        let weight: f64 = known.iter().map(|e| e.weight).sum();
-        let others: f64 = known.iter().map(|e| e.weight * e.others).sum();
-        let usual = others / (weight + 1.0);
-        let load = |e: &Estimate| e.own + e.weight * e.others + (1.0 - e.weight) * usual;
-        known.iter().map(load).collect()
-    }
-
     /// Returns for how long an engine reads long prompts that were sent there.
     fn reads_for(&self, now: MonoTime, known: &Known) -> Duration {
         let seen = self.seen.get(&known.said.id);
@@ -402,6 +386,38 @@
     }
 }
 
+impl Seen {
+    /// Returns the newest report that any entry has heard.
+    fn newest(&self) -> Option<Reported> {
+        let reports = [self.load, self.shared].into_iter().flatten();
+        reports.max_by_key(|reported| reported.at)
+    }
+
+    /// Returns the requests there as a share of the slots.
+    ///
+    /// A report gives way to what this entry sees itself: left standing, an old
+    /// report of an idle engine draws every entry to it at once.
+    fn load(&self, now: MonoTime, slots: u32, reported: Option<Reported>) -> f64 {
+        let own = f64::from(self.in_flight);
+        let others = reported.map_or(0.0, |r| {
+            let there = f64::from(r.running) + WAITING_WEIGHT * f64::from(r.waiting);
+            let age = now.saturating_sub(r.at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+            (there - f64::from(r.own)).max(0.0) * 0.5f64.powf(age)
+        });
+        (own + others) / f64::from(slots.max(1))
+    }
+
+    /// Makes a report of what was said now.
+    fn reported(&self, now: MonoTime, load: LoadOf) -> Reported {
+        Reported {
+            running: load.running,
+            waiting: load.waiting,
+            at: now,
+            own: self.in_flight,
+        }
+    }
+}
+
 /// Returns the mean, 0 of nothing.
 fn mean(values: &[f64]) -> f64 {
     values.iter().sum::<f64>() / values.len().max(1) as f64
