End the stop of an entry that refuses a request which crashes engines

Cause: an if-let over `gateway.router().check_fingerprint(..)` held the router's lock through its body, and refuse() takes the same lock. The first refusal of a quarantined request stopped the whole entry for good: no log line, no processor time, no answer to any caller. Cuts with resets are when requests are suspected of crashes, which is why it showed a second after them. Ruled out by reading: every other use of the lock ends before the next.

Before: crashes::refused_killer gets no answer within 8 s, after: 200 after 0.4 s.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -166,7 +166,10 @@
         }
     };
     let fingerprint = send::fingerprint(&head, &body);
-    if let Err(refusal) = gateway.router().check_fingerprint(fingerprint) {
+    // Bound first: a guard in the condition of an `if let` lives as long as its
+    // body, where refusing takes the same lock. The whole entry stopped for good.
+    let checked = gateway.router().check_fingerprint(fingerprint);
+    if let Err(refusal) = checked {
         return refuse(&gateway, &head.id, refusal);
     }
     let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE);
