Pool what entries see of backend servers that fail

Cause: of 295 entries each sends less than one booking a second.

Entries report good and bad answers by backend server, failures within 50 ms; every replica sums them up and tells who fails more often than the service. A running sum of evidence (three in four failures more than usual) finds one that fails two in five after 0.26 s at 70 answers a second, 1.0 s at 12; a good one is doubted for 0.2 to 1.9 in 1,000 of the time. A request that may run only once goes elsewhere unless the others have queues of four times their slots; one in 16 of the others still goes there, which tells when it is well again.

Cost: some six bytes for each answer, once to one replica and summed up to four.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -24,10 +24,7 @@
 use sesamebeam_core::gateway::{
     balance::Outcome,
     cascade::Step,
-    config::{
-        Limits,
-        Repeat, //
-    },
+    config::Limits,
     directory::ServerId,
     request::{
         AnswerHead,
@@ -342,11 +339,7 @@
 
     /// Returns whether a request that may have run may be sent again.
     fn may_repeat(&self) -> bool {
-        let route = &self.plan.route;
-        match route.repeat {
-            Repeat::Idempotent => true,
-            Repeat::AtMostOnce => route.streaming && route.resumable,
-        }
+        !self.plan.route.runs_once()
     }
 
     /// Decides what follows after a send.
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -133,7 +133,10 @@
             Some((addr, heard)) = heard.recv() => feed.take(addr, heard),
             changed = seeds.changed(), if !seeds_end => seeds_end = changed.is_err(),
             _ = reports.tick() => feed.report(),
-            _ = looks.tick() => feed.look(),
+            _ = looks.tick() => {
+                feed.look();
+                feed.report_failures();
+            }
         }
     }
 }
@@ -279,6 +282,14 @@
         }
     }
 
+    /// Reports failures sooner than the rest: what fails now fails others too.
+    fn report_failures(&mut self) {
+        let has_failures = self.gateway.router().has_failures();
+        if has_failures {
+            self.report();
+        }
+    }
+
     fn send(&self, addr: SocketAddr, message: FromEntry) {
         if let Some(tx) = self.links.get(&addr)
             && let Err(e) = tx.try_send(message)
@@ -329,6 +340,10 @@
             ToEntry::Servers(servers) => self.learn(addr, servers),
             ToEntry::Wants(parts) => self.tell_servers(addr, parts),
             ToEntry::Loads(told) => gateway.router().told_loads(now, told),
+            ToEntry::Doubts(doubts) => {
+                log::info!(doubts:? = doubts; "backend servers doubted");
+                gateway.router().set_doubts(doubts);
+            }
             ToEntry::Quarantined(fingerprints) => gateway.router().set_quarantined(fingerprints),
             ToEntry::Kept(kept, all) => gateway.router().keep_sessions(now, &kept, all),
         }
--- a/sesamebeam/src/group/notes.rs
+++ b/sesamebeam/src/group/notes.rs
@@ -32,6 +32,7 @@
         Note::Membership { joins, leaves } => {
             log::info!(joins:? = joins, leaves:? = leaves; "membership changes");
         }
+        Note::Doubts(doubts) => log::info!(doubts:? = doubts; "backend servers doubted"),
         Note::DiskStalled(true) => log::warn!("disk stalls"),
         Note::DiskStalled(false) => log::info!("disk answers again"),
         Note::Unreadable(index) => {
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod loads;
 mod paths;
 mod pause;
+pub mod pool;
 mod reading;
 pub mod request;
 pub mod rollout;
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -16,11 +16,17 @@
         ServerId, //
     },
     loads::{
+        self,
         LoadOf,
-        Loads, //
+        Loads,
+        ServerKey, //
     },
     paths::Paths,
     pause::Pause,
+    pool::{
+        Doubt,
+        Outcomes, //
+    },
     reading::{
         self,
         Queue, //
@@ -75,6 +81,15 @@
 /// is avoided.
 const FAILURE_EXCESS: f64 = 0.2;
 
+/// Load, as a share of the slots, that a request which may run only once goes out of
+/// its way for each failure that it is sure to avoid: a queue of ten times the slots
+/// takes a tenth of the time that callers wait for plain services.
+const DOUBT_COST: f64 = 10.0;
+
+/// One in so many requests that may run again goes as if nobody were doubted: its
+/// answer tells whether the backend server is well again.
+const TRY_DOUBTED: u64 = 16;
+
 /// Time in which a reported load is worth half: engines turn over within it.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
 
@@ -130,6 +145,8 @@
     pub domain: &'a str,
     /// Backend servers that were tried already.
     pub tried: &'a [ServerId],
+    /// Whether the request may run only once.
+    pub once: bool,
     /// Breaks ties.
     pub seed: u64,
 }
@@ -156,6 +173,10 @@
     paths: Paths,
     /// What was heard here and is to be told to the others.
     heard: Loads,
+    /// Answers that are to be told to the others, good and bad.
+    outcomes: HashMap<ServerKey, (u32, u32)>,
+    /// Share of failures of those that fail more often than their service.
+    doubts: HashMap<ServerKey, f64>,
 }
 
 impl Balance {
@@ -168,7 +189,7 @@
     ) -> Option<&'a Known> {
         let fit = self.fit(now, candidates, need.tried);
         let chosen = match need.affinity {
-            Some(affinity) => self.by_prompt(now, &fit, affinity, need.domain),
+            Some(affinity) => self.by_prompt(now, &fit, affinity, need),
             None => self.by_load(now, &fit, need),
         }?;
         let seen = self.seen.entry(chosen.said.id.clone()).or_default();
@@ -252,8 +273,30 @@
         self.seen.get(id).map_or(MonoTime::ZERO, |s| s.heard_at)
     }
 
+    /// Takes the answers that the others should be told of.
+    pub fn take_outcomes(&mut self) -> Vec<Outcomes> {
+        let outcome = |(server, (good, bad))| Outcomes { server, good, bad };
+        self.outcomes.drain().map(outcome).collect()
+    }
+
+    /// Returns whether there is a failure among them.
+    pub fn has_failures(&self) -> bool {
+        self.outcomes.values().any(|(_, bad)| *bad > 0)
+    }
+
+    /// Takes those that fail more often than their service, as all entries see them.
+    pub fn set_doubts(&mut self, doubts: impl IntoIterator<Item = Doubt>) {
+        let share = |d: Doubt| (d.server, f64::from(d.failing) / 100.0);
+        self.doubts = doubts.into_iter().map(share).collect();
+    }
+
     /// Notes how a request ended.
     pub fn finished(&mut self, now: MonoTime, id: &ServerId, outcome: Outcome) {
+        match outcome {
+            Outcome::Good => self.outcomes.entry(loads::key(id)).or_default().0 += 1,
+            Outcome::Failed => self.outcomes.entry(loads::key(id)).or_default().1 += 1,
+            Outcome::Refused | Outcome::Unreachable | Outcome::Dropped => {}
+        }
         let seen = self.seen.entry(id.clone()).or_default();
         seen.in_flight = seen.in_flight.saturating_sub(1);
         match outcome {
@@ -315,7 +358,7 @@
         now: MonoTime,
         fit: &[&'a Known],
         affinity: Affinity,
-        domain: &str,
+        need: &Need<'_>,
     ) -> Option<&'a Known> {
         let slots = fit.iter().map(|k| k.said.slots).max().unwrap_or(1);
         let spare = LOAD_SPARE / f64::from(slots.max(1));
@@ -329,8 +372,9 @@
             *load <= bound && reads_for <= READS_FOR
         });
         let best = within.max_by_key(|(k, _)| {
-            let near = near_first && k.said.domain == domain;
-            (near, hash::rendezvous(&k.said.id, &key))
+            let near = near_first && k.said.domain == need.domain;
+            let sound = self.doubt(k, need) == 0.0;
+            (sound, near, hash::rendezvous(&k.said.id, &key))
         });
         // A second of reading holds up as many as a full engine.
         let held_up = |(k, load): &(&Known, f64)| load + self.reads_for(now, k).as_secs_f64();
@@ -346,7 +390,7 @@
                 FAR_COST
             };
             let jitter = hash::unit(k.said.id.as_bytes(), &need.seed.to_string()) * 0.05;
-            self.load(now, k) + far + jitter
+            self.load(now, k) + far + jitter + DOUBT_COST * self.doubt(k, need)
         };
         let best = fit.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.copied()
@@ -376,6 +420,16 @@
         seen.map_or(Duration::ZERO, |seen| seen.queue.left(now))
     }
 
+    /// Returns the share of failures for which a backend server is passed over.
+    fn doubt(&self, known: &Known, need: &Need<'_>) -> f64 {
+        let tries = !need.once && need.tried.is_empty() && need.seed.is_multiple_of(TRY_DOUBTED);
+        if self.doubts.is_empty() || tries {
+            return 0.0;
+        }
+        let doubt = self.doubts.get(&loads::key(&known.said.id));
+        doubt.copied().unwrap_or_default()
+    }
+
     fn failures(&self, known: &Known) -> f64 {
         self.seen.get(&known.said.id).map_or(0.0, |s| s.failures)
     }
--- a/sesamebeam_core/src/gateway/config.rs
+++ b/sesamebeam_core/src/gateway/config.rs
@@ -82,6 +82,16 @@
     pub anonymous: bool,
 }
 
+impl RouteConfig {
+    /// Returns whether a request that may have run must not be sent again.
+    pub fn runs_once(&self) -> bool {
+        match self.repeat {
+            Repeat::Idempotent => false,
+            Repeat::AtMostOnce => !(self.streaming && self.resumable),
+        }
+    }
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceConfig {
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -50,6 +50,10 @@
         ToEntry, //
     },
     loads::Loads,
+    pool::{
+        Doubt,
+        Pool, //
+    },
     rollout::Phase,
     store::{
         Command,
@@ -231,6 +235,8 @@
         /// Replica that leaves.
         leaves: Option<NodeId>,
     },
+    /// Backend servers that fail more often than their service.
+    Doubts(Vec<Doubt>),
     /// The disk has not synced a write for long.
     DiskStalled(bool),
     /// An entry in the log cannot be read.
@@ -257,6 +263,7 @@
     next_ticket: u64,
     crashes: Crashes,
     loads: Loads,
+    pool: Pool,
     look_at: MonoTime,
     /// Write that is not synced yet, and since when.
     writing: Option<(WriteId, MonoTime)>,
@@ -284,6 +291,7 @@
             next_ticket: 1,
             crashes: Crashes::default(),
             loads: Loads::default(),
+            pool: Pool::default(),
             look_at: now,
             writing: None,
             disk_full: false,
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -16,6 +16,7 @@
     Action,
     Coordinator,
     EntryLife,
+    Note,
     Receivers, //
 };
 use crate::{
@@ -135,6 +136,8 @@
         if !quarantined.is_empty() {
             self.push(this.clone(), ToEntry::Quarantined(quarantined));
         }
+        let doubts = self.pool.doubts().to_vec();
+        self.push(this.clone(), ToEntry::Doubts(doubts));
         for (kept, all) in self.trials.kept(self.now) {
             self.push(this.clone(), ToEntry::Kept(kept, all));
         }
@@ -161,6 +164,7 @@
         self.trials.have_run(self.now, &self.store, &report.ages);
         self.trials.take(self.now, &self.store, &report.evidence);
         self.loads.take(self.now, report.loads.iter().copied());
+        self.pool.take(report.outcomes.iter().copied());
         self.count_crashes(&report.crashes);
         for kept in &report.kept {
             self.keep_sessions(kept);
@@ -203,6 +207,11 @@
         if let Some(loads) = self.loads.due(self.now) {
             self.push(self.telling.followers(), ToEntry::Loads(loads));
         }
+        if self.pool.judge(self.now, &self.directory) {
+            let doubts = self.pool.doubts().to_vec();
+            self.note(Note::Doubts(doubts.clone()));
+            self.push(self.telling.followers(), ToEntry::Doubts(doubts));
+        }
         let summary = self.summary();
         if summary != self.telling.summary {
             self.telling.summary = summary;
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -34,6 +34,10 @@
         Life, //
     },
     loads::LoadOf,
+    pool::{
+        Doubt,
+        Outcomes, //
+    },
     rollout::Rollout,
     store::Document,
 };
@@ -100,6 +104,8 @@
     pub evidence: Vec<Evidence>,
     /// Loads that backend servers have told.
     pub loads: Vec<LoadOf>,
+    /// Answers of backend servers, good and bad.
+    pub outcomes: Vec<Outcomes>,
     /// Requests that were running when backend servers went down.
     pub crashes: Vec<Crash>,
     /// Sessions that must stay on the versions before a roll-out.
@@ -114,12 +120,14 @@
         let Self {
             evidence,
             loads,
+            outcomes,
             crashes,
             kept,
             ages,
         } = self;
         evidence.is_empty()
             && loads.is_empty()
+            && outcomes.is_empty()
             && crashes.is_empty()
             && kept.is_empty()
             && ages.is_empty()
@@ -135,6 +143,7 @@
             }
         }
         self.loads.extend(other.loads);
+        self.outcomes.extend(other.outcomes);
         self.crashes.extend(other.crashes);
         self.kept.extend(other.kept);
         self.ages.extend(other.ages);
@@ -152,6 +161,15 @@
             }
             same
         });
+        taken.outcomes.sort_by_key(|o| o.server);
+        taken.outcomes.dedup_by(|later, kept| {
+            let same = later.server == kept.server;
+            if same {
+                kept.good += later.good;
+                kept.bad += later.bad;
+            }
+            same
+        });
         taken
     }
 }
@@ -185,6 +203,8 @@
     Wants(Parts),
     /// Loads that backend servers have told any entry of late.
     Loads(Vec<LoadOf>),
+    /// All backend servers that fail more often than their service.
+    Doubts(Vec<Doubt>),
     /// Requests that crash what runs them.
     Quarantined(Vec<Digest>),
     /// Sessions that must stay on the versions before a roll-out, as entries
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -54,6 +54,7 @@
         LoadOf,
         ServerKey, //
     },
+    pool::Doubt,
     reading::ReadingTimes,
     request::{
         AnswerHead,
@@ -406,6 +407,7 @@
             reading,
             domain: &self.cfg.domain,
             tried,
+            once: plan.route.runs_once(),
             seed: plan.seed,
         };
         let chosen = self.balance.choose(now, &fit, &need)?;
@@ -479,6 +481,16 @@
         }
     }
 
+    /// Takes the backend servers that fail more often than their service.
+    pub fn set_doubts(&mut self, doubts: impl IntoIterator<Item = Doubt>) {
+        self.balance.set_doubts(doubts);
+    }
+
+    /// Returns whether a failure was seen that is not reported yet.
+    pub fn has_failures(&self) -> bool {
+        self.balance.has_failures()
+    }
+
     /// Returns when anything last came from a backend server.
     pub fn heard_at(&self, id: &ServerId) -> MonoTime {
         self.balance.heard_at(id)
@@ -597,6 +609,7 @@
         Report {
             evidence: self.take_evidence(),
             loads: self.balance.take_heard(now).unwrap_or_default(),
+            outcomes: self.balance.take_outcomes(),
             crashes: self.suspects.take_crashes(),
             kept: self.sessions.take_fresh(),
             ages: Vec::new(),
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -16,7 +16,11 @@
         Announcement,
         Known, //
     },
-    loads::LoadOf,
+    loads::{
+        self,
+        LoadOf, //
+    },
+    pool::Doubt,
     request::Load,
 };
 
@@ -30,6 +34,7 @@
     reading: Duration::from_millis(5),
     domain: "hall-1",
     tried: &[],
+    once: false,
     seed: 1,
 };
 
@@ -157,6 +162,61 @@
     assert!(chosen.contains(&"server-1".to_owned()), "{chosen:?}");
 }
 
+/// Has entries doubt a backend server that fails two in five of its answers.
+fn doubt(balance: &mut Balance, id: &str) {
+    let server = loads::key(&id.into());
+    balance.set_doubts([Doubt {
+        server,
+        failing: 40,
+    }]);
+}
+
+#[test]
+fn doubted_by_others() {
+    // A booking may run only once, and an entry that sends one a second never sees
+    // that its backend server breaks off two in five. What all entries have seen
+    // keeps bookings away; reads go there now and then, to see whether it is well.
+    let servers = servers(4);
+    let mut balance = Balance::default();
+    doubt(&mut balance, "server-2");
+    let mut chosen = |once| -> Vec<String> {
+        let need = |seed| Need { seed, once, ..NEED };
+        let chosen = (0..64).map(|seed| choose(&mut balance, 50, &servers, &need(seed)));
+        chosen.collect()
+    };
+    assert!(!chosen(true).contains(&"server-2".to_owned()));
+    assert!(chosen(false).contains(&"server-2".to_owned()));
+}
+
+#[test]
+fn doubted_engine_passed_over() {
+    let servers = servers(4);
+    let mut balance = Balance::default();
+    let need = Need {
+        affinity: Some(sharing(3)),
+        ..NEED
+    };
+    let first = choose(&mut balance, 0, &servers, &need);
+    doubt(&mut balance, &first);
+    assert_ne!(choose(&mut balance, 0, &servers, &need), first);
+}
+
+#[test]
+fn doubted_when_all_are_full() {
+    // The others have queues of many times their slots: a doubted one is better.
+    let servers = servers(2);
+    let mut balance = Balance::default();
+    doubt(&mut balance, "server-1");
+    let full = Load {
+        running: 10,
+        waiting: 24,
+        slots: 10,
+    };
+    balance.heard(ms(0), &"server-0".into(), Some(full));
+    let need = Need { once: true, ..NEED };
+    assert_eq!(choose(&mut balance, 0, &servers, &need), "server-1");
+}
+
 #[test]
 fn another_after_a_failure() {
     let servers = servers(3);
