Break ties by the request, not by each entry's count

Cause: the tie between backend servers alike in load was broken by the number of requests that the entry had had. All entries start together after a loss of power, and the first request of each, then the second, went to the same backend server: 295 in place of 59 (plays::first_requests_apart, 295 before, 71 at most now).

--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -210,7 +210,6 @@
     sessions: Sessions,
     lengths: Lengths,
     reading: ReadingTimes,
-    count: u64,
 }
 
 impl Router {
@@ -231,7 +230,6 @@
             suspects: Suspects::default(),
             lengths: Lengths::default(),
             reading: ReadingTimes::default(),
-            count: 0,
         }
     }
 
@@ -343,9 +341,10 @@
             Caller::Anonymous => None,
             Caller::Of(org) => Some(org.name.clone()),
         };
-        self.count += 1;
-        let seed = self.count;
-        let service = table.service(route, hash::name(head.id.as_bytes())).clone();
+        // Drawn by the request's own id: counted by each entry, the first requests of
+        // all entries that had started together went to the same backend server.
+        let seed = hash::name(head.id.as_bytes());
+        let service = table.service(route, seed).clone();
         self.budget.request(now, &service);
         let session = head.session.as_ref();
         let fair = self.fair_share(&service);
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod joining;
 mod make;
 mod orders;
+mod plays;
 mod pool;
 mod rollouts;
 mod router;
