--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -101,6 +101,21 @@
     end: SendEnd,
 }
 
+/// Which way a message between a control replica and an entry went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Way {
+    /// To entries.
+    ToEntries,
+    /// To a control replica.
+    ToControl,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MessageLabels {
+    way: Way,
+    kind: &'static str,
+}
+
 /// Something that has a value at each moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Level {
@@ -112,6 +127,8 @@
     Leads,
     /// Entries that are connected.
     Entries,
+    /// Milliseconds by which the loop turned late.
+    LoopDelay,
 }
 
 /// The metrics of one process.
@@ -120,12 +137,15 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     sends: Family<SendLabels, Counter>,
+    messages: Family<MessageLabels, Counter>,
+    message_bytes: Family<MessageLabels, Counter>,
     first_byte: Histogram,
     whole: Histogram,
     config: Gauge,
     ready: Gauge,
     leads: Gauge,
     entries: Gauge,
+    loop_delay: Gauge,
 }
 
 impl Default for Exposition {
@@ -135,12 +155,15 @@
             registry: Registry::with_prefix("sesamebeam"),
             requests: Family::default(),
             sends: Family::default(),
+            messages: Family::default(),
+            message_bytes: Family::default(),
             first_byte: histogram(),
             whole: histogram(),
             config: Gauge::default(),
             ready: Gauge::default(),
             leads: Gauge::default(),
             entries: Gauge::default(),
+            loop_delay: Gauge::default(),
         };
         made.register();
         made
@@ -159,6 +182,15 @@
         self.sends.get_or_create(&SendLabels { end }).inc();
     }
 
+    /// Counts a message of some bytes that goes to several receivers.
+    pub fn message(&self, way: Way, kind: &'static str, bytes: usize, receivers: usize) {
+        let labels = MessageLabels { way, kind };
+        let count = receivers as u64;
+        self.messages.get_or_create(&labels).inc_by(count);
+        let bytes = count * bytes as u64;
+        self.message_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
     /// Counts the time from a send to the first byte of its answer.
     pub fn first_byte(&self, took: Duration) {
         self.first_byte.observe(took.as_secs_f64());
@@ -172,6 +204,7 @@
             Level::Ready => self.ready.set(value),
             Level::Leads => self.leads.set(value),
             Level::Entries => self.entries.set(value),
+            Level::LoopDelay => self.loop_delay.set(value),
         };
     }
 
@@ -218,6 +251,16 @@
             self.requests.clone(),
         );
         registry.register("sends", "Sends by how they ended", self.sends.clone());
+        registry.register(
+            "messages",
+            "Messages between control replicas and entries by kind",
+            self.messages.clone(),
+        );
+        registry.register(
+            "message_bytes",
+            "Bytes of these messages",
+            self.message_bytes.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from a send to the first byte of its answer",
@@ -232,6 +275,11 @@
         registry.register("ready", "Whether callers are taken", self.ready.clone());
         registry.register("leads", "Whether this replica leads", self.leads.clone());
         registry.register("entries", "Entries connected", self.entries.clone());
+        registry.register(
+            "loop_delay_milliseconds",
+            "By how much the loop turned late",
+            self.loop_delay.clone(),
+        );
     }
 }
 
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -57,7 +57,11 @@
 
 use super::Gateway;
 use crate::{
-    exposition::Level,
+    exposition::{
+        Exposition,
+        Level,
+        Way, //
+    },
     frames::{
         self,
         ALIVE_EVERY,
@@ -194,6 +198,7 @@
                 life: self.life,
                 name: self.gateway.settings.name.clone(),
                 heard: self.heard.clone(),
+                meters: Arc::clone(&self.gateway.meters),
             };
             let turn = self.turn(self.kept.len());
             let cancel = token.clone();
@@ -419,6 +424,7 @@
     life: u64,
     name: SmolStr,
     heard: UnboundedSender<(SocketAddr, Heard)>,
+    meters: Arc<Exposition>,
 }
 
 async fn keep(link: Link, cancel: CancellationToken) {
@@ -458,7 +464,7 @@
         self.tell(Heard::Connected(queue));
         tokio::select! {
             ended = self.read(&mut rx) => ended,
-            ended = write(&mut tx, messages) => ended,
+            ended = write(&mut tx, messages, &self.meters) => ended,
         }
     }
 
@@ -475,15 +481,19 @@
     }
 }
 
-async fn write(tx: &mut Sender, mut messages: mpsc::Receiver<FromEntry>) -> Result<(), FrameError> {
+async fn write(
+    tx: &mut Sender,
+    mut messages: mpsc::Receiver<FromEntry>,
+    meters: &Exposition,
+) -> Result<(), FrameError> {
     let mut ticks = ticks(ALIVE_EVERY);
     loop {
-        tokio::select! {
-            message = messages.recv() => match message {
-                Some(message) => tx.send(&message).await?,
-                None => return Err(FrameError::Closed),
-            },
-            _ = ticks.tick() => tx.send(&FromEntry::Alive).await?,
-        }
+        let message = tokio::select! {
+            message = messages.recv() => message.ok_or(FrameError::Closed)?,
+            _ = ticks.tick() => FromEntry::Alive,
+        };
+        let frame = frames::encode(&message)?;
+        meters.message(Way::ToControl, message.kind(), frame.len(), 1);
+        tx.send_encoded(frame).await?;
     }
 }
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -95,7 +95,8 @@
     },
     exposition::{
         Exposition,
-        Level, //
+        Level,
+        Way, //
     },
     frames,
     listen::ListenError,
@@ -449,6 +450,12 @@
         let Some(bytes) = encode(message) else {
             return;
         };
+        let receivers = match &to {
+            Receivers::These(lives) => lives.len(),
+            Receivers::All => self.entries.len(),
+        };
+        self.meters
+            .message(Way::ToEntries, message.kind(), bytes.len(), receivers);
         match to {
             Receivers::These(lives) => {
                 for life in lives {
--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -6,7 +6,8 @@
     Exposition,
     Level,
     RequestEnd,
-    SendEnd, //
+    SendEnd,
+    Way, //
 };
 
 #[test]
@@ -16,6 +17,8 @@
     exposition.request(RequestEnd::Refused, Duration::ZERO);
     exposition.send(SendEnd::Good);
     exposition.first_byte(Duration::from_millis(2));
+    exposition.message(Way::ToEntries, "loads", 30, 59);
+    exposition.set(Level::LoopDelay, 4);
     exposition.set(Level::Config, 7);
     exposition.set(Level::Ready, u64::MAX);
     let text = exposition.text();
@@ -25,6 +28,9 @@
         "sesamebeam_sends_total{end=\"Good\"} 1",
         "sesamebeam_request_seconds_bucket{le=\"0.004\"} 2",
         "sesamebeam_first_byte_seconds_count 1",
+        "sesamebeam_messages_total{way=\"ToEntries\",kind=\"loads\"} 59",
+        "sesamebeam_message_bytes_total{way=\"ToEntries\",kind=\"loads\"} 1770",
+        "sesamebeam_loop_delay_milliseconds 4",
         "sesamebeam_config_version 7",
         "sesamebeam_ready 9223372036854775807",
     ] {
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -95,6 +95,20 @@
     Alive,
 }
 
+impl FromEntry {
+    /// Names its kind, for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Follow(_) => "follow",
+            Self::Unfollow => "unfollow",
+            Self::Lacks(_) => "lacks",
+            Self::Servers(_) => "servers",
+            Self::Report(_) => "report",
+            Self::Alive => "alive",
+        }
+    }
+}
+
 /// What an entry holds of what control replicas tell.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Held {
@@ -259,6 +273,24 @@
     Alive(Summary),
 }
 
+impl ToEntry {
+    /// Names its kind, for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Fleet { .. } => "fleet",
+            Self::State { .. } => "state",
+            Self::Servers(_) => "servers",
+            Self::Wants(_) => "wants",
+            Self::Loads { .. } => "loads",
+            Self::Doubts(_) => "doubts",
+            Self::Unreached(_) => "unreached",
+            Self::Quarantined(_) => "quarantined",
+            Self::Kept(..) => "kept",
+            Self::Alive(_) => "alive",
+        }
+    }
+}
+
 /// What a control replica holds, in brief.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
