Learn from answers that are overdue, before callers give up

Cause: a way that is cut, or a process that hangs, takes a request on a kept connection and says nothing.

After a quarter of the caller's time, 0.4 s at most, a read goes on elsewhere; a booking waits on, while its backend server rests and its kept connections are not used again, here and, told as unreachable, at entries nearby. Ruled out: the same for streams, whose engines are silent for seconds under load.

answers::mute_for_a_read and mute_for_a_booking failed before.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -396,6 +396,10 @@
             Sent::Dark => {
                 log::info!(id:% = self.req.head.id, server:% = choice.id; "backend server silent");
                 self.gateway.client.retire(choice.addr);
+                if !self.plan.route.streaming {
+                    let now = self.gateway.now();
+                    self.gateway.router().overdue(now, &choice.id);
+                }
                 Outcome::Silent
             }
             Sent::Late => {
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io::ErrorKind,
+    pin::pin,
     sync::Arc,
     time::{
         Duration,
@@ -60,6 +61,14 @@
 /// Longest wait for an answer to whether a backend server went down.
 const CRASH_CHECK: Duration = Duration::from_millis(300);
 
+/// Share of a request's time after which an answer that is not a stream is overdue,
+/// and the longest such time. Plain services answer within a tenth of that; a way that
+/// is cut, or a process that hangs, takes a request on a kept connection and says
+/// nothing. Nobody learned of it before the caller gave up: each of 295 entries lost
+/// requests of its own, 300 within six seconds of a cut.
+const OVERDUE_SHARE: f64 = 0.25;
+const OVERDUE_MAX: Duration = Duration::from_millis(400);
+
 /// Share of a request's time for which one backend server may take until its
 /// answer begins: a second one then has as much, and there is time for more.
 const PATIENCE_SHARE: f64 = 0.4;
@@ -134,11 +143,22 @@
             send_by: None,
         };
         let sent_at = self.now();
-        let sending = self.client.send(choice.addr, message, terms);
-        let sent = tokio::select! {
-            sent = sending => sent,
-            () = self.fell_silent(choice, sent_at, left.mul_f64(PATIENCE_SHARE)), if watch => {
-                return Sent::Dark;
+        let mut sending = pin!(self.client.send(choice.addr, message, terms));
+        let sent = if plan.route.streaming {
+            tokio::select! {
+                sent = sending => sent,
+                () = self.fell_silent(choice, sent_at, left.mul_f64(PATIENCE_SHARE)), if watch => {
+                    return Sent::Dark;
+                }
+            }
+        } else {
+            let overdue = left.mul_f64(OVERDUE_SHARE).min(OVERDUE_MAX);
+            loop {
+                match timeout(overdue, &mut sending).await {
+                    Ok(sent) => break sent,
+                    Err(_) if watch => return Sent::Dark,
+                    Err(_) => self.is_overdue(req, choice),
+                }
             }
         };
         match sent {
@@ -169,6 +189,13 @@
         Sent::Answered(Box::new(response), answer, lease)
     }
 
+    /// Has later requests go elsewhere while one that may not be sent again waits.
+    fn is_overdue(&self, req: &Received, choice: &Choice) {
+        log::info!(id:% = req.head.id, server:% = choice.id; "answer overdue");
+        self.client.retire(choice.addr);
+        self.router().overdue(self.now(), &choice.id);
+    }
+
     /// Waits until a backend server has been silent for long and the patience
     /// with it is used up.
     async fn fell_silent(&self, choice: &Choice, since: Duration, patience: Duration) {
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -78,6 +78,10 @@
 /// more than that another one could not reach it.
 const HEARD_OF_LATE: Duration = Duration::from_millis(500);
 
+/// Rest of a backend server with an answer that is overdue, counted anew for as long
+/// as that does not come; it ends when anything does.
+const OVERDUE_REST: Duration = Duration::from_millis(1000);
+
 /// Longest pause after a backend server could not be reached; below the time
 /// that one takes to come back.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
@@ -336,6 +340,14 @@
         self.doubts = doubts.into_iter().map(share).collect();
     }
 
+    /// Notes that an answer which should have come is overdue: the backend server
+    /// rests, here and at entries nearby, until it is heard.
+    pub fn overdue(&mut self, now: MonoTime, id: &ServerId) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.pause.at_least(now, OVERDUE_REST);
+        self.unreached.push((loads::key(id), true));
+    }
+
     /// Notes how a request ended.
     pub fn finished(&mut self, now: MonoTime, id: &ServerId, outcome: Outcome) {
         match outcome {
--- a/sesamebeam_core/src/gateway/pause.rs
+++ b/sesamebeam_core/src/gateway/pause.rs
@@ -21,6 +21,11 @@
         self.until = now + self.length;
     }
 
+    /// Has it last for some time from now at least.
+    pub(super) fn at_least(&mut self, now: MonoTime, length: Duration) {
+        self.until = self.until.max(now + length);
+    }
+
     /// Returns whether it is over.
     pub(super) fn is_over(&self, now: MonoTime) -> bool {
         self.until <= now
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -491,6 +491,11 @@
         self.balance.set_doubts(doubts);
     }
 
+    /// Notes that the answer of a backend server is overdue.
+    pub fn overdue(&mut self, now: MonoTime, id: &ServerId) {
+        self.balance.overdue(now, id);
+    }
+
     /// Returns whether a failure was seen that is not reported yet, or a backend
     /// server that could not be reached.
     pub fn has_failures(&self) -> bool {
