Split the router by trials and what is exchanged; one coordinator for tests

What entries and replicas tell each other and which versions a trial allows are files of their own; the tests of the telling and the plays share how they make a replica. No behaviour changed: moves only.

--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -1,7 +1,9 @@
 //! All decisions of an entry that passes requests through.
 
+mod exchange;
+mod trial;
+
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -43,19 +45,9 @@
     },
     feed::{
         Age,
-        Evidence,
-        Held,
-        Kept,
-        Report,
-        Unreached, //
+        Kept, //
     },
     lengths::Lengths,
-    loads::{
-        self,
-        LoadOf,
-        ServerKey, //
-    },
-    pool::Doubt,
     reading::ReadingTimes,
     request::{
         AnswerHead,
@@ -64,13 +56,10 @@
         PromptPart, //
     },
     rollout::{
-        Allowed,
-        Phase,
         Rollouts,
         TRIAL_PART, //
     },
     sessions::Sessions,
-    subscription::Holding,
     suspects::Suspects,
     table::{
         self,
@@ -81,7 +70,6 @@
         Sender,
         Tallies, //
     },
-    waits::MeanWait,
 };
 use crate::{
     ids::{
@@ -243,23 +231,6 @@
         self.table.as_ref().map(|t| t.config().version)
     }
 
-    /// Returns what this entry holds of what control replicas tell.
-    pub fn held(&mut self) -> Held {
-        Held {
-            config: self.version(),
-            servers: self.directory.digests().clone(),
-        }
-    }
-
-    /// Returns the same in brief.
-    pub fn holding(&mut self) -> Holding {
-        Holding {
-            config: self.version(),
-            index: self.index,
-            servers: self.directory.digests().whole(),
-        }
-    }
-
     /// Returns the backend servers.
     pub fn directory(&self) -> &Directory {
         &self.directory
@@ -474,34 +445,11 @@
         self.balance.heard(now, id, load);
     }
 
-    /// Notes loads and waits that any entry has heard.
-    pub fn told_loads(&mut self, now: MonoTime, told: Vec<LoadOf>, waits: Vec<MeanWait>) {
-        self.cascade.told(now, waits);
-        let told: HashMap<ServerKey, LoadOf> = told.into_iter().map(|l| (l.server, l)).collect();
-        for known in self.directory.all() {
-            let id = &known.said.id;
-            if let Some(&load) = told.get(&loads::key(id)) {
-                self.balance.told(now, id, load);
-            }
-        }
-    }
-
-    /// Takes the backend servers that fail more often than their service.
-    pub fn set_doubts(&mut self, doubts: impl IntoIterator<Item = Doubt>) {
-        self.balance.set_doubts(doubts);
-    }
-
     /// Notes that the answer of a backend server is overdue.
     pub fn overdue(&mut self, now: MonoTime, id: &ServerId) {
         self.balance.overdue(now, id);
     }
 
-    /// Returns whether a failure was seen that is not reported yet, or a backend
-    /// server that could not be reached.
-    pub fn has_failures(&self) -> bool {
-        self.balance.has_failures()
-    }
-
     /// Returns when anything last came from a backend server.
     pub fn heard_at(&self, id: &ServerId) -> MonoTime {
         self.balance.heard_at(id)
@@ -615,126 +563,9 @@
         self.suspects.crashed(fingerprint, choice.life());
     }
 
-    /// Takes what has been seen since the last call and others should know.
-    pub fn take_report(&mut self, now: MonoTime) -> Report {
-        Report {
-            evidence: self.take_evidence(),
-            loads: self.balance.take_heard(now).unwrap_or_default(),
-            outcomes: self.balance.take_outcomes(),
-            unreached: self.take_unreached(),
-            waits: self.cascade.take_fresh(),
-            crashes: self.suspects.take_crashes(),
-            kept: self.sessions.take_fresh(),
-            ages: Vec::new(),
-        }
-    }
-
-    /// Takes the backend servers that could not be reached.
-    fn take_unreached(&mut self) -> Vec<Unreached> {
-        let from = &self.cfg.domain;
-        let unreached = |(server, is_down)| Unreached {
-            from: from.clone(),
-            server,
-            is_down,
-        };
-        let servers = self.balance.take_unreached();
-        servers.into_iter().map(unreached).collect()
-    }
-
-    /// Notes backend servers that other entries could not reach just now.
-    pub fn told_unreached(&mut self, now: MonoTime, told: &[Unreached]) {
-        let nearby = told.iter().filter(|u| u.from == self.cfg.domain);
-        let by_key: HashMap<ServerKey, bool> = nearby.map(|u| (u.server, u.is_down)).collect();
-        for said in self.directory.all().map(|k| &k.said) {
-            if let Some(&is_down) = by_key.get(&loads::key(&said.id)) {
-                self.balance
-                    .told_unreached(now, &said.id, &said.domain, is_down);
-            }
-        }
-    }
-
-    /// Takes the answers of services with a roll-out that may still be stopped.
-    /// Of others nobody judges by them.
-    fn take_evidence(&mut self) -> Vec<Evidence> {
-        let mut evidence = self.tallies.take();
-        evidence.retain(|counts| self.is_watched(&counts.service));
-        evidence
-    }
-
-    fn is_watched(&self, service: &str) -> bool {
-        let rollout = self.rollouts.get(service);
-        rollout.is_some_and(|r| matches!(r.phase, Phase::Canary | Phase::Promoted))
-    }
-
     fn keep_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
         if let Some(session) = &plan.session {
             self.sessions.ran(now, session, &choice.version);
         }
     }
-
-    fn is_target(&self, service: &str, version: &str) -> bool {
-        self.rollouts
-            .get(service)
-            .is_some_and(|r| r.target == version)
-    }
-
-    fn is_canary(&self, service: &str) -> bool {
-        let rollout = self.rollouts.get(service);
-        rollout.is_some_and(|r| r.phase == Phase::Canary)
-    }
-
-    /// Leaves so few of the backend servers of a version on trial that each has
-    /// about as many requests as those of the versions before.
-    ///
-    /// Some versions fail only under load. Spread over all of them, the share of
-    /// a trial loads none, and such a version takes over with no evidence against
-    /// it. Every entry leaves the same ones.
-    fn keep_few(&self, fit: &mut Vec<&Known>, plan: &Plan, tried: &[ServerId]) {
-        let before = self.directory.ready(&plan.service).count() - fit.len();
-        let few = self.few_on_trial(before);
-        fit.retain(|k| !tried.contains(&k.said.id));
-        fit.sort_by_key(|k| {
-            std::cmp::Reverse(hash::rendezvous(&k.said.version, k.said.id.as_bytes()))
-        });
-        fit.truncate(few);
-    }
-
-    /// Returns how many backend servers of a new version are tried, for so many of
-    /// the versions before.
-    fn few_on_trial(&self, before: usize) -> usize {
-        let share = self.cfg.exposure_share * TRIAL_PART;
-        (share * before as f64).floor().max(1.0) as usize
-    }
-
-    /// Returns the share of a service's requests with which those that are tried
-    /// have as many each as those of the versions before; 0 without a trial.
-    fn fair_share(&self, service: &ServiceId) -> f64 {
-        let Some(rollout) = self.rollouts.get(service) else {
-            return 0.0;
-        };
-        if rollout.phase != Phase::Canary {
-            return 0.0;
-        }
-        let ready = self.directory.ready(service);
-        let before = ready.filter(|k| k.said.version != rollout.target).count();
-        let few = self.few_on_trial(before) as f64;
-        few / (before as f64 + few)
-    }
-
-    fn allowed(&self, plan: &Plan) -> Allowed {
-        let Some(rollout) = self.rollouts.get(&plan.service) else {
-            return Allowed::Any;
-        };
-        let target = rollout.target.clone();
-        let has_target = || {
-            let mut ready = self.directory.ready(&plan.service);
-            ready.any(|k| k.said.version == target)
-        };
-        match rollout.phase {
-            Phase::Canary if plan.on_trial && has_target() => Allowed::Only(target),
-            Phase::Canary | Phase::RolledBack => Allowed::Not(target),
-            Phase::Promoted | Phase::Completed if has_target() => Allowed::Only(target),
-            Phase::Promoted | Phase::Completed => Allowed::Any,
-        }
-    }
 }
--- /dev/null
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -0,0 +1,118 @@
+//! What an entry holds and has seen, and what it is told of what others have.
+
+use std::collections::HashMap;
+
+use super::Router;
+use crate::{
+    gateway::{
+        feed::{
+            Evidence,
+            Held,
+            Report,
+            Unreached, //
+        },
+        loads::{
+            self,
+            LoadOf,
+            ServerKey, //
+        },
+        pool::Doubt,
+        rollout::Phase,
+        subscription::Holding,
+        waits::MeanWait,
+    },
+    ids::MonoTime,
+};
+
+impl Router {
+    /// Returns what this entry holds of what control replicas tell.
+    pub fn held(&mut self) -> Held {
+        Held {
+            config: self.version(),
+            servers: self.directory.digests().clone(),
+        }
+    }
+
+    /// Returns the same in brief.
+    pub fn holding(&mut self) -> Holding {
+        Holding {
+            config: self.version(),
+            index: self.index,
+            servers: self.directory.digests().whole(),
+        }
+    }
+
+    /// Notes loads and waits that any entry has heard.
+    pub fn told_loads(&mut self, now: MonoTime, told: Vec<LoadOf>, waits: Vec<MeanWait>) {
+        self.cascade.told(now, waits);
+        let told: HashMap<ServerKey, LoadOf> = told.into_iter().map(|l| (l.server, l)).collect();
+        for known in self.directory.all() {
+            let id = &known.said.id;
+            if let Some(&load) = told.get(&loads::key(id)) {
+                self.balance.told(now, id, load);
+            }
+        }
+    }
+
+    /// Takes the backend servers that fail more often than their service.
+    pub fn set_doubts(&mut self, doubts: impl IntoIterator<Item = Doubt>) {
+        self.balance.set_doubts(doubts);
+    }
+
+    /// Notes backend servers that other entries could not reach just now.
+    pub fn told_unreached(&mut self, now: MonoTime, told: &[Unreached]) {
+        let nearby = told.iter().filter(|u| u.from == self.cfg.domain);
+        let by_key: HashMap<ServerKey, bool> = nearby.map(|u| (u.server, u.is_down)).collect();
+        for said in self.directory.all().map(|k| &k.said) {
+            if let Some(&is_down) = by_key.get(&loads::key(&said.id)) {
+                self.balance
+                    .told_unreached(now, &said.id, &said.domain, is_down);
+            }
+        }
+    }
+
+    /// Returns whether a failure was seen that is not reported yet, or a backend
+    /// server that could not be reached.
+    pub fn has_failures(&self) -> bool {
+        self.balance.has_failures()
+    }
+
+    /// Takes what has been seen since the last call and others should know.
+    pub fn take_report(&mut self, now: MonoTime) -> Report {
+        Report {
+            evidence: self.take_evidence(),
+            loads: self.balance.take_heard(now).unwrap_or_default(),
+            outcomes: self.balance.take_outcomes(),
+            unreached: self.take_unreached(),
+            waits: self.cascade.take_fresh(),
+            crashes: self.suspects.take_crashes(),
+            kept: self.sessions.take_fresh(),
+            ages: Vec::new(),
+        }
+    }
+
+    /// Takes the backend servers that could not be reached.
+    fn take_unreached(&mut self) -> Vec<Unreached> {
+        let from = &self.cfg.domain;
+        let unreached = |(server, is_down)| Unreached {
+            from: from.clone(),
+            server,
+            is_down,
+        };
+        let servers = self.balance.take_unreached();
+        servers.into_iter().map(unreached).collect()
+    }
+
+    /// Takes the answers of services with a roll-out that may still be stopped.
+    /// Of others nobody judges by them.
+    fn take_evidence(&mut self) -> Vec<Evidence> {
+        let mut evidence = self.tallies.take();
+        evidence.retain(|counts| self.is_watched(&counts.service));
+        evidence
+    }
+
+    fn is_watched(&self, service: &str) -> bool {
+        let rollout = self.rollouts.get(service);
+        rollout.is_some_and(|r| matches!(r.phase, Phase::Canary | Phase::Promoted))
+    }
+}
--- /dev/null
+++ b/sesamebeam_core/src/gateway/router/trial.rs
@@ -0,0 +1,89 @@
+//! Which versions of a service a request may go to while one is rolled out.
+
+use super::{
+    Plan,
+    Router, //
+};
+use crate::{
+    gateway::{
+        config::ServiceId,
+        directory::{
+            Known,
+            ServerId, //
+        },
+        rollout::{
+            Allowed,
+            Phase,
+            TRIAL_PART, //
+        },
+    },
+    policy::hash,
+};
+
+impl Router {
+    pub(super) fn is_target(&self, service: &str, version: &str) -> bool {
+        self.rollouts
+            .get(service)
+            .is_some_and(|r| r.target == version)
+    }
+
+    pub(super) fn is_canary(&self, service: &str) -> bool {
+        let rollout = self.rollouts.get(service);
+        rollout.is_some_and(|r| r.phase == Phase::Canary)
+    }
+
+    /// Leaves so few of the backend servers of a version on trial that each has
+    /// about as many requests as those of the versions before.
+    ///
+    /// Some versions fail only under load. Spread over all of them, the share of
+    /// a trial loads none, and such a version takes over with no evidence against
+    /// it. Every entry leaves the same ones.
+    pub(super) fn keep_few(&self, fit: &mut Vec<&Known>, plan: &Plan, tried: &[ServerId]) {
+        let before = self.directory.ready(&plan.service).count() - fit.len();
+        let few = self.few_on_trial(before);
+        fit.retain(|k| !tried.contains(&k.said.id));
+        fit.sort_by_key(|k| {
+            std::cmp::Reverse(hash::rendezvous(&k.said.version, k.said.id.as_bytes()))
+        });
+        fit.truncate(few);
+    }
+
+    /// Returns how many backend servers of a new version are tried, for so many of
+    /// the versions before.
+    pub(super) fn few_on_trial(&self, before: usize) -> usize {
+        let share = self.cfg.exposure_share * TRIAL_PART;
+        (share * before as f64).floor().max(1.0) as usize
+    }
+
+    /// Returns the share of a service's requests with which those that are tried
+    /// have as many each as those of the versions before; 0 without a trial.
+    pub(super) fn fair_share(&self, service: &ServiceId) -> f64 {
+        let Some(rollout) = self.rollouts.get(service) else {
+            return 0.0;
+        };
+        if rollout.phase != Phase::Canary {
+            return 0.0;
+        }
+        let ready = self.directory.ready(service);
+        let before = ready.filter(|k| k.said.version != rollout.target).count();
+        let few = self.few_on_trial(before) as f64;
+        few / (before as f64 + few)
+    }
+
+    pub(super) fn allowed(&self, plan: &Plan) -> Allowed {
+        let Some(rollout) = self.rollouts.get(&plan.service) else {
+            return Allowed::Any;
+        };
+        let target = rollout.target.clone();
+        let has_target = || {
+            let mut ready = self.directory.ready(&plan.service);
+            ready.any(|k| k.said.version == target)
+        };
+        match rollout.phase {
+            Phase::Canary if plan.on_trial && has_target() => Allowed::Only(target),
+            Phase::Canary | Phase::RolledBack => Allowed::Not(target),
+            Phase::Promoted | Phase::Completed if has_target() => Allowed::Only(target),
+            Phase::Promoted | Phase::Completed => Allowed::Any,
+        }
+    }
+}
--- a/sesamebeam_core/tests/gateway/make.rs
+++ b/sesamebeam_core/tests/gateway/make.rs
@@ -16,7 +16,11 @@
             RouteConfig,
             ServiceConfig, //
         },
-        coordinator::Call,
+        coordinator::{
+            Call,
+            Coordinator,
+            CoordinatorConfig, //
+        },
         directory::{
             Announcement,
             ServerState, //
@@ -33,6 +37,8 @@
     ids::MonoTime,
 };
 
+use crate::group::listens;
+
 /// Returns a point in time.
 pub(crate) fn ms(millis: u64) -> MonoTime {
     Duration::from_millis(millis)
@@ -160,3 +166,17 @@
     }
     router
 }
+
+/// Returns a control replica of the first of several failure domains, which has no
+/// place in a group yet.
+pub(crate) fn coordinator() -> Coordinator {
+    let cfg = CoordinatorConfig {
+        addr: listens(1),
+        domain: "hall-1".into(),
+        tolerated: 2,
+        exposure: 0.1,
+        patience: ms(800),
+        disk_patience: ms(400),
+    };
+    Coordinator::new(cfg, ms(0))
+}
--- a/sesamebeam_core/tests/gateway/plays.rs
+++ b/sesamebeam_core/tests/gateway/plays.rs
@@ -15,7 +15,6 @@
         coordinator::{
             Action,
             Coordinator,
-            CoordinatorConfig,
             EntryLife,
             Event,
             Receivers, //
@@ -31,15 +30,13 @@
 };
 use yare::parameterized;
 
-use crate::{
-    group::listens,
-    make::{
-        announcement,
-        config,
-        head,
-        ms,
-        router_config, //
-    },
+use crate::make::{
+    announcement,
+    config,
+    coordinator,
+    head,
+    ms,
+    router_config, //
 };
 
 /// Pause between two reports of an entry, without failures and with.
@@ -56,17 +53,9 @@
 
 impl Fleet {
     fn start(entries: u64, servers: u8) -> Self {
-        let cfg = CoordinatorConfig {
-            addr: listens(1),
-            domain: "hall-1".into(),
-            tolerated: 2,
-            exposure: 0.1,
-            patience: ms(800),
-            disk_patience: ms(400),
-        };
         let mut fleet = Self {
             entries: BTreeMap::new(),
-            core: Coordinator::new(cfg, ms(0)),
+            core: coordinator(),
             now: 0,
             rng: StdRng::seed_from_u64(entries),
         };
--- a/sesamebeam_core/tests/gateway/telling.rs
+++ b/sesamebeam_core/tests/gateway/telling.rs
@@ -5,7 +5,6 @@
         Action,
         Call,
         Coordinator,
-        CoordinatorConfig,
         Event,
         Receivers, //
     },
@@ -21,31 +20,17 @@
     loads::LoadOf,
 };
 
-use crate::{
-    group::listens,
-    make::{
-        addr,
-        announcement,
-        ms, //
-    },
+use crate::make::{
+    addr,
+    announcement,
+    coordinator,
+    ms, //
 };
 
 /// Entries of the largest deployment, and its engines.
 const ENTRIES: u64 = 295;
 const ENGINES: u16 = 168;
 
-fn coordinator() -> Coordinator {
-    let cfg = CoordinatorConfig {
-        addr: listens(1),
-        domain: "hall-1".into(),
-        tolerated: 2,
-        exposure: 0.1,
-        patience: ms(800),
-        disk_patience: ms(400),
-    };
-    Coordinator::new(cfg, ms(0))
-}
-
 fn engine(number: u16) -> Announcement {
     Announcement {
         id: format!("server-{number}").into(),
