--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -50,10 +50,6 @@
 /// backend server has hardly any.
 const LOAD_SPARE: f64 = 2.0;
 
-/// The same margin where it would let in more than an engine runs together: what is
-/// told is some 0.4 s old, so that one that is nearly full has others on their way.
-const FULL_MARGIN: f64 = 0.05;
-
 /// How much more a waiting request says of the load than a running one: it
 /// holds up all that comes, where a running one only slows it.
 const WAITING_WEIGHT: f64 = 3.0;
@@ -434,7 +430,7 @@
         let slots = fit.iter().map(|k| k.said.slots).max().unwrap_or(1);
         let spare = LOAD_SPARE / f64::from(slots.max(1));
         let loads: Vec<f64> = fit.iter().map(|k| self.shared_load(now, k)).collect();
-        let bound = load_bound(mean(&loads), spare);
+        let bound = mean(&loads) * (1.0 + LOAD_MARGIN) + spare;
         let key = affinity.key.to_le_bytes();
         let near_first = affinity.tokens < NEAR_BELOW;
         let loaded = || fit.iter().copied().zip(loads.iter().copied());
@@ -543,17 +539,6 @@
     }
 }
 
-/// Returns the load up to which a backend server is preferred for the prompt that it
-/// keeps, by the mean load. `spare` is the part of the slots that a few requests take.
-///
-/// With small batches the margin alone let requests queue at an engine with all of its
-/// 12 slots taken while others had five free.
-fn load_bound(mean: f64, spare: f64) -> f64 {
-    let by_mean = mean * (1.0 + LOAD_MARGIN) + spare;
-    let nearly_full = (1.0 - spare).max(mean * (1.0 + FULL_MARGIN) + spare / 2.0);
-    by_mean.min(nearly_full)
-}
-
 /// Returns the mean, 0 of nothing.
 fn mean(values: &[f64]) -> f64 {
     values.iter().sum::<f64>() / values.len().max(1) as f64
