Admit what a plain service short of capacity can serve in time

No entry of 74 hears of it often enough to hold back.

Change: entries report what was answered, how late, and who found all full; control replicas work out the share that can be served from the sum, once per effect (0.7 s), and entries admit it by the request's id, callers that come first before those that return. It begins with callers turned away, and ends when all are admitted again.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -110,6 +110,8 @@
     unsent: usize,
     /// Whether it may have run.
     may_have_run: bool,
+    /// Whether a backend server had no room for it.
+    found_full: bool,
 }
 
 /// What follows after a send.
@@ -203,6 +205,7 @@
         sends: 0,
         unsent: 0,
         may_have_run: false,
+        found_full: false,
     };
     attempt.run().await
 }
@@ -307,6 +310,9 @@
             self.count(RequestEnd::Unknown);
             return answer::own(status);
         }
+        if self.found_full && !self.plan.route.streaming {
+            self.gateway.router().turned_away(&self.plan);
+        }
         self.count(RequestEnd::Refused);
         answer::come_back(status)
     }
@@ -461,6 +467,7 @@
             let now = self.gateway.now();
             self.gateway.router().displaced(now, &choice);
         }
+        self.found_full |= head.load.is_some_and(|load| load.is_full());
         give_back(lease, &head);
         self.tried.push(choice.id.clone());
         choice.end(Outcome::Refused);
@@ -530,6 +537,8 @@
                 return self.after_failure(&choice);
             }
         };
+        let took = choice.since();
+        self.gateway.router().answered(&self.plan, took, head.load);
         give_back(lease, &head);
         let failed = head.status >= 500;
         let outcome = if failed {
@@ -581,7 +590,7 @@
     gateway.meters.request(RequestEnd::Refused, Duration::ZERO);
     match refusal {
         Refusal::NoConfig => answer::come_back_when_started(),
-        Refusal::Quarantined => answer::come_back(StatusCode::SERVICE_UNAVAILABLE),
+        Refusal::Quarantined | Refusal::Short => answer::come_back(StatusCode::SERVICE_UNAVAILABLE),
         Refusal::NoRoute => answer::own(StatusCode::NOT_FOUND),
         Refusal::UnknownKey => answer::own(StatusCode::UNAUTHORIZED),
     }
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -352,7 +352,15 @@
             }
             ToEntry::Servers(servers) => self.learn(addr, servers),
             ToEntry::Wants(parts) => self.tell_servers(addr, parts),
-            ToEntry::Loads { loads, waits } => gateway.router().told_loads(now, loads, waits),
+            ToEntry::Loads {
+                loads,
+                waits,
+                shares,
+            } => {
+                let mut router = gateway.router();
+                router.told_loads(now, loads, waits);
+                router.set_shares(now, shares);
+            }
             ToEntry::Doubts(doubts) => {
                 log::info!(doubts:? = doubts; "backend servers doubted");
                 gateway.router().set_doubts(doubts);
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod rollout;
 pub mod router;
 pub mod sessions;
+pub mod shortage;
 pub mod store;
 pub mod subscription;
 mod suspects;
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -56,6 +56,10 @@
         Pool, //
     },
     rollout::Phase,
+    shortage::{
+        ShareOf,
+        Shortages, //
+    },
     store::{
         Command,
         Store, //
@@ -250,6 +254,8 @@
         /// Replica that leaves.
         leaves: Option<NodeId>,
     },
+    /// Services that cannot serve all, with the share that is admitted.
+    Shares(Vec<ShareOf>),
     /// Backend servers that fail more often than their service.
     Doubts(Vec<Doubt>),
     /// The disk has not synced a write for long.
@@ -280,6 +286,7 @@
     loads: Loads,
     pool: Pool,
     waits: PooledWaits,
+    shortages: Shortages,
     look_at: MonoTime,
     /// Write that is not synced yet, and since when.
     writing: Option<(WriteId, MonoTime)>,
@@ -309,6 +316,7 @@
             loads: Loads::default(),
             pool: Pool::default(),
             waits: PooledWaits::default(),
+            shortages: Shortages::default(),
             look_at: now,
             writing: None,
             disk_full: false,
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -39,6 +39,7 @@
             ToEntry,
             Unreached, //
         },
+        shortage::ShareOf,
     },
     ids::{
         LogIndex,
@@ -93,6 +94,8 @@
     told_current: bool,
     /// What this replica holds, as it was last said.
     summary: Summary,
+    /// Shares that entries were last told.
+    shares: Vec<ShareOf>,
     /// Digest of the backend servers that were last kept, and when.
     kept: (u32, MonoTime),
 }
@@ -179,6 +182,7 @@
         self.loads.take(self.now, report.loads.iter().copied());
         self.pool.take(report.outcomes.iter().copied());
         self.waits.take(self.now, report.waits.iter().copied());
+        self.shortages.take(self.now, report.work.iter().copied());
         self.count_crashes(&report.crashes);
         for kept in &report.kept {
             self.keep_sessions(kept);
@@ -225,7 +229,14 @@
         }
         if let Some(loads) = self.loads.due(self.now) {
             let waits = self.waits.means(self.now);
-            self.push(self.telling.followers(), ToEntry::Loads { loads, waits });
+            let shares = self.shortages.shares(self.now);
+            self.note_shares(&shares);
+            let loads = ToEntry::Loads {
+                loads,
+                waits,
+                shares,
+            };
+            self.push(self.telling.followers(), loads);
         }
         if self.pool.judge(self.now, &self.directory) {
             let doubts = self.pool.doubts().to_vec();
@@ -252,6 +263,14 @@
         self.actions.push(Action::KeepServers(servers));
     }
 
+    /// Notes shares that have changed.
+    fn note_shares(&mut self, shares: &[ShareOf]) {
+        if self.telling.shares != shares {
+            self.telling.shares = shares.to_vec();
+            self.note(Note::Shares(shares.to_vec()));
+        }
+    }
+
     /// Tells all entries who is in the group.
     pub(super) fn tell_fleet(&mut self) {
         let fleet = self.fleet();
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -41,6 +41,10 @@
         Doubt,
         Outcomes, //
     },
+    shortage::{
+        ShareOf,
+        WorkOf, //
+    },
     store::{
         Document,
         Orders, //
@@ -134,6 +138,8 @@
     pub unreached: Vec<Unreached>,
     /// Waits for first events.
     pub waits: Vec<WaitsOf>,
+    /// What became of requests to plain services.
+    pub work: Vec<WorkOf>,
     /// Requests that were running when backend servers went down.
     pub crashes: Vec<Crash>,
     /// Sessions that must stay on the versions before a roll-out.
@@ -151,6 +157,7 @@
             outcomes,
             unreached,
             waits,
+            work,
             crashes,
             kept,
             ages,
@@ -160,6 +167,7 @@
             && outcomes.is_empty()
             && unreached.is_empty()
             && waits.is_empty()
+            && work.is_empty()
             && crashes.is_empty()
             && kept.is_empty()
             && ages.is_empty()
@@ -178,6 +186,7 @@
         self.outcomes.extend(other.outcomes);
         self.unreached.extend(other.unreached);
         self.waits.extend(other.waits);
+        self.work.extend(other.work);
         self.crashes.extend(other.crashes);
         self.kept.extend(other.kept);
         self.ages.extend(other.ages);
@@ -204,6 +213,14 @@
             }
             same
         });
+        taken.work.sort_by_key(|w| w.service);
+        taken.work.dedup_by(|later, kept| {
+            let same = later.service == kept.service;
+            if same {
+                kept.add(later);
+            }
+            same
+        });
         taken.outcomes.sort_by_key(|o| o.server);
         taken.outcomes.dedup_by(|later, kept| {
             let same = later.server == kept.server;
@@ -261,6 +278,8 @@
         loads: Vec<LoadOf>,
         /// Mean waits for first events.
         waits: Vec<MeanWait>,
+        /// Shares of the requests that are admitted to services that are short.
+        shares: Vec<ShareOf>,
     },
     /// All backend servers that fail more often than their service.
     Doubts(Vec<Doubt>),
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -88,6 +88,14 @@
     pub slots: u32,
 }
 
+impl Load {
+    /// Returns whether it leaves no room: all slots are taken, and as many requests
+    /// wait. One that refuses with room to spare is ill and not full.
+    pub fn is_full(&self) -> bool {
+        self.running >= self.slots && self.waiting >= self.slots
+    }
+}
+
 /// What the head of an answer says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -59,6 +59,7 @@
     },
     rollout::TRIAL_PART,
     sessions::Sessions,
+    shortage::Admission,
     store::Orders,
     suspects::Suspects,
     table::{
@@ -115,6 +116,9 @@
     /// It crashes what runs it.
     #[error("crashes what runs it")]
     Quarantined,
+    /// Its service cannot serve all.
+    #[error("service short of capacity")]
+    Short,
 }
 
 /// Why there is no backend server for a send.
@@ -210,6 +214,7 @@
     orders: Orders,
     directory: Directory,
     cold: Cold,
+    admission: Admission,
     balance: Balance,
     budget: Budget,
     cascade: Cascade,
@@ -233,6 +238,7 @@
             index: 0,
             orders: Orders::default(),
             directory: Directory::default(),
+            admission: Admission::default(),
             balance: Balance::default(),
             cascade: Cascade::default(),
             tallies: Tallies::default(),
@@ -343,6 +349,9 @@
         let seed = hash::name(head.id.as_bytes());
         let service = table.service(route, seed).clone();
         self.budget.request(now, &service);
+        if !route.streaming && !self.admission.admits(now, &service, route, head) {
+            return Err(Refusal::Short);
+        }
         let session = head.session.as_ref();
         let fair = self.fair_share(&service);
         let on_trial = self
@@ -539,6 +548,17 @@
             .paced(&plan.sender(choice), model, pace, on_trial);
     }
 
+    /// Notes that a request that is no stream was answered.
+    pub fn answered(&mut self, plan: &Plan, took: Duration, load: Option<Load>) {
+        let target = plan.route.target;
+        self.admission.answered(&plan.service, took, target, load);
+    }
+
+    /// Notes that a request found all backend servers full.
+    pub fn turned_away(&mut self, plan: &Plan) {
+        self.admission.turned_away(&plan.service);
+    }
+
     /// Notes how a send ended.
     ///
     /// What became of an older life says nothing of the one that has its name now.
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -18,6 +18,7 @@
         },
         pool::Doubt,
         rollout::Phase,
+        shortage::ShareOf,
         subscription::Holding,
         waits::MeanWait,
     },
@@ -54,6 +55,11 @@
         }
     }
 
+    /// Takes the shares of requests that are admitted to services that are short.
+    pub fn set_shares(&mut self, now: MonoTime, shares: impl IntoIterator<Item = ShareOf>) {
+        self.admission.told(now, shares);
+    }
+
     /// Takes the backend servers that fail more often than their service.
     pub fn set_doubts(&mut self, doubts: impl IntoIterator<Item = Doubt>) {
         self.balance.set_doubts(doubts);
@@ -85,6 +91,7 @@
             outcomes: self.balance.take_outcomes(),
             unreached: self.take_unreached(),
             waits: self.cascade.take_fresh(),
+            work: self.admission.take_fresh(),
             crashes: self.suspects.take_crashes(),
             kept: self.sessions.take_fresh(),
             ages: Vec::new(),
--- a/sesamebeam_core/src/gateway/waits.rs
+++ b/sesamebeam_core/src/gateway/waits.rs
@@ -14,7 +14,6 @@
     Serialize, //
 };
 
-use super::config::ServiceId;
 use crate::{
     ids::MonoTime,
     policy::hash, //
@@ -28,7 +27,7 @@
 pub type ServiceKey = u32;
 
 /// Returns the key of a service.
-pub fn key(service: &ServiceId) -> ServiceKey {
+pub fn key(service: &str) -> ServiceKey {
     // The low half of a good hash is as good.
     hash::name(service.as_bytes()) as ServiceKey
 }
--- a/sesamebeam_core/tests/gateway/cascade.rs
+++ b/sesamebeam_core/tests/gateway/cascade.rs
@@ -78,7 +78,7 @@
 
 /// The mean wait at the service `pool`.
 fn mean(share: f32) -> MeanWait {
-    let service = waits::key(&"pool".into());
+    let service = waits::key("pool");
     MeanWait { service, share }
 }
 
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod rollouts;
 mod router;
 mod seeds;
+mod shortage;
 mod subscription;
 mod table;
 mod telling;
