Let cold backend servers share a load that presses the warm ones

Connections that were refused counted as waits, and callers were given up after four.

Change: from 0.75 of the slots of the warm ones on, an entry with a turn at a cold backend server uses it. A refused connection costs a round trip and no longer counts as a wait for one (answers::most_are_down failed before).

What is left there is the rate: turns make half of what cold ones bear, since nobody sees the sum.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -92,6 +92,11 @@
 /// Most sends that never left: each costs a wait for a connection.
 const MAX_UNSENT: usize = 4;
 
+/// Most connections that were refused, each of which costs a round trip. When 31 backend
+/// servers of a failure domain went down together, the entries there tried four of them
+/// and gave 62 callers up within a second, while those of another domain had room.
+const MAX_REFUSED: usize = 64;
+
 /// The sends of one request.
 pub(super) struct Attempt {
     /// The entry.
@@ -108,6 +113,8 @@
     pub(super) sends: u32,
     /// Sends that did not.
     unsent: usize,
+    /// Connections that were refused, beside these.
+    refused: usize,
     /// Whether it may have run.
     may_have_run: bool,
     /// Whether a backend server had no room for it.
@@ -204,6 +211,7 @@
         tried: Vec::new(),
         sends: 0,
         unsent: 0,
+        refused: 0,
         may_have_run: false,
         found_full: false,
     };
@@ -303,7 +311,7 @@
         let taken = self.gateway.router().taken(self.gateway.now(), &self.plan);
         log::info!(
             id:% = self.req.head.id, status = status.as_u16(), sends = self.sends,
-            unsent = self.unsent, taken = taken, tried:? = self.tried;
+            unsent = self.unsent, refused = self.refused, taken = taken, tried:? = self.tried;
             "request given up"
         );
         if self.may_have_run {
@@ -345,6 +353,7 @@
     pub(super) fn has_attempts_left(&self) -> bool {
         self.sends < self.plan.route.max_attempts
             && self.unsent < MAX_UNSENT
+            && self.refused < MAX_REFUSED
             && Instant::now() < self.req.until
     }
 
@@ -381,9 +390,13 @@
         let outcome = match sent {
             Sent::Unsent(e) => {
                 log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = e; "not sent");
-                self.unsent += 1;
+                let outcome = unsent(&e);
+                match outcome {
+                    Outcome::Down => self.refused += 1,
+                    _ => self.unsent += 1,
+                }
                 self.tried.push(choice.id.clone());
-                choice.end(unsent(&e));
+                choice.end(outcome);
                 return Next::Again(None);
             }
             Sent::Answered(response, head, lease) => {
--- a/sesamebeam_core/src/gateway/cold.rs
+++ b/sesamebeam_core/src/gateway/cold.rs
@@ -1,9 +1,10 @@
 //! Backend servers that are cold: each bears a few requests a second, from all entries
 //! together, and crashes well above.
 //!
-//! No entry sees what the others send. So a cold one gets nothing while a warm one can
-//! be reached, and in turns where none can: after the loss of a failure domain's power,
-//! or where a service has few backend servers, all of them may be cold at once.
+//! No entry sees what the others send. So a cold one gets nothing while the warm ones have
+//! room, and in turns where they have not or none can be reached: after the loss of a
+//! failure domain's power, or where a service has few backend servers, all of them may be
+//! cold at once.
 //!
 //! An entry has a turn at a cold backend server once in a period that is as long as all
 //! entries need to take one each at half of the rate that is borne. When in the period
@@ -44,6 +45,10 @@
 /// is left is for the chance that many fall together, and for sends that are held up.
 pub const SHARE: f64 = 0.5;
 
+/// Mean load of the warm ones, as a share of their slots, from which cold ones take a part
+/// of it. Below it a prompt that warm ones keep is served better there.
+pub const PRESSED: f64 = 0.75;
+
 /// Longest time for which a turn stands. An entry of a large fleet sends a few requests
 /// a second and needs one of them to fall into it.
 pub const TURN: Duration = Duration::from_millis(400);
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -28,7 +28,10 @@
         Cascade,
         Step, //
     },
-    cold::Cold,
+    cold::{
+        self,
+        Cold, //
+    },
     config::{
         ColdConfig,
         ConfigVersion,
@@ -646,8 +649,8 @@
         }
     }
 
-    /// Leaves the warm ones, if any that has not had its turn can be reached;
-    /// otherwise those at which this entry has a turn as well.
+    /// Leaves the warm ones; or, where none is left that can be reached or they are
+    /// pressed, the cold ones at which this entry has a turn.
     ///
     /// In a failure domain that came back, backend servers got up to 30 requests in a
     /// second of 74 entries, as they were idle, and those that got most crashed.
@@ -662,10 +665,22 @@
             return;
         };
         let is_cold = |k: &Known| self.cold.is_cold(now, k, Some(limits));
-        let serves =
-            |k: &&Known| !is_cold(k) && !tried.contains(&k.said.id) && self.balance.reaches(now, k);
-        let has_warm = fit.iter().any(serves);
-        fit.retain(|k| !is_cold(k) || !has_warm && self.cold.has_turn(now, &k.said.id, limits));
+        let has_turn = |k: &&Known| {
+            is_cold(k) && !tried.contains(&k.said.id) && self.cold.has_turn(now, &k.said.id, limits)
+        };
+        if !fit.iter().any(|k| is_cold(k)) {
+            return;
+        }
+        let serves = |k: &&&Known| {
+            !is_cold(k) && !tried.contains(&k.said.id) && self.balance.reaches(now, k)
+        };
+        let warm: Vec<&Known> = fit.iter().filter(serves).copied().collect();
+        let is_pressed = warm.is_empty() || self.balance.taken(now, &warm) >= cold::PRESSED;
+        if is_pressed && fit.iter().any(has_turn) {
+            fit.retain(has_turn);
+        } else {
+            fit.retain(|k| !is_cold(k));
+        }
     }
 
     fn keep_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
