--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -10,8 +10,17 @@
         MutexGuard,
         PoisonError, //
     },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
+/// Time after its acknowledgement in which an order to evacuate is known to all entries,
+/// and what was sent before has arrived: an entry may be paused for 2.5 s, its bytes may
+/// be held up for as long, and a second is left to hear of it.
+const EVACUATED_IN: Duration = Duration::from_millis(6000);
+
 /// Everything that was seen in one run.
 #[derive(Debug, Default)]
 pub struct Books {
@@ -26,6 +35,8 @@
     refused: BTreeSet<String>,
     /// Highest configuration that was acknowledged.
     acknowledged: u64,
+    /// Since when it is acknowledged that nothing goes to the evacuated backend server.
+    evacuated: Option<Instant>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
@@ -76,6 +87,23 @@
         inner.acknowledged = inner.acknowledged.max(version);
     }
 
+    /// Notes that an order to evacuate is acknowledged, or is about to be withdrawn.
+    pub fn evacuated(&self, evacuated: bool) {
+        self.lock().evacuated = evacuated.then(Instant::now);
+    }
+
+    /// Notes that a request reached the backend server that is evacuated at times.
+    pub fn reached_evacuated(&self, id: &str) {
+        let mut inner = self.lock();
+        if let Some(since) = inner.evacuated
+            && since.elapsed() > EVACUATED_IN
+        {
+            let late = since.elapsed().as_millis();
+            let line = format!("request {id} came {late} ms after its domain was evacuated");
+            inner.broken.push(line);
+        }
+    }
+
     /// Returns the highest configuration that was acknowledged.
     pub fn newest(&self) -> u64 {
         self.lock().acknowledged
--- a/sesamebeam_soak/src/operator.rs
+++ b/sesamebeam_soak/src/operator.rs
@@ -41,6 +41,10 @@
 /// Pause between two calls.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// Time for which a failure domain stays evacuated: longer than it takes until nothing
+/// may go there, so that there is something to check.
+const EVACUATED_FOR: Duration = Duration::from_millis(8000);
+
 /// Redirections that are followed.
 const REDIRECTIONS: usize = 2;
 
@@ -126,6 +130,61 @@
     }
 }
 
+/// Evacuates a failure domain and takes it back, by turns, until cancelled. Each order
+/// goes to one replica after the other until it is acknowledged, and once more then, as
+/// one does whose acknowledgement was lost.
+pub async fn evacuate(
+    domain: &'static str,
+    controls: Vec<SocketAddr>,
+    books: Arc<Books>,
+    cancel: CancellationToken,
+) {
+    let client = Client::new(Duration::from_millis(500));
+    let path = format!("/evacuations/{domain}");
+    while !cancel.is_cancelled() {
+        for method in [Method::POST, Method::DELETE] {
+            let evacuates = method == Method::POST;
+            if !evacuates {
+                books.evacuated(false);
+            }
+            for _ in 0..2 {
+                order(&client, &controls, &method, &path, &books, &cancel).await;
+            }
+            if evacuates && !cancel.is_cancelled() {
+                books.evacuated(true);
+            }
+            let lasts = if evacuates { EVACUATED_FOR } else { PAUSE };
+            tokio::select! {
+                () = cancel.cancelled() => {}
+                () = sleep(lasts) => {}
+            }
+        }
+    }
+}
+
+/// Repeats an order until one replica acknowledges it.
+async fn order(
+    client: &Client,
+    controls: &[SocketAddr],
+    method: &Method,
+    path: &str,
+    books: &Books,
+    cancel: &CancellationToken,
+) {
+    for addr in controls.iter().cycle() {
+        if cancel.is_cancelled() {
+            return;
+        }
+        match call(client, *addr, method, path, "").await {
+            Some((200, _)) => return,
+            Some((status @ 400..=499, _)) => {
+                return books.broke(format!("{method} {path} was refused with {status}"));
+            }
+            _ => sleep(PAUSE).await,
+        }
+    }
+}
+
 /// Reads the configuration at every replica until cancelled. An answer that is
 /// older than what was acknowledged before the question breaks a promise.
 pub async fn read(controls: Vec<SocketAddr>, books: Arc<Books>, cancel: CancellationToken) {
@@ -156,6 +215,7 @@
 /// Announces a backend server until cancelled.
 pub async fn announce(
     life: String,
+    domain: &'static str,
     addr: SocketAddr,
     controls: Vec<SocketAddr>,
     cancel: CancellationToken,
@@ -168,7 +228,7 @@
         }
         sequence += 1;
         let beat = format!(
-            r#"{{"service":"pool","address":"{addr}","zone":"hall-1","version":"v1","slots":8,
+            r#"{{"service":"pool","address":"{addr}","zone":"{domain}","version":"v1","slots":8,
             "state":"ready","cold_remaining_ms":0,"sequence":{sequence}}}"#
         );
         let path = format!("/instances/{life}");
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -54,6 +54,11 @@
     server,
 };
 
+/// Failure domain of the daemons and most backend servers, and of the one that is
+/// evacuated at times.
+const DOMAIN: &str = "hall-1";
+const FAR_DOMAIN: &str = "hall-2";
+
 /// Callers at each entry.
 const CALLERS: u64 = 4;
 
@@ -97,10 +102,15 @@
         let (tx, mode) = watch::channel(Mode::Pass);
         modes.push(tx);
         let life = format!("server-{number}");
+        let domain = match life.as_str() {
+            server::EVACUATED => FAR_DOMAIN,
+            _ => DOMAIN,
+        };
         let addr = server::start(life.clone(), Arc::clone(&books)).await?;
         let addr = proxy::start(addr, mode).await?;
         tasks.spawn(operator::announce(
             life,
+            domain,
             addr,
             controls.clone(),
             cancel.clone(),
@@ -117,6 +127,8 @@
         ));
     }
     let (c, b) = (controls.clone(), Arc::clone(&books));
+    tasks.spawn(operator::evacuate(FAR_DOMAIN, c, b, cancel.clone()));
+    let (c, b) = (controls.clone(), Arc::clone(&books));
     tasks.spawn(operator::read(c, b, cancel.clone()));
     for (entry, &front) in fronts.iter().enumerate() {
         for number in 0..CALLERS {
--- a/sesamebeam_soak/src/server.rs
+++ b/sesamebeam_soak/src/server.rs
@@ -34,6 +34,9 @@
 
 use crate::books::Books;
 
+/// Backend server whose failure domain is evacuated at times.
+pub const EVACUATED: &str = "server-2";
+
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
 
@@ -93,6 +96,9 @@
             books.broke(format!("request {id} came with {secret}"));
         }
     }
+    if life == EVACUATED {
+        books.reached_evacuated(&id);
+    }
     let body = if path.starts_with("/notes/") {
         events(after.parse().unwrap_or(0))
     } else {
