--- a/sesamebeam_core/src/gateway/shortage.rs
+++ b/sesamebeam_core/src/gateway/shortage.rs
@@ -3,7 +3,7 @@
 //! A plain service that is short of capacity has a full queue, in which everybody waits
 //! too long, and turns away as many as it would with a short one: one backend server of
 //! six slots and 24 places, at 30 ms a request, was asked by 214 callers a second and
-//! answered 30 in 100 of them in time. Nobody sees the queue in time to keep it short: an
+//! answered 36 in 100 of them in time. Nobody sees the queue in time to keep it short: an
 //! entry of 74 hears from the service three times a second.
 //!
 //! So entries report what was answered, how late, and who found all backend servers full;
