Read the limit that a backend server names, and log it

Logs could not tell whether an answer had named a limit, so that an entry that never reads it, one that keeps it for itself, and one that learns of it late looked the same. The adapter now reads it; the lines of answers, streams and refusals carry it.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -344,7 +344,8 @@
             ..
         } = arrived;
         log::info!(
-            id:% = self.req.head.id, server:% = choice.id, status = head.status;
+            id:% = self.req.head.id, server:% = choice.id, status = head.status,
+            limit:? = head.limit;
             "backend server refused"
         );
         if head.misdirected {
@@ -378,7 +379,7 @@
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
             confidence:? = head.confidence, step:? = step, load:? = head.load,
-            keep_from = keep_from,
+            limit:? = head.limit, keep_from = keep_from,
             waited_ms = waited.as_millis() as u64,
             since_ms = self.req.came.elapsed().as_millis() as u64, sends = self.sends, tokens = self.req.head.prompt_tokens,
             prompt:? = self.req.head.prompt, session:? = self.req.head.session,
@@ -438,7 +439,8 @@
         choice.end(outcome);
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, status = head.status,
-            sends = self.sends, config = self.plan.table.config().version;
+            sends = self.sends, limit:? = head.limit,
+            config = self.plan.table.config().version;
             "answered"
         );
         self.count(RequestEnd::Answered);
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -268,7 +268,8 @@
                 self.attempt.sends += 1;
                 choice.begin(model.as_deref());
                 log::info!(
-                    id:% = self.attempt.req.head.id, server:% = choice.id, after:? = last;
+                    id:% = self.attempt.req.head.id, server:% = choice.id, after:? = last,
+                    limit:? = head.limit;
                     "stream goes on"
                 );
                 self.source = Some(Source {
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -111,6 +111,9 @@
     pub sealed: bool,
     /// Load when the answer began.
     pub load: Option<Load>,
+    /// Requests a second that the backend server takes from all entries together, for
+    /// as long as it says so.
+    pub limit: Option<f64>,
     /// How sure the model is of its answer, 0 to 100.
     pub confidence: Option<u8>,
     /// Whether the connection ends with this answer.
