Keep to the limits that backend servers name, all entries together

What was seen: a backend server in need names 3.7 requests a second and gets 36 in 4 s, where 27 are allowed; no caller noticed.

Cause: nothing read what was named, and had each entry read it, the sum of nine would still have been several times as much: most came through three entries, none of which was above the limit alone. The class: many entries spend something in common, and none sees the sum.

Change: every send goes by one choice of a backend server; there a limited one is left out unless this entry's pace allows a send now. The pace is worked out from the limit and the number of entries: a pause after each send where entries are few, turns that fall by chance where they are more than the bound has requests. Limits are told to all entries by the control replicas. Who finds all at their limits is refused at once, with the time at which one takes a request here, each caller with one of its own. An unsure answer of a small model is kept where nobody else takes the request.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -129,6 +129,8 @@
     Entries,
     /// Failure domains that are evacuated.
     Evacuated,
+    /// Backend servers that name a limit.
+    Limited,
     /// Milliseconds by which the loop turned late.
     LoopDelay,
 }
@@ -148,6 +150,7 @@
     leads: Gauge,
     entries: Gauge,
     evacuated: Gauge,
+    limited: Gauge,
     loop_delay: Gauge,
 }
 
@@ -167,6 +170,7 @@
             leads: Gauge::default(),
             entries: Gauge::default(),
             evacuated: Gauge::default(),
+            limited: Gauge::default(),
             loop_delay: Gauge::default(),
         };
         made.register();
@@ -209,6 +213,7 @@
             Level::Leads => self.leads.set(value),
             Level::Entries => self.entries.set(value),
             Level::Evacuated => self.evacuated.set(value),
+            Level::Limited => self.limited.set(value),
             Level::LoopDelay => self.loop_delay.set(value),
         };
     }
@@ -285,6 +290,11 @@
             "Failure domains that are evacuated",
             self.evacuated.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Backend servers that name how many requests they take",
+            self.limited.clone(),
+        );
         registry.register(
             "loop_delay_milliseconds",
             "By how much the loop turned late",
--- a/sesamebeam/src/gateway/answer.rs
+++ b/sesamebeam/src/gateway/answer.rs
@@ -72,7 +72,11 @@
 
 fn come_back_after(status: StatusCode, least: Duration) -> Answer {
     let spread = RETRY_AFTER_SPREAD.mul_f64(rand::rng().random());
-    let after = least + spread;
+    come_back_in(status, least + spread)
+}
+
+/// Refuses a request that has not run and says after which time it can be served.
+pub(super) fn come_back_in(status: StatusCode, after: Duration) -> Answer {
     let mut answer = own(status);
     if let Ok(value) = format!("{:.2}", after.as_secs_f64()).parse() {
         answer.headers_mut().insert(header::RETRY_AFTER, value);
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use http_body_util::{
@@ -83,6 +86,8 @@
     may_have_run: bool,
     /// Whether a backend server had no room for it.
     found_full: bool,
+    /// Whether the backend servers that are left are at their limits.
+    at_limits: bool,
 }
 
 /// What follows after a send.
@@ -123,6 +128,7 @@
             refused: 0,
             may_have_run: false,
             found_full: false,
+            at_limits: false,
         }
     }
 
@@ -138,6 +144,7 @@
                 Ok(choice) => choice,
                 Err(why) => {
                     log::info!(id:% = self.req.head.id, why:% = why; "not sent");
+                    self.at_limits = why == Unserved::Limited;
                     break;
                 }
             };
@@ -193,7 +200,24 @@
             self.gateway.router().turned_away(&self.plan);
         }
         self.count(RequestEnd::Refused);
-        answer::come_back(status)
+        match self.at_limits {
+            true => answer::come_back_in(status, self.limits_open_in()),
+            false => answer::come_back(status),
+        }
+    }
+
+    /// Returns after which time a backend server takes the request by its limit.
+    fn limits_open_in(&self) -> Duration {
+        let now = self.gateway.now();
+        let patience = self.req.until.saturating_duration_since(Instant::now());
+        let mut router = self.gateway.router();
+        let after = router.come_back_in(now, &self.plan, &self.tried, patience);
+        log::info!(
+            id:% = self.req.head.id, after_ms = after.as_millis() as u64,
+            limited = router.limited();
+            "refused by limits"
+        );
+        after
     }
 
     /// Chooses a backend server, waiting for the first to be known.
@@ -236,7 +260,7 @@
     pub(super) fn could_go_on(&self, sends: u32, under_way: &Choice) -> bool {
         let router = self.gateway.router();
         sends < self.plan.route.max_attempts
-            && router.has_another(&self.plan, &self.tried, &under_way.id)
+            && router.has_another(self.gateway.now(), &self.plan, &self.tried, &under_way.id)
     }
 
     /// Returns whether the budget allows another send, and spends it.
@@ -364,12 +388,14 @@
         let (choice, head) = (&mut arrived.choice, &arrived.head);
         let now = self.gateway.now();
         let model = self.model.clone().unwrap_or_default();
-        let left = self.sends < self.plan.route.max_attempts;
         let waited = choice.since();
         choice.begin(Some(&model));
         let (step, keep_from) = {
             let mut router = self.gateway.router();
             router.timed(&self.plan, choice, Some(&model), waited);
+            // Dropped where no other takes the request, the answer would be lost.
+            let left = self.sends < self.plan.route.max_attempts
+                && router.has_room(now, &self.plan, &self.tried);
             let step = match self.model {
                 Some(_) => router.judge(now, &self.plan, &model, head, left),
                 None => Step::Keep,
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -29,6 +29,7 @@
         Report,
         ToEntry, //
     },
+    limits::LimitOf,
     store::Document,
     subscription::{
         Order,
@@ -282,6 +283,8 @@
             .set(Level::Ready, u64::from(gateway.is_ready()));
         let now = gateway.now();
         gateway.router().tidy(now);
+        let limited = gateway.router().limited();
+        gateway.meters.set(Level::Limited, limited as u64);
         let Some(teller) = self.subscription.teller() else {
             return;
         };
@@ -316,7 +319,7 @@
                 replicas,
                 entries,
             } => {
-                gateway.router().set_entries(entries);
+                gateway.router().set_entries(now, entries);
                 self.subscription.met(addr, domain);
                 // A replica that knows of nobody yet says nothing.
                 if !replicas.is_empty() {
@@ -365,6 +368,7 @@
                 log::info!(doubts:? = doubts; "backend servers doubted");
                 gateway.router().set_doubts(doubts);
             }
+            ToEntry::Limits(limits) => self.learn_limits(addr, &limits),
             ToEntry::Unreached(told) => gateway.router().told_unreached(now, &told),
             ToEntry::Quarantined(fingerprints) => gateway.router().set_quarantined(fingerprints),
             ToEntry::Kept(kept, all) => gateway.router().keep_sessions(now, &kept, all),
@@ -392,6 +396,19 @@
         self.gateway.learned.notify_waiters();
     }
 
+    fn learn_limits(&self, from: SocketAddr, limits: &[LimitOf]) {
+        let now = self.gateway.now();
+        let mut router = self.gateway.router();
+        let news = router.told_limits(now, limits);
+        if !news.is_empty() {
+            let limited = router.limited();
+            log::info!(
+                replica:% = from, limited = limited, news:? = news[..news.len().min(MAX_LOGGED)];
+                "limits learned"
+            );
+        }
+    }
+
     /// Tells a replica of the backend servers in some parts of the directory: one
     /// that has just started learns from here what it does not keep.
     fn tell_servers(&self, addr: SocketAddr, parts: Parts) {
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -183,12 +183,21 @@
         if answer.id.as_ref().is_some_and(|id| *id != req.head.id) {
             return Sent::Broken("answer to another request".to_owned());
         }
+        self.note_limit(choice, sent_at, answer.limit);
         self.router().heard(self.now(), &choice.id, answer.load);
         self.meters.first_byte(self.now().saturating_sub(sent_at));
         let response = Response::from_parts(parts, body);
         Sent::Answered(Box::new(response), answer, lease)
     }
 
+    /// Notes the limit that an answer names, or that it names none.
+    fn note_limit(&self, choice: &Choice, sent_at: Duration, limit: Option<f64>) {
+        let mut router = self.router();
+        if router.limit_heard(self.now(), choice, sent_at, limit) {
+            log::info!(server:% = choice.id, limit:? = limit; "limit heard");
+        }
+    }
+
     /// Has later requests go elsewhere while one that may not be sent again waits.
     fn is_overdue(&self, req: &Received, choice: &Choice) {
         log::info!(id:% = req.head.id, server:% = choice.id; "answer overdue");
--- a/sesamebeam/src/group/notes.rs
+++ b/sesamebeam/src/group/notes.rs
@@ -42,6 +42,7 @@
             log::info!(joins:? = joins, leaves:? = leaves; "membership changes");
         }
         Note::Doubts(doubts) => log::info!(doubts:? = doubts; "backend servers doubted"),
+        Note::Limits(limits) => log::info!(limits:? = limits; "backend servers limited"),
         Note::Shares(shares) => log::info!(shares:? = shares; "services short of capacity"),
         Note::DiskStalled(true) => log::warn!("disk stalls"),
         Note::DiskStalled(false) => log::info!("disk answers again"),
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -50,6 +50,10 @@
         Summary,
         ToEntry, //
     },
+    limits::{
+        LimitOf,
+        NamedLimits, //
+    },
     loads::Loads,
     pool::{
         Doubt,
@@ -254,6 +258,8 @@
         /// Replica that leaves.
         leaves: Option<NodeId>,
     },
+    /// Limits of backend servers that have come, changed or ended.
+    Limits(Vec<LimitOf>),
     /// Services that cannot serve all, with the share that is admitted.
     Shares(Vec<ShareOf>),
     /// Backend servers that fail more often than their service.
@@ -284,6 +290,7 @@
     next_ticket: u64,
     crashes: Crashes,
     loads: Loads,
+    limits: NamedLimits,
     pool: Pool,
     waits: PooledWaits,
     shortages: Shortages,
@@ -314,6 +321,7 @@
             next_ticket: 1,
             crashes: Crashes::default(),
             loads: Loads::default(),
+            limits: NamedLimits::default(),
             pool: Pool::default(),
             waits: PooledWaits::default(),
             shortages: Shortages::default(),
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -39,6 +39,11 @@
             ToEntry,
             Unreached, //
         },
+        limits::LimitOf,
+        loads::{
+            self,
+            ServerKey, //
+        },
         shortage::ShareOf,
     },
     ids::{
@@ -96,6 +101,8 @@
     summary: Summary,
     /// Shares that entries were last told.
     shares: Vec<ShareOf>,
+    /// Limits that entries were last told.
+    limits: Vec<LimitOf>,
     /// Digest of the backend servers that were last kept, and when.
     kept: (u32, MonoTime),
 }
@@ -151,6 +158,10 @@
         }
         let doubts = self.pool.doubts().to_vec();
         self.push(this.clone(), ToEntry::Doubts(doubts));
+        if !self.limits.is_empty() {
+            let limits = self.limits.tell(self.now);
+            self.push(this.clone(), ToEntry::Limits(limits));
+        }
         for (kept, all) in self.trials.kept(self.now) {
             self.push(this.clone(), ToEntry::Kept(kept, all));
         }
@@ -180,6 +191,7 @@
         self.trials.have_run(self.now, &self.store, &report.ages);
         self.trials.take(self.now, &self.store, &report.evidence);
         self.loads.take(self.now, report.loads.iter().copied());
+        self.limits.take(self.now, report.limits.iter().copied());
         self.pool.take(report.outcomes.iter().copied());
         self.waits.take(self.now, report.waits.iter().copied());
         self.shortages.take(self.now, report.work.iter().copied());
@@ -243,6 +255,7 @@
             self.note(Note::Doubts(doubts.clone()));
             self.push(self.telling.followers(), ToEntry::Doubts(doubts));
         }
+        self.tell_limits();
         let summary = self.summary();
         if summary != self.telling.summary {
             self.telling.summary = summary;
@@ -263,6 +276,22 @@
         self.actions.push(Action::KeepServers(servers));
     }
 
+    /// Tells of the limits of backend servers if any has come, changed or ended.
+    fn tell_limits(&mut self) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let keys = self.directory.all().map(|k| loads::key(&k.said.id));
+        let known: BTreeSet<ServerKey> = keys.collect();
+        self.limits.retain(|server| known.contains(&server));
+        let limits = self.limits.tell(self.now);
+        if self.telling.limits != limits {
+            self.telling.limits = limits.clone();
+            self.note(Note::Limits(limits.clone()));
+            self.push(self.telling.followers(), ToEntry::Limits(limits));
+        }
+    }
+
     /// Notes shares that have changed.
     fn note_shares(&mut self, shares: &[ShareOf]) {
         if self.telling.shares != shares {
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -33,6 +33,7 @@
         Announcement,
         Life, //
     },
+    limits::LimitOf,
     loads::{
         LoadOf,
         ServerKey, //
@@ -131,6 +132,8 @@
     pub evidence: Vec<Evidence>,
     /// Loads that backend servers have told.
     pub loads: Vec<LoadOf>,
+    /// Limits that backend servers have named, or named no more.
+    pub limits: Vec<LimitOf>,
     /// Answers of backend servers, good and bad.
     pub outcomes: Vec<Outcomes>,
     /// Backend servers that could not be reached from a failure domain. What is cut
@@ -154,6 +157,7 @@
         let Self {
             evidence,
             loads,
+            limits,
             outcomes,
             unreached,
             waits,
@@ -164,6 +168,7 @@
         } = self;
         evidence.is_empty()
             && loads.is_empty()
+            && limits.is_empty()
             && outcomes.is_empty()
             && unreached.is_empty()
             && waits.is_empty()
@@ -183,6 +188,7 @@
             }
         }
         self.loads.extend(other.loads);
+        self.limits.extend(other.limits);
         self.outcomes.extend(other.outcomes);
         self.unreached.extend(other.unreached);
         self.waits.extend(other.waits);
@@ -276,6 +282,8 @@
     },
     /// All backend servers that fail more often than their service.
     Doubts(Vec<Doubt>),
+    /// Limits that backend servers name, and those that have ended of late.
+    Limits(Vec<LimitOf>),
     /// Backend servers that could not be reached just now.
     Unreached(Vec<Unreached>),
     /// Requests that crash what runs them.
@@ -297,6 +305,7 @@
             Self::Wants(_) => "wants",
             Self::Loads { .. } => "loads",
             Self::Doubts(_) => "doubts",
+            Self::Limits(_) => "limits",
             Self::Unreached(_) => "unreached",
             Self::Quarantined(_) => "quarantined",
             Self::Kept(..) => "kept",
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -48,6 +48,7 @@
         Kept, //
     },
     lengths::Lengths,
+    limits::Limits,
     reading::ReadingTimes,
     request::{
         AnswerHead,
@@ -131,6 +132,9 @@
     /// All that are left are cold, and it is not this entry's turn at one.
     #[error("all backend servers are cold")]
     Cold,
+    /// All that are left take no more from this entry now, by the limits that they name.
+    #[error("all backend servers are at their limits")]
+    Limited,
     /// None that may run it is left.
     #[error("no backend server is left")]
     NoneLeft,
@@ -212,6 +216,7 @@
     orders: Orders,
     directory: Directory,
     cold: Cold,
+    limits: Limits,
     admission: Admission,
     balance: Balance,
     budget: Budget,
@@ -230,6 +235,7 @@
             budget: Budget::new(cfg.budget),
             sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * TRIAL_PART),
             cold: Cold::new(cfg.name.clone()),
+            limits: Limits::new(cfg.name.clone()),
             cfg,
             table: None,
             current: false,
@@ -299,9 +305,10 @@
     }
 
     /// Notes how many entries there are.
-    pub fn set_entries(&mut self, entries: u32) {
+    pub fn set_entries(&mut self, now: MonoTime, entries: u32) {
         self.budget.set_entries(entries);
         self.cold.set_entries(entries);
+        self.limits.set_entries(now, entries);
     }
 
     /// Takes an announcement.
@@ -314,6 +321,7 @@
         let after = self.directory.get(&id).map(Known::life);
         if before.is_some() && before != after {
             self.balance.reborn(&id);
+            self.limits.forget(&id);
         }
         news
     }
@@ -323,6 +331,7 @@
         let directory = &self.directory;
         self.balance.retain(|id| directory.get(id).is_some());
         self.cold.retain(|id| directory.get(id).is_some());
+        self.limits.retain(|id| directory.get(id).is_some());
         self.sessions.tidy(now);
     }
 
@@ -428,6 +437,23 @@
         self.balance.heard(now, id, load);
     }
 
+    /// Takes the limit that the answer to a request names, or none, and returns whether
+    /// that is news. What an older life says holds for nobody.
+    pub fn limit_heard(
+        &mut self,
+        now: MonoTime,
+        choice: &Choice,
+        sent_at: MonoTime,
+        limit: Option<f64>,
+    ) -> bool {
+        self.lives(choice) && self.limits.heard(now, &choice.id, sent_at, limit)
+    }
+
+    /// Returns how many backend servers name a limit.
+    pub fn limited(&self) -> usize {
+        self.limits.count()
+    }
+
     /// Notes that the answer of a backend server is overdue.
     pub fn overdue(&mut self, now: MonoTime, id: &ServerId) {
         self.balance.overdue(now, id);
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -1,5 +1,7 @@
 //! Choice of the backend server for a send: who may run it, and who bears it.
 
+use std::time::Duration;
+
 use super::{
     Choice,
     Plan,
@@ -41,6 +43,12 @@
         let mut fit: Vec<&Known> = self.directory.ready(&plan.service).collect();
         fit.retain(|k| orders.admit(&k.said.domain));
         fit.retain(|k| allowed.has(&k.said.version));
+        let unlimited = fit.len();
+        fit.retain(|k| self.limits.is_open(now, &k.said.id));
+        let limited = fit.len() < unlimited;
+        if limited && fit.iter().all(|k| tried.contains(&k.said.id)) {
+            return Err(Unserved::Limited);
+        }
         if plan.on_trial && self.is_canary(&plan.service) {
             self.keep_few(&mut fit, plan, tried);
         }
@@ -70,6 +78,7 @@
         if let Some(cold) = cold.filter(|cold| self.cold.is_cold(now, chosen, Some(cold))) {
             self.cold.use_turn(now, &chosen.said.id, cold);
         }
+        self.limits.sent(now, &chosen.said.id);
         let choice = Choice {
             id: chosen.said.id.clone(),
             born: chosen.said.born,
@@ -81,17 +90,61 @@
         Ok(choice)
     }
 
-    /// Returns whether a request could go on at another backend server than those
+    /// Returns whether a request could go on now at another backend server than those
     /// that had their turn.
-    pub fn has_another(&self, plan: &Plan, tried: &[ServerId], now_at: &ServerId) -> bool {
+    pub fn has_another(
+        &self,
+        now: MonoTime,
+        plan: &Plan,
+        tried: &[ServerId],
+        now_at: &ServerId,
+    ) -> bool {
+        let mut left = self.left(now, plan, tried);
+        left.any(|k| &k.said.id != now_at)
+    }
+
+    /// Returns whether any backend server takes a request now, of those that had not
+    /// their turn.
+    pub fn has_room(&self, now: MonoTime, plan: &Plan, tried: &[ServerId]) -> bool {
+        self.left(now, plan, tried).next().is_some()
+    }
+
+    /// Iterates over the backend servers that may run a request now, without those that
+    /// had their turn.
+    fn left<'a>(
+        &'a self,
+        now: MonoTime,
+        plan: &'a Plan,
+        tried: &'a [ServerId],
+    ) -> impl Iterator<Item = &'a Known> + 'a {
         let allowed = self.allowed(plan);
-        let mut open = self.open(&plan.service);
-        open.any(|k| {
+        let open = self.open(&plan.service);
+        open.filter(move |k| {
             let id = &k.said.id;
-            id != now_at && !tried.contains(id) && allowed.has(&k.said.version)
+            !tried.contains(id) && allowed.has(&k.said.version) && self.limits.is_open(now, id)
         })
     }
 
+    /// Returns after which time a caller who found all backend servers at their limits
+    /// can be served here.
+    pub fn come_back_in(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        tried: &[ServerId],
+        patience: Duration,
+    ) -> Duration {
+        let allowed = self.allowed(plan);
+        let orders = &self.orders;
+        let ready = self.directory.ready(&plan.service);
+        let may_run = ready.filter(|k| {
+            let said = &k.said;
+            orders.admit(&said.domain) && allowed.has(&said.version) && !tried.contains(&said.id)
+        });
+        let ids = may_run.map(|k| &k.said.id);
+        self.limits.come_back_in(now, ids, patience)
+    }
+
     /// Iterates over the backend servers of a service that take work, in failure
     /// domains that are not evacuated.
     pub(super) fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Known> + 'a {
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -5,12 +5,14 @@
 use super::Router;
 use crate::{
     gateway::{
+        directory::ServerId,
         feed::{
             Evidence,
             Held,
             Report,
             Unreached, //
         },
+        limits::LimitOf,
         loads::{
             self,
             LoadOf,
@@ -55,6 +57,25 @@
         }
     }
 
+    /// Takes limits of backend servers that any entry has heard, and those that have ended,
+    /// and returns the names of those that are news.
+    pub fn told_limits(&mut self, now: MonoTime, told: &[LimitOf]) -> Vec<ServerId> {
+        if told.is_empty() {
+            return Vec::new();
+        }
+        let told: HashMap<ServerKey, Option<f64>> =
+            told.iter().map(|l| (l.server, l.limit)).collect();
+        let mut news = Vec::new();
+        for id in self.directory.all().map(|k| &k.said.id) {
+            if let Some(&limit) = told.get(&loads::key(id))
+                && self.limits.told(now, id, limit)
+            {
+                news.push(id.clone());
+            }
+        }
+        news
+    }
+
     /// Takes the shares of requests that are admitted to services that are short.
     pub fn set_shares(&mut self, now: MonoTime, shares: impl IntoIterator<Item = ShareOf>) {
         self.admission.told(now, shares);
@@ -88,6 +109,7 @@
         Report {
             evidence: self.take_evidence(),
             loads: self.balance.take_heard(now).unwrap_or_default(),
+            limits: self.limits.take_fresh(),
             outcomes: self.balance.take_outcomes(),
             unreached: self.take_unreached(),
             waits: self.cascade.take_fresh(),
--- a/sesamebeam_core/tests/gateway/cold.rs
+++ b/sesamebeam_core/tests/gateway/cold.rs
@@ -53,7 +53,7 @@
     config.services[0].cold = Some(LIMITS);
     router.set_config(ms(0), config);
     router.set_current();
-    router.set_entries(entries);
+    router.set_entries(ms(0), entries);
     router
 }
 
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod evacuations;
 mod group;
 mod joining;
+mod limits;
 mod make;
 mod orders;
 mod plays;
--- a/sesamebeam_core/tests/gateway/make.rs
+++ b/sesamebeam_core/tests/gateway/make.rs
@@ -162,7 +162,7 @@
     let mut router = Router::new(router_config());
     router.set_config(ms(0), config(1));
     router.set_current();
-    router.set_entries(1);
+    router.set_entries(ms(0), 1);
     for number in 0..servers {
         router.announced(ms(0), announcement(number));
     }
--- a/sesamebeam_core/tests/gateway/plays.rs
+++ b/sesamebeam_core/tests/gateway/plays.rs
@@ -65,7 +65,7 @@
             let mut router = Router::new(router_config());
             router.set_config(ms(0), bookings());
             router.set_current();
-            router.set_entries(entries as u32);
+            router.set_entries(ms(0), entries as u32);
             for said in all.clone() {
                 router.announced(ms(0), said);
             }
--- a/sesamebeam_core/tests/gateway/shortage.rs
+++ b/sesamebeam_core/tests/gateway/shortage.rs
@@ -124,7 +124,7 @@
             let mut router = Router::new(router_config());
             router.set_config(ms(0), plain());
             router.set_current();
-            router.set_entries(entries as u32);
+            router.set_entries(ms(0), entries as u32);
             for said in all.clone() {
                 router.announced(ms(0), said);
             }
