Share the retry budget's slack among all entries while they start

Callers see nothing; the backend servers of a failing service do. Cause: an entry takes its part of the slack by the number of entries it has heard of, and a replica counts those as they connect. It is the class of the limits that backend servers name: what many entries spend in common, and none sees the sum.

Until then repeats are paid from an entry's own requests alone.

--- a/sesamebeam_core/src/gateway/budget.rs
+++ b/sesamebeam_core/src/gateway/budget.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use super::config::ServiceId;
+use super::{
+    config::ServiceId,
+    entries::EntryCount, //
+};
 use crate::ids::MonoTime;
 
 /// Parts of the window in which events are counted together; a finer count
@@ -49,7 +52,7 @@
 pub struct Budget {
     cfg: BudgetConfig,
     /// Entries that share the slack.
-    entries: u32,
+    entries: EntryCount,
     services: HashMap<ServiceId, VecDeque<Part>>,
 }
 
@@ -58,15 +61,14 @@
     pub fn new(cfg: BudgetConfig) -> Self {
         Self {
             cfg,
-            entries: 0,
+            entries: EntryCount::default(),
             services: HashMap::new(),
         }
     }
 
-    /// Notes how many entries there are. The most ever heard of counts: after a
-    /// cut each side sees only its own.
-    pub fn set_entries(&mut self, entries: u32) {
-        self.entries = self.entries.max(entries);
+    /// Notes how many entries there are.
+    pub fn set_entries(&mut self, now: MonoTime, entries: u32) {
+        self.entries.hear(now, entries);
     }
 
     /// Counts a request.
@@ -78,10 +80,8 @@
     pub fn try_repeat(&mut self, now: MonoTime, service: &ServiceId) -> bool {
         self.part(now, service);
         let (requests, repeats) = self.counted(service);
-        let slack = match self.entries {
-            0 => 0.0,
-            n => self.cfg.slack / f64::from(n),
-        };
+        let part = |entries| self.cfg.slack / f64::from(entries);
+        let slack = self.entries.settled(now).map_or(0.0, part);
         let allowed = (self.cfg.ratio * f64::from(requests) + slack) * SPENT;
         if f64::from(repeats) + 1.0 > allowed {
             return false;
--- a/sesamebeam_core/src/gateway/cold.rs
+++ b/sesamebeam_core/src/gateway/cold.rs
@@ -32,6 +32,7 @@
         Known,
         ServerId, //
     },
+    entries::EntryCount,
 };
 use crate::{
     ids::{
@@ -58,8 +59,8 @@
 pub struct Cold {
     /// Name of this entry, which places its turns.
     name: SmolStr,
-    /// Entries that take turns; none known yet if 0.
-    entries: u32,
+    /// Entries that take turns.
+    entries: EntryCount,
     /// When failure domains were last taken back.
     readmitted: BTreeMap<DomainId, MonoTime>,
     /// Last turn that was used at each backend server.
@@ -71,16 +72,15 @@
     pub fn new(name: SmolStr) -> Self {
         Self {
             name,
-            entries: 0,
+            entries: EntryCount::default(),
             readmitted: BTreeMap::new(),
             used: HashMap::new(),
         }
     }
 
-    /// Notes how many entries there are. The most ever heard of counts: after a cut
-    /// each side sees only its own.
-    pub fn set_entries(&mut self, entries: u32) {
-        self.entries = self.entries.max(entries);
+    /// Notes how many entries there are.
+    pub fn set_entries(&mut self, now: MonoTime, entries: u32) {
+        self.entries.hear(now, entries);
     }
 
     /// Notes that a failure domain is no longer evacuated.
@@ -123,10 +123,11 @@
     /// Returns the number of this entry's turn at a backend server, if it is now.
     fn turn(&self, now: MonoTime, id: &ServerId, limits: &ColdConfig) -> Option<u64> {
         let rate = limits.per_second * SHARE;
-        if self.entries == 0 || rate <= 0.0 {
+        if self.entries.most() == 0 || rate <= 0.0 {
             return None;
         }
-        let period = f64::from(self.entries) / rate;
+        let entries = self.entries.most();
+        let period = f64::from(entries) / rate;
         let turn = TURN.as_secs_f64().min(period);
         let at = now.as_secs_f64() / period + hash::unit(id.as_bytes(), &self.name);
         (at.fract() * period < turn).then_some(at.floor() as u64)
--- a/sesamebeam_core/src/gateway/entries.rs
+++ b/sesamebeam_core/src/gateway/entries.rs
@@ -1,4 +1,8 @@
 //! How many entries share what is borne in common.
+//!
+//! What all entries spend together, none of them sees: repeated sends beyond a share of the
+//! requests, sends to backend servers that are cold or name a limit, connections. Each takes
+//! its part of the whole, for which it must not take itself for one of fewer than there are.
 
 use std::time::Duration;
 
@@ -34,6 +38,12 @@
         self.most
     }
 
+    /// Returns how many share, once that is known.
+    pub fn settled(&self, now: MonoTime) -> Option<u32> {
+        let settled_at = self.settled_at()?;
+        (now >= settled_at).then_some(self.most)
+    }
+
     /// Returns from when on the count holds for all, if there is one.
     pub fn settled_at(&self) -> Option<MonoTime> {
         (self.most > 0).then_some(self.since + SETTLES_IN)
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -306,8 +306,8 @@
 
     /// Notes how many entries there are.
     pub fn set_entries(&mut self, now: MonoTime, entries: u32) {
-        self.budget.set_entries(entries);
-        self.cold.set_entries(entries);
+        self.budget.set_entries(now, entries);
+        self.cold.set_entries(now, entries);
         self.limits.set_entries(now, entries);
     }
 
