Tell entries that start behind a cut of all there are

What is seen: nothing yet; found by looking for other places where entries share what none sees the sum of. Cause: the number of entries is what one control replica counts. Behind a cut, one that has started anew counts its own side, and an entry that starts there takes a third of the slack and of limits in place of a ninth (telling::entries_behind_a_cut: told of 3 and 4 of 9 before). Change: an entry says how many it has heard of when it follows a replica, which tells the others. Why it holds: counts only grow, and entries that have not restarted remember. Left: all processes on one side of a cut restart within it.

--- a/sesamebeam_core/src/gateway/budget.rs
+++ b/sesamebeam_core/src/gateway/budget.rs
@@ -71,6 +71,11 @@
         self.entries.hear(now, entries);
     }
 
+    /// Returns the most entries that were heard of.
+    pub fn entries(&self) -> u32 {
+        self.entries.most()
+    }
+
     /// Counts a request.
     pub fn request(&mut self, now: MonoTime, service: &ServiceId) {
         self.part(now, service).requests += 1;
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -71,7 +71,7 @@
 pub(super) struct Telling {
     /// Entries that are connected.
     entries: BTreeSet<EntryLife>,
-    /// Most that were connected at once.
+    /// Most that were connected at once, here or as any entry has heard.
     most_entries: u32,
     /// Whether more have connected than followers were told.
     grew: bool,
@@ -118,6 +118,12 @@
         self.waits().then_some(self.packed_at + PACK_EVERY)
     }
 
+    /// Notes how many entries there are at the least.
+    fn count(&mut self, entries: u32) {
+        self.grew |= entries > self.most_entries;
+        self.most_entries = self.most_entries.max(entries);
+    }
+
     /// Forgets that entries were told that the state is current.
     pub(super) fn restart(&mut self) {
         self.told_current = false;
@@ -131,11 +137,8 @@
 impl Coordinator {
     /// Takes an entry that has connected.
     pub(super) fn subscribe(&mut self, life: EntryLife) {
-        let telling = &mut self.telling;
-        telling.entries.insert(life);
-        let entries = telling.entries.len() as u32;
-        telling.grew |= entries > telling.most_entries;
-        telling.most_entries = telling.most_entries.max(entries);
+        self.telling.entries.insert(life);
+        self.telling.count(self.telling.entries.len() as u32);
         let fleet = self.fleet();
         self.push(Receivers::These(vec![life]), fleet);
     }
@@ -148,8 +151,12 @@
     }
 
     /// Tells an entry, which holds something already, from now on.
+    ///
+    /// It may know of more entries than a replica that has started behind a cut, by whose
+    /// count those that start there would take more than their part of what all share.
     pub(super) fn follow(&mut self, life: EntryLife, held: Held) {
         self.telling.followers.insert(life);
+        self.telling.count(held.entries);
         self.lacks(life, held);
         let this = Receivers::These(vec![life]);
         let quarantined = self.crashes.quarantined();
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -123,6 +123,8 @@
     pub config: Option<ConfigVersion>,
     /// Backend servers.
     pub servers: Digests,
+    /// The most entries that it has heard of.
+    pub entries: u32,
 }
 
 /// What entries have seen since the last report.
@@ -253,7 +255,7 @@
         domain: DomainId,
         /// Addresses of the control replicas.
         replicas: Vec<ProcessAddr>,
-        /// Entries connected to the sender.
+        /// Most entries that there were at once, as the sender knows.
         entries: u32,
     },
     /// State that was committed up to a position of the log.
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -33,6 +33,7 @@
         Held {
             config: self.version(),
             servers: self.directory.digests().clone(),
+            entries: self.budget.entries(),
         }
     }
 
--- a/sesamebeam_core/tests/gateway/telling.rs
+++ b/sesamebeam_core/tests/gateway/telling.rs
@@ -116,6 +116,7 @@
     let held = Held {
         config: None,
         servers: known.digests().clone(),
+        entries: 0,
     };
     core.handle(ms(100), Event::Subscribed(1));
     let actions = core.handle(ms(200), Event::Follows(1, held));
@@ -141,6 +142,7 @@
     let held = Held {
         config: None,
         servers: known.digests().clone(),
+        entries: 0,
     };
     let mut wants = Vec::new();
     for life in 1..=20 {
@@ -244,3 +246,30 @@
     });
     assert_eq!(told, Some(usize::from(ENGINES) - 1));
 }
+
+#[test]
+fn entries_behind_a_cut() {
+    // A failure domain is cut off, and its control replica starts anew: it counts the
+    // entries there, three of nine. An entry that starts there takes its part of the retry
+    // budget and of limits by that count; it must be told of nine by one that knows.
+    let mut core = coordinator();
+    for life in 1..=3 {
+        core.handle(ms(life), Event::Subscribed(life));
+    }
+    let held = Held {
+        entries: 9,
+        ..Held::default()
+    };
+    let mut actions = core.handle(ms(100), Event::Follows(1, held));
+    actions.extend(core.handle(ms(200), Event::Follows(2, Held::default())));
+    for at in (300..700).step_by(10) {
+        actions.extend(core.handle(ms(at), Event::Tick));
+    }
+    actions.extend(core.handle(ms(800), Event::Subscribed(4)));
+    let counts = pushes(&actions).into_iter().filter_map(|(_, m)| match m {
+        ToEntry::Fleet { entries, .. } => Some(*entries),
+        _ => None,
+    });
+    let counts: Vec<u32> = counts.collect();
+    assert_eq!(counts, [9, 9], "followers and the one that starts");
+}
