Have the soak name a limit and count what comes

The soak did not know of limits. One of its three backend servers now takes 3 requests a second from both entries together, and what entries that have passed that on send it is held against 23 in 4 s; an entry that restarts knows of nothing until it passes one on again.

--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        VecDeque, //
     },
     sync::{
         Mutex,
@@ -16,11 +17,21 @@
     },
 };
 
+use crate::server::LIMIT;
+
 /// Time after its acknowledgement in which an order to evacuate is known to all entries,
 /// and what was sent before has arrived: an entry may be paused for 2.5 s, its bytes may
 /// be held up for as long, and a second is left to hear of it.
 const EVACUATED_IN: Duration = Duration::from_millis(6000);
 
+/// Span in which requests at a backend server with a limit are counted, and how many may
+/// come: one and a half times what the limit makes of it and five.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+const LIMIT_BOUND: usize = (1.5 * 4.0 * LIMIT) as usize + 5;
+
+/// Time after an entry has passed on that there is a limit from which it keeps to it.
+const LIMITED_IN: Duration = Duration::from_millis(500);
+
 /// Everything that was seen in one run.
 #[derive(Debug, Default)]
 pub struct Books {
@@ -37,6 +48,10 @@
     acknowledged: u64,
     /// Since when it is acknowledged that nothing goes to the evacuated backend server.
     evacuated: Option<Instant>,
+    /// Since when each entry knows of the limit, by what it has passed on since its start.
+    told_limit: BTreeMap<usize, Instant>,
+    /// Requests of such entries at the backend server that names it, of late.
+    at_limited: VecDeque<Instant>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
@@ -104,6 +119,35 @@
         }
     }
 
+    /// Notes that an entry has passed on an answer that names a limit.
+    pub fn told_limit(&self, entry: usize) {
+        let mut inner = self.lock();
+        inner.told_limit.entry(entry).or_insert_with(Instant::now);
+    }
+
+    /// Notes that an entry ends or starts.
+    pub fn forgot_limit(&self, entry: usize) {
+        self.lock().told_limit.remove(&entry);
+    }
+
+    /// Notes that a request of an entry reached the backend server that names a limit.
+    pub fn reached_limited(&self, entry: Option<usize>) {
+        let mut inner = self.lock();
+        let told = entry.and_then(|entry| inner.told_limit.get(&entry));
+        if told.is_none_or(|told| told.elapsed() < LIMITED_IN) {
+            return;
+        }
+        let now = Instant::now();
+        inner.at_limited.push_back(now);
+        inner.at_limited.retain(|at| now - *at < LIMIT_SPAN);
+        let count = inner.at_limited.len();
+        if count > LIMIT_BOUND {
+            inner.at_limited.clear();
+            let line = format!("{count} requests in {LIMIT_SPAN:?} at a limit of {LIMIT}");
+            inner.broken.push(line);
+        }
+    }
+
     /// Returns the highest configuration that was acknowledged.
     pub fn newest(&self) -> u64 {
         self.lock().acknowledged
--- a/sesamebeam_soak/src/callers.rs
+++ b/sesamebeam_soak/src/callers.rs
@@ -36,10 +36,14 @@
     books::Books,
     server::{
         EVENTS,
+        LIMIT_HEADER,
         body_of, //
     },
 };
 
+/// Callers at each entry.
+pub const CALLERS: u64 = 4;
+
 /// Time that a caller waits.
 const PATIENCE: Duration = Duration::from_secs(4);
 
@@ -60,6 +64,13 @@
     Notes,
 }
 
+/// Returns the entry to which a request was sent, by its id.
+pub fn entry_of(id: &str) -> Option<usize> {
+    let (number, _) = id.split_once('-')?;
+    let number = u64::from_str_radix(number, 16).ok()?;
+    Some((number / CALLERS) as usize)
+}
+
 /// Sends requests to an entry, one after the other, until cancelled.
 pub async fn call(
     number: u64,
@@ -97,6 +108,11 @@
         Ok(answered) => answered,
         Err(_) => return books.failed(),
     };
+    if response.headers().contains_key(LIMIT_HEADER)
+        && let Some(entry) = entry_of(id)
+    {
+        books.told_limit(entry);
+    }
     let status = response.status().as_u16();
     if status != 200 {
         if NOT_RUN.contains(&status) {
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -32,7 +32,10 @@
         Books,
         Verdict, //
     },
-    callers,
+    callers::{
+        self,
+        CALLERS, //
+    },
     fleet::{
         Fleet,
         targets, //
@@ -59,9 +62,6 @@
 const DOMAIN: &str = "hall-1";
 const FAR_DOMAIN: &str = "hall-2";
 
-/// Callers at each entry.
-const CALLERS: u64 = 4;
-
 /// Longest wait for the first answers, and for the last ones after all faults:
 /// an election, a restart, and a replica that asks for a new place.
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -207,11 +207,13 @@
     let lasting = Duration::from_millis(event.for_ms);
     match event.fault {
         Fault::Kill(target) => {
+            forget_limit(&stage, target);
             stage.fleet.lock().await.kill(target).await;
             sleep(lasting).await;
             boot(&stage, target).await;
         }
         Fault::Stop(target) => {
+            forget_limit(&stage, target);
             let mut fleet = stage.fleet.lock().await;
             if !fleet.stop(target).await {
                 stage
@@ -250,6 +252,14 @@
             .books
             .broke(format!("{target:?} cannot be started: {e}"));
     }
+    forget_limit(stage, target);
+}
+
+/// Notes that an entry that ends, or has started, knows of no limit.
+fn forget_limit(stage: &Stage, target: Target) {
+    if let Target::Entry(number) = target {
+        stage.books.forgot_limit(number);
+    }
 }
 
 async fn spoil(stage: &Stage, server: usize, mode: Mode, lasting: Duration) {
--- a/sesamebeam_soak/src/server.rs
+++ b/sesamebeam_soak/src/server.rs
@@ -32,11 +32,20 @@
     time::sleep, //
 };
 
-use crate::books::Books;
+use crate::{
+    books::Books,
+    callers, //
+};
 
 /// Backend server whose failure domain is evacuated at times.
 pub const EVACUATED: &str = "server-2";
 
+/// Backend server that names a limit.
+pub const LIMITED: &str = "server-1";
+
+/// Requests a second that it takes from all entries together.
+pub const LIMIT: f64 = 3.0;
+
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
 
@@ -46,6 +55,9 @@
 /// Time that a request takes that is not a stream.
 const WORK: Duration = Duration::from_millis(15);
 
+/// Header that names a limit.
+pub const LIMIT_HEADER: &str = "server-limit";
+
 type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 /// Returns what a backend server answers to a request.
@@ -99,6 +111,9 @@
     if life == EVACUATED {
         books.reached_evacuated(&id);
     }
+    if life == LIMITED {
+        books.reached_limited(callers::entry_of(&id));
+    }
     let body = if path.starts_with("/notes/") {
         events(after.parse().unwrap_or(0))
     } else {
@@ -108,7 +123,11 @@
         sleep(WORK).await;
         full(body_of(&id))
     };
-    let response = Response::builder()
+    let mut response = Response::builder();
+    if life == LIMITED {
+        response = response.header(LIMIT_HEADER, LIMIT.to_string());
+    }
+    let response = response
         .header("Request-Id", id)
         .header("Response-Seal", "mark")
         .header("Instance-Load", "1,0,8")
