Keep no more idle connections than an entry's part of what is taken

Callers see bookings whose connection is reset after a surge. The number that a service takes was read and used nowhere.

Change: the idle connections of all entries together stay below half of what a backend server takes; the other half is for requests under way. Why it holds: the part is worked out from the service's number and the entries. connections::sum_of_idle, three real entries before one that takes 12: 30 kept before, 12 at the most now.

--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -57,10 +57,6 @@
 /// way is repeated only after a second. Bookings are on time for 0.1 to 0.3 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Idle connections kept to each backend server. A backend server takes some
-/// hundreds from all entries together.
-const MAX_IDLE: usize = 24;
-
 /// Time after an entry has learned its first configuration for which callers are
 /// taken to have waited for it.
 const JUST_STARTED: Duration = Duration::from_millis(50);
@@ -145,7 +141,7 @@
 ) -> Result<(), ListenError> {
     let gateway = Arc::new(Gateway {
         router: Mutex::new(Router::new(settings.router.clone())),
-        client: Client::new(CONNECT_TIMEOUT).with_max_idle(MAX_IDLE),
+        client: Client::new(CONNECT_TIMEOUT),
         start: Instant::now(),
         settings,
         protocol,
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -269,6 +269,14 @@
         self.gateway.router().try_repeat(now, &self.plan)
     }
 
+    /// Keeps a connection for the next request, for as long as its server says.
+    pub(super) fn give_back(&self, lease: Lease, head: &AnswerHead) {
+        if !head.closing {
+            let most_idle = self.gateway.router().most_idle(&self.plan);
+            lease.give_back_for(head.keep_alive, most_idle);
+        }
+    }
+
     /// Counts the request as ended.
     pub(super) fn count(&self, end: RequestEnd) {
         let took = self.req.came.elapsed();
@@ -377,7 +385,7 @@
             self.gateway.router().displaced(now, &choice);
         }
         self.found_full |= head.load.is_some_and(|load| load.is_full());
-        give_back(lease, &head);
+        self.give_back(lease, &head);
         self.tried.push(choice.id.clone());
         choice.end(Outcome::Refused);
         Next::Again(None)
@@ -450,7 +458,7 @@
         };
         let took = choice.since();
         self.gateway.router().answered(&self.plan, took, head.load);
-        give_back(lease, &head);
+        self.give_back(lease, &head);
         let failed = head.status >= 500;
         let outcome = if failed {
             Outcome::Failed
@@ -481,13 +489,6 @@
     }
 }
 
-/// Keeps a connection for the next request, for as long as its server says.
-pub(super) fn give_back(lease: Lease, head: &AnswerHead) {
-    if !head.closing {
-        lease.give_back_for(head.keep_alive);
-    }
-}
-
 /// Returns what a send that never left says of the backend server.
 pub(super) fn unsent(error: &ClientError) -> Outcome {
     match error {
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -36,7 +36,6 @@
     attempt::{
         Arrived,
         Attempt,
-        give_back,
         unsent, //
     },
     events::Events,
@@ -188,7 +187,7 @@
             return;
         };
         if let Some(lease) = source.lease.take() {
-            give_back(lease, &source.head);
+            self.attempt.give_back(lease, &source.head);
         }
         self.note_pace(&source.choice);
         source.choice.end(Outcome::Good);
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -157,13 +157,16 @@
 impl Lease {
     /// Gives the connection back: its answer was read whole.
     pub fn give_back(self) {
-        self.give_back_for(None);
+        let most_idle = self.client.max_idle;
+        self.give_back_for(None, most_idle);
     }
 
-    /// Gives the connection back, to be kept idle no longer than its server says.
-    pub fn give_back_for(mut self, keep_alive: Option<Duration>) {
+    /// Gives the connection back, to be kept idle no longer than its server says, and only
+    /// if fewer than some others are.
+    pub fn give_back_for(mut self, keep_alive: Option<Duration>, most_idle: usize) {
         if let Some(sender) = self.sender.take() {
-            self.client.put(self.addr, self.epoch, sender, keep_alive);
+            self.client
+                .put(self.addr, self.epoch, sender, keep_alive, most_idle);
         }
     }
 }
@@ -299,12 +302,13 @@
         epoch: u64,
         sender: SendRequest<Full<Bytes>>,
         keep_alive: Option<Duration>,
+        most_idle: usize,
     ) {
         let keep = keep_alive.map_or(IDLE_FOR, |k| k.mul_f64(KEPT_SHARE));
         let mut pool = self.lock();
         let host = pool.hosts.entry(addr).or_default();
         // INVARIANT: A connection from before a retirement never comes back.
-        if host.epoch == epoch && host.idle.len() < self.max_idle && !sender.is_closed() {
+        if host.epoch == epoch && host.idle.len() < most_idle && !sender.is_closed() {
             host.idle.push(Idle {
                 sender,
                 until: Instant::now() + keep,
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod cascade;
 pub mod cold;
 pub mod config;
+pub mod connections;
 pub mod coordinator;
 pub mod crashes;
 pub mod digests;
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -35,6 +35,7 @@
         RouteConfig,
         ServiceId, //
     },
+    connections,
     directory::{
         Announcement,
         Born,
@@ -449,6 +450,14 @@
         self.lives(choice) && self.limits.heard(now, &choice.id, sent_at, limit)
     }
 
+    /// Returns how many idle connections this entry keeps to a backend server of a plan's
+    /// service.
+    pub fn most_idle(&self, plan: &Plan) -> usize {
+        let service = plan.table.config().service(&plan.service);
+        let takes = service.map_or(0, |s| s.max_connections);
+        connections::most_idle(takes, self.budget.entries())
+    }
+
     /// Returns how many backend servers name a limit.
     pub fn limited(&self) -> usize {
         self.limits.count()
