Count entries at the replica until all have connected

Change: the wait is at the control replica, which says how many entries there are 1.5 s after the first has connected, or once an entry that follows it knows. So an entry that starts alone is told at once, and only a start of the whole fleet waits. Until then there is no slack, and nothing goes to cold or limited backend servers beside what the count allows.

--- a/sesamebeam_core/src/gateway/budget.rs
+++ b/sesamebeam_core/src/gateway/budget.rs
@@ -85,8 +85,10 @@
     pub fn try_repeat(&mut self, now: MonoTime, service: &ServiceId) -> bool {
         self.part(now, service);
         let (requests, repeats) = self.counted(service);
-        let part = |entries| self.cfg.slack / f64::from(entries);
-        let slack = self.entries.settled(now).map_or(0.0, part);
+        let slack = match self.entries.most() {
+            0 => 0.0,
+            n => self.cfg.slack / f64::from(n),
+        };
         let allowed = (self.cfg.ratio * f64::from(requests) + slack) * SPENT;
         if f64::from(repeats) + 1.0 > allowed {
             return false;
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -29,6 +29,7 @@
             ServerId,
             ServerState, //
         },
+        entries::Counted,
         feed::{
             Between,
             Crash,
@@ -71,10 +72,8 @@
 pub(super) struct Telling {
     /// Entries that are connected.
     entries: BTreeSet<EntryLife>,
-    /// Most that were connected at once, here or as any entry has heard.
-    most_entries: u32,
-    /// Whether more have connected than followers were told.
-    grew: bool,
+    /// How many there are, as far as that is known.
+    counted: Counted,
     /// Entries that are told of all that changes from here.
     followers: BTreeSet<EntryLife>,
     /// Entries that wait for what they lack, with what they hold.
@@ -118,12 +117,6 @@
         self.waits().then_some(self.packed_at + PACK_EVERY)
     }
 
-    /// Notes how many entries there are at the least.
-    fn count(&mut self, entries: u32) {
-        self.grew |= entries > self.most_entries;
-        self.most_entries = self.most_entries.max(entries);
-    }
-
     /// Forgets that entries were told that the state is current.
     pub(super) fn restart(&mut self) {
         self.told_current = false;
@@ -138,7 +131,8 @@
     /// Takes an entry that has connected.
     pub(super) fn subscribe(&mut self, life: EntryLife) {
         self.telling.entries.insert(life);
-        self.telling.count(self.telling.entries.len() as u32);
+        let entries = self.telling.entries.len() as u32;
+        self.telling.counted.connected(self.now, entries);
         let fleet = self.fleet();
         self.push(Receivers::These(vec![life]), fleet);
     }
@@ -156,7 +150,7 @@
     /// count those that start there would take more than their part of what all share.
     pub(super) fn follow(&mut self, life: EntryLife, held: Held) {
         self.telling.followers.insert(life);
-        self.telling.count(held.entries);
+        self.telling.counted.confirmed(held.entries);
         self.lacks(life, held);
         let this = Receivers::These(vec![life]);
         let quarantined = self.crashes.quarantined();
@@ -233,7 +227,7 @@
 
     /// Tells what is due at every look.
     pub(super) fn tell_due(&mut self) {
-        if std::mem::take(&mut self.telling.grew) {
+        if self.telling.counted.has_news(self.now) {
             let fleet = self.fleet();
             self.push(self.telling.followers(), fleet);
         }
@@ -417,7 +411,7 @@
         ToEntry::Fleet {
             domain: self.cfg.domain.clone(),
             replicas: self.peers.addrs(),
-            entries: self.telling.most_entries,
+            entries: self.telling.counted.known(self.now),
         }
     }
 
--- a/sesamebeam_core/src/gateway/entries.rs
+++ b/sesamebeam_core/src/gateway/entries.rs
@@ -3,18 +3,63 @@
 //! What all entries spend together, none of them sees: repeated sends beyond a share of the
 //! requests, sends to backend servers that are cold or name a limit, connections. Each takes
 //! its part of the whole, for which it must not take itself for one of fewer than there are.
+//!
+//! A control replica counts the entries that are connected to it, and says how many there
+//! are once that count has settled, or one that has followed another replica knows it. Told
+//! at once after all processes had started together, the first entry would take itself for
+//! the only one. An entry that starts alone is told at once.
 
 use std::time::Duration;
 
 use crate::ids::MonoTime;
 
-/// Time after an entry first heard of others until it knows of all. A control replica
-/// counts who is connected to it: after all processes have started together, the first
-/// entry would take itself for the only one. Entries connect to every replica within
-/// 1.2 s of their first connection.
-pub const SETTLES_IN: Duration = Duration::from_secs(2);
+/// Time after the first entry has connected to a control replica in which all others have:
+/// they connect to every replica within 1.2 s of their first connection.
+const SETTLES_IN: Duration = Duration::from_millis(1500);
 
-/// The most entries that were ever heard of: after a cut each side sees only its own.
+/// The entries that a control replica has counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counted {
+    most: u32,
+    /// When the first one connected.
+    since: Option<MonoTime>,
+    /// Whether an entry knew that there are so many.
+    confirmed: bool,
+    /// What was last told.
+    told: u32,
+}
+
+impl Counted {
+    /// Notes how many are connected.
+    pub fn connected(&mut self, now: MonoTime, entries: u32) {
+        self.since.get_or_insert(now);
+        self.most = self.most.max(entries);
+    }
+
+    /// Notes how many an entry knows of; 0 if it does not know.
+    pub fn confirmed(&mut self, entries: u32) {
+        self.confirmed |= entries > 0;
+        self.most = self.most.max(entries);
+    }
+
+    /// Returns the most that there were at once; 0 while that is not known.
+    pub fn known(&self, now: MonoTime) -> u32 {
+        let settled = self.since.is_some_and(|since| now >= since + SETTLES_IN);
+        match settled || self.confirmed {
+            true => self.most,
+            false => 0,
+        }
+    }
+
+    /// Returns whether it has changed since the last call.
+    pub fn has_news(&mut self, now: MonoTime) -> bool {
+        let known = self.known(now);
+        std::mem::replace(&mut self.told, known) != known
+    }
+}
+
+/// The most entries that an entry was ever told of: after a cut each side sees only its
+/// own.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EntryCount {
     most: u32,
@@ -38,14 +83,8 @@
         self.most
     }
 
-    /// Returns how many share, once that is known.
-    pub fn settled(&self, now: MonoTime) -> Option<u32> {
-        let settled_at = self.settled_at()?;
-        (now >= settled_at).then_some(self.most)
-    }
-
-    /// Returns from when on the count holds for all, if there is one.
-    pub fn settled_at(&self) -> Option<MonoTime> {
-        (self.most > 0).then_some(self.since + SETTLES_IN)
+    /// Returns since when there is a count.
+    pub fn since(&self) -> Option<MonoTime> {
+        (self.most > 0).then_some(self.since)
     }
 }
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -255,7 +255,7 @@
         domain: DomainId,
         /// Addresses of the control replicas.
         replicas: Vec<ProcessAddr>,
-        /// Most entries that there were at once, as the sender knows.
+        /// Most entries that there were at once; 0 while the sender does not know.
         entries: u32,
     },
     /// State that was committed up to a position of the log.
--- a/sesamebeam_core/src/gateway/limits.rs
+++ b/sesamebeam_core/src/gateway/limits.rs
@@ -29,10 +29,7 @@
 };
 use super::{
     directory::ServerId,
-    entries::{
-        EntryCount,
-        SETTLES_IN, //
-    },
+    entries::EntryCount,
     loads::{
         self,
         ServerKey, //
@@ -220,18 +217,17 @@
         limited: &Limited,
         last: Option<MonoTime>,
     ) -> Option<MonoTime> {
-        let settled_at = self.entries.settled_at()?;
-        let from = now.max(settled_at);
+        let counted_since = self.entries.since()?;
         match limited.pace {
             Pace::Never => None,
             // An entry that has just started may have sent one before.
             Pace::Spaced(period) => {
-                let last = last.unwrap_or(settled_at.saturating_sub(SETTLES_IN));
-                Some(from.max(last + period))
+                let last = last.unwrap_or(counted_since);
+                Some(now.max(last + period))
             }
             Pace::Turns { period, width } => {
                 let phase = hash::unit(id.as_bytes(), &self.name);
-                let from = last.map_or(from, |last| from.max(last));
+                let from = last.map_or(now, |last| now.max(last));
                 Some(next_turn(from, phase, period, width, last))
             }
         }
