End a limit only by a backend server's own answer

What would be seen: a limited backend server turns a request away, says just that, and every entry takes it for the end of the limit until the next answer that names it. Cause: an answer without a limit ended one, whoever made it. Change: it must bear the mark of the backend server; naming one needs none. limits::limit_ends failed before.

--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -183,7 +183,7 @@
         if answer.id.as_ref().is_some_and(|id| *id != req.head.id) {
             return Sent::Broken("answer to another request".to_owned());
         }
-        self.note_limit(choice, sent_at, answer.limit);
+        self.note_limit(choice, sent_at, &answer);
         self.router().heard(self.now(), &choice.id, answer.load);
         self.meters.first_byte(self.now().saturating_sub(sent_at));
         let response = Response::from_parts(parts, body);
@@ -191,10 +191,10 @@
     }
 
     /// Notes the limit that an answer names, or that it names none.
-    fn note_limit(&self, choice: &Choice, sent_at: Duration, limit: Option<f64>) {
+    fn note_limit(&self, choice: &Choice, sent_at: Duration, answer: &AnswerHead) {
         let mut router = self.router();
-        if router.limit_heard(self.now(), choice, sent_at, limit) {
-            log::info!(server:% = choice.id, limit:? = limit; "limit heard");
+        if router.limit_heard(self.now(), choice, sent_at, answer) {
+            log::info!(server:% = choice.id, limit:? = answer.limit; "limit heard");
         }
     }
 
--- a/sesamebeam_core/src/gateway/cold.rs
+++ b/sesamebeam_core/src/gateway/cold.rs
@@ -59,7 +59,7 @@
 pub struct Cold {
     /// Name of this entry, which places its turns.
     name: SmolStr,
-    /// Entries that take turns.
+    /// Entries that take turns; none does before there is a count.
     entries: EntryCount,
     /// When failure domains were last taken back.
     readmitted: BTreeMap<DomainId, MonoTime>,
@@ -123,10 +123,10 @@
     /// Returns the number of this entry's turn at a backend server, if it is now.
     fn turn(&self, now: MonoTime, id: &ServerId, limits: &ColdConfig) -> Option<u64> {
         let rate = limits.per_second * SHARE;
-        if self.entries.most() == 0 || rate <= 0.0 {
+        let entries = self.entries.most();
+        if entries == 0 || rate <= 0.0 {
             return None;
         }
-        let entries = self.entries.most();
         let period = f64::from(entries) / rate;
         let turn = TURN.as_secs_f64().min(period);
         let at = now.as_secs_f64() / period + hash::unit(id.as_bytes(), &self.name);
--- a/sesamebeam_core/src/gateway/connections.rs
+++ b/sesamebeam_core/src/gateway/connections.rs
@@ -16,8 +16,11 @@
 /// takes this many from all of them.
 ///
 /// With more entries than there are connections even one each may be too many; none are
-/// kept then.
+/// kept then. A service that does not say how many it takes has 0.
 pub fn most_idle(max_connections: u32, entries: u32) -> usize {
+    if max_connections == 0 {
+        return MOST;
+    }
     let part = IDLE_SHARE * f64::from(max_connections) / f64::from(entries.max(1));
     (part as usize).min(MOST)
 }
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -439,15 +439,20 @@
     }
 
     /// Takes the limit that the answer to a request names, or none, and returns whether
-    /// that is news. What an older life says holds for nobody.
+    /// that is news.
+    ///
+    /// What an older life says holds for nobody. Only an answer with the mark of its
+    /// backend server ends a limit by naming none: one that turns requests away, or is not
+    /// the one that was meant, may leave it out.
     pub fn limit_heard(
         &mut self,
         now: MonoTime,
         choice: &Choice,
         sent_at: MonoTime,
-        limit: Option<f64>,
+        answer: &AnswerHead,
     ) -> bool {
-        self.lives(choice) && self.limits.heard(now, &choice.id, sent_at, limit)
+        let says = answer.limit.is_some() || answer.sealed;
+        says && self.lives(choice) && self.limits.heard(now, &choice.id, sent_at, answer.limit)
     }
 
     /// Returns how many idle connections this entry keeps to a backend server of a plan's
--- a/sesamebeam_core/tests/gateway/limits.rs
+++ b/sesamebeam_core/tests/gateway/limits.rs
@@ -25,6 +25,7 @@
             allowed, //
         },
         loads,
+        request::AnswerHead,
         router::{
             Choice,
             Plan,
@@ -77,6 +78,16 @@
     Ok(choice)
 }
 
+/// Makes the head of a backend server's own answer that names a limit, or none.
+fn says(limit: Option<f64>) -> AnswerHead {
+    AnswerHead {
+        status: 200,
+        sealed: true,
+        limit,
+        ..AnswerHead::default()
+    }
+}
+
 /// Has an answer to an entry name a limit, or none.
 fn answer(router: &mut Router, now: MonoTime, number: u8, limit: Option<f64>) -> bool {
     let said = announcement(number);
@@ -87,7 +98,7 @@
         version: said.version,
         reading: ms(0),
     };
-    router.limit_heard(now, &choice, now, limit)
+    router.limit_heard(now, &choice, now, &says(limit))
 }
 
 /// Returns the most of some times that lie within [`SPAN`].
@@ -285,7 +296,8 @@
 #[test]
 fn limit_ends() {
     // A limit ends with an answer without one, unless its request was sent before the
-    // limit was heard of: answers overtake each other.
+    // limit was heard of, as answers overtake each other, or it is no answer of the backend
+    // server's own: one that has no room for a request says just that.
     let mut router = entry(1, 300, 1);
     answer(&mut router, ms(AHEAD), 0, Some(1.0));
     let choice = Choice {
@@ -295,9 +307,16 @@
         version: "v1".into(),
         reading: ms(0),
     };
-    assert!(!router.limit_heard(ms(AHEAD + 50), &choice, ms(AHEAD - 50), None));
+    let none = says(None);
+    assert!(!router.limit_heard(ms(AHEAD + 50), &choice, ms(AHEAD - 50), &none));
+    let turned_away = AnswerHead {
+        status: 503,
+        not_run: true,
+        ..AnswerHead::default()
+    };
+    assert!(!router.limit_heard(ms(AHEAD + 500), &choice, ms(AHEAD + 400), &turned_away));
     assert_eq!(router.limited(), 1);
-    assert!(router.limit_heard(ms(AHEAD + 900), &choice, ms(AHEAD + 800), None));
+    assert!(router.limit_heard(ms(AHEAD + 900), &choice, ms(AHEAD + 800), &none));
     assert_eq!(router.limited(), 0);
     assert!(send(&mut router, ms(AHEAD + 901), "caller").is_ok());
 }
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cascade;
 mod cold;
 mod config;
+mod connections;
 mod crashes;
 mod digests;
 mod directory;
