Gather what an entry spends in common in one place; round Retry-After up

A caller was told the time at which a limited backend server takes it rounded to the nearest hundredth of a second, up to 5 ms early, and would have been rejected again; it is rounded up (limits::true_retry_after).

--- a/sesamebeam_core/src/gateway/limits.rs
+++ b/sesamebeam_core/src/gateway/limits.rs
@@ -48,6 +48,9 @@
 /// backend server takes a request.
 const NOT_FORESEEN: Duration = Duration::from_secs(30);
 
+/// Steps in which a caller is told a time.
+const TOLD_IN: Duration = Duration::from_millis(10);
+
 /// What one entry knows of limits, and what it has sent.
 #[derive(Debug)]
 pub struct Limits {
@@ -170,7 +173,7 @@
         {
             limited.promised = Some(at);
         }
-        at.saturating_sub(now)
+        round_up(at.saturating_sub(now))
     }
 
     /// Takes what is to be reported.
@@ -234,6 +237,12 @@
     }
 }
 
+/// Rounds up to what a caller is told: one that comes back a moment early is rejected again.
+fn round_up(after: Duration) -> Duration {
+    let steps = after.as_nanos().div_ceil(TOLD_IN.as_nanos());
+    u32::try_from(steps).map_or(after, |steps| TOLD_IN * steps)
+}
+
 /// Returns `from` if a turn stands then that is not used by the last request, and else
 /// when the next begins.
 fn next_turn(
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -2,6 +2,7 @@
 
 mod choosing;
 mod exchange;
+mod shared;
 mod trial;
 
 use std::{
@@ -35,7 +36,6 @@
         RouteConfig,
         ServiceId, //
     },
-    connections,
     directory::{
         Announcement,
         Born,
@@ -305,13 +305,6 @@
         true
     }
 
-    /// Notes how many entries there are.
-    pub fn set_entries(&mut self, now: MonoTime, entries: u32) {
-        self.budget.set_entries(now, entries);
-        self.cold.set_entries(now, entries);
-        self.limits.set_entries(now, entries);
-    }
-
     /// Takes an announcement.
     pub fn announced(&mut self, now: MonoTime, said: Announcement) -> bool {
         let table = self.table.as_ref();
@@ -401,11 +394,6 @@
         }
     }
 
-    /// Returns whether one more send of a request is in the budget, and spends it.
-    pub fn try_repeat(&mut self, now: MonoTime, plan: &Plan) -> bool {
-        self.budget.try_repeat(now, &plan.service)
-    }
-
     /// Judges a success by the confidence that the model states.
     pub fn judge(
         &mut self,
@@ -438,36 +426,6 @@
         self.balance.heard(now, id, load);
     }
 
-    /// Takes the limit that the answer to a request names, or none, and returns whether
-    /// that is news.
-    ///
-    /// What an older life says holds for nobody. Only an answer with the mark of its
-    /// backend server ends a limit by naming none: one that turns requests away, or is not
-    /// the one that was meant, may leave it out.
-    pub fn limit_heard(
-        &mut self,
-        now: MonoTime,
-        choice: &Choice,
-        sent_at: MonoTime,
-        answer: &AnswerHead,
-    ) -> bool {
-        let says = answer.limit.is_some() || answer.sealed;
-        says && self.lives(choice) && self.limits.heard(now, &choice.id, sent_at, answer.limit)
-    }
-
-    /// Returns how many idle connections this entry keeps to a backend server of a plan's
-    /// service.
-    pub fn most_idle(&self, plan: &Plan) -> usize {
-        let service = plan.table.config().service(&plan.service);
-        let takes = service.map_or(0, |s| s.max_connections);
-        connections::most_idle(takes, self.budget.entries())
-    }
-
-    /// Returns how many backend servers name a limit.
-    pub fn limited(&self) -> usize {
-        self.limits.count()
-    }
-
     /// Notes that the answer of a backend server is overdue.
     pub fn overdue(&mut self, now: MonoTime, id: &ServerId) {
         self.balance.overdue(now, id);
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -1,7 +1,5 @@
 //! Choice of the backend server for a send: who may run it, and who bears it.
 
-use std::time::Duration;
-
 use super::{
     Choice,
     Plan,
@@ -125,26 +123,6 @@
         })
     }
 
-    /// Returns after which time a caller who found all backend servers at their limits
-    /// can be served here.
-    pub fn come_back_in(
-        &mut self,
-        now: MonoTime,
-        plan: &Plan,
-        tried: &[ServerId],
-        patience: Duration,
-    ) -> Duration {
-        let allowed = self.allowed(plan);
-        let orders = &self.orders;
-        let ready = self.directory.ready(&plan.service);
-        let may_run = ready.filter(|k| {
-            let said = &k.said;
-            orders.admit(&said.domain) && allowed.has(&said.version) && !tried.contains(&said.id)
-        });
-        let ids = may_run.map(|k| &k.said.id);
-        self.limits.come_back_in(now, ids, patience)
-    }
-
     /// Iterates over the backend servers of a service that take work, in failure
     /// domains that are not evacuated.
     pub(super) fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Known> + 'a {
--- /dev/null
+++ b/sesamebeam_core/src/gateway/router/shared.rs
@@ -0,0 +1,82 @@
+//! An entry's part of what all entries spend together: repeated sends, what limited backend
+//! servers take, connections.
+
+use std::time::Duration;
+
+use super::{
+    Choice,
+    Plan,
+    Router, //
+};
+use crate::{
+    gateway::{
+        connections,
+        directory::ServerId,
+        request::AnswerHead, //
+    },
+    ids::MonoTime,
+};
+
+impl Router {
+    /// Notes how many entries there are.
+    pub fn set_entries(&mut self, now: MonoTime, entries: u32) {
+        self.budget.set_entries(now, entries);
+        self.cold.set_entries(now, entries);
+        self.limits.set_entries(now, entries);
+    }
+
+    /// Returns whether one more send of a request is in the budget, and spends it.
+    pub fn try_repeat(&mut self, now: MonoTime, plan: &Plan) -> bool {
+        self.budget.try_repeat(now, &plan.service)
+    }
+
+    /// Takes the limit that the answer to a request names, or none, and returns whether
+    /// that is news.
+    ///
+    /// What an older life says holds for nobody. Only an answer with the mark of its
+    /// backend server ends a limit by naming none: one that turns requests away, or is not
+    /// the one that was meant, may leave it out.
+    pub fn limit_heard(
+        &mut self,
+        now: MonoTime,
+        choice: &Choice,
+        sent_at: MonoTime,
+        answer: &AnswerHead,
+    ) -> bool {
+        let says = answer.limit.is_some() || answer.sealed;
+        says && self.lives(choice) && self.limits.heard(now, &choice.id, sent_at, answer.limit)
+    }
+
+    /// Returns how many idle connections this entry keeps to a backend server of a plan's
+    /// service.
+    pub fn most_idle(&self, plan: &Plan) -> usize {
+        let service = plan.table.config().service(&plan.service);
+        let takes = service.map_or(0, |s| s.max_connections);
+        connections::most_idle(takes, self.budget.entries())
+    }
+
+    /// Returns how many backend servers name a limit.
+    pub fn limited(&self) -> usize {
+        self.limits.count()
+    }
+
+    /// Returns after which time a caller who found all backend servers at their limits
+    /// can be served here.
+    pub fn come_back_in(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        tried: &[ServerId],
+        patience: Duration,
+    ) -> Duration {
+        let allowed = self.allowed(plan);
+        let orders = &self.orders;
+        let ready = self.directory.ready(&plan.service);
+        let may_run = ready.filter(|k| {
+            let said = &k.said;
+            orders.admit(&said.domain) && allowed.has(&said.version) && !tried.contains(&said.id)
+        });
+        let ids = may_run.map(|k| &k.said.id);
+        self.limits.come_back_in(now, ids, patience)
+    }
+}
--- a/sesamebeam_core/tests/gateway/limits.rs
+++ b/sesamebeam_core/tests/gateway/limits.rs
@@ -284,6 +284,10 @@
         .map(|_| now + router.come_back_in(now, &plan, &[], ms(20_000)))
         .collect();
     assert!(told.is_sorted(), "{told:?}");
+    assert!(
+        told.iter()
+            .all(|at| (at.as_millis() - now.as_millis()).is_multiple_of(10))
+    );
     let early = send(&mut router, told[0] - ms(20), "early");
     assert_eq!(early.err(), Some(Unserved::Limited));
     for (n, at) in told.iter().enumerate() {
