Forget told loads once they say nothing any more

Cause: an entry kept what it had been told of each backend server for as long as that lived, and walked all of it five times a second. Of 10,002 it was told of all within minutes.

Change: what was only told is kept for five seconds, in which a load fades to a thousandth; looking through it once a second.

--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -101,6 +101,9 @@
 /// Time in which a reported load is worth half: engines turn over within it.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
 
+/// Time after which a load that was told has faded to a thousandth.
+const TOLD_COUNTS_FOR: Duration = Duration::from_secs(5);
+
 /// What one entry knows of a backend server from its own requests.
 #[derive(Clone, Debug, Default)]
 struct Seen {
@@ -393,9 +396,16 @@
         mean(&loads)
     }
 
-    /// Forgets backend servers that are gone.
-    pub fn retain(&mut self, known: impl Fn(&ServerId) -> bool) {
-        self.seen.retain(|id, seen| seen.in_flight > 0 || known(id));
+    /// Forgets backend servers that are gone, and what was told of others so long ago that
+    /// it says nothing any more.
+    pub fn retain(&mut self, now: MonoTime, known: impl Fn(&ServerId) -> bool) {
+        self.seen
+            .retain(|id, seen| seen.in_flight > 0 || seen.tells(now) && known(id));
+    }
+
+    /// Returns how many backend servers anything is kept of.
+    pub fn count(&self) -> usize {
+        self.seen.len()
     }
 
     /// Leaves out those that were tried, could not be reached or are behind a way
@@ -513,6 +523,15 @@
 }
 
 impl Seen {
+    /// Returns whether it says anything of a choice now: this entry has had an answer or
+    /// a failure there, or the load that it was told of has not faded.
+    fn tells(&self, now: MonoTime) -> bool {
+        let is_known = self.heard_at > MonoTime::ZERO || self.pause != Pause::default();
+        let reads = !self.queue.left(now).is_zero();
+        let shared = self.shared;
+        is_known || reads || shared.is_some_and(|s| now < s.at + TOLD_COUNTS_FOR)
+    }
+
     /// Returns the newest report that any entry has heard.
     fn newest(&self) -> Option<Reported> {
         let reports = [self.load, self.shared].into_iter().flatten();
--- a/sesamebeam_core/src/gateway/pause.rs
+++ b/sesamebeam_core/src/gateway/pause.rs
@@ -8,7 +8,7 @@
 const FIRST: Duration = Duration::from_millis(250);
 
 /// A pause; each is twice as long as the one before.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Pause {
     until: MonoTime,
     length: Duration,
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -85,6 +85,9 @@
     policy::hash,
 };
 
+/// Pause between two times that what is over is forgotten.
+const TIDY_EVERY: Duration = Duration::from_secs(1);
+
 /// Settings of a router.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterConfig {
@@ -230,6 +233,8 @@
     sessions: Sessions,
     lengths: Lengths,
     reading: ReadingTimes,
+    /// When what is over is forgotten next.
+    tidy_at: MonoTime,
 }
 
 impl Router {
@@ -253,6 +258,7 @@
             suspects: Suspects::default(),
             lengths: Lengths::default(),
             reading: ReadingTimes::default(),
+            tidy_at: MonoTime::ZERO,
         }
     }
 
@@ -271,6 +277,11 @@
         &self.directory
     }
 
+    /// Returns how many backend servers anything is kept of beside what they announced.
+    pub fn balanced(&self) -> usize {
+        self.balance.count()
+    }
+
     /// Puts a configuration in force unless one as new already is. It never
     /// goes back: replicas that lag tell of older ones.
     pub fn set_config(&mut self, now: MonoTime, config: GatewayConfig) -> bool {
@@ -325,8 +336,12 @@
 
     /// Forgets what is only kept for backend servers and sessions that ended.
     pub fn tidy(&mut self, now: MonoTime) {
+        if now < self.tidy_at {
+            return;
+        }
+        self.tidy_at = now + TIDY_EVERY;
         let directory = &self.directory;
-        self.balance.retain(|id| directory.get(id).is_some());
+        self.balance.retain(now, |id| directory.get(id).is_some());
         self.cold.retain(|id| directory.get(id).is_some());
         self.limits.retain(|id| directory.get(id).is_some());
         self.sessions.tidy(now);
--- a/sesamebeam_core/tests/gateway/choosing.rs
+++ b/sesamebeam_core/tests/gateway/choosing.rs
@@ -8,7 +8,11 @@
 use sesamebeam_core::gateway::{
     balance::Outcome,
     directory::Announcement,
-    request::PromptPart,
+    loads::LoadOf,
+    request::{
+        Load,
+        PromptPart, //
+    },
     router::{
         CANDIDATES,
         Choice,
@@ -105,6 +109,26 @@
     assert!(most <= 3 * mean, "{most}");
 }
 
+#[test]
+fn forgets_told_loads() {
+    // An entry is told of loads all day, of other backend servers each time. What it keeps
+    // is bounded by those of the last seconds, not by the fleet.
+    let mut router = entry("entry-1", 10_000);
+    for tick in 0..300u64 {
+        let of = |n: u64| server(((tick * 100 + n) % 10_000) as u32).id;
+        let load = Load {
+            running: 3,
+            waiting: 0,
+            slots: 10,
+        };
+        let told = (0..100).map(|n| LoadOf::new(&of(n), load)).collect();
+        let now = ms(1_000 + tick * 200);
+        router.told_loads(now, told, Vec::new());
+        router.tidy(now);
+    }
+    assert!(router.balanced() <= 3_500, "{}", router.balanced());
+}
+
 #[test]
 fn looks_further() {
     // One backend server of 3,000 is left that was not tried: it is found all the same.
