Tell entries of backend servers in messages of bounded size

Cause: an entry that lacks the directory was told of it in one message, 300 KB packed at 10,002 backend servers. On a link of 10 Mbit/s that requests use too, twice the size comes near the second after which a message that has not left ends its connection.

Change: 256 announcements a message.

Test: telling::bounded_messages at 300, 10,002 and 20,004 backend servers (failed before with 10,002 in one message).

--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -27,6 +27,7 @@
 };
 pub use group::Peers;
 
+pub use telling::MOST_IN_MESSAGE;
 use self::{
     announce::Confirming,
     calls::Waiting,
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -62,7 +62,12 @@
 
 /// Pause before another entry is asked for what this replica lacks: an answer takes
 /// a few round trips.
-const WANT_EVERY: Duration = Duration::from_millis(300);
+pub(super) const WANT_EVERY: Duration = Duration::from_millis(300);
+
+/// Most announcements in one message to entries: some 8 KB packed. Each connection keeps a
+/// buffer as large as its largest message, and a message that takes a second to leave, on
+/// a narrow link that requests use too, ends its connection.
+pub const MOST_IN_MESSAGE: usize = 256;
 
 /// What entries are to be told, and have said.
 #[derive(Debug, Default)]
@@ -347,9 +352,14 @@
         for (parts, lives) in of_servers {
             let all = self.directory.tell(self.now);
             let servers: Vec<_> = all.filter(|said| parts.has(&said.id)).collect();
-            if !servers.is_empty() {
-                self.push(Receivers::These(lives), ToEntry::Servers(servers));
-            }
+            self.push_servers(&Receivers::These(lives), servers);
+        }
+    }
+
+    /// Pushes announcements, no more in a message than [`MOST_IN_MESSAGE`].
+    fn push_servers(&mut self, to: &Receivers, servers: Vec<Announcement>) {
+        for servers in servers.chunks(MOST_IN_MESSAGE) {
+            self.push(to.clone(), ToEntry::Servers(servers.to_vec()));
         }
     }
 
@@ -369,10 +379,7 @@
 
     fn tell_fresh(&mut self) {
         let fresh = std::mem::take(&mut self.telling.fresh);
-        if !fresh.is_empty() {
-            let servers = ToEntry::Servers(fresh.into_values().collect());
-            self.push(self.telling.followers(), servers);
-        }
+        self.push_servers(&self.telling.followers(), fresh.into_values().collect());
     }
 
     /// Counts crashes and tells entries of requests that caused several.
--- a/sesamebeam_core/tests/gateway/telling.rs
+++ b/sesamebeam_core/tests/gateway/telling.rs
@@ -6,6 +6,7 @@
         Call,
         Coordinator,
         Event,
+        MOST_IN_MESSAGE,
         Receivers, //
     },
     directory::{
@@ -19,6 +20,7 @@
     },
     loads::LoadOf,
 };
+use yare::parameterized;
 
 use crate::make::{
     addr,
@@ -102,6 +104,24 @@
     assert!(core.directory().all().count() == usize::from(ENGINES));
 }
 
+#[parameterized(some = { 300 }, fleet = { 10_002 }, two_fleets = { 20_004 })]
+fn bounded_messages(servers: u16) {
+    // An entry that starts was told of all backend servers in one message. Each of 200
+    // connections of a replica kept a buffer as large, and on a narrow link the message
+    // took longer than any may.
+    let mut core = coordinator();
+    core.handle(ms(0), Event::Servers((0..servers).map(engine).collect()));
+    core.handle(ms(100), Event::Subscribed(1));
+    let actions = core.handle(ms(200), Event::Follows(1, Held::default()));
+    let told = pushes(&actions).into_iter().filter_map(|(_, m)| match m {
+        ToEntry::Servers(servers) => Some(servers.len()),
+        _ => None,
+    });
+    let told: Vec<usize> = told.collect();
+    assert_eq!(told.iter().sum::<usize>(), usize::from(servers));
+    assert!(told.iter().all(|n| *n <= MOST_IN_MESSAGE), "{told:?}");
+}
+
 #[test]
 fn told_what_it_lacks() {
     // An entry comes back that knows all backend servers but one. It is told of
