Spread the replicas that vote over failure domains

Cause: a process got a free place in the group in the order in which it asked. With one or two control instances in a failure domain that spread itself; with five in each of five domains, two of the five voters are any of the other 22. Three of one domain take the quorum with them when it is lost, and entries of a domain without a voter are told by another: found by reading, as the five replicas that serve the fleet showed by their memory.

Change: processes that ask say their failure domain, replicas say theirs when they compare digests. A process whose domain has no voter gets a free place at once; another one only if no domain that asks has fewer, once all had time to ask (0.6 s, two of their rounds). Considered: moving voters when a domain comes back (one change of membership more after each cut; two of five in one domain are borne).

Test: joining::spread_over_domains (before: both places to the domain that asks first); joining::one_domain_asks.

--- a/sesamebeam/src/group/join.rs
+++ b/sesamebeam/src/group/join.rs
@@ -164,6 +164,7 @@
             node: identity.node,
             incarnation: identity.incarnation,
             addr: settings.internal,
+            domain: settings.domain.clone(),
         },
     }
 }
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -7,6 +7,7 @@
 mod announce;
 mod calls;
 mod group;
+mod places;
 mod telling;
 mod trial;
 
@@ -31,6 +32,7 @@
 use self::{
     announce::Confirming,
     calls::Waiting,
+    places::Places,
     telling::Telling,
     trial::Trials, //
 };
@@ -286,6 +288,7 @@
     directory: Directory,
     telling: Telling,
     trials: Trials,
+    places: Places,
     waiting: BTreeMap<Ticket, Waiting>,
     confirming: BTreeMap<u64, Confirming>,
     next_ticket: u64,
@@ -317,6 +320,7 @@
             directory: Directory::default(),
             telling: Telling::default(),
             trials: Trials::default(),
+            places: Places::default(),
             waiting: BTreeMap::new(),
             confirming: BTreeMap::new(),
             next_ticket: 1,
@@ -421,7 +425,10 @@
                 self.step(ReplicaEvent::Message { from, message });
             }
             Between::Servers(servers) => self.take_announcements(servers),
-            Between::Digests { held, ask } => self.compared(from, &held, ask),
+            Between::Digests { held, domain, ask } => {
+                self.places.learn(from, domain);
+                self.compared(from, &held, ask);
+            }
             Between::Wants(parts) => self.tell_servers(from, parts),
             Between::Confirm { ticket, servers } => {
                 self.take_announcements(servers);
--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -125,6 +125,7 @@
     fn tell_digests(&mut self, to: NodeId, ask: bool) {
         let message = Between::Digests {
             held: self.directory.digests().clone(),
+            domain: self.cfg.domain.clone(),
             ask,
         };
         self.actions.push(Action::Send { to, message });
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -16,7 +16,10 @@
         Question,
         Reply, //
     },
-    ids::NodeId,
+    ids::{
+        DomainId,
+        NodeId, //
+    },
     message::control::ReplicaStatus,
     replica::{
         MemberChange,
@@ -126,8 +129,9 @@
                     node,
                     incarnation,
                     addr,
+                    domain,
                 },
-            ) => self.join(node, incarnation, addr),
+            ) => self.join(node, incarnation, addr, domain),
         };
         self.actions.push(Action::Reply(ticket, reply));
     }
@@ -200,7 +204,13 @@
     }
 
     /// Gives a process a place in the group, if there is one.
-    fn join(&mut self, node: NodeId, incarnation: u128, addr: SocketAddr) -> Reply {
+    fn join(
+        &mut self,
+        node: NodeId,
+        incarnation: u128,
+        addr: SocketAddr,
+        domain: DomainId,
+    ) -> Reply {
         let Some(replica) = self.replica.as_ref().filter(|_| self.leads()) else {
             return self.group_reply();
         };
@@ -214,6 +224,13 @@
             .find(|(_, m)| m.addr == addr)
             .map(|(&n, _)| n);
         let gone = same_place.or_else(|| self.silent_voter());
+        self.places.learn(replica.id(), self.cfg.domain.clone());
+        let (voters, is_free) = (self.voters(), gone.is_some() || self.lacks_voters());
+        let stay = voters.iter().filter(|&&node| Some(node) != gone);
+        if same_place.is_none() && !self.places.suits(self.now, &domain, is_free, stay) {
+            return self.group_reply();
+        }
+        self.places.learn(node, domain);
         let change = match gone {
             Some(gone) => MemberChange::Replace {
                 gone,
@@ -221,7 +238,7 @@
                 incarnation,
                 addr,
             },
-            None if self.voters().len() < self.wanted() => MemberChange::Add {
+            None if self.lacks_voters() => MemberChange::Add {
                 node,
                 incarnation,
                 addr,
@@ -268,6 +285,10 @@
         members.unwrap_or_default()
     }
 
+    fn lacks_voters(&self) -> bool {
+        self.voters().len() < self.wanted()
+    }
+
     /// Returns how many replicas should vote.
     fn wanted(&self) -> usize {
         2 * self.cfg.tolerated + 1
--- /dev/null
+++ b/sesamebeam_core/src/gateway/coordinator/places.rs
@@ -0,0 +1,66 @@
+//! Failure domains of the replicas that vote.
+//!
+//! The loss of a failure domain must leave a quorum, and entries are told by a replica of
+//! their own domain if one votes there. So a free place goes to a process of a domain with
+//! the fewest voters among those that ask.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use crate::ids::{
+    DomainId,
+    MonoTime,
+    NodeId, //
+};
+
+/// Time in which every process that wants a place has asked: two of its rounds.
+const ALL_ASK_IN: Duration = Duration::from_millis(600);
+
+/// What a replica knows of where others are.
+#[derive(Debug, Default)]
+pub(super) struct Places {
+    domains: BTreeMap<NodeId, DomainId>,
+    /// When a process of each failure domain last asked for a place.
+    asked: BTreeMap<DomainId, MonoTime>,
+    /// Since when there is a free place.
+    free_since: Option<MonoTime>,
+}
+
+impl Places {
+    /// Notes the failure domain of a replica.
+    pub(super) fn learn(&mut self, node: NodeId, domain: DomainId) {
+        self.domains.insert(node, domain);
+    }
+
+    /// Returns whether a process may get the free place, if there is one, beside those that
+    /// vote and stay.
+    pub(super) fn suits<'a>(
+        &mut self,
+        now: MonoTime,
+        domain: &DomainId,
+        is_free: bool,
+        stay: impl Iterator<Item = &'a NodeId>,
+    ) -> bool {
+        self.asked.insert(domain.clone(), now);
+        self.asked.retain(|_, at| now < *at + ALL_ASK_IN);
+        if !is_free {
+            self.free_since = None;
+            return false;
+        }
+        let since = *self.free_since.get_or_insert(now);
+        let mut voters: BTreeMap<&DomainId, usize> = BTreeMap::new();
+        for domain in stay.filter_map(|node| self.domains.get(node)) {
+            *voters.entry(domain).or_default() += 1;
+        }
+        let count = |domain| voters.get(domain).copied().unwrap_or_default();
+        let fewest = self.asked.keys().map(count).min().unwrap_or_default();
+        let own = count(domain);
+        let suits = own == 0 || own == fewest && now >= since + ALL_ASK_IN;
+        if suits {
+            self.free_since = None;
+        }
+        suits
+    }
+}
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -340,6 +340,8 @@
     Digests {
         /// Of each part.
         held: Digests,
+        /// Failure domain of the sender.
+        domain: DomainId,
         /// Whether the receiver says the same of itself if it holds anything else.
         ask: bool,
     },
@@ -405,6 +407,8 @@
         incarnation: u128,
         /// Where it listens.
         addr: ProcessAddr,
+        /// Its failure domain.
+        domain: DomainId,
     },
     /// No question: the leader tells of the group.
     Told {
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -4,7 +4,8 @@
     gateway::{
         coordinator::{
             Answer,
-            Call, //
+            Call,
+            Event, //
         },
         feed::{
             Question,
@@ -45,6 +46,7 @@
                 node,
                 incarnation: u128::from(node),
                 addr: listens(at),
+                domain: format!("hall-{at}").into(),
             },
         );
         group.run(250);
@@ -102,6 +104,7 @@
         node: 8,
         incarnation: 8,
         addr: listens(8),
+        domain: "hall-8".into(),
     };
     group.boot(8, Members::default(), Saved::default());
     let reply = group.question(leader, question.clone());
@@ -132,6 +135,74 @@
     assert!(group.now > ms(0));
 }
 
+/// Has processes ask for a place, each again after 300 ms, until there are five voters.
+fn ask_in_turn(group: &mut Group, asking: &[(NodeId, &str)]) {
+    for &(node, _) in asking {
+        group.boot(node, Members::default(), Saved::default());
+    }
+    for round in 0..20 {
+        for &(node, domain) in asking {
+            let leader = group.new_leader(None);
+            let question = Question::Join {
+                node,
+                incarnation: u128::from(node),
+                addr: listens(node),
+                domain: domain.into(),
+            };
+            group.question(leader, question);
+            group.run(300 / asking.len() as u64);
+        }
+        let leader = group.new_leader(None);
+        if group.processes[&leader].core.peers().addrs().len() == 5 {
+            return;
+        }
+        assert!(round < 19, "no five voters");
+    }
+}
+
+/// Returns the processes, of those that asked, that have a place.
+fn placed(group: &Group, asking: &[(NodeId, &str)]) -> Vec<NodeId> {
+    let asked = asking.iter().map(|&(node, _)| node);
+    asked
+        .filter(|node| group.processes[node].core.is_member())
+        .collect()
+}
+
+#[test]
+fn spread_over_domains() {
+    // Two places are free in a group of three failure domains, and the first to ask are of
+    // one of these. Had they got them, the loss of that one would have taken the quorum.
+    let mut group = Group::start(3, 2);
+    group.new_leader(None);
+    for (from, to) in (1..=3).flat_map(|a| (1..=3).map(move |b| (a, b))) {
+        if from != to {
+            group.event(from, Event::Reached(to));
+        }
+    }
+    group.run(100);
+    let asking = [
+        (10, "hall-1"),
+        (11, "hall-1"),
+        (12, "hall-1"),
+        (14, "hall-4"),
+        (15, "hall-5"),
+    ];
+    ask_in_turn(&mut group, &asking);
+    group.run(1_000);
+    assert_eq!(placed(&group, &asking), [14, 15]);
+}
+
+#[test]
+fn one_domain_asks() {
+    // Nobody else wants the free places: they are filled all the same.
+    let mut group = Group::start(3, 2);
+    group.new_leader(None);
+    let asking = [(10, "hall-1"), (11, "hall-1")];
+    ask_in_turn(&mut group, &asking);
+    group.run(1_000);
+    assert_eq!(placed(&group, &asking), [10, 11]);
+}
+
 #[test]
 fn replaced_while_away() {
     // A replica is away for so long that a process in reserve gets its place.
