Ask only the leader for a place in the group

Cause: of 25 control instances five vote, by the losses to be borne; the other 20 wait in reserve and asked every replica and seed three times a second, each time on a connection of its own: 20 x 7 x 3.3, some 460 connections a second at the five that serve the fleet, and twice as many at twice the size.

Change: once a replica has answered that it leads, it alone is asked, until it does not lead or answer any more.

Test: joining::reserves_ask_the_leader counts questions of 2, 20 and 45 reserves (by the rule before, 8 each in every round).

--- a/sesamebeam/src/group/join.rs
+++ b/sesamebeam/src/group/join.rs
@@ -9,6 +9,7 @@
 use sesamebeam_core::{
     gateway::{
         coordinator::Event,
+        enquiry::Enquiry,
         feed::{
             Hello,
             Question,
@@ -107,6 +108,7 @@
 ) {
     let mut known: BTreeSet<SocketAddr> = BTreeSet::new();
     let mut unsettled = 0;
+    let mut enquiry = Enquiry::default();
     while !halt.is_cancelled() {
         sleep(ASK_EVERY).await;
         let now = place.borrow().clone();
@@ -119,9 +121,12 @@
         let mut asked = seeds_of(&settings, &seeds.borrow());
         asked.extend(known.iter().copied());
         asked.remove(&settings.internal);
+        let asked = enquiry.targets(asked);
         let question = question(&settings, &now);
         let replies = asked.iter().map(|&addr| ask(addr, question.clone()));
-        for reply in futures::future::join_all(replies).await {
+        let replies = futures::future::join_all(replies).await;
+        for (addr, reply) in asked.into_iter().zip(replies) {
+            enquiry.answered(addr, reply.as_ref().ok().map(leads));
             match reply {
                 Ok(reply) => take(reply, &now, unsettled, &mut known, &tx),
                 Err(e) => log::debug!(error:% = e; "question about the group not answered"),
@@ -169,6 +174,10 @@
     }
 }
 
+fn leads(reply: &Reply) -> bool {
+    matches!(reply, Reply::Group { leads: true, .. })
+}
+
 fn take(
     reply: Reply,
     place: &Place,
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod crashes;
 pub mod digests;
 pub mod directory;
+pub mod enquiry;
 pub mod entries;
 pub mod feed;
 mod lengths;
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -1,5 +1,7 @@
 //! Replicas that are lost for good, and those that take their places.
 
+use std::collections::BTreeSet;
+
 use sesamebeam_core::{
     gateway::{
         coordinator::{
@@ -7,6 +9,7 @@
             Call,
             Event, //
         },
+        enquiry::Enquiry,
         feed::{
             Question,
             Reply, //
@@ -20,6 +23,8 @@
     },
 };
 
+use yare::parameterized;
+
 use crate::{
     group::{
         Group,
@@ -192,6 +197,32 @@
     assert_eq!(placed(&group, &asking), [14, 15]);
 }
 
+#[parameterized(two = { 2 }, fleet = { 20 }, two_fleets = { 45 })]
+fn reserves_ask_the_leader(reserves: usize) {
+    // Each process in reserve asked every replica and seed three times a second for as long
+    // as it ran: 460 connections a second with 25 control instances.
+    let replicas: BTreeSet<_> = (1..=8).map(listens).collect();
+    let mut enquiries = vec![Enquiry::default(); reserves];
+    let mut round = |leader: Option<NodeId>| {
+        let mut asked = 0;
+        for enquiry in &mut enquiries {
+            for addr in enquiry.targets(replicas.clone()) {
+                asked += 1;
+                let is_up = leader != Some(1) || addr != listens(2);
+                let leads = leader.map(|node| addr == listens(node));
+                enquiry.answered(addr, leads.filter(|_| is_up));
+            }
+        }
+        asked
+    };
+    assert_eq!(round(Some(2)), 8 * reserves);
+    assert_eq!(round(Some(2)), reserves);
+    // The leader is lost, and another one is found.
+    assert_eq!(round(Some(1)), reserves);
+    assert_eq!(round(Some(1)), 8 * reserves);
+    assert_eq!(round(Some(1)), reserves);
+}
+
 #[test]
 fn one_domain_asks() {
     // Nobody else wants the free places: they are filled all the same.
