Have processes in reserve send callers to the leader

Cause: five of 25 control instances are members of the group. Another one answered every operator, and every backend server that leaves, that nothing can be said now; the caller tried the next one with a growing pause. With the eight instances of the deployments before, three were in reserve, and most callers met a member first or second.

Change: the answers of the leader to a process that asks for a place tell it who leads; for a second it answers callers with that address (307 on the platform, where callers follow two). Before it was asked anything, and when the leader is silent, nothing changes.

Test: joining::reserve_names_the_leader (a call to a reserve was answered Unavailable, as it still is without an answer of a leader).

--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -190,6 +190,8 @@
     Called(Call, oneshot::Sender<Answer>),
     /// Replies to this process's own questions about the group.
     Learned(Vec<(NodeId, SocketAddr)>),
+    /// The process at this address says that it leads the group.
+    Leader(SocketAddr),
     /// A leader says that this process is no member.
     Removed,
     /// The group in which this process may ask for a place.
@@ -360,6 +362,7 @@
                 self.core.learn_peers(peers);
                 self.event(Event::Tick);
             }
+            Input::Leader(leader) => self.core.learn_leader(self.clock.now(), leader),
             Input::Group(group) => self.prepare(group)?,
             Input::Removed => self.give_up_place()?,
             Input::Disk(incarnation, notice) => self.disk_tells(incarnation, notice)?,
--- a/sesamebeam/src/group/join.rs
+++ b/sesamebeam/src/group/join.rs
@@ -126,7 +126,11 @@
         let replies = asked.iter().map(|&addr| ask(addr, question.clone()));
         let replies = futures::future::join_all(replies).await;
         for (addr, reply) in asked.into_iter().zip(replies) {
-            enquiry.answered(addr, reply.as_ref().ok().map(leads));
+            let leads = reply.as_ref().ok().map(leads);
+            enquiry.answered(addr, leads);
+            if leads == Some(true) {
+                let _ = tx.send(Input::Leader(addr));
+            }
             match reply {
                 Ok(reply) => take(reply, &now, unsettled, &mut known, &tx),
                 Err(e) => log::debug!(error:% = e; "question about the group not answered"),
--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -210,9 +210,10 @@
     }
 
     fn confirm(&mut self, ticket: Ticket, said: Announcement) {
+        // Others do not confirm anything to a process that is no member.
         if !self.peers.is_member() {
-            self.actions
-                .push(Action::Answer(ticket, Answer::Unavailable));
+            let answer = self.elsewhere();
+            self.actions.push(Action::Answer(ticket, answer));
             return;
         }
         let wanted = self.peers.count() / 2;
--- a/sesamebeam_core/src/gateway/coordinator/calls.rs
+++ b/sesamebeam_core/src/gateway/coordinator/calls.rs
@@ -245,7 +245,8 @@
         false
     }
 
-    fn elsewhere(&self) -> Answer {
+    /// Returns what a caller is told whose call only the leader can take.
+    pub(super) fn elsewhere(&self) -> Answer {
         match self.leader_addr() {
             Some(addr) if addr != self.cfg.addr => Answer::Leader(addr),
             _ => Answer::Unavailable,
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -18,6 +18,7 @@
     },
     ids::{
         DomainId,
+        MonoTime,
         NodeId, //
     },
     message::control::ReplicaStatus,
@@ -42,6 +43,10 @@
 /// give a recovery. Each time costs the leader one connection to each such seed.
 const TELL_SEEDS_EVERY: Duration = Duration::from_millis(500);
 
+/// Time for which a process in reserve sends callers to the leader that it asked last: a
+/// few of its rounds of questions, within which a lost leader has a successor.
+const LEADER_KNOWN_FOR: Duration = Duration::from_millis(1000);
+
 /// Replicas of a group with their addresses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Peers {
@@ -98,6 +103,11 @@
         }
     }
 
+    /// Takes which process leads the group, as that one has answered itself.
+    pub fn learn_leader(&mut self, now: MonoTime, leader: SocketAddr) {
+        self.told_leader = Some((leader, now));
+    }
+
     /// Returns this process's number, if it has one.
     pub fn id(&self) -> Option<NodeId> {
         self.replica.as_ref().map(Replica::id)
@@ -153,10 +163,14 @@
         }
     }
 
-    /// Returns where the leader listens.
+    /// Returns where the leader listens. A process in reserve knows it from its answers.
     pub(super) fn leader_addr(&self) -> Option<SocketAddr> {
-        let replica = self.replica.as_ref()?;
-        self.peers.addr(replica.leader()?)
+        if self.is_member() {
+            let replica = self.replica.as_ref()?;
+            return self.peers.addr(replica.leader()?);
+        }
+        let (leader, at) = self.told_leader?;
+        (self.now < at + LEADER_KNOWN_FOR).then_some(leader)
     }
 
     /// Tells seeds without a place who is in the group.
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -9,6 +9,10 @@
             Call,
             Event, //
         },
+        directory::{
+            Announcement,
+            ServerState, //
+        },
         enquiry::Enquiry,
         feed::{
             Question,
@@ -30,9 +34,20 @@
         Group,
         listens, //
     },
-    make::ms,
+    make::{
+        announcement,
+        leave,
+        ms, //
+    },
 };
 
+fn draining() -> Announcement {
+    Announcement {
+        state: ServerState::Draining,
+        ..announcement(7)
+    }
+}
+
 fn apply(version: u64) -> Call {
     Call::Apply(Document {
         version,
@@ -197,6 +212,28 @@
     assert_eq!(placed(&group, &asking), [14, 15]);
 }
 
+#[parameterized(
+    new_config = { apply(3) },
+    config_read = { Call::ReadConfig },
+    leaves = { leave("server-7") },
+    drains = { Call::Announce(draining()) },
+)]
+fn reserve_names_the_leader(call: Call) {
+    // Of 25 control instances 20 are in reserve. Each answered that nothing can be said now,
+    // so that an operator and a backend server that leaves tried five before one took it.
+    let mut group = Group::start(3, 1);
+    let leader = group.new_leader(None);
+    group.boot(8, Members::default(), Saved::default());
+    assert_eq!(group.ask(8, call.clone()), Answer::Unavailable);
+    let now = group.now;
+    let reserve = group.processes.get_mut(&8).expect("it runs");
+    reserve.core.learn_leader(now, listens(leader));
+    assert_eq!(group.ask(8, call.clone()), Answer::Leader(listens(leader)));
+    // It was not told for long: there may be another leader by now.
+    group.run(1_500);
+    assert_eq!(group.ask(8, call), Answer::Unavailable);
+}
+
 #[parameterized(two = { 2 }, fleet = { 20 }, two_fleets = { 45 })]
 fn reserves_ask_the_leader(reserves: usize) {
     // Each process in reserve asked every replica and seed three times a second for as long
