Have processes in reserve tell what they heard at a new connection

Cause: since replicas compare digests at a new connection, members would ask a process in reserve for what they lack, to which they have no connection: what was announced to it a moment before its connections stood would be lost for good.

Change: a process without a place tells the backend servers that it knows, which are those that announced themselves to it; members compare digests as before. The test's group has connections to members alone now, as there are.

Test: orders::reserve_tells_what_it_heard (failed before the change).

--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -73,9 +73,14 @@
     /// What was announced here while there was no connection went nowhere, and is
     /// no news when it is announced again. After all processes had been started
     /// anew, 20 of 78 engines stood unused for good: the replica that they had
-    /// reported to was a moment ahead of its connections.
+    /// reported to was a moment ahead of its connections. A process in reserve tells all
+    /// that it knows, which is what it was told itself: members have no connection to it.
     pub(super) fn compare_servers(&mut self, to: NodeId) {
-        self.tell_digests(to, true);
+        if self.peers.is_member() {
+            self.tell_digests(to, true);
+        } else {
+            self.tell_servers(to, Parts::ALL);
+        }
     }
 
     /// Takes what another replica holds, and asks it for what this one lacks.
--- a/sesamebeam_core/src/gateway/digests.rs
+++ b/sesamebeam_core/src/gateway/digests.rs
@@ -28,6 +28,9 @@
 pub struct Parts(u64);
 
 impl Parts {
+    /// All parts.
+    pub const ALL: Self = Self(u64::MAX);
+
     /// Returns whether there are none.
     pub fn is_empty(self) -> bool {
         self.0 == 0
--- a/sesamebeam_core/tests/gateway/group.rs
+++ b/sesamebeam_core/tests/gateway/group.rs
@@ -138,10 +138,14 @@
 
     /// Starts a process with what its disk holds.
     pub(crate) fn boot(&mut self, node: NodeId, members: Members, disk: Saved) {
+        let known = self.processes.values().map(|p| p.core.peers());
+        let known: Vec<_> = known.flat_map(|peers| peers.all()).collect();
         self.start_empty(node);
         let now = self.now;
         let process = self.processes.get_mut(&node).expect("it was started");
         process.disk = disk.clone();
+        // Whoever it asks for a place tells it of the members.
+        process.core.learn_peers(known);
         let actions = process.core.start(replica(node, members), disk, now);
         self.carry(node, actions);
     }
@@ -302,9 +306,16 @@
         }
     }
 
+    fn connects(&self, node: NodeId, to: NodeId) -> bool {
+        let process = self.processes.get(&node);
+        process.is_some_and(|p| p.core.peers().addr(to).is_some())
+    }
+
     fn carry(&mut self, node: NodeId, actions: Vec<Action>) {
         for action in actions {
             match action {
+                // There are connections to members of the group alone.
+                Action::Send { to, .. } if !self.connects(node, to) => {}
                 Action::Send { to, message } => {
                     self.mail.push_back((self.now + HOP, node, to, message));
                 }
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -383,6 +383,23 @@
     assert!(told <= 2 * usize::from(SERVERS), "{told}");
 }
 
+#[test]
+fn reserve_tells_what_it_heard() {
+    // A backend server announces itself to a process in reserve that has no connection yet.
+    // Members have none to that process, and cannot ask it.
+    let mut group = Group::start(3, 1);
+    group.new_leader(None);
+    group.boot(8, Members::default(), Saved::default());
+    group.isolate(8);
+    assert_eq!(group.ask(8, Call::Announce(announcement(5))), Answer::Done);
+    group.run(100);
+    group.heal();
+    group.event(8, Event::Reached(2));
+    group.run(1_000);
+    let known = group.processes[&2].core.directory();
+    assert!(known.get("server-5").is_some());
+}
+
 #[test]
 fn differing_is_made_up() {
     // Each replica knows a backend server of its own as connections come: each learns of all.
