--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -10,7 +10,9 @@
 mod links;
 mod notes;
 mod peer;
+mod place;
 pub mod roster;
+mod subscribers;
 
 use std::{
     collections::HashMap,
@@ -35,8 +37,7 @@
             CoordinatorConfig,
             EntryLife,
             Event,
-            Peers,
-            Receivers, //
+            Peers, //
         },
         directory::Announcement,
         feed::{
@@ -51,21 +52,14 @@
         DomainId,
         NodeId, //
     },
-    replica::{
-        Members,
-        ReplicaConfig,
-        Saved,
-        Ticket, //
-    },
+    replica::Ticket,
 };
 use thiserror::Error;
 use tokio::{
     sync::{
         mpsc::{
-            Sender,
             UnboundedReceiver,
             UnboundedSender,
-            error::TrySendError,
             unbounded_channel, //
         },
         oneshot, watch,
@@ -81,55 +75,22 @@
 use self::{
     clock::Clock,
     join::Place,
-    peer::PeerSender, //
+    peer::PeerSender,
+    subscribers::{
+        EntryLink,
+        Subscribers, //
+    },
 };
 use crate::{
     control::disk_thread::{
         DiskNotice,
         DiskThread, //
     },
-    disk::{
-        Disk,
-        DiskError,
-        Identity, //
-    },
-    exposition::{
-        Exposition,
-        Level,
-        Way, //
-    },
-    frames,
+    disk::DiskError,
+    exposition::Exposition,
     listen::ListenError,
 };
 
-/// Pause between two heartbeats of a leader. A sixth of the election time-out,
-/// so that lost packets do not end a leadership.
-const HEARTBEAT: Duration = Duration::from_millis(60);
-
-/// Shortest election time-out. A new leader and its first entry within a second
-/// of the loss; three times the pause of an instance whose share of a processor
-/// is used up until the next tenth of a second.
-const ELECTION: Duration = Duration::from_millis(350);
-
-/// Leader lease: two heartbeats and a round trip. After a loss of all power nobody
-/// votes until it is over, counted from its own start, since it may have promised
-/// it: with 280 ms a leader stood 0.3 s after a quorum of the replicas did.
-const LEASE: Duration = Duration::from_millis(150);
-
-/// Most that clocks' rates differ from true time.
-const DRIFT: f64 = 0.01;
-
-/// Most bytes of entries in one message or write; a configuration of 4 MiB
-/// still goes as one.
-const MAX_BATCH: usize = 1 << 20;
-
-/// Bytes in a part of a snapshot.
-const SNAPSHOT_CHUNK: usize = 256 << 10;
-
-/// Entries between snapshots. Configurations are some kilobytes, so that the
-/// log stays within a few megabytes of a disk of 128.
-const SNAPSHOT_EVERY: u64 = 200;
-
 /// Longest time for an answer to a caller, who asks another replica after a
 /// second.
 const PATIENCE: Duration = Duration::from_millis(800);
@@ -200,30 +161,6 @@
     Disk(Incarnation, DiskNotice),
 }
 
-/// A connection of an entry.
-#[derive(Debug)]
-struct EntryLink {
-    /// Tells it from others of the same entry: one that has lost its path ends
-    /// seconds after the entry has made another.
-    number: u64,
-    tx: Sender<Bytes>,
-}
-
-impl EntryLink {
-    fn new(tx: Sender<Bytes>) -> Self {
-        let number = rand::random();
-        Self { number, tx }
-    }
-
-    /// Hands it a message and returns whether it keeps up.
-    fn push(&self, message: &Bytes) -> bool {
-        !matches!(
-            self.tx.try_send(message.clone()),
-            Err(TrySendError::Full(_))
-        )
-    }
-}
-
 /// Incarnation of a data folder.
 type Incarnation = u128;
 
@@ -240,7 +177,7 @@
     folder: PathBuf,
     tx: Inputs,
     senders: HashMap<NodeId, PeerSender>,
-    entries: HashMap<EntryLife, EntryLink>,
+    entries: Subscribers,
     /// Message that says what this replica holds.
     alive: watch::Sender<Bytes>,
     /// Backend servers to be kept on the disk.
@@ -286,7 +223,7 @@
         folder: PathBuf::new(),
         tx: tx.clone(),
         senders: HashMap::new(),
-        entries: HashMap::new(),
+        entries: Subscribers::new(Arc::clone(&meters)),
         alive,
         roster,
         questions: HashMap::new(),
@@ -338,13 +275,11 @@
         match input {
             Input::Event(event) => self.event(event),
             Input::Entry(life, link) => {
-                self.entries.insert(life, link);
+                self.entries.connected(life, link);
                 self.event(Event::Subscribed(life));
             }
             Input::EntryLost(life, number) => {
-                let is_last = |link: &EntryLink| link.number == number;
-                if self.entries.get(&life).is_none_or(is_last) {
-                    self.entries.remove(&life);
+                if self.entries.ended(life, number) {
                     self.event(Event::Unsubscribed(life));
                 }
             }
@@ -371,36 +306,6 @@
         Ok(())
     }
 
-    /// Takes what the disk in use tells. One of a place before may answer late;
-    /// its writes have the numbers of others now.
-    fn disk_tells(
-        &mut self,
-        incarnation: Incarnation,
-        notice: DiskNotice,
-    ) -> Result<(), GroupError> {
-        if self.disk.as_ref().is_none_or(|(i, _)| *i != incarnation) {
-            return Ok(());
-        }
-        match notice {
-            DiskNotice::Synced(write) => self.event(Event::Synced(write)),
-            DiskNotice::Full(full) => self.event(Event::DiskFull(full)),
-            DiskNotice::Failed(e) => return Err(e.into()),
-        }
-        Ok(())
-    }
-
-    /// Starts over, as the group has given this replica's place to another.
-    fn give_up_place(&mut self) -> Result<(), GroupError> {
-        if self.disk.take().is_none() {
-            return Ok(());
-        }
-        log::warn!(folder:% = self.folder.display(); "place in the group given up");
-        folder::give_up(&self.folder)?;
-        self.core.leave();
-        self.place.send_replace(Place::default());
-        Ok(())
-    }
-
     fn event(&mut self, event: Event) {
         // The clock is read here, after every wait: a replica that was
         // suspended must not act on a lease that ended meanwhile.
@@ -430,7 +335,7 @@
                         let _ = back.send(answer);
                     }
                 }
-                Action::Push(to, message) => self.push(to, &message),
+                Action::Push(to, message) => self.entries.push(&to, &message),
                 Action::Holds(summary) => self.hold(summary),
                 Action::KeepServers(servers) => {
                     self.roster.send_replace(servers.into());
@@ -447,34 +352,6 @@
         }
     }
 
-    /// Hands a message to the connections of entries. One that does not keep up
-    /// is cut, and told what it lacks when it comes back.
-    fn push(&mut self, to: Receivers, message: &ToEntry) {
-        let Some(bytes) = encode(message) else {
-            return;
-        };
-        let receivers = match &to {
-            Receivers::These(lives) => lives.len(),
-            Receivers::All => self.entries.len(),
-        };
-        self.meters
-            .message(Way::ToEntries, message.kind(), bytes.len(), receivers);
-        match to {
-            Receivers::These(lives) => {
-                for life in lives {
-                    if self
-                        .entries
-                        .get(&life)
-                        .is_some_and(|link| !link.push(&bytes))
-                    {
-                        self.entries.remove(&life);
-                    }
-                }
-            }
-            Receivers::All => self.entries.retain(|_, link| link.push(&bytes)),
-        }
-    }
-
     /// Learns the backend servers that the disk keeps.
     fn recall(&mut self) {
         match roster::read(&self.settings.data) {
@@ -488,7 +365,7 @@
 
     /// Has all entries told now and then what this replica holds.
     fn hold(&mut self, summary: Summary) {
-        if let Some(bytes) = encode(&ToEntry::Alive(summary)) {
+        if let Some(bytes) = subscribers::encode(&ToEntry::Alive(summary)) {
             self.alive.send_replace(bytes);
         }
     }
@@ -515,94 +392,12 @@
         }
     }
 
-    /// Opens the data folder, or makes it if this process is one of the first
-    /// replicas.
-    fn open(&mut self) -> Result<(), GroupError> {
-        if let Some(path) = folder::current(&self.settings.data) {
-            let (disk, saved) = Disk::open(&path)?;
-            self.folder = path;
-            return self.start(disk, saved, Members::default());
-        }
-        match join::first_group(&self.settings) {
-            Some((identity, members)) => self.make_folder(&identity, members),
-            None => Ok(()),
-        }
-    }
-
-    /// Makes a data folder for a place in a group that others have formed.
-    fn prepare(&mut self, group: u128) -> Result<(), GroupError> {
-        if self.disk.is_some() {
-            return Ok(());
-        }
-        let identity = Identity {
-            group,
-            node: rand::random(),
-            incarnation: rand::random(),
-        };
-        self.make_folder(&identity, Members::default())
-    }
-
-    fn make_folder(&mut self, identity: &Identity, members: Members) -> Result<(), GroupError> {
-        let path = folder::fresh(&self.settings.data);
-        Disk::create(&path, identity)?;
-        let (disk, saved) = Disk::open(&path)?;
-        self.folder = path;
-        self.start(disk, saved, members)
-    }
-
-    fn start(&mut self, disk: Disk, saved: Saved, members: Members) -> Result<(), GroupError> {
-        let identity = disk.identity();
-        let tx = self.tx.clone();
-        let incarnation = identity.incarnation;
-        let tell = move |notice| tx.send(Input::Disk(incarnation, notice)).is_ok();
-        let disk = DiskThread::start(disk, tell).map_err(GroupError::Thread)?;
-        self.disk = Some((incarnation, disk));
-        let cfg = replica_config(&identity, members);
-        let actions = self.core.start(cfg, saved, self.clock.now());
-        self.carry(actions);
-        self.place
-            .send_modify(|place| place.identity = Some(identity));
-        self.tell_place();
-        Ok(())
-    }
-
-    /// Tells the joining task how this process stands in the group.
-    fn tell_place(&self) {
-        let config = self.core.store().config();
-        self.meters
-            .set(Level::Config, config.map_or(0, |c| c.version));
-        self.meters.set(Level::Leads, u64::from(self.core.leads()));
-        self.meters.set(Level::Entries, self.entries.len() as u64);
-        let member = self.core.is_member();
-        let settled = member && self.core.knows_leader();
-        let known = self.core.peers().addrs();
-        self.place.send_if_modified(|place| {
-            let next = Place {
-                identity: place.identity,
-                settled,
-                had_place: place.had_place || member,
-                known,
-            };
-            let changed = next != *place;
-            *place = next;
-            changed
-        });
-    }
-
     fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         self.next_ticket
     }
 }
 
-/// Encodes a message for entries.
-fn encode(message: &ToEntry) -> Option<Bytes> {
-    let encoded = frames::encode(message);
-    encoded
-        .inspect_err(|e| log::error!(error:% = e; "message to entries has no encoding"))
-        .ok()
-}
-
 /// Returns where a process on the instance of a control address listens for
 /// others: the ports are the same on all instances.
 fn internal_of(settings: &GroupSettings, control: SocketAddr) -> SocketAddr {
@@ -613,22 +408,3 @@
 fn control_of(settings: &GroupSettings, internal: IpAddr) -> SocketAddr {
     SocketAddr::new(internal, settings.control.port())
 }
-
-fn replica_config(identity: &Identity, members: Members) -> ReplicaConfig {
-    ReplicaConfig {
-        id: identity.node,
-        group: identity.group,
-        incarnation: identity.incarnation,
-        members,
-        heartbeat: HEARTBEAT,
-        election: ELECTION,
-        lease: LEASE,
-        drift: DRIFT,
-        max_batch_bytes: MAX_BATCH,
-        snapshot_every: SNAPSHOT_EVERY,
-        snapshot_chunk: SNAPSHOT_CHUNK,
-        eager: true,
-        seed: rand::random(),
-        faults: Default::default(),
-    }
-}
--- a/sesamebeam/src/group/links.rs
+++ b/sesamebeam/src/group/links.rs
@@ -30,11 +30,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    EntryLink,
     GroupError,
     GroupSettings,
     Input,
-    Inputs, //
+    Inputs,
+    subscribers::EntryLink, //
 };
 use crate::{
     frames::{
