--- a/sesamebeam/src/group/notes.rs
+++ b/sesamebeam/src/group/notes.rs
@@ -38,8 +38,15 @@
             server:% = id, born = born, service:% = service, state:? = state, sequence = sequence;
             "backend server announced"
         ),
-        Note::Membership { joins, leaves } => {
-            log::info!(joins:? = joins, leaves:? = leaves; "membership changes");
+        Note::Membership {
+            joins,
+            leaves,
+            domains,
+        } => {
+            log::info!(
+                joins:? = joins, leaves:? = leaves, domains:? = domains;
+                "membership changes"
+            );
         }
         Note::Doubts(doubts) => log::info!(doubts:? = doubts; "backend servers doubted"),
         Note::Limits(limits) => log::info!(limits:? = limits; "backend servers limited"),
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -260,6 +260,8 @@
         joins: Option<NodeId>,
         /// Replica that leaves.
         leaves: Option<NodeId>,
+        /// Failure domains of replicas, as far as they are known here.
+        domains: BTreeMap<NodeId, DomainId>,
     },
     /// Limits of backend servers that have come, changed or ended.
     Limits(Vec<LimitOf>),
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -266,7 +266,11 @@
 
     fn change(&mut self, change: MemberChange, joins: Option<NodeId>, leaves: Option<NodeId>) {
         let ticket = self.own_ticket();
-        self.note(Note::Membership { joins, leaves });
+        self.note(Note::Membership {
+            joins,
+            leaves,
+            domains: self.places.domains().clone(),
+        });
         self.step(ReplicaEvent::Change { ticket, change });
     }
 
--- a/sesamebeam_core/src/gateway/coordinator/places.rs
+++ b/sesamebeam_core/src/gateway/coordinator/places.rs
@@ -34,6 +34,11 @@
         self.domains.insert(node, domain);
     }
 
+    /// Returns the failure domains that are known.
+    pub(super) fn domains(&self) -> &BTreeMap<NodeId, DomainId> {
+        &self.domains
+    }
+
     /// Returns whether a process may get the free place, if there is one, beside those that
     /// vote and stay.
     pub(super) fn suits<'a>(
