Leave out loads that change no choice where backend servers are idle

Cause: each load that any entry heard was told to every entry five times a second, up to 256 at once. With 617 requests a second at 9,702 engines they are all of one or two requests, which a choice passes over nobody for; the telling takes 4 to 10 KB a second of each entry.

Change: where the mean of what was heard is below a quarter of a request a backend server, loads up to two requests without a long prompt are not told. At the deployments before, with several requests at each engine, nothing changes.

Test: telling::idle_loads (fleet: 40 told before, none now; 4 requests at each: all told, as with few backend servers).

--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -48,7 +48,7 @@
 
 /// Requests by which that bound is higher, so that it means something where a
 /// backend server has hardly any.
-const LOAD_SPARE: f64 = 2.0;
+pub(super) const LOAD_SPARE: f64 = 2.0;
 
 /// How much more a waiting request says of the load than a running one: it
 /// holds up all that comes, where a running one only slows it.
@@ -283,7 +283,7 @@
 
     /// Takes the loads that the others should be told of, if it is time.
     pub fn take_heard(&mut self, now: MonoTime) -> Option<Vec<LoadOf>> {
-        self.heard.due(now)
+        self.heard.due(now, 0)
     }
 
     /// Returns when anything last came from a backend server.
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -149,6 +149,7 @@
     /// Follows a change of the membership.
     pub(super) fn members_changed(&mut self, members: &Members) {
         let own = self.replica.as_ref().map(|r| r.id());
+        self.places.retain(|node| members.get(node).is_some());
         let addr = |(&node, m): (&NodeId, &crate::replica::Member)| Some((node, m.addr?));
         let addrs = members.members.iter().filter_map(addr).collect();
         self.set_peers(Peers { own, addrs });
--- a/sesamebeam_core/src/gateway/coordinator/places.rs
+++ b/sesamebeam_core/src/gateway/coordinator/places.rs
@@ -34,6 +34,11 @@
         self.domains.insert(node, domain);
     }
 
+    /// Forgets replicas that are gone.
+    pub(super) fn retain(&mut self, known: impl Fn(NodeId) -> bool) {
+        self.domains.retain(|&node, _| known(node));
+    }
+
     /// Returns the failure domains that are known.
     pub(super) fn domains(&self) -> &BTreeMap<NodeId, DomainId> {
         &self.domains
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -246,7 +246,7 @@
             let unreached = ToEntry::Unreached(unreached.into_iter().collect());
             self.push(self.telling.followers(), unreached);
         }
-        if let Some(loads) = self.loads.due(self.now) {
+        if let Some(loads) = self.loads.due(self.now, self.directory.count()) {
             let waits = self.waits.means(self.now);
             let shares = self.shortages.shares(self.now);
             self.note_shares(&shares);
--- a/sesamebeam_core/src/gateway/loads.rs
+++ b/sesamebeam_core/src/gateway/loads.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    balance::LOAD_SPARE,
     directory::ServerId,
     request::Load, //
 };
@@ -32,6 +33,10 @@
 /// the rest stays below the 14 KB that an entry may receive.
 pub const MOST_TOLD: usize = 256;
 
+/// Mean number of requests at a backend server below which those with a few are like the
+/// others.
+const IDLE_MEAN: f64 = 0.25;
+
 /// Hash of a backend server's name. Two that share one pass for each other,
 /// which with 10,000 of them happens to one in a hundred.
 pub type ServerKey = u32;
@@ -107,7 +112,11 @@
     }
 
     /// Returns what is to be told now, if its time has come.
-    pub fn due(&mut self, now: MonoTime) -> Option<Vec<LoadOf>> {
+    ///
+    /// `among` is the number of backend servers, 0 if it is not known. Where these have
+    /// hardly any requests, loads up to [`LOAD_SPARE`] are left out: a choice passes over
+    /// none of them.
+    pub fn due(&mut self, now: MonoTime, among: usize) -> Option<Vec<LoadOf>> {
         if self.fresh.is_empty() || now < self.told_at + TELL_EVERY {
             return None;
         }
@@ -116,6 +125,10 @@
         let left =
             |(_, (load, until)): (_, (LoadOf, MonoTime))| load.reading(until.saturating_sub(now));
         let mut told: Vec<LoadOf> = fresh.map(left).collect();
+        let total: f64 = told.iter().map(|load| f64::from(load.total())).sum();
+        if total < IDLE_MEAN * among as f64 {
+            told.retain(|load| f64::from(load.total()) > LOAD_SPARE || load.reading > 0);
+        }
         told.sort_by_key(|load| (std::cmp::Reverse((load.reading, load.total())), load.server));
         told.truncate(MOST_TOLD);
         Some(told)
--- a/sesamebeam_core/tests/gateway/telling.rs
+++ b/sesamebeam_core/tests/gateway/telling.rs
@@ -19,6 +19,7 @@
         ToEntry, //
     },
     loads::LoadOf,
+    request::Load,
 };
 use yare::parameterized;
 
@@ -122,6 +123,39 @@
     assert!(told.iter().all(|n| *n <= MOST_IN_MESSAGE), "{told:?}");
 }
 
+#[parameterized(
+    few_servers = { 40, 2, 40 },
+    fleet = { 10_002, 2, 0 },
+    fleet_busy = { 10_002, 4, 40 },
+)]
+fn idle_loads(servers: u16, running: u32, expected: usize) {
+    // With 10,002 backend servers that have hardly any requests, every load that was heard
+    // went to every entry five times a second, and changed no choice.
+    let mut core = coordinator();
+    core.handle(ms(0), Event::Servers((0..servers).map(engine).collect()));
+    core.handle(ms(100), Event::Subscribed(1));
+    core.handle(ms(200), Event::Follows(1, Held::default()));
+    let load = |number| {
+        let load = Load {
+            running,
+            waiting: 0,
+            slots: 16,
+        };
+        LoadOf::new(&engine(number).id, load)
+    };
+    let report = Report {
+        loads: (0..40).map(load).collect(),
+        ..Report::default()
+    };
+    let mut actions = core.handle(ms(1_000), Event::Reported(report));
+    actions.extend(core.handle(ms(1_300), Event::Tick));
+    let told = pushes(&actions).into_iter().find_map(|(_, m)| match m {
+        ToEntry::Loads { loads, .. } => Some(loads.len()),
+        _ => None,
+    });
+    assert_eq!(told, Some(expected));
+}
+
 #[test]
 fn told_what_it_lacks() {
     // An entry comes back that knows all backend servers but one. It is told of
