--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -292,7 +292,7 @@
     trials: Trials,
     places: Places,
     /// Who leads, as a process without a place was told, and when.
-    told_leader: Option<(SocketAddr, MonoTime)>,
+    known_leader: Option<(SocketAddr, MonoTime)>,
     waiting: BTreeMap<Ticket, Waiting>,
     confirming: BTreeMap<u64, Confirming>,
     next_ticket: u64,
@@ -325,7 +325,7 @@
             telling: Telling::default(),
             trials: Trials::default(),
             places: Places::default(),
-            told_leader: None,
+            known_leader: None,
             waiting: BTreeMap::new(),
             confirming: BTreeMap::new(),
             next_ticket: 1,
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -105,7 +105,7 @@
 
     /// Takes which process leads the group, as that one has answered itself.
     pub fn learn_leader(&mut self, now: MonoTime, leader: SocketAddr) {
-        self.told_leader = Some((leader, now));
+        self.known_leader = Some((leader, now));
     }
 
     /// Returns this process's number, if it has one.
@@ -170,7 +170,7 @@
             let replica = self.replica.as_ref()?;
             return self.peers.addr(replica.leader()?);
         }
-        let (leader, at) = self.told_leader?;
+        let (leader, at) = self.known_leader?;
         (self.now < at + LEADER_KNOWN_FOR).then_some(leader)
     }
 
@@ -242,7 +242,7 @@
         self.places.learn(replica.id(), self.cfg.domain.clone());
         let (voters, is_free) = (self.voters(), gone.is_some() || self.lacks_voters());
         let stay = voters.iter().filter(|&&node| Some(node) != gone);
-        if same_place.is_none() && !self.places.suits(self.now, &domain, is_free, stay) {
+        if same_place.is_none() && !self.places.admits(self.now, &domain, is_free, stay) {
             return self.group_reply();
         }
         self.places.learn(node, domain);
--- a/sesamebeam_core/src/gateway/coordinator/places.rs
+++ b/sesamebeam_core/src/gateway/coordinator/places.rs
@@ -44,9 +44,9 @@
         &self.domains
     }
 
-    /// Returns whether a process may get the free place, if there is one, beside those that
-    /// vote and stay.
-    pub(super) fn suits<'a>(
+    /// Returns whether a process of a failure domain gets the free place, if there is one,
+    /// beside the voters that stay.
+    pub(super) fn admits<'a>(
         &mut self,
         now: MonoTime,
         domain: &DomainId,
@@ -67,10 +67,10 @@
         let count = |domain| voters.get(domain).copied().unwrap_or_default();
         let fewest = self.asked.keys().map(count).min().unwrap_or_default();
         let own = count(domain);
-        let suits = own == 0 || own == fewest && now >= since + ALL_ASK_IN;
-        if suits {
+        let admitted = own == 0 || own == fewest && now >= since + ALL_ASK_IN;
+        if admitted {
             self.free_since = None;
         }
-        suits
+        admitted
     }
 }
--- a/sesamebeam_core/tests/gateway/choosing.rs
+++ b/sesamebeam_core/tests/gateway/choosing.rs
@@ -73,8 +73,7 @@
     two_fleets = { 20_000, CANDIDATES },
 )]
 fn same_cost_in_a_fleet(servers: u32, most: usize) {
-    // A choice looked at all backend servers of a service: of 10,002, an entry with an
-    // eighth of a core took 24 ms for each send.
+    // A choice looked at all backend servers of a service.
     let mut router = entry("entry-1", servers);
     let requests = 0..200;
     let candidates = requests.map(|n| send(&mut router, &format!("r{n}"), Some(n)).candidates);
@@ -84,8 +83,7 @@
 
 #[test]
 fn entries_agree() {
-    // Each entry prefers the same backend server for a prompt, also one that has not
-    // heard of the newest ones: another would read the prompt anew.
+    // Entries that differ by a few backend servers sent one prompt to different ones.
     let (mut one, mut other) = (entry("entry-1", 3_000), entry("entry-2", 2_990));
     let agree = (0..300).filter(|n| {
         let id = format!("r{n}");
@@ -97,8 +95,7 @@
 
 #[parameterized(by_prompt = { true, 20 }, by_load = { false, 100 })]
 fn spreads(shares_prompts: bool, mean: u32) {
-    // Requests with prompts of their own go to all backend servers alike, those that share
-    // none to the ones of this failure domain: none gets three times the mean.
+    // Backend servers next to a gap in the key space got several times the mean.
     let mut router = entry("entry-1", 1_000);
     let mut sent: HashMap<_, u32> = HashMap::new();
     for n in 0..20_000u64 {
@@ -111,8 +108,7 @@
 
 #[test]
 fn forgets_told_loads() {
-    // An entry is told of loads all day, of other backend servers each time. What it keeps
-    // is bounded by those of the last seconds, not by the fleet.
+    // An entry that was told of other loads each time kept those of the whole fleet.
     let mut router = entry("entry-1", 10_000);
     for tick in 0..300u64 {
         let of = |n: u64| server(((tick * 100 + n) % 10_000) as u32).id;
@@ -131,7 +127,7 @@
 
 #[test]
 fn looks_further() {
-    // One backend server of 3,000 is left that was not tried: it is found all the same.
+    // The only one that was not tried is no candidate at first, and the request failed.
     let mut router = entry("entry-1", 3_000);
     let plan = router.admit(ms(1), &head("r")).expect("it is admitted");
     let tried: Vec<_> = (0..2_999).map(|n| server(n).id).collect();
--- a/sesamebeam_core/tests/gateway/directory.rs
+++ b/sesamebeam_core/tests/gateway/directory.rs
@@ -84,8 +84,7 @@
 
 #[test]
 fn same_cost_in_a_fleet() {
-    // A process that starts is told of all backend servers. Each was compared with all
-    // others: of 10,002, an entry took seconds to know them.
+    // Each announcement was compared with all backend servers that are known.
     let examined = |count: u32| {
         let mut directory = Directory::default();
         for number in 0..count {
@@ -98,7 +97,7 @@
 
 #[test]
 fn same_cost_of_forgetting() {
-    // More backend servers are replaced than ended lives are remembered.
+    // Each life that ended beyond the bound was searched for among all.
     let mut directory = Directory::default();
     for number in 0..20_000 {
         directory.take(ms(u64::from(number)), one_of_many(number), true);
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -190,8 +190,7 @@
 
 #[test]
 fn spread_over_domains() {
-    // Two places are free in a group of three failure domains, and the first to ask are of
-    // one of these. Had they got them, the loss of that one would have taken the quorum.
+    // The first to ask got the free places, and one failure domain held a quorum.
     let mut group = Group::start(3, 2);
     group.new_leader(None);
     for (from, to) in (1..=3).flat_map(|a| (1..=3).map(move |b| (a, b))) {
@@ -219,8 +218,7 @@
     drains = { Call::Announce(draining()) },
 )]
 fn reserve_names_the_leader(call: Call) {
-    // Of 25 control instances 20 are in reserve. Each answered that nothing can be said now,
-    // so that an operator and a backend server that leaves tried five before one took it.
+    // Callers of a process in reserve were sent away without a hint where to go.
     let mut group = Group::start(3, 1);
     let leader = group.new_leader(None);
     group.boot(8, Members::default(), Saved::default());
@@ -229,15 +227,14 @@
     let reserve = group.processes.get_mut(&8).expect("it runs");
     reserve.core.learn_leader(now, listens(leader));
     assert_eq!(group.ask(8, call.clone()), Answer::Leader(listens(leader)));
-    // It was not told for long: there may be another leader by now.
+    // There may be another leader by now.
     group.run(1_500);
     assert_eq!(group.ask(8, call), Answer::Unavailable);
 }
 
 #[parameterized(two = { 2 }, fleet = { 20 }, two_fleets = { 45 })]
 fn reserves_ask_the_leader(reserves: usize) {
-    // Each process in reserve asked every replica and seed three times a second for as long
-    // as it ran: 460 connections a second with 25 control instances.
+    // Each process in reserve asked every replica and seed in every round.
     let replicas: BTreeSet<_> = (1..=8).map(listens).collect();
     let mut enquiries = vec![Enquiry::default(); reserves];
     let mut round = |leader: Option<NodeId>| {
@@ -262,7 +259,7 @@
 
 #[test]
 fn one_domain_asks() {
-    // Nobody else wants the free places: they are filled all the same.
+    // Places that only one failure domain asks for must not stay free.
     let mut group = Group::start(3, 2);
     group.new_leader(None);
     let asking = [(10, "hall-1"), (11, "hall-1")];
--- a/sesamebeam_core/tests/gateway/orders.rs
+++ b/sesamebeam_core/tests/gateway/orders.rs
@@ -361,8 +361,7 @@
 
 #[parameterized(few = { 3 }, many = { 13 })]
 fn told_once_at_a_start(replicas: u64) {
-    // A replica that starts with an empty disk was told of all backend servers by each of
-    // the others: with 25 replicas and 10,002 backend servers 240,000 announcements.
+    // A replica that starts was told of all backend servers by each of the others.
     const SERVERS: u8 = 200;
     let mut group = Group::start(replicas, 1);
     group.new_leader(None);
@@ -385,8 +384,7 @@
 
 #[test]
 fn reserve_tells_what_it_heard() {
-    // A backend server announces itself to a process in reserve that has no connection yet.
-    // Members have none to that process, and cannot ask it.
+    // Members cannot ask a process in reserve for what was announced to it alone.
     let mut group = Group::start(3, 1);
     group.new_leader(None);
     group.boot(8, Members::default(), Saved::default());
@@ -402,7 +400,7 @@
 
 #[test]
 fn differing_is_made_up() {
-    // Each replica knows a backend server of its own as connections come: each learns of all.
+    // Each replica knows a backend server that the others lack when connections come.
     let mut group = Group::start(5, 1);
     group.new_leader(None);
     for node in 1..=5 {
--- a/sesamebeam_core/tests/gateway/telling.rs
+++ b/sesamebeam_core/tests/gateway/telling.rs
@@ -107,9 +107,7 @@
 
 #[parameterized(some = { 300 }, fleet = { 10_002 }, two_fleets = { 20_004 })]
 fn bounded_messages(servers: u16) {
-    // An entry that starts was told of all backend servers in one message. Each of 200
-    // connections of a replica kept a buffer as large, and on a narrow link the message
-    // took longer than any may.
+    // One message held all backend servers, and each connection a buffer for it.
     let mut core = coordinator();
     core.handle(ms(0), Event::Servers((0..servers).map(engine).collect()));
     core.handle(ms(100), Event::Subscribed(1));
@@ -129,8 +127,7 @@
     fleet_busy = { 10_002, 4, 40 },
 )]
 fn idle_loads(servers: u16, running: u32, expected: usize) {
-    // With 10,002 backend servers that have hardly any requests, every load that was heard
-    // went to every entry five times a second, and changed no choice.
+    // Loads that change no choice went to every entry.
     let mut core = coordinator();
     core.handle(ms(0), Event::Servers((0..servers).map(engine).collect()));
     core.handle(ms(100), Event::Subscribed(1));
