Count replicas that are being let in as placed

Change: what has a place is what votes and what is being let in, unless it is silent.

Test: joining::slow_to_join (before: both places to one domain).

--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -240,8 +240,8 @@
             .map(|(&n, _)| n);
         let gone = same_place.or_else(|| self.silent_voter());
         self.places.learn(replica.id(), self.cfg.domain.clone());
-        let (voters, is_free) = (self.voters(), gone.is_some() || self.lacks_voters());
-        let stay = voters.iter().filter(|&&node| Some(node) != gone);
+        let (placed, is_free) = (self.placed(), gone.is_some() || self.has_free_place());
+        let stay = placed.iter().filter(|&&node| Some(node) != gone);
         if same_place.is_none() && !self.places.admits(self.now, &domain, is_free, stay) {
             return self.group_reply();
         }
@@ -253,7 +253,7 @@
                 incarnation,
                 addr,
             },
-            None if self.lacks_voters() => MemberChange::Add {
+            None if self.has_free_place() => MemberChange::Add {
                 node,
                 incarnation,
                 addr,
@@ -304,8 +304,16 @@
         members.unwrap_or_default()
     }
 
-    fn lacks_voters(&self) -> bool {
-        self.voters().len() < self.wanted()
+    /// Returns the replicas that vote, and those that are being let in.
+    fn placed(&self) -> Vec<NodeId> {
+        let progress = self.replica.as_ref().map(|r| r.progress(self.now));
+        let placed = progress.into_iter().flatten();
+        let placed = placed.filter(|s| s.voter || s.silent <= SILENT_FOR);
+        placed.map(|s| s.node).collect()
+    }
+
+    fn has_free_place(&self) -> bool {
+        self.placed().len() < self.wanted()
     }
 
     /// Returns how many replicas should vote.
--- a/sesamebeam_core/src/gateway/coordinator/places.rs
+++ b/sesamebeam_core/src/gateway/coordinator/places.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns whether a process of a failure domain gets the free place, if there is one,
-    /// beside the voters that stay.
+    /// beside the replicas that stay.
     pub(super) fn admits<'a>(
         &mut self,
         now: MonoTime,
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -156,9 +156,12 @@
 }
 
 /// Has processes ask for a place, each again after 300 ms, until there are five voters.
-fn ask_in_turn(group: &mut Group, asking: &[(NodeId, &str)]) {
+/// They ask at once or spread over that time.
+fn ask(group: &mut Group, asking: &[(NodeId, &str)], at_once: bool) {
     for &(node, _) in asking {
-        group.boot(node, Members::default(), Saved::default());
+        if !group.processes.contains_key(&node) {
+            group.boot(node, Members::default(), Saved::default());
+        }
     }
     for round in 0..20 {
         for &(node, domain) in asking {
@@ -170,7 +173,12 @@
                 domain: domain.into(),
             };
             group.question(leader, question);
-            group.run(300 / asking.len() as u64);
+            if !at_once {
+                group.run(300 / asking.len() as u64);
+            }
+        }
+        if at_once {
+            group.run(300);
         }
         let leader = group.new_leader(None);
         if group.processes[&leader].core.peers().addrs().len() == 5 {
@@ -206,7 +214,7 @@
         (14, "hall-4"),
         (15, "hall-5"),
     ];
-    ask_in_turn(&mut group, &asking);
+    ask(&mut group, &asking, false);
     group.run(1_000);
     assert_eq!(placed(&group, &asking), [14, 15]);
 }
@@ -257,13 +265,36 @@
     assert_eq!(round(Some(1)), reserves);
 }
 
+#[test]
+fn slow_to_join() {
+    // While one process was let in, another of its domain was taken for the first.
+    let mut group = Group::start(3, 2);
+    let leader = group.new_leader(None);
+    group.run(100);
+    let asking = [(20, "hall-4"), (21, "hall-4"), (30, "hall-5")];
+    group.boot(20, Members::default(), Saved::default());
+    group.isolate(20);
+    let question = Question::Join {
+        node: 20,
+        incarnation: 20,
+        addr: listens(20),
+        domain: "hall-4".into(),
+    };
+    group.question(leader, question);
+    group.run(300);
+    group.heal();
+    ask(&mut group, &asking, true);
+    group.run(1_000);
+    assert_eq!(placed(&group, &asking), [20, 30]);
+}
+
 #[test]
 fn one_domain_asks() {
     // Places that only one failure domain asks for must not stay free.
     let mut group = Group::start(3, 2);
     group.new_leader(None);
     let asking = [(10, "hall-1"), (11, "hall-1")];
-    ask_in_turn(&mut group, &asking);
+    ask(&mut group, &asking, false);
     group.run(1_000);
     assert_eq!(placed(&group, &asking), [10, 11]);
 }
