Tell one difference without the rest of its part

Cause: directories were compared by digests of 64 parts, and a part that differs was told whole: 156 backend servers for one at 10,002, 313 at twice as many. While backend servers announce themselves, an entry asks some eleven times at its start (log of the fleet's first 12 s: 750 MB of backend servers to entries, the whole directory being 150 KB packed).

Change: of a part with more than eight backend servers in which the entry has something, the digests of its 64 sections go first, and the entry asks for those that differ. Parts and sections are ranges of the keys, so that telling some looks at these alone. Considered: as many parts as the directory needs (4 KB in each question at 10,002), and asking only once nothing changes (a release of backend servers one after the other would put it off for long).

Test: telling::one_missing, 300 to 20,004 backend servers: 20 or less told (156 before with 10,002).

--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -354,6 +354,14 @@
                 }
             }
             ToEntry::Servers(servers) => self.learn(addr, servers),
+            ToEntry::Details(details) => {
+                let router = gateway.router();
+                let sections = router.directory().differing_sections(&details);
+                drop(router);
+                if !sections.is_empty() {
+                    self.send(addr, FromEntry::LacksSections(sections));
+                }
+            }
             ToEntry::Wants(parts) => self.tell_servers(addr, parts),
             ToEntry::Loads {
                 loads,
@@ -415,8 +423,7 @@
         let servers: Vec<_> = {
             let now = self.gateway.now();
             let router = self.gateway.router();
-            let known = router.directory().tell(now);
-            known.filter(|said| parts.has(&said.id)).collect()
+            router.directory().tell_parts(now, parts).collect()
         };
         self.send(addr, FromEntry::Servers(servers));
     }
--- a/sesamebeam/src/group/links.rs
+++ b/sesamebeam/src/group/links.rs
@@ -145,6 +145,7 @@
                 FromEntry::Follow(held) => Event::Follows(life, held),
                 FromEntry::Unfollow => Event::Unfollows(life),
                 FromEntry::Lacks(held) => Event::Lacks(life, held),
+                FromEntry::LacksSections(sections) => Event::LacksSections(life, sections),
                 FromEntry::Servers(servers) => Event::Servers(servers),
                 FromEntry::Report(report) => Event::Reported(report),
                 FromEntry::Alive => continue,
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -39,6 +39,7 @@
 use super::{
     config::ServiceId,
     crashes::Crashes,
+    digests::Section,
     directory::{
         Announcement,
         Directory,
@@ -144,6 +145,8 @@
     Unfollows(EntryLife),
     /// An entry lacks something of what is known here.
     Lacks(EntryLife, Held),
+    /// An entry lacks what is known here of backend servers in these sections.
+    LacksSections(EntryLife, Vec<Section>),
     /// An entry tells of backend servers.
     Servers(Vec<Announcement>),
     /// An entry reports what it has seen.
@@ -378,6 +381,7 @@
             Event::Follows(life, held) => self.follow(life, held),
             Event::Unfollows(life) => self.unfollow(life),
             Event::Lacks(life, held) => self.lacks(life, held),
+            Event::LacksSections(life, sections) => self.lacks_sections(life, &sections),
             Event::Servers(servers) => self.take_announcements(servers),
             Event::Reported(report) => self.reported(report),
             Event::Asked(ticket, question) => self.asked(ticket, question),
--- a/sesamebeam_core/src/gateway/coordinator/announce.rs
+++ b/sesamebeam_core/src/gateway/coordinator/announce.rs
@@ -107,8 +107,7 @@
 
     /// Tells a replica of the backend servers in some parts of the directory.
     pub(super) fn tell_servers(&mut self, to: NodeId, parts: Parts) {
-        let all = self.directory.tell(self.now);
-        let servers: Vec<Announcement> = all.filter(|said| parts.has(&said.id)).collect();
+        let servers: Vec<Announcement> = self.directory.tell_parts(self.now, parts).collect();
         if !servers.is_empty() {
             let message = Between::Servers(servers);
             self.actions.push(Action::Send { to, message });
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -22,7 +22,8 @@
     gateway::{
         digests::{
             PARTS,
-            Parts, //
+            Parts,
+            Section, //
         },
         directory::{
             Announcement,
@@ -69,6 +70,10 @@
 /// a narrow link that requests use too, ends its connection.
 pub const MOST_IN_MESSAGE: usize = 256;
 
+/// Most backend servers of a part that are told without asking first which of its sections
+/// differ: as many bytes as the digests of these.
+const TOLD_WHOLE: usize = 8;
+
 /// What entries are to be told, and have said.
 #[derive(Debug, Default)]
 pub(super) struct Telling {
@@ -343,21 +348,43 @@
         let own = self.directory.digests().clone();
         let mut of_state: BTreeMap<bool, Vec<EntryLife>> = BTreeMap::new();
         let mut of_servers: BTreeMap<Parts, Vec<EntryLife>> = BTreeMap::new();
+        let mut of_details: BTreeMap<Parts, Vec<EntryLife>> = BTreeMap::new();
         for (life, held) in std::mem::take(&mut self.telling.lacking) {
             of_state.entry(config > held.config).or_default().push(life);
             let differing = own.differing(&held.servers);
-            of_servers.entry(differing).or_default().push(life);
-            self.want(life, differing, held.servers.filled());
+            let filled = held.servers.filled();
+            let detailed = self.detailed(differing, filled);
+            of_details.entry(detailed).or_default().push(life);
+            let whole = differing.without(detailed);
+            of_servers.entry(whole).or_default().push(life);
+            self.want(life, differing, filled);
         }
         for (with_config, lives) in of_state {
             let state = self.state(with_config);
             self.push(Receivers::These(lives), state);
         }
         for (parts, lives) in of_servers {
-            let all = self.directory.tell(self.now);
-            let servers: Vec<_> = all.filter(|said| parts.has(&said.id)).collect();
+            let servers = self.directory.tell_parts(self.now, parts).collect();
             self.push_servers(&Receivers::These(lives), servers);
         }
+        for (parts, lives) in of_details.into_iter().filter(|(p, _)| !p.is_empty()) {
+            let details = ToEntry::Details(self.directory.details(parts));
+            self.push(Receivers::These(lives), details);
+        }
+    }
+
+    /// Returns the parts, of those that differ, of which an entry is told the digests of
+    /// their sections first: it has something in them, and they hold many backend servers.
+    fn detailed(&self, differing: Parts, filled: Parts) -> Parts {
+        let large = |&n: &usize| self.directory.count_part(n) > TOLD_WHOLE;
+        let both = differing.numbers().filter(|&n| filled.has_part(n));
+        Parts::these(both.filter(large))
+    }
+
+    /// Tells an entry of the backend servers in some sections of the directory.
+    pub(super) fn lacks_sections(&mut self, life: EntryLife, sections: &[Section]) {
+        let servers = self.directory.tell_sections(self.now, sections).collect();
+        self.push_servers(&Receivers::These(vec![life]), servers);
     }
 
     /// Pushes announcements, no more in a message than [`MOST_IN_MESSAGE`].
--- a/sesamebeam_core/src/gateway/digests.rs
+++ b/sesamebeam_core/src/gateway/digests.rs
@@ -12,17 +12,97 @@
     Serialize, //
 };
 
-use super::directory::{
-    Indexed,
-    ServerId,
-    ServerState, //
+use super::{
+    directory::{
+        Indexed,
+        ServerId,
+        ServerState, //
+    },
+    loads::{
+        self,
+        ServerKey, //
+    },
 };
 use crate::policy::hash;
 
-/// Parts of a directory. One difference among 10,000 backend servers costs the
-/// 160 of its part, and the digests themselves 320 bytes.
+/// Parts of a directory, by the highest bits of the keys. The digests of all take 320
+/// bytes.
 pub const PARTS: usize = 64;
 
+/// Sections of a part, by the next bits.
+const SECTIONS: usize = 64;
+
+/// Bits of a key below those that tell its section.
+const SECTION_SHIFT: u32 = ServerKey::BITS - 12;
+
+/// A section of the directory, by its number among all.
+pub type Section = u16;
+
+/// Digests of the sections of one part, by which a difference between two large
+/// directories is told without the rest of its part.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartDetail {
+    /// Number of the part.
+    part: u8,
+    sections: Vec<u32>,
+}
+
+impl PartDetail {
+    /// Makes the digests of what belongs to a part.
+    pub(super) fn of(part: usize, servers: impl Iterator<Item = Indexed>) -> Self {
+        let mut sections = vec![0; SECTIONS];
+        for server in servers {
+            let at = usize::from(section(server.key())) % SECTIONS;
+            sections[at] ^= digest(&server);
+        }
+        Self {
+            part: part as u8,
+            sections,
+        }
+    }
+
+    /// Returns the number of the part; none if the sender has others.
+    pub(super) fn part(&self) -> Option<usize> {
+        let part = usize::from(self.part);
+        (part < PARTS && self.sections.len() == SECTIONS).then_some(part)
+    }
+
+    /// Iterates over the sections in which two differ.
+    pub(super) fn differing(&self, other: &Self) -> impl Iterator<Item = Section> {
+        let first = usize::from(self.part) * SECTIONS;
+        let pairs = self.sections.iter().zip(&other.sections).enumerate();
+        let differing = pairs.filter(|(_, (own, other))| own != other);
+        differing.map(move |(at, _)| (first + at) as Section)
+    }
+}
+
+/// Returns the first and the last key of a part.
+pub(super) fn keys_of_part(part: usize) -> (ServerKey, ServerKey) {
+    let first = (part as ServerKey) << (ServerKey::BITS - 6);
+    (first, first | (ServerKey::MAX >> 6))
+}
+
+/// Returns the first and the last key of a section.
+pub(super) fn keys_of_section(section: Section) -> (ServerKey, ServerKey) {
+    let first = ServerKey::from(section) << SECTION_SHIFT;
+    (first, first | (ServerKey::MAX >> 12))
+}
+
+fn section(key: ServerKey) -> Section {
+    (key >> SECTION_SHIFT) as Section
+}
+
+/// Returns the digest of one backend server. One that has left has none: one side may have
+/// forgotten it.
+fn digest(server: &Indexed) -> u32 {
+    if server.state == ServerState::Gone {
+        return 0;
+    }
+    let (life, state) = (&server.life, server.state as u8);
+    let held = format!("{} {} {state} {}", life.id, life.born, server.version);
+    hash::name(held.as_bytes()) as u32
+}
+
 /// Some parts of a directory.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Parts(u64);
@@ -36,9 +116,14 @@
         self.0 == 0
     }
 
+    /// Returns them without some others.
+    pub(super) fn without(self, others: Self) -> Self {
+        Self(self.0 & !others.0)
+    }
+
     /// Returns whether a backend server belongs to one of them.
     pub fn has(self, id: &ServerId) -> bool {
-        self.has_part(part(id))
+        self.has_part(part(loads::key(id)))
     }
 
     /// Returns whether a part is one of them, by its number.
@@ -46,6 +131,11 @@
         self.0 & (1 << number) != 0
     }
 
+    /// Iterates over the numbers of the parts.
+    pub(super) fn numbers(self) -> impl Iterator<Item = usize> {
+        (0..PARTS).filter(move |&n| self.has_part(n))
+    }
+
     /// Collects parts by their numbers.
     pub(super) fn these(numbers: impl Iterator<Item = usize>) -> Self {
         Self(numbers.fold(0, |parts, n| parts | (1 << n)))
@@ -63,14 +153,9 @@
 }
 
 impl Digests {
-    /// Adds a backend server, or takes it out again. One that has left is in none: one
-    /// side may have forgotten it.
+    /// Adds a backend server, or takes it out again.
     pub(super) fn toggle(&mut self, server: &Indexed) {
-        if server.state != ServerState::Gone {
-            let (life, state) = (&server.life, server.state as u8);
-            let held = format!("{} {} {state} {}", life.id, life.born, server.version);
-            self.0[part(&life.id)] ^= hash::name(held.as_bytes()) as u32;
-        }
+        self.0[part(server.key())] ^= digest(server);
     }
 
     /// Returns one digest of all.
@@ -92,6 +177,6 @@
     }
 }
 
-fn part(id: &ServerId) -> usize {
-    hash::name(id.as_bytes()) as usize % PARTS
+fn part(key: ServerKey) -> usize {
+    (key >> (ServerKey::BITS - 6)) as usize
 }
--- a/sesamebeam_core/src/gateway/directory.rs
+++ b/sesamebeam_core/src/gateway/directory.rs
@@ -26,7 +26,13 @@
 };
 use super::{
     config::ServiceId,
-    digests::Digests,
+    digests::{
+        self,
+        Digests,
+        PartDetail,
+        Parts,
+        Section, //
+    },
     loads::ServerKey, //
 };
 use crate::ids::{
@@ -198,10 +204,57 @@
 
     /// Iterates over the backend servers that share a key, mostly one.
     pub fn with_key(&self, key: ServerKey) -> impl Iterator<Item = &Known> {
-        let ids = self.index.with_key(key);
+        self.with_keys((key, key))
+    }
+
+    fn with_keys(&self, keys: (ServerKey, ServerKey)) -> impl Iterator<Item = &Known> {
+        let ids = self.index.with_keys(keys);
         ids.filter_map(|id| self.servers.get(id))
     }
 
+    /// Iterates over what others are told now of the backend servers in some parts, those
+    /// that have left included.
+    pub fn tell_parts(&self, now: MonoTime, parts: Parts) -> impl Iterator<Item = Announcement> {
+        let keys = parts.numbers().map(digests::keys_of_part);
+        let known = keys.flat_map(|keys| self.with_keys(keys));
+        known.map(move |known| known.tell(now))
+    }
+
+    /// Iterates over the same of some sections.
+    pub fn tell_sections<'a>(
+        &'a self,
+        now: MonoTime,
+        sections: &'a [Section],
+    ) -> impl Iterator<Item = Announcement> + 'a {
+        let keys = sections.iter().map(|&s| digests::keys_of_section(s));
+        let known = keys.flat_map(|keys| self.with_keys(keys));
+        known.map(move |known| known.tell(now))
+    }
+
+    /// Returns how many backend servers are in a part, those that have left included.
+    pub fn count_part(&self, part: usize) -> usize {
+        self.with_keys(digests::keys_of_part(part)).count()
+    }
+
+    /// Returns the digests of the sections of some parts.
+    pub fn details(&self, parts: Parts) -> Vec<PartDetail> {
+        parts.numbers().map(|part| self.detail(part)).collect()
+    }
+
+    /// Returns the sections in which another directory differs.
+    pub fn differing_sections(&self, details: &[PartDetail]) -> Vec<Section> {
+        let pairs = details.iter().filter_map(|theirs| {
+            let own = self.detail(theirs.part()?);
+            Some(own.differing(theirs).collect::<Vec<_>>())
+        });
+        pairs.flatten().collect()
+    }
+
+    fn detail(&self, part: usize) -> PartDetail {
+        let known = self.with_keys(digests::keys_of_part(part));
+        PartDetail::of(part, known.map(Indexed::of))
+    }
+
     /// Iterates over what others are told now of all, those that have left included.
     pub fn tell(&self, now: MonoTime) -> impl Iterator<Item = Announcement> + '_ {
         self.servers.values().map(move |known| known.tell(now))
--- a/sesamebeam_core/src/gateway/directory/index.rs
+++ b/sesamebeam_core/src/gateway/directory/index.rs
@@ -66,6 +66,10 @@
         }
     }
 
+    pub(in crate::gateway) fn key(&self) -> ServerKey {
+        self.key
+    }
+
     fn member(&self) -> (ServerKey, ServerId) {
         (self.key, self.life.id.clone())
     }
@@ -211,10 +215,13 @@
         self.at.get(&addr).map_or(&[], Vec::as_slice)
     }
 
-    /// Iterates over those that share a key.
-    pub(super) fn with_key(&self, key: ServerKey) -> impl Iterator<Item = &ServerId> {
-        let from = self.keys.range((key, ServerId::default())..);
-        from.take_while(move |(k, _)| *k == key).map(|(_, id)| id)
+    /// Iterates over those with a key from the first to the last one given.
+    pub(super) fn with_keys(
+        &self,
+        (first, last): (ServerKey, ServerKey),
+    ) -> impl Iterator<Item = &ServerId> {
+        let from = self.keys.range((first, ServerId::default())..);
+        from.take_while(move |(k, _)| *k <= last).map(|(_, id)| id)
     }
 
     /// Iterates over the groups of a service.
--- a/sesamebeam_core/src/gateway/feed.rs
+++ b/sesamebeam_core/src/gateway/feed.rs
@@ -27,7 +27,9 @@
     },
     digests::{
         Digests,
-        Parts, //
+        PartDetail,
+        Parts,
+        Section, //
     },
     directory::{
         Announcement,
@@ -94,6 +96,8 @@
     Unfollow,
     /// The sender holds this, less than the receiver has said to hold.
     Lacks(Held),
+    /// The sender lacks what the receiver knows of backend servers in these sections.
+    LacksSections(Vec<Section>),
     /// Backend servers that it knows, as the receiver has wanted.
     Servers(Vec<Announcement>),
     /// What it has seen since the last message.
@@ -109,6 +113,7 @@
             Self::Follow(_) => "follow",
             Self::Unfollow => "unfollow",
             Self::Lacks(_) => "lacks",
+            Self::LacksSections(_) => "lacks_sections",
             Self::Servers(_) => "servers",
             Self::Report(_) => "report",
             Self::Alive => "alive",
@@ -271,6 +276,8 @@
     },
     /// Backend servers that announced something new, or that the receiver lacks.
     Servers(Vec<Announcement>),
+    /// Digests of sections in parts in which the receiver differs.
+    Details(Vec<PartDetail>),
     /// The sender lacks what the receiver knows of backend servers in these parts.
     Wants(Parts),
     /// What all entries have seen of late.
@@ -304,6 +311,7 @@
             Self::Fleet { .. } => "fleet",
             Self::State { .. } => "state",
             Self::Servers(_) => "servers",
+            Self::Details(_) => "details",
             Self::Wants(_) => "wants",
             Self::Loads { .. } => "loads",
             Self::Doubts(_) => "doubts",
--- a/sesamebeam_core/tests/gateway/telling.rs
+++ b/sesamebeam_core/tests/gateway/telling.rs
@@ -121,6 +121,42 @@
     assert!(told.iter().all(|n| *n <= MOST_IN_MESSAGE), "{told:?}");
 }
 
+#[parameterized(some = { 300 }, fleet = { 10_002 }, two_fleets = { 20_004 })]
+fn one_missing(servers: u16) {
+    // One difference was told with all others of its part of the directory.
+    let mut core = coordinator();
+    let all: Vec<_> = (0..servers).map(engine).collect();
+    core.handle(ms(0), Event::Servers(all.clone()));
+    let mut known = Directory::default();
+    for said in &all[1..] {
+        known.take(ms(0), said.clone(), true);
+    }
+    let held = Held {
+        servers: known.digests().clone(),
+        ..Held::default()
+    };
+    core.handle(ms(100), Event::Subscribed(1));
+    let mut actions = core.handle(ms(200), Event::Follows(1, held));
+    let details = pushes(&actions).into_iter().find_map(|(_, m)| match m {
+        ToEntry::Details(details) => Some(details.clone()),
+        _ => None,
+    });
+    if let Some(details) = details {
+        let sections = known.differing_sections(&details);
+        actions.extend(core.handle(ms(210), Event::LacksSections(1, sections)));
+    }
+    let told = pushes(&actions).into_iter().filter_map(|(_, m)| match m {
+        ToEntry::Servers(servers) => Some(servers),
+        _ => None,
+    });
+    let told: Vec<&Announcement> = told.flatten().collect();
+    assert!(
+        told.contains(&&all[0]) && told.len() <= 20,
+        "{}",
+        told.len()
+    );
+}
+
 #[parameterized(
     few_servers = { 40, 2, 40 },
     fleet = { 10_002, 2, 0 },
