Keep the port of an entry that is down in a test

Ruled out: the order of the announcements (the first entry's is counted before the second is sent) and another listener on the port (the entry would have heard nothing, and the test waited). The check stands as it was.

--- a/sesamebeam_fakes/tests/announcements.rs
+++ b/sesamebeam_fakes/tests/announcements.rs
@@ -35,8 +35,11 @@
     }, //
 };
 use tokio::{
-    net::TcpListener,
-    sync::mpsc, //
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
+    sync::mpsc,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -129,9 +132,10 @@
 /// next, so that it is known all the same.
 #[tokio::test]
 async fn entry_down() {
-    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // Bound and not listening: a port that was given back may go to the entry.
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let down = closed.local_addr().unwrap();
-    drop(closed);
     let (addr, mut rx) = entry().await;
     let runner = start(vec![down, addr], 1).await;
     rx.recv().await.unwrap();
