--- a/sesamebeam_core/src/gateway/digests.rs
+++ b/sesamebeam_core/src/gateway/digests.rs
@@ -25,15 +25,19 @@
 };
 use crate::policy::hash;
 
-/// Parts of a directory, by the highest bits of the keys. The digests of all take 320
-/// bytes.
-pub const PARTS: usize = 64;
+/// Highest bits of a key, which tell its part, and the next ones, which tell its section.
+const PART_BITS: u32 = 6;
+const SECTION_BITS: u32 = 6;
 
-/// Sections of a part, by the next bits.
-const SECTIONS: usize = 64;
+/// Bits of a key below those that tell its part, and below those that tell its section.
+const PART_SHIFT: u32 = ServerKey::BITS - PART_BITS;
+const SECTION_SHIFT: u32 = PART_SHIFT - SECTION_BITS;
 
-/// Bits of a key below those that tell its section.
-const SECTION_SHIFT: u32 = ServerKey::BITS - 12;
+/// Parts of a directory. The digests of all take 320 bytes.
+pub const PARTS: usize = 1 << PART_BITS;
+
+/// Sections of a part.
+const SECTIONS: usize = 1 << SECTION_BITS;
 
 /// A section of the directory, by its number among all.
 pub type Section = u16;
@@ -78,14 +82,17 @@
 
 /// Returns the first and the last key of a part.
 pub(super) fn keys_of_part(part: usize) -> (ServerKey, ServerKey) {
-    let first = (part as ServerKey) << (ServerKey::BITS - 6);
-    (first, first | (ServerKey::MAX >> 6))
+    let first = (part as ServerKey) << PART_SHIFT;
+    (first, first | (ServerKey::MAX >> PART_BITS))
 }
 
 /// Returns the first and the last key of a section.
 pub(super) fn keys_of_section(section: Section) -> (ServerKey, ServerKey) {
     let first = ServerKey::from(section) << SECTION_SHIFT;
-    (first, first | (ServerKey::MAX >> 12))
+    (
+        first,
+        first | (ServerKey::MAX >> (PART_BITS + SECTION_BITS)),
+    )
 }
 
 fn section(key: ServerKey) -> Section {
@@ -178,5 +185,5 @@
 }
 
 fn part(key: ServerKey) -> usize {
-    (key >> (ServerKey::BITS - 6)) as usize
+    (key >> PART_SHIFT) as usize
 }
