Work out once what a choice, a join and a comparison need

Cause, from a last reading of the change: a choice worked out which versions a request may go to for the window and again for the candidates, on the path of each send, and a request on trial that found nobody looked at all backend servers of the new version three times; a process that asks for a place had the leader collect its replicas three times; the pool looked twice, in two ways, for the backend server of a key that has not left; parts that two sides have and differ in were found by two loops.

Change: each is worked out once and handed on (choose, join), or has one piece of code (pool::living, Parts::and). No behaviour changes and no test was touched.

--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -240,7 +240,9 @@
             .map(|(&n, _)| n);
         let gone = same_place.or_else(|| self.silent_voter());
         self.places.learn(replica.id(), self.cfg.domain.clone());
-        let (placed, is_free) = (self.placed(), gone.is_some() || self.has_free_place());
+        let placed = self.placed();
+        let lacks_replicas = placed.len() < self.wanted();
+        let is_free = gone.is_some() || lacks_replicas;
         let stay = placed.iter().filter(|&&node| Some(node) != gone);
         if same_place.is_none() && !self.places.admits(self.now, &domain, is_free, stay) {
             return self.group_reply();
@@ -253,7 +255,7 @@
                 incarnation,
                 addr,
             },
-            None if self.has_free_place() => MemberChange::Add {
+            None if lacks_replicas => MemberChange::Add {
                 node,
                 incarnation,
                 addr,
@@ -312,10 +314,6 @@
         placed.map(|s| s.node).collect()
     }
 
-    fn has_free_place(&self) -> bool {
-        self.placed().len() < self.wanted()
-    }
-
     /// Returns how many replicas should vote.
     fn wanted(&self) -> usize {
         2 * self.cfg.tolerated + 1
--- a/sesamebeam_core/src/gateway/coordinator/telling.rs
+++ b/sesamebeam_core/src/gateway/coordinator/telling.rs
@@ -21,7 +21,6 @@
 use crate::{
     gateway::{
         digests::{
-            PARTS,
             Parts,
             Section, //
         },
@@ -377,8 +376,7 @@
     /// their sections first: it has something in them, and they hold many backend servers.
     fn detailed(&self, differing: Parts, filled: Parts) -> Parts {
         let large = |&n: &usize| self.directory.count_part(n) > TOLD_WHOLE;
-        let both = differing.numbers().filter(|&n| filled.has_part(n));
-        Parts::these(both.filter(large))
+        Parts::these(differing.and(filled).numbers().filter(large))
     }
 
     /// Tells an entry of the backend servers in some sections of the directory.
@@ -409,7 +407,7 @@
         let want_at = &mut self.telling.want_at;
         let now = self.now;
         let is_due = |n: &usize| want_at.get(n).is_none_or(|at| now >= *at);
-        let of_both = (0..PARTS).filter(|&n| differing.has_part(n) && filled.has_part(n));
+        let of_both = differing.and(filled).numbers();
         let (wanted, later): (Vec<usize>, Vec<usize>) = of_both.partition(is_due);
         want_at.extend(wanted.iter().map(|&n| (n, now + WANT_EVERY)));
         (Parts::these(wanted.into_iter()), !later.is_empty())
--- a/sesamebeam_core/src/gateway/digests.rs
+++ b/sesamebeam_core/src/gateway/digests.rs
@@ -123,6 +123,11 @@
         self.0 == 0
     }
 
+    /// Returns those that are in both.
+    pub(super) fn and(self, others: Self) -> Self {
+        Self(self.0 & others.0)
+    }
+
     /// Returns them without some others.
     pub(super) fn without(self, others: Self) -> Self {
         Self(self.0 & !others.0)
--- a/sesamebeam_core/src/gateway/pool.rs
+++ b/sesamebeam_core/src/gateway/pool.rs
@@ -22,6 +22,7 @@
 use super::{
     config::ServiceId,
     directory::{
+        Announcement,
         Directory,
         ServerState, //
     },
@@ -165,8 +166,7 @@
         let mut due: BTreeSet<ServerKey> = fresh.keys().copied().collect();
         due.extend(self.doubts.iter().map(|d| d.server));
         for key in due {
-            let lives = directory.with_key(key).map(|k| &k.said);
-            let Some(server) = lives.into_iter().find(|s| s.state != ServerState::Gone) else {
+            let Some(server) = living(directory, key) else {
                 continue;
             };
             let mut seen = self.servers.get(&key).copied().unwrap_or_default();
@@ -202,11 +202,8 @@
         if self.servers.len() <= 2 * directory.count() {
             return;
         }
-        let lives = |key: &ServerKey| {
-            let mut of_key = directory.with_key(*key);
-            of_key.any(|k| k.said.state != ServerState::Gone)
-        };
-        self.servers.retain(|key, _| lives(key));
+        self.servers
+            .retain(|&key, _| living(directory, key).is_some());
     }
 }
 
@@ -232,6 +229,12 @@
     }
 }
 
+/// Returns the backend server of a key that has not left.
+fn living(directory: &Directory, key: ServerKey) -> Option<&Announcement> {
+    let mut of_key = directory.with_key(key).map(|k| &k.said);
+    of_key.find(|said| said.state != ServerState::Gone)
+}
+
 /// Returns the share of answers that a service fails by itself.
 fn usual_share(usual: &Tally) -> f64 {
     (usual.bad + PRIOR_FAILURES) / (usual.count() + PRIOR_ANSWERS)
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -21,6 +21,7 @@
             Window, //
         },
         loads::ServerKey,
+        rollout::Allowed,
     },
     ids::MonoTime,
     policy::hash,
@@ -47,10 +48,15 @@
         model: Option<&str>,
         tried: &[ServerId],
     ) -> Result<Choice, Unserved> {
+        let allowed = self.allowed(plan);
+        // All entries try the same ones of a new version.
+        if plan.on_trial && self.is_canary(&plan.service) {
+            return self.choose_within(now, plan, model, tried, &allowed, Window::ALL);
+        }
         let mut most = CANDIDATES;
         loop {
-            let window = self.window(plan, model, most);
-            match self.choose_within(now, plan, model, tried, window) {
+            let window = self.window(plan, model, &allowed, most);
+            match self.choose_within(now, plan, model, tried, &allowed, window) {
                 Err(_) if !window.is_all() => most *= WIDER,
                 result => return result,
             }
@@ -64,12 +70,9 @@
         plan: &Plan,
         model: Option<&str>,
         tried: &[ServerId],
+        allowed: &Allowed,
         window: Window,
     ) -> Result<Choice, Unserved> {
-        let allowed = self.allowed(plan);
-        let is_canary = plan.on_trial && self.is_canary(&plan.service);
-        // All entries try the same ones of a new version.
-        let window = if is_canary { Window::ALL } else { window };
         let orders = &self.orders;
         let groups = self.directory.groups(&plan.service);
         let groups = groups.filter(|g| orders.admit(g.domain) && allowed.has(g.version));
@@ -83,7 +86,7 @@
         if limited && fit.iter().all(|k| tried.contains(&k.said.id)) {
             return Err(Unserved::Limited);
         }
-        if is_canary {
+        if plan.on_trial && self.is_canary(&plan.service) {
             self.keep_few(&mut fit, plan, tried);
         }
         if fit.is_empty() {
@@ -176,7 +179,7 @@
     /// Returns the share of the slots of a plan's service that are taken, at as many
     /// backend servers as a choice is made among.
     pub fn taken(&self, now: MonoTime, plan: &Plan) -> f64 {
-        let window = self.window(plan, None, CANDIDATES);
+        let window = self.window(plan, None, &self.allowed(plan), CANDIDATES);
         let groups = self.open_groups(&plan.service);
         let members = groups.flat_map(|g| self.directory.members(&g, window));
         let servers: Vec<&Known> = members.collect();
@@ -185,9 +188,8 @@
 
     /// Returns the part of the key space that holds about `most` backend servers which
     /// may run a request. All entries have the same for what shares a prompt.
-    fn window(&self, plan: &Plan, model: Option<&str>, most: usize) -> Window {
+    fn window(&self, plan: &Plan, model: Option<&str>, allowed: &Allowed, most: usize) -> Window {
         let point = affinity(plan, model).map_or(plan.seed, |a| hash::name(&a.key.to_le_bytes()));
-        let allowed = self.allowed(plan);
         let groups = self.open_groups(&plan.service);
         let groups = groups.filter(|g| allowed.has(g.version));
         Window::new(point as ServerKey, most, groups.map(|g| g.count()).sum())
