Say in the logs what pause a backend server asks for, and that it leaves

Cause: a line 'backend server refused' did not say which pause the answer asked for, so that the logs of the incident could not tell whether nobody reads Retry-After or something ends the pause early.

No decision reads them yet.

--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -377,7 +377,7 @@
         } = arrived;
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, status = head.status,
-            limit:? = head.limit;
+            limit:? = head.limit, retry_after:? = head.retry_after, leaving = head.leaving;
             "backend server refused"
         );
         if head.misdirected {
@@ -413,7 +413,7 @@
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
             confidence:? = head.confidence, step:? = step, load:? = head.load,
-            limit:? = head.limit, keep_from = keep_from,
+            limit:? = head.limit, leaving = head.leaving, keep_from = keep_from,
             waited_ms = waited.as_millis() as u64,
             since_ms = self.req.came.elapsed().as_millis() as u64, sends = self.sends, tokens = self.req.head.prompt_tokens,
             prompt:? = self.req.head.prompt, session:? = self.req.head.session,
@@ -474,6 +474,7 @@
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, candidates = choice.candidates,
             status = head.status, sends = self.sends, limit:? = head.limit,
+            retry_after:? = head.retry_after, leaving = head.leaving,
             config = self.plan.table.config().version;
             "answered"
         );
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -268,7 +268,7 @@
                 choice.begin(model.as_deref());
                 log::info!(
                     id:% = self.attempt.req.head.id, server:% = choice.id, after:? = last,
-                    limit:? = head.limit;
+                    limit:? = head.limit, leaving = head.leaving;
                     "stream goes on"
                 );
                 self.source = Some(Source {
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -114,6 +114,10 @@
     /// Requests a second that the backend server takes from all entries together, for
     /// as long as it says so.
     pub limit: Option<f64>,
+    /// Time for which the backend server asks this entry to send it nothing.
+    pub retry_after: Option<Duration>,
+    /// Whether the backend server says that it leaves.
+    pub leaving: bool,
     /// How sure the model is of its answer, 0 to 100.
     pub confidence: Option<u8>,
     /// Whether the connection ends with this answer.
