--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -131,6 +131,8 @@
     Evacuated,
     /// Backend servers that name a limit.
     Limited,
+    /// Backend servers that asked for a pause, or leave.
+    BackedOff,
     /// Milliseconds by which the loop turned late.
     LoopDelay,
 }
@@ -151,6 +153,7 @@
     entries: Gauge,
     evacuated: Gauge,
     limited: Gauge,
+    backed_off: Gauge,
     loop_delay: Gauge,
 }
 
@@ -171,6 +174,7 @@
             entries: Gauge::default(),
             evacuated: Gauge::default(),
             limited: Gauge::default(),
+            backed_off: Gauge::default(),
             loop_delay: Gauge::default(),
         };
         made.register();
@@ -214,6 +218,7 @@
             Level::Entries => self.entries.set(value),
             Level::Evacuated => self.evacuated.set(value),
             Level::Limited => self.limited.set(value),
+            Level::BackedOff => self.backed_off.set(value),
             Level::LoopDelay => self.loop_delay.set(value),
         };
     }
@@ -295,6 +300,11 @@
             "Backend servers that name how many requests they take",
             self.limited.clone(),
         );
+        registry.register(
+            "backed_off_servers",
+            "Backend servers that asked this entry for a pause, or leave",
+            self.backed_off.clone(),
+        );
         registry.register(
             "loop_delay_milliseconds",
             "By how much the loop turned late",
--- a/sesamebeam/src/gateway/attempt.rs
+++ b/sesamebeam/src/gateway/attempt.rs
@@ -86,8 +86,6 @@
     may_have_run: bool,
     /// Whether a backend server had no room for it.
     found_full: bool,
-    /// Whether the backend servers that are left are at their limits.
-    at_limits: bool,
 }
 
 /// What follows after a send.
@@ -128,7 +126,6 @@
             refused: 0,
             may_have_run: false,
             found_full: false,
-            at_limits: false,
         }
     }
 
@@ -144,7 +141,6 @@
                 Ok(choice) => choice,
                 Err(why) => {
                     log::info!(id:% = self.req.head.id, why:% = why; "not sent");
-                    self.at_limits = why == Unserved::Limited;
                     break;
                 }
             };
@@ -200,24 +196,24 @@
             self.gateway.router().turned_away(&self.plan);
         }
         self.count(RequestEnd::Refused);
-        match self.at_limits {
-            true => answer::come_back_in(status, self.limits_open_in()),
-            false => answer::come_back(status),
+        match self.retry_after() {
+            Some(after) => answer::come_back_in(status, after),
+            None => answer::come_back(status),
         }
     }
 
-    /// Returns after which time a backend server takes the request by its limit.
-    fn limits_open_in(&self) -> Duration {
+    /// Returns after which time a backend server takes the request, if all have named one.
+    fn retry_after(&self) -> Option<Duration> {
         let now = self.gateway.now();
         let patience = self.req.until.saturating_duration_since(Instant::now());
         let mut router = self.gateway.router();
-        let after = router.come_back_in(now, &self.plan, &self.tried, patience);
+        let after = router.retry_after(now, &self.plan, patience)?;
         log::info!(
             id:% = self.req.head.id, after_ms = after.as_millis() as u64,
-            limited = router.limited();
-            "refused by limits"
+            limited = router.limited(), backed_off = router.backed_off(now);
+            "told when to come back"
         );
-        after
+        Some(after)
     }
 
     /// Chooses a backend server, waiting for the first to be known.
--- a/sesamebeam/src/gateway/feed.rs
+++ b/sesamebeam/src/gateway/feed.rs
@@ -285,6 +285,8 @@
         gateway.router().tidy(now);
         let limited = gateway.router().limited();
         gateway.meters.set(Level::Limited, limited as u64);
+        let backed_off = gateway.router().backed_off(now);
+        gateway.meters.set(Level::BackedOff, backed_off as u64);
         let Some(teller) = self.subscription.teller() else {
             return;
         };
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -20,6 +20,7 @@
     http::request, //
 };
 use sesamebeam_core::gateway::{
+    backoff::Backoff,
     request::{
         AnswerHead,
         Head,
@@ -179,6 +180,8 @@
     ) -> Sent {
         let (parts, body) = response.into_parts();
         let answer = self.protocol.answer(&parts);
+        // Also of an answer to an earlier request: it is the backend server's word all the same.
+        self.note_backoff(choice, &answer);
         // An answer to an earlier request can come late, where this one's is due.
         if answer.id.as_ref().is_some_and(|id| *id != req.head.id) {
             return Sent::Broken("answer to another request".to_owned());
@@ -198,6 +201,21 @@
         }
     }
 
+    /// Notes that the backend server asks for a pause, or leaves.
+    fn note_backoff(&self, choice: &Choice, answer: &AnswerHead) {
+        let asked = self.router().backoff_heard(self.now(), choice, answer);
+        match asked {
+            Some(Backoff::Pause { asked, .. }) => {
+                log::info!(
+                    server:% = choice.id, pause_ms = asked.as_millis() as u64;
+                    "backend server asks for a pause"
+                );
+            }
+            Some(Backoff::Leaving) => log::info!(server:% = choice.id; "backend server leaves"),
+            None => {}
+        }
+    }
+
     /// Has later requests go elsewhere while one that may not be sent again waits.
     fn is_overdue(&self, req: &Received, choice: &Choice) {
         log::info!(id:% = req.head.id, server:% = choice.id; "answer overdue");
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! a new version is trusted; and the state that the control group replicates
 //! for it.
 
+pub mod backoff;
 pub mod balance;
 pub mod budget;
 pub mod cascade;
--- a/sesamebeam_core/src/gateway/limits.rs
+++ b/sesamebeam_core/src/gateway/limits.rs
@@ -44,13 +44,6 @@
 /// take up to half a second by two control replicas.
 const OWN_COUNTS_FOR: Duration = Duration::from_secs(1);
 
-/// Time after which a caller is asked to come back if none can be foreseen at which a
-/// backend server takes a request.
-const NOT_FORESEEN: Duration = Duration::from_secs(30);
-
-/// Steps in which a caller is told a time.
-const TOLD_IN: Duration = Duration::from_millis(10);
-
 /// What one entry knows of limits, and what it has sent.
 #[derive(Debug)]
 pub struct Limits {
@@ -147,33 +140,26 @@
         self.of.len()
     }
 
-    /// Returns after which time a caller who found all of some backend servers at their
-    /// limits can be served by one of them.
-    ///
-    /// Each caller is given a time of its own. Asked to come back at the same one, all but
-    /// the first would be rejected again; and as all entries do so, callers come back to
-    /// any of them no faster than they can be served.
-    pub fn come_back_in<'a>(
-        &mut self,
-        now: MonoTime,
-        servers: impl Iterator<Item = &'a ServerId>,
-        patience: Duration,
-    ) -> Duration {
-        let limited = servers.filter_map(|id| Some((id, self.of.get(id)?)));
-        let free = limited.filter_map(|(id, limited)| {
-            let last = limited.sent_at.max(limited.promised);
-            Some((self.opens_at(now, id, limited, last)?, id))
-        });
-        let Some((at, id)) = free.min() else {
-            return NOT_FORESEEN;
+    /// Returns whether a backend server names a limit.
+    pub fn names(&self, id: &ServerId) -> bool {
+        self.of.contains_key(id)
+    }
+
+    /// Returns when a backend server takes a request, from some time on and after all
+    /// callers who were promised one; none if that cannot be foreseen.
+    pub fn next_opening(&self, from: MonoTime, id: &ServerId) -> Option<MonoTime> {
+        let Some(limited) = self.of.get(id) else {
+            return Some(from);
         };
-        // Who gives up before does not take it.
-        if at < now + patience
-            && let Some(limited) = self.of.get_mut(id)
-        {
+        let last = limited.sent_at.max(limited.promised);
+        self.opens_at(from, id, limited, last)
+    }
+
+    /// Notes that a caller was asked to come back to a backend server then.
+    pub fn promise(&mut self, id: &ServerId, at: MonoTime) {
+        if let Some(limited) = self.of.get_mut(id) {
             limited.promised = Some(at);
         }
-        round_up(at.saturating_sub(now))
     }
 
     /// Takes what is to be reported.
@@ -211,11 +197,11 @@
         before.is_none_or(|before| before.limit != limit)
     }
 
-    /// Returns when a request may be sent to a backend server next, from now on and after
+    /// Returns when a request may be sent to a backend server next, from some time on and after
     /// the last one; none if that cannot be foreseen.
     fn opens_at(
         &self,
-        now: MonoTime,
+        from: MonoTime,
         id: &ServerId,
         limited: &Limited,
         last: Option<MonoTime>,
@@ -226,23 +212,17 @@
             // An entry that has just started may have sent one before.
             Pace::Spaced(period) => {
                 let last = last.unwrap_or(counted_since);
-                Some(now.max(last + period))
+                Some(from.max(last + period))
             }
             Pace::Turns { period, width } => {
                 let phase = hash::unit(id.as_bytes(), &self.name);
-                let from = last.map_or(now, |last| now.max(last));
+                let from = last.map_or(from, |last| from.max(last));
                 Some(next_turn(from, phase, period, width, last))
             }
         }
     }
 }
 
-/// Rounds up to what a caller is told: one that comes back a moment early is rejected again.
-fn round_up(after: Duration) -> Duration {
-    let steps = after.as_nanos().div_ceil(TOLD_IN.as_nanos());
-    u32::try_from(steps).map_or(after, |steps| TOLD_IN * steps)
-}
-
 /// Returns `from` if a turn stands then that is not used by the last request, and else
 /// when the next begins.
 fn next_turn(
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -7,6 +7,10 @@
 use super::directory::ServerId;
 use crate::ids::ModelId;
 
+/// Statuses that turn a request away for want of room.
+const TOO_MANY_REQUESTS: u16 = 429;
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Id of a request, as its caller gave it.
 pub type CallId = SmolStr;
 
@@ -114,7 +118,8 @@
     /// Requests a second that the backend server takes from all entries together, for
     /// as long as it says so.
     pub limit: Option<f64>,
-    /// Time for which the backend server asks this entry to send it nothing.
+    /// Time for which the backend server asks this entry to send it nothing, if it turns
+    /// the request away.
     pub retry_after: Option<Duration>,
     /// Whether the backend server says that it leaves.
     pub leaving: bool,
@@ -131,4 +136,9 @@
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
+
+    /// Returns whether its status turns a request away for want of room.
+    pub fn turns_away(&self) -> bool {
+        matches!(self.status, TOO_MANY_REQUESTS | SERVICE_UNAVAILABLE)
+    }
 }
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -2,6 +2,7 @@
 
 mod choosing;
 mod exchange;
+mod retry_after;
 mod shared;
 mod trial;
 
@@ -16,6 +17,7 @@
 
 pub use self::choosing::CANDIDATES;
 use super::{
+    backoff::Backoffs,
     balance::{
         Balance,
         Outcome, //
@@ -137,8 +139,9 @@
     /// All that are left are cold, and it is not this entry's turn at one.
     #[error("all backend servers are cold")]
     Cold,
-    /// All that are left take no more from this entry now, by the limits that they name.
-    #[error("all backend servers are at their limits")]
+    /// All that are left take nothing from this entry now, by limits that they name or
+    /// pauses that they ask for.
+    #[error("all backend servers are at their limits or asked for a pause")]
     Limited,
     /// None that may run it is left.
     #[error("no backend server is left")]
@@ -224,6 +227,7 @@
     directory: Directory,
     cold: Cold,
     limits: Limits,
+    backoffs: Backoffs,
     admission: Admission,
     balance: Balance,
     budget: Budget,
@@ -245,6 +249,7 @@
             sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * TRIAL_PART),
             cold: Cold::new(cfg.name.clone()),
             limits: Limits::new(cfg.name.clone()),
+            backoffs: Backoffs::default(),
             cfg,
             table: None,
             current: false,
@@ -330,6 +335,7 @@
         if before.is_some() && before != after {
             self.balance.reborn(&id);
             self.limits.forget(&id);
+            self.backoffs.forget(&id);
         }
         news
     }
@@ -344,6 +350,7 @@
         self.balance.retain(now, |id| directory.get(id).is_some());
         self.cold.retain(|id| directory.get(id).is_some());
         self.limits.retain(|id| directory.get(id).is_some());
+        self.backoffs.retain(now, |id| directory.get(id).is_some());
         self.sessions.tidy(now);
     }
 
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -80,9 +80,10 @@
             .flat_map(|g| self.directory.members(&g, window))
             .collect();
         let candidates = fit.len();
-        let unlimited = fit.len();
-        fit.retain(|k| self.limits.is_open(now, &k.said.id));
-        let limited = fit.len() < unlimited;
+        fit.retain(|k| !self.backoffs.is_leaving(&k.said.id));
+        let staying = fit.len();
+        fit.retain(|k| self.takes(now, &k.said.id));
+        let limited = fit.len() < staying;
         if limited && fit.iter().all(|k| tried.contains(&k.said.id)) {
             return Err(Unserved::Limited);
         }
@@ -156,13 +157,13 @@
         let open = self.open(&plan.service);
         open.filter(move |k| {
             let id = &k.said.id;
-            !tried.contains(id) && allowed.has(&k.said.version) && self.limits.is_open(now, id)
+            !tried.contains(id) && allowed.has(&k.said.version) && self.takes(now, id)
         })
     }
 
     /// Iterates over the backend servers of a service that take work, in failure
     /// domains that are not evacuated.
-    fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Known> + 'a {
+    pub(super) fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Known> + 'a {
         let groups = self.open_groups(service);
         groups.flat_map(|g| self.directory.members(&g, Window::ALL))
     }
--- a/sesamebeam_core/src/gateway/router/shared.rs
+++ b/sesamebeam_core/src/gateway/router/shared.rs
@@ -1,7 +1,5 @@
-//! An entry's part of what all entries spend together: repeated sends, what limited backend
-//! servers take, connections.
-
-use std::time::Duration;
+//! An entry's part of what all entries spend together: repeated sends, what backend servers
+//! take by what they say, connections.
 
 use super::{
     Choice,
@@ -10,6 +8,7 @@
 };
 use crate::{
     gateway::{
+        backoff::Backoff,
         connections,
         directory::ServerId,
         request::AnswerHead, //
@@ -60,23 +59,30 @@
         self.limits.count()
     }
 
-    /// Returns after which time a caller who found all backend servers at their limits
-    /// can be served here.
-    pub fn come_back_in(
+    /// Takes what the head of an answer asks of this entry, and returns that if it is news.
+    ///
+    /// What an older life asks for holds for nobody, and an answer of another life than
+    /// the one that was meant says nothing of that one.
+    pub fn backoff_heard(
         &mut self,
         now: MonoTime,
-        plan: &Plan,
-        tried: &[ServerId],
-        patience: Duration,
-    ) -> Duration {
-        let allowed = self.allowed(plan);
-        let orders = &self.orders;
-        let ready = self.directory.ready(&plan.service);
-        let may_run = ready.filter(|k| {
-            let said = &k.said;
-            orders.admit(&said.domain) && allowed.has(&said.version) && !tried.contains(&said.id)
-        });
-        let ids = may_run.map(|k| &k.said.id);
-        self.limits.come_back_in(now, ids, patience)
+        choice: &Choice,
+        answer: &AnswerHead,
+    ) -> Option<Backoff> {
+        if answer.misdirected || !self.lives(choice) {
+            return None;
+        }
+        self.backoffs.heard(now, &choice.id, answer)
+    }
+
+    /// Returns how many backend servers want nothing from this entry now.
+    pub fn backed_off(&self, now: MonoTime) -> usize {
+        self.backoffs.count(now)
+    }
+
+    /// Returns whether a backend server takes a request of this entry now, by what it has
+    /// said itself.
+    pub(super) fn takes(&self, now: MonoTime, id: &ServerId) -> bool {
+        self.backoffs.is_open(now, id) && self.limits.is_open(now, id)
     }
 }
--- a/sesamebeam_core/tests/gateway/limits.rs
+++ b/sesamebeam_core/tests/gateway/limits.rs
@@ -180,7 +180,7 @@
                     Err(why) => assert_eq!(why, Unserved::Limited),
                 }
                 let now = ms(offset + at);
-                let pause = router.come_back_in(now, &plan, &[], ms(0));
+                let pause = router.retry_after(now, &plan, ms(0)).unwrap_or_default();
                 at += (pause.as_millis() as u64).max(1);
             }
         }
@@ -282,7 +282,11 @@
     while send(&mut router, now, "first").is_ok() {}
     let plan = plan(&mut router, now, "caller");
     let told: Vec<MonoTime> = (0..6)
-        .map(|_| now + router.come_back_in(now, &plan, &[], ms(20_000)))
+        .map(|_| {
+            now + router
+                .retry_after(now, &plan, ms(20_000))
+                .expect("foreseen")
+        })
         .collect();
     assert!(told.is_sorted(), "{told:?}");
     assert!(
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Routing by host and path, and the state that the control group keeps for it.
 
+mod backoff;
 mod balance;
 mod budget;
 mod cascade;
