Have the soak name pauses and leaving, and count what arrives

Change: a backend server that comes anew every few seconds, without a proxy, so that no fault but those of the entry excuses it.

--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -32,12 +32,50 @@
 /// Time after an entry has passed on that there is a limit from which it keeps to it.
 const LIMITED_IN: Duration = Duration::from_millis(500);
 
+/// Time after an answer from which its entry keeps to the pause that it asks for, and the
+/// requests of one entry that may come all the same.
+const PAUSED_IN: Duration = Duration::from_millis(500);
+const PAUSE_BOUND: usize = 2;
+
+/// Time after an entry has passed on that a life leaves from which it sends nothing there
+/// that a caller sends.
+const LEAVES_IN_MS: u64 = 500;
+
 /// Everything that was seen in one run.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Books {
+    began: Instant,
     inner: Mutex<Inner>,
 }
 
+impl Default for Books {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            inner: Mutex::default(),
+        }
+    }
+}
+
+/// A pause that a life has asked an entry for.
+#[derive(Debug)]
+struct Pause {
+    entry: usize,
+    life: String,
+    asked_at: Instant,
+    lasts: Duration,
+    /// Requests that came in it all the same.
+    came: usize,
+}
+
+impl Pause {
+    /// Returns whether a request that comes now counts.
+    fn counts(&self, entry: usize, life: &str) -> bool {
+        let since = self.asked_at.elapsed();
+        self.entry == entry && self.life == life && since > PAUSED_IN && since < self.lasts
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     /// Times that each request that may not be repeated began to run.
@@ -52,6 +90,10 @@
     told_limit: BTreeMap<usize, Instant>,
     /// Requests of such entries at the backend server that names it, of late.
     at_limited: VecDeque<Instant>,
+    /// Pauses that entries were asked for and that are not over.
+    pauses: Vec<Pause>,
+    /// When, in milliseconds of the run, each entry passed on that a life leaves.
+    told_leaving: BTreeMap<(usize, String), u64>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
@@ -125,9 +167,72 @@
         inner.told_limit.entry(entry).or_insert_with(Instant::now);
     }
 
-    /// Notes that an entry ends or starts.
-    pub fn forgot_limit(&self, entry: usize) {
+    /// Notes that an entry ends or starts, and knows nothing of what it has passed on.
+    pub fn forgot(&self, entry: usize) {
         self.lock().told_limit.remove(&entry);
+        self.froze(entry);
+    }
+
+    /// Notes that an entry stands still, or goes on: what it was asked for in the
+    /// meantime it could not heed.
+    pub fn froze(&self, entry: usize) {
+        let mut inner = self.lock();
+        inner.pauses.retain(|pause| pause.entry != entry);
+        inner.told_leaving.retain(|(told, _), _| *told != entry);
+    }
+
+    /// Returns the milliseconds since the run began.
+    pub fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// Notes that a life turns an entry away and asks it for a pause.
+    pub fn asked_pause(&self, entry: usize, life: &str, lasts: Duration) {
+        let mut inner = self.lock();
+        inner
+            .pauses
+            .retain(|pause| pause.asked_at.elapsed() < pause.lasts);
+        inner.pauses.push(Pause {
+            entry,
+            life: life.to_owned(),
+            asked_at: Instant::now(),
+            lasts,
+            came: 0,
+        });
+    }
+
+    /// Notes that an entry has passed on an answer which says that its life leaves.
+    pub fn told_leaving(&self, entry: usize, life: &str) {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let told = inner.told_leaving.entry((entry, life.to_owned()));
+        told.or_insert(now_ms);
+    }
+
+    /// Notes that a request of an entry, which a caller sent then, reached a life.
+    pub fn reached(&self, entry: usize, life: &str, sent_ms: u64) {
+        let mut inner = self.lock();
+        let mut broken = Vec::new();
+        for pause in &mut inner.pauses {
+            pause.came += usize::from(pause.counts(entry, life));
+            if pause.came > PAUSE_BOUND {
+                broken.push(format!(
+                    "entry {entry} sent {} requests to {life} in a pause of {:?}",
+                    pause.came, pause.lasts
+                ));
+                pause.came = 0;
+            }
+        }
+        let told = inner.told_leaving.get(&(entry, life.to_owned()));
+        if let Some(told) = told
+            && sent_ms > told + LEAVES_IN_MS
+        {
+            let late = sent_ms - told;
+            broken.push(format!(
+                "entry {entry} sent to {life} {late} ms after it said that it leaves"
+            ));
+        }
+        inner.broken.extend(broken);
     }
 
     /// Notes that a request of an entry reached the backend server that names a limit.
--- a/sesamebeam_soak/src/callers.rs
+++ b/sesamebeam_soak/src/callers.rs
@@ -12,6 +12,7 @@
     Full, //
 };
 use hyper::{
+    HeaderMap,
     Request,
     Response,
     body::Incoming, //
@@ -36,7 +37,10 @@
     books::Books,
     server::{
         EVENTS,
+        LEAVING_HEADER,
+        LIFE_HEADER,
         LIMIT_HEADER,
+        SENT_HEADER,
         body_of, //
     },
 };
@@ -96,7 +100,7 @@
 }
 
 async fn ask(client: &Client, front: SocketAddr, kind: Kind, id: &str, books: &Books) {
-    let Some(req) = request(kind, id) else {
+    let Some(req) = request(kind, id, books.now_ms()) else {
         return;
     };
     let terms = Terms {
@@ -108,10 +112,8 @@
         Ok(answered) => answered,
         Err(_) => return books.failed(),
     };
-    if response.headers().contains_key(LIMIT_HEADER)
-        && let Some(entry) = entry_of(id)
-    {
-        books.told_limit(entry);
+    if let Some(entry) = entry_of(id) {
+        note_headers(response.headers(), entry, books);
     }
     let status = response.status().as_u16();
     if status != 200 {
@@ -139,7 +141,7 @@
     }
 }
 
-fn request(kind: Kind, id: &str) -> Option<Request<Full<Bytes>>> {
+fn request(kind: Kind, id: &str, now_ms: u64) -> Option<Request<Full<Bytes>>> {
     let path = match kind {
         Kind::Book => "/book/1",
         Kind::Read => "/read/1",
@@ -151,10 +153,24 @@
         .header("Credential", "k1")
         .header("Deadline-Ms", PATIENCE.as_millis().to_string())
         .header("Kv-From", "10.0.0.1:1/x")
+        .header(SENT_HEADER, now_ms)
         .body(Full::new(Bytes::from(id.to_owned())));
     built.ok()
 }
 
+/// Notes what an entry has passed on of what its backend server says.
+fn note_headers(headers: &HeaderMap, entry: usize, books: &Books) {
+    if headers.contains_key(LIMIT_HEADER) {
+        books.told_limit(entry);
+    }
+    let life = headers.get(LIFE_HEADER).and_then(|v| v.to_str().ok());
+    if headers.contains_key(LEAVING_HEADER)
+        && let Some(life) = life
+    {
+        books.told_leaving(entry, life);
+    }
+}
+
 /// Reads a success and returns whether it is complete. One that breaks off is no
 /// fault; one that is complete and wrong is.
 async fn check_body(kind: Kind, id: &str, response: Response<Incoming>, books: &Books) -> bool {
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod books;
 pub mod callers;
 pub mod fleet;
+pub mod lives;
 pub mod operator;
 pub mod proxy;
 pub mod run;
--- a/sesamebeam_soak/src/operator.rs
+++ b/sesamebeam_soak/src/operator.rs
@@ -39,7 +39,7 @@
 const PATIENCE: Duration = Duration::from_millis(1200);
 
 /// Pause between two calls.
-const PAUSE: Duration = Duration::from_millis(60);
+pub const PAUSE: Duration = Duration::from_millis(60);
 
 /// Time for which a failure domain stays evacuated: longer than it takes until nothing
 /// may go there, so that there is something to check.
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -40,7 +40,7 @@
         Fleet,
         targets, //
     },
-    operator,
+    lives, operator,
     proxy::{
         self,
         Mode, //
@@ -54,7 +54,10 @@
         Schedule,
         Target, //
     },
-    server,
+    server::{
+        self,
+        Life, //
+    },
 };
 
 /// Failure domain of the daemons and most backend servers, and of the one that is
@@ -101,21 +104,35 @@
     for number in 0..SERVERS {
         let (tx, mode) = watch::channel(Mode::Pass);
         modes.push(tx);
-        let life = format!("server-{number}");
-        let domain = match life.as_str() {
+        let life = Arc::new(Life::new(format!("server-{number}")));
+        let domain = match life.id.as_str() {
             server::EVACUATED => FAR_DOMAIN,
             _ => DOMAIN,
         };
-        let addr = server::start(life.clone(), Arc::clone(&books)).await?;
+        let ended = cancel.child_token();
+        let addr = server::start(Arc::clone(&life), Arc::clone(&books), ended).await?;
         let addr = proxy::start(addr, mode).await?;
         tasks.spawn(operator::announce(
-            life,
+            life.id.clone(),
             domain,
             addr,
             controls.clone(),
             cancel.clone(),
         ));
     }
+    let brief = lives::succeed(
+        schedule.seed,
+        DOMAIN,
+        controls.clone(),
+        Arc::clone(&books),
+        cancel.clone(),
+    );
+    let b = Arc::clone(&books);
+    tasks.spawn(async move {
+        if let Err(e) = brief.await {
+            b.broke(format!("a backend server cannot be started: {e}"));
+        }
+    });
     let next = Arc::new(AtomicU64::new(1));
     for _ in 0..2 {
         let (next, books) = (Arc::clone(&next), Arc::clone(&books));
@@ -207,13 +224,13 @@
     let lasting = Duration::from_millis(event.for_ms);
     match event.fault {
         Fault::Kill(target) => {
-            forget_limit(&stage, target);
+            forget(&stage, target);
             stage.fleet.lock().await.kill(target).await;
             sleep(lasting).await;
             boot(&stage, target).await;
         }
         Fault::Stop(target) => {
-            forget_limit(&stage, target);
+            forget(&stage, target);
             let mut fleet = stage.fleet.lock().await;
             if !fleet.stop(target).await {
                 stage
@@ -227,6 +244,9 @@
             stage.fleet.lock().await.signal(target, Signal::STOP);
             sleep(lasting).await;
             stage.fleet.lock().await.signal(target, Signal::CONT);
+            if let Target::Entry(number) = target {
+                stage.books.froze(number);
+            }
         }
         Fault::Reload(target) => stage.fleet.lock().await.signal(target, Signal::HUP),
         Fault::KillAll => {
@@ -252,13 +272,13 @@
             .books
             .broke(format!("{target:?} cannot be started: {e}"));
     }
-    forget_limit(stage, target);
+    forget(stage, target);
 }
 
-/// Notes that an entry that ends, or has started, knows of no limit.
-fn forget_limit(stage: &Stage, target: Target) {
+/// Notes that an entry that ends, or has started, knows nothing of what it passed on.
+fn forget(stage: &Stage, target: Target) {
     if let Target::Entry(number) = target {
-        stage.books.forgot_limit(number);
+        stage.books.forgot(number);
     }
 }
 
--- a/sesamebeam_soak/src/server.rs
+++ b/sesamebeam_soak/src/server.rs
@@ -4,7 +4,13 @@
     convert::Infallible,
     io,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
     time::Duration, //
 };
 
@@ -24,6 +30,7 @@
         Frame,
         Incoming, //
     },
+    header::RETRY_AFTER,
     server::conn::http1,
     service::service_fn, //
 };
@@ -32,6 +39,8 @@
     time::sleep, //
 };
 
+use tokio_util::sync::CancellationToken;
+
 use crate::{
     books::Books,
     callers, //
@@ -58,6 +67,50 @@
 /// Header that names a limit.
 pub const LIMIT_HEADER: &str = "server-limit";
 
+/// Header that says that a backend server leaves.
+pub const LEAVING_HEADER: &str = "server-leaving";
+
+/// Header with the life that answers.
+pub const LIFE_HEADER: &str = "x-life";
+
+/// Header in which callers say when they sent a request, in milliseconds of the run.
+pub const SENT_HEADER: &str = "x-sent-ms";
+
+/// One life of a backend server, and what it says beside its answers.
+#[derive(Debug)]
+pub struct Life {
+    /// Its id.
+    pub id: String,
+    /// Pause that it asks for as it turns everything away; none while it serves.
+    pause: Mutex<Option<Duration>>,
+    leaving: AtomicBool,
+}
+
+impl Life {
+    /// Makes a life that serves.
+    pub fn new(id: impl Into<String>) -> Self {
+        Self {
+            id: id.into(),
+            pause: Mutex::default(),
+            leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Has it turn everything away and ask for a pause, or serve again.
+    pub fn ask_pause(&self, pause: Option<Duration>) {
+        *self.pause.lock().unwrap_or_else(PoisonError::into_inner) = pause;
+    }
+
+    /// Has it say that it leaves.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    fn pause(&self) -> Option<Duration> {
+        *self.pause.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 /// Returns what a backend server answers to a request.
@@ -65,20 +118,31 @@
     format!("answer to {id}")
 }
 
-/// Starts a backend server of one life and returns where it listens.
+/// Starts a backend server of one life and returns where it listens until it ends.
 ///
 /// # Errors
 ///
 /// Fails if no port can be had.
-pub async fn start(life: String, books: Arc<Books>) -> io::Result<SocketAddr> {
+pub async fn start(
+    life: Arc<Life>,
+    books: Arc<Books>,
+    ended: CancellationToken,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let (life, books) = (life.clone(), Arc::clone(&books));
+        loop {
+            let accepted = tokio::select! {
+                () = ended.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                return;
+            };
+            let (life, books) = (Arc::clone(&life), Arc::clone(&books));
             tokio::spawn(async move {
                 let service = service_fn(move |req| {
-                    let (life, books) = (life.clone(), Arc::clone(&books));
+                    let (life, books) = (Arc::clone(&life), Arc::clone(&books));
                     async move { Ok::<_, Infallible>(answer(req, &life, &books).await) }
                 });
                 // A caller that goes away is no fault.
@@ -91,14 +155,14 @@
     Ok(addr)
 }
 
-async fn answer(req: Request<Incoming>, life: &str, books: &Books) -> Response<Body> {
+async fn answer(req: Request<Incoming>, life: &Life, books: &Books) -> Response<Body> {
     let text = |name: &str| {
         let value = req.headers().get(name).and_then(|v| v.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     let (id, after) = (text("request-id"), text("last-event-id"));
     let path = req.uri().path().to_owned();
-    if text("expect-instance") != life {
+    if text("expect-instance") != life.id {
         let mut refusal = Response::new(full(String::new()));
         *refusal.status_mut() = StatusCode::MISDIRECTED_REQUEST;
         return refusal;
@@ -108,10 +172,18 @@
             books.broke(format!("request {id} came with {secret}"));
         }
     }
-    if life == EVACUATED {
+    if let Some(entry) = callers::entry_of(&id) {
+        let sent_ms = text(SENT_HEADER).parse().unwrap_or(0);
+        books.reached(entry, &life.id, sent_ms);
+        if let Some(pause) = life.pause() {
+            books.asked_pause(entry, &life.id, pause);
+            return turn_away(pause, &id);
+        }
+    }
+    if life.id == EVACUATED {
         books.reached_evacuated(&id);
     }
-    if life == LIMITED {
+    if life.id == LIMITED {
         books.reached_limited(callers::entry_of(&id));
     }
     let body = if path.starts_with("/notes/") {
@@ -124,18 +196,33 @@
         full(body_of(&id))
     };
     let mut response = Response::builder();
-    if life == LIMITED {
+    if life.leaving.load(Ordering::Relaxed) {
+        response = response.header(LEAVING_HEADER, "1");
+    }
+    if life.id == LIMITED {
         response = response.header(LIMIT_HEADER, LIMIT.to_string());
     }
     let response = response
         .header("Request-Id", id)
         .header("Response-Seal", "mark")
+        .header(LIFE_HEADER, &life.id)
         .header("Instance-Load", "1,0,8")
         .body(body);
     // Ids come from our own callers and are valid in a header.
     response.unwrap_or_else(|_| Response::new(full(String::new())))
 }
 
+/// Turns a request away that has not run, and asks for a pause.
+fn turn_away(pause: Duration, id: &str) -> Response<Body> {
+    let response = Response::builder()
+        .status(StatusCode::SERVICE_UNAVAILABLE)
+        .header("Request-Id", id)
+        .header("Not-Executed", "1")
+        .header(RETRY_AFTER, pause.as_secs_f64().to_string())
+        .body(full(String::new()));
+    response.unwrap_or_else(|_| Response::new(full(String::new())))
+}
+
 fn full(text: String) -> Body {
     Full::new(Bytes::from(text)).boxed_unsync()
 }
