Keep to the pause that an engine of the product's own interface asks for

An engine's 503 has carried retry-after since the interface was written; the entry read the status alone, took the engine for full for as long as a load counts, and told callers the two seconds of its settings whatever the engines had asked for.

Change: the pause comes with the refusal (and with a plain service's answer that turns a request away), is kept by life, and closes the backend server to every choice and to a claim that is about to be sent. Where all of a route asked for one, callers are told the end of the first, spread like those of the other door. policy::backoff::RequestedPause is the one notion of a pause that both doors use, and http::retry_after the one reader of its value. Resumes and cancels go to the run that they are about, as before.

Tests: policy balance::asked_for_a_pause; edge pauses::asked_for_a_pause with fakes that ask for a pause that a test sets. With the pause not kept (a mutated run) the second half of the latter fails: engines that both asked for a pause are asked again, and the caller gets 429 where 503 with the end of the pause is due; its first half passed before too, as a refusal counts as a full load.

--- a/sesamebeam/src/entry/driver.rs
+++ b/sesamebeam/src/entry/driver.rs
@@ -370,6 +370,7 @@
                 completion_tokens,
             },
             first: up.first.unwrap_or_default(),
+            retry_after: None,
             at: unix_millis(),
         };
         let attempt = up.dispatch.attempt;
@@ -385,6 +386,7 @@
                 .completed(answer.status, answer.content_type.clone()),
             usage: Usage::default(),
             first: self.upstreams[at].sent.elapsed(),
+            retry_after: answer.retry_after,
             at: unix_millis(),
         };
         self.whole = Some(answer);
--- a/sesamebeam/src/entry/upstream.rs
+++ b/sesamebeam/src/entry/upstream.rs
@@ -58,6 +58,7 @@
 use smol_str::SmolStr;
 
 use crate::http::{
+    self,
     client::{
         Client,
         ClientError,
@@ -112,6 +113,8 @@
     pub(crate) status: u16,
     /// Content type.
     pub(crate) content_type: SmolStr,
+    /// Pause that it asks for, if it turns the request away.
+    pub(crate) retry_after: Option<Duration>,
     /// Body.
     pub(crate) body: Bytes,
 }
@@ -350,7 +353,8 @@
     }
     Opened::Ended(match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-            AttemptReport::Refused(ServerRefusal::Busy)
+            let retry_after = retry_after(&response);
+            AttemptReport::Refused(ServerRefusal::Busy { retry_after })
         }
         StatusCode::NOT_FOUND => AttemptReport::Refused(ServerRefusal::NotLoaded),
         StatusCode::CONFLICT => AttemptReport::Refused(ServerRefusal::Cancelled),
@@ -396,6 +400,7 @@
 
 async fn whole(response: Response<Incoming>, lease: Lease, max_body: usize) -> Opened {
     let status = response.status();
+    let retry_after = retry_after(&response);
     let content_type = response
         .headers()
         .get(header::CONTENT_TYPE)
@@ -407,6 +412,7 @@
             Opened::Whole(WholeAnswer {
                 status: status.as_u16(),
                 content_type,
+                retry_after,
                 body: body.to_bytes(),
             })
         }
@@ -450,6 +456,7 @@
         ("ran", _, Ok(body)) => Opened::Whole(WholeAnswer {
             status: found.status,
             content_type: found.content_type,
+            retry_after: None,
             body: body.into(),
         }),
         ("never", Some(incarnation), _) => {
@@ -463,6 +470,18 @@
     }
 }
 
+/// Returns the pause that an answer which turns a request away asks for.
+fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+    let turns_away = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    let value = response.headers().get(header::RETRY_AFTER)?;
+    let value = value.to_str().ok()?;
+    let turned_away = turns_away.contains(&response.status());
+    turned_away.then(|| http::retry_after(value)).flatten()
+}
+
 fn incarnation(response: &Response<Incoming>) -> Option<Incarnation> {
     response
         .headers()
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -205,9 +205,9 @@
     fn note_backoff(&self, choice: &Choice, answer: &AnswerHead) {
         let asked = self.router().backoff_heard(self.now(), choice, answer);
         match asked {
-            Some(Backoff::Pause { asked, .. }) => {
+            Some(Backoff::Pause(pause)) => {
                 log::info!(
-                    server:% = choice.id, pause_ms = asked.as_millis() as u64;
+                    server:% = choice.id, pause_ms = pause.asked().as_millis() as u64;
                     "backend server asks for a pause"
                 );
             }
--- a/sesamebeam/tests/edge/main.rs
+++ b/sesamebeam/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod cascades;
 mod deployments;
 mod killers;
+mod pauses;
 mod rollouts;
 mod serving;
 mod sessions;
--- a/sesamebeam_core/src/entry/attempts.rs
+++ b/sesamebeam_core/src/entry/attempts.rs
@@ -84,6 +84,7 @@
 
     fn finished(&mut self, now: MonoTime, id: RequestId, run: Running, finished: Finished) {
         self.leave_server(now, id, &run, AttemptEnd::Whole);
+        self.balance.pause(now, run.server, finished.retry_after);
         self.drop_others(now, id, run.attempt);
         let Some(req) = self.requests.get_mut(&id) else {
             return;
@@ -185,10 +186,11 @@
                 let outcome = req.outcome();
                 self.refuse(now, id, Reason::Rejected, outcome, None);
             }
-            ServerRefusal::Busy | ServerRefusal::NotLoaded | ServerRefusal::Cancelled => {
+            ServerRefusal::Busy { .. } | ServerRefusal::NotLoaded | ServerRefusal::Cancelled => {
                 req.avoid.push(run.server);
-                if why == ServerRefusal::Busy {
+                if let ServerRefusal::Busy { retry_after } = why {
                     self.balance.refused(now, run.server.addr);
+                    self.balance.pause(now, run.server, retry_after);
                 }
                 self.try_again(now, id, Reason::Overloaded);
             }
@@ -390,12 +392,12 @@
             return self.abandon(now, id);
         }
         if req.attempts >= self.cfg.max_attempts || req.left(now).is_zero() {
-            let after = Some(self.cfg.retry_after);
+            let after = self.retry_after(now, id);
             return self.give_up(now, id, reason, after);
         }
         let org = req.arrival.org.clone();
         if !self.retries.try_retry(&org) {
-            let after = Some(self.cfg.retry_after);
+            let after = self.retry_after(now, id);
             return self.give_up(now, id, reason, after);
         }
         self.replan(now, id);
--- a/sesamebeam_core/src/entry/choose.rs
+++ b/sesamebeam_core/src/entry/choose.rs
@@ -1,5 +1,7 @@
 //! Plan, queue and backend server of a request, by the policy.
 
+use std::time::Duration;
+
 use super::{
     EntryCore,
     event::{
@@ -54,7 +56,7 @@
 const EXPECTED_SPEED: f64 = 40.0;
 
 /// Time that a call of a plain service is expected to run.
-const SERVICE_TAKES: std::time::Duration = std::time::Duration::from_millis(50);
+const SERVICE_TAKES: Duration = Duration::from_millis(50);
 
 impl EntryCore {
     /// Chooses the plan of a request without a session.
@@ -212,7 +214,7 @@
             return self.plan(now, id);
         }
         let Some(server) = self.pick(now, id) else {
-            let after = Some(self.cfg.retry_after);
+            let after = self.retry_after(now, id);
             return self.give_up(now, id, Reason::NoServer, after);
         };
         let Some(req) = self.requests.get_mut(&id) else {
@@ -230,7 +232,7 @@
 
     /// Whether a claimed request may still go to its backend server.
     pub(super) fn still_allowed(&self, now: MonoTime, id: RequestId, target: &ServerLife) -> bool {
-        self.step_allowed(now, id) && self.balance.takes_work(target.addr, target.incarnation)
+        self.step_allowed(now, id) && self.balance.takes_work(now, *target)
     }
 
     pub(super) fn step_allowed(&self, now: MonoTime, id: RequestId) -> bool {
@@ -281,6 +283,21 @@
         Some(pick.server)
     }
 
+    /// Returns when a caller whom no backend server took is to come back: when the first
+    /// pause is over, if all asked for one.
+    pub(super) fn retry_after(&self, now: MonoTime, id: RequestId) -> Option<Duration> {
+        let req = self.requests.get(&id)?;
+        let route = match req.version() {
+            Some(version) => Route::Version(version),
+            None => Route::Service(&req.pool),
+        };
+        let Some(pause) = self.balance.pause_of_all(now, route) else {
+            return Some(self.cfg.retry_after);
+        };
+        let draw = hash::unit(&id.to_le_bytes(), "retry-after");
+        Some(pause.until().saturating_sub(now) + pause.spread(draw))
+    }
+
     /// Counts an attempt on its backend server.
     pub(super) fn enter_server(&mut self, id: RequestId, server: ServerLife, alone: bool) {
         let Some(req) = self.requests.get(&id) else {
@@ -358,7 +375,7 @@
         now: MonoTime,
         id: RequestId,
         reason: Reason,
-        retry_after: Option<std::time::Duration>,
+        retry_after: Option<Duration>,
     ) {
         let refusal = self.refusal(reason, retry_after);
         self.release_slot(now, id);
@@ -379,7 +396,7 @@
         id: RequestId,
         reason: Reason,
         outcome: RunOutcome,
-        retry_after: Option<std::time::Duration>,
+        retry_after: Option<Duration>,
     ) {
         let refusal = self.refusal(reason, retry_after);
         self.refuse_as(now, id, refusal, outcome);
@@ -403,11 +420,7 @@
     }
 
     /// Makes a refusal; its outcome is set when it is known.
-    pub(super) fn refusal(
-        &self,
-        reason: Reason,
-        retry_after: Option<std::time::Duration>,
-    ) -> Refusal {
+    pub(super) fn refusal(&self, reason: Reason, retry_after: Option<Duration>) -> Refusal {
         Refusal {
             reason,
             outcome: RunOutcome::Unknown,
@@ -416,8 +429,8 @@
         }
     }
 
-    fn takes(&self, max_tokens: u32) -> std::time::Duration {
-        std::time::Duration::from_secs_f64(f64::from(max_tokens) / EXPECTED_SPEED)
+    fn takes(&self, max_tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(max_tokens) / EXPECTED_SPEED)
     }
 
     fn rater_answers(&self, now: MonoTime) -> bool {
--- a/sesamebeam_core/src/entry/event.rs
+++ b/sesamebeam_core/src/entry/event.rs
@@ -208,7 +208,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerRefusal {
     /// Its queue is full.
-    Busy,
+    Busy {
+        /// Time for which it asks to be sent nothing.
+        retry_after: Option<Duration>,
+    },
     /// It does not have the version loaded.
     NotLoaded,
     /// The id was cancelled there before.
@@ -242,6 +245,8 @@
     pub usage: Usage,
     /// Time from sending to the first event.
     pub first: Duration,
+    /// Time for which a plain service that turns the request away asks to be sent nothing.
+    pub retry_after: Option<Duration>,
     /// Wall-clock time, for people.
     pub at: UnixMillis,
 }
--- a/sesamebeam_core/src/gateway/backoff.rs
+++ b/sesamebeam_core/src/gateway/backoff.rs
@@ -5,30 +5,22 @@
 //! that are asked next and streams that go on. There these are left out, so that nothing
 //! is sent beside it. What a backend server says holds for the entry that it answers.
 
-use std::{
-    collections::HashMap,
-    time::Duration, //
-};
+use std::collections::HashMap;
 
 use super::{
     directory::ServerId,
     request::AnswerHead, //
 };
-use crate::ids::MonoTime;
-
-/// Longest pause. Longer ones outlive any process, and times must not overflow.
-const LONGEST: Duration = Duration::from_secs(366 * 24 * 3600);
+use crate::{
+    ids::MonoTime,
+    policy::backoff::RequestedPause, //
+};
 
 /// What a backend server asks of this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Backoff {
     /// To send it nothing for a while.
-    Pause {
-        /// When that is over.
-        until: MonoTime,
-        /// How long it was to last.
-        asked: Duration,
-    },
+    Pause(RequestedPause),
     /// To send it nothing any more.
     Leaving,
 }
@@ -40,23 +32,21 @@
             return Some(Self::Leaving);
         }
         let asked = answer.retry_after.filter(|_| answer.turns_away())?;
-        let asked = asked.min(LONGEST);
-        let until = now + asked;
-        Some(Self::Pause { until, asked })
+        Some(Self::Pause(RequestedPause::new(now, asked)))
     }
 
     /// Returns whether it asks for more than another.
     fn outlasts(self, other: Self) -> bool {
         match (self, other) {
             (_, Self::Leaving) => false,
-            (Self::Leaving, Self::Pause { .. }) => true,
-            (Self::Pause { until, .. }, Self::Pause { until: before, .. }) => until > before,
+            (Self::Leaving, Self::Pause(_)) => true,
+            (Self::Pause(pause), Self::Pause(before)) => pause.until() > before.until(),
         }
     }
 
     fn is_over(self, now: MonoTime) -> bool {
         match self {
-            Self::Pause { until, .. } => until <= now,
+            Self::Pause(pause) => pause.is_over(now),
             Self::Leaving => false,
         }
     }
--- a/sesamebeam_core/src/gateway/router/retry_after.rs
+++ b/sesamebeam_core/src/gateway/router/retry_after.rs
@@ -12,7 +12,9 @@
         directory::ServerId, //
     },
     ids::MonoTime,
-    policy::hash,
+    policy::{
+        hash, //
+    },
 };
 
 /// Time after which a caller is asked to come back if none can be foreseen at which a
@@ -29,8 +31,8 @@
     ///
     /// By limits, each caller is given a time of its own. Asked to come back at the same
     /// one, all but the first would be rejected again; and as all entries do so, callers
-    /// come back to any of them no faster than they can be served. After a pause, callers
-    /// are spread over as long as it lasts: they come back no faster than they came.
+    /// come back to any of them no faster than they can be served.
+    /// After a pause they are spread (see [`RequestedPause::spread`]).
     pub fn retry_after(
         &mut self,
         now: MonoTime,
@@ -71,7 +73,7 @@
     fn opens_at(&self, now: MonoTime, id: &ServerId) -> Option<MonoTime> {
         let from = match self.backoffs.get(now, id) {
             Some(Backoff::Leaving) => return None,
-            Some(Backoff::Pause { until, .. }) => until,
+            Some(Backoff::Pause(pause)) => pause.until(),
             None => now,
         };
         self.limits.next_opening(from, id)
@@ -81,9 +83,9 @@
     /// itself.
     fn spread(&self, now: MonoTime, plan: &Plan, id: &ServerId) -> Duration {
         match self.backoffs.get(now, id) {
-            Some(Backoff::Pause { asked, .. }) if !self.limits.names(id) => {
+            Some(Backoff::Pause(pause)) if !self.limits.names(id) => {
                 let place = plan.seed ^ now.as_nanos() as u64;
-                asked.mul_f64(hash::unit(&place.to_le_bytes(), "retry-after"))
+                pause.spread(hash::unit(&place.to_le_bytes(), "retry-after"))
             }
             _ => Duration::ZERO,
         }
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -7,6 +7,7 @@
 //! Time is passed in as [`MonoTime`](crate::ids::MonoTime).
 
 pub mod admission;
+pub mod backoff;
 pub mod balance;
 pub mod burn;
 pub mod exposure;
--- a/sesamebeam_core/src/policy/balance.rs
+++ b/sesamebeam_core/src/policy/balance.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use self::table::Slot;
+use super::backoff::RequestedPause;
 use crate::{
     fleet::{
         Fleet,
@@ -20,7 +21,6 @@
     },
     ids::{
         DomainId,
-        Incarnation,
         MonoTime,
         PoolId,
         ServerAddr,
@@ -285,6 +285,32 @@
         }
     }
 
+    /// Keeps to the pause that a life of a backend server asked for, if it did, unless an
+    /// earlier one lasts longer. Nothing but its time ends it.
+    pub fn pause(&mut self, now: MonoTime, server: ServerLife, asked: Option<Duration>) {
+        let slot = self.servers.get_mut(&server.addr);
+        let slot = slot.filter(|slot| slot.incarnation == server.incarnation);
+        let (Some(slot), Some(asked)) = (slot, asked) else {
+            return;
+        };
+        let pause = RequestedPause::new(now, asked);
+        let lasts_longer = slot
+            .pause
+            .is_some_and(|known| known.until() >= pause.until());
+        if !lasts_longer {
+            slot.pause = Some(pause);
+        }
+    }
+
+    /// Returns the pause that ends first, if every backend server that serves a route has
+    /// asked for one; none if one of them has not.
+    pub fn pause_of_all(&self, now: MonoTime, route: Route<'_>) -> Option<RequestedPause> {
+        let serving = self.servers.values().filter(|slot| !slot.leaving);
+        let serving = serving.filter(|slot| slot.serves(route));
+        let pauses: Option<Vec<RequestedPause>> = serving.map(|slot| slot.pause_at(now)).collect();
+        pauses?.into_iter().min_by_key(|pause| pause.until())
+    }
+
     /// Ends the avoiding of a backend server, because it answered.
     pub fn answered(&mut self, addr: ServerAddr) {
         if let Some(slot) = self.servers.get_mut(&addr) {
@@ -345,11 +371,12 @@
     }
 
     /// Tells whether a backend server may still be sent new work: known, in
-    /// this life, and not leaving. Checked again just before sending.
-    pub fn takes_work(&self, addr: ServerAddr, incarnation: Incarnation) -> bool {
-        self.servers
-            .get(&addr)
-            .is_some_and(|slot| slot.incarnation == incarnation && !slot.leaving)
+    /// this life, not leaving, and in no pause that it asked for. Checked again
+    /// just before sending.
+    pub fn takes_work(&self, now: MonoTime, server: ServerLife) -> bool {
+        let slot = self.servers.get(&server.addr);
+        let slot = slot.filter(|slot| slot.incarnation == server.incarnation);
+        slot.is_some_and(|slot| !slot.leaving && slot.pause_at(now).is_none())
     }
 
     /// Tells whether any backend server serves a route at present.
@@ -366,7 +393,8 @@
         let mut near = 0.0;
         let mut far = 0.0;
         for slot in self.servers.values() {
-            if slot.pool != pool || slot.leaving || slot.avoid_until > now {
+            let is_out = slot.leaving || slot.avoid_until > now || slot.pause_at(now).is_some();
+            if slot.pool != pool || is_out {
                 continue;
             }
             let free = slot.free(now, &self.cfg);
@@ -528,7 +556,8 @@
 
     fn score(&self, now: MonoTime, input: &PickInput<'_>, at: u32) -> Option<Looked> {
         let (addr, slot) = self.servers.get_index(at as usize)?;
-        if input.exclude.contains(addr) || slot.avoid_until > now {
+        let is_out = slot.avoid_until > now || slot.pause_at(now).is_some();
+        if input.exclude.contains(addr) || is_out {
             return None;
         }
         let cached = self.cfg.prefix_hints
--- a/sesamebeam_core/src/policy/balance/table.rs
+++ b/sesamebeam_core/src/policy/balance/table.rs
@@ -22,6 +22,7 @@
         Announcement,
         Load, //
     },
+    policy::backoff::RequestedPause,
 };
 
 /// Tokens a second of a backend server that does not say.
@@ -62,6 +63,8 @@
     pub(super) reserved: u32,
     /// Not chosen before this time.
     pub(super) avoid_until: MonoTime,
+    /// Pause that it asked for last.
+    pub(super) pause: Option<RequestedPause>,
     since: MonoTime,
     /// Own requests in flight after each of the last changes.
     history: VecDeque<(MonoTime, u32)>,
@@ -89,6 +92,7 @@
             own: 0,
             reserved: 0,
             avoid_until: MonoTime::ZERO,
+            pause: None,
             since: now,
             history: VecDeque::new(),
             others: 0.0,
@@ -121,6 +125,11 @@
         self.measured = now;
     }
 
+    /// Returns the pause that it asked for, unless that is over.
+    pub(super) fn pause_at(&self, now: MonoTime) -> Option<RequestedPause> {
+        self.pause.filter(|pause| !pause.is_over(now))
+    }
+
     /// Counts a request that starts or ends.
     pub(super) fn change_own(&mut self, now: MonoTime, own: u32) {
         self.own = own;
--- a/sesamebeam_core/tests/gateway/backoff.rs
+++ b/sesamebeam_core/tests/gateway/backoff.rs
@@ -21,6 +21,7 @@
         },
     },
     ids::MonoTime,
+    policy::backoff::RequestedPause,
 };
 use yare::parameterized;
 
@@ -171,10 +172,7 @@
         ..turned_away(PAUSE)
     };
     let heard = router.backoff_heard(ms(START), &choice(0), &answer);
-    let asked = Backoff::Pause {
-        until: ms(START + PAUSE),
-        asked: ms(PAUSE),
-    };
+    let asked = Backoff::Pause(RequestedPause::new(ms(START), ms(PAUSE)));
     assert_eq!(heard, pauses.then_some(asked));
     assert_eq!(send(&mut router, ms(START + 1), "next").is_err(), pauses);
 }
--- a/sesamebeam_core/tests/policy/bad_input.rs
+++ b/sesamebeam_core/tests/policy/bad_input.rs
@@ -119,7 +119,7 @@
             };
             if let Some(pick) = balance.pick(now, &input) {
                 balance.started(pick.server.addr, Some(1), false);
-                prop_assert!(balance.takes_work(pick.server.addr, pick.server.incarnation));
+                prop_assert!(balance.takes_work(now, pick.server));
             }
             prop_assert!(servers.all().all(|s| s.domain != "ghost" && s.pool != "ghost"));
         }
--- a/sesamebeam_core/tests/policy/balance.rs
+++ b/sesamebeam_core/tests/policy/balance.rs
@@ -4,15 +4,21 @@
 
 use sesamebeam_core::{
     fleet::Priority,
-    message::server::{
-        CacheEvent,
-        Load, //
+    message::{
+        record::ServerLife,
+        server::{
+            CacheEvent,
+            Load, //
+        }, //
     },
-    policy::balance::{
-        Balance,
-        BalanceConfig,
-        PickInput,
-        Route, //
+    policy::{
+        backoff::RequestedPause,
+        balance::{
+            Balance,
+            BalanceConfig,
+            PickInput,
+            Route, //
+        },
     },
 };
 use yare::parameterized;
@@ -51,6 +57,14 @@
     Some(balance.pick(secs(60), input)?.server.addr)
 }
 
+/// Returns the life of a backend server that the tests announce.
+fn life(number: u16) -> ServerLife {
+    ServerLife {
+        addr: addr(number),
+        incarnation: announcement(number, 1).incarnation,
+    }
+}
+
 #[test]
 fn spreads_out() {
     let mut balance = balance(8, 0);
@@ -156,10 +170,36 @@
     let mut server = announcement(0, 2);
     server.leaving = true;
     balance.upsert(secs(1), &server);
-    assert!(!balance.takes_work(addr(0), 7));
+    assert!(!balance.takes_work(secs(1), life(0)));
     assert!((0..20).all(|_| pick(&mut balance, &INPUT) == Some(addr(1))));
 }
 
+#[test]
+fn asked_for_a_pause() {
+    // Guards against sends in a pause, whatever else is heard from there, and against a
+    // pause that a new life inherits.
+    let mut balance = balance(2, 0);
+    let pause = |seconds| Some(Duration::from_secs(seconds));
+    balance.pause(secs(60), life(0), pause(3));
+    balance.pause(secs(61), life(0), pause(1));
+    balance.pause(secs(61), life(0), None);
+    balance.answered(addr(0));
+    assert!(!balance.takes_work(secs(62), life(0)));
+    assert!((0..20).all(|_| pick(&mut balance, &INPUT) == Some(addr(1))));
+    assert_eq!(balance.pause_of_all(secs(60), INPUT.route), None);
+    balance.pause(secs(60), life(1), pause(2));
+    assert_eq!(pick(&mut balance, &INPUT), None);
+    let first = balance.pause_of_all(secs(60), INPUT.route);
+    assert_eq!(first.map(RequestedPause::until), Some(secs(62)));
+    assert_eq!(balance.capacity(secs(61), "pool"), 0);
+    assert!(balance.takes_work(secs(62), life(1)));
+    assert!(balance.takes_work(secs(63), life(0)));
+    let mut reborn = announcement(0, 2);
+    reborn.incarnation += 1;
+    balance.upsert(secs(60), &reborn);
+    assert_eq!(pick(&mut balance, &INPUT), Some(addr(0)));
+}
+
 #[test]
 fn avoided_awhile() {
     let mut balance = balance(2, 0);
--- a/sesamebeam_core/tests/proofs/hedged_version.rs
+++ b/sesamebeam_core/tests/proofs/hedged_version.rs
@@ -100,6 +100,7 @@
         answer,
         usage,
         first: USUAL,
+        retry_after: None,
         at: 0,
     };
     lone.happen(EntryEvent::Attempt {
--- a/sesamebeam_core/tests/proofs/world/server.rs
+++ b/sesamebeam_core/tests/proofs/world/server.rs
@@ -352,7 +352,7 @@
         let refusal = if server.cancelled.contains(&dispatch.id) {
             Some(ServerRefusal::Cancelled)
         } else if server.running() >= 8 {
-            Some(ServerRefusal::Busy)
+            Some(ServerRefusal::Busy { retry_after: None })
         } else {
             None
         };
@@ -462,6 +462,7 @@
                 completion_tokens: 20,
             },
             first: Duration::from_millis(20),
+            retry_after: None,
             at: 0,
         }
     }
--- a/sesamebeam_fakes/src/runner.rs
+++ b/sesamebeam_fakes/src/runner.rs
@@ -239,9 +239,9 @@
         self.read(Engine::change_speed);
     }
 
-    /// Refuses all new work with 503, or no longer.
-    pub fn refuse(&self, refuses: bool) {
-        self.knobs().refuses = refuses;
+    /// Refuses all new work with 503 and asks for a pause, or no longer.
+    pub fn refuse(&self, pause: Option<Duration>) {
+        self.knobs().refuses = pause;
     }
 
     fn knobs(&self) -> MutexGuard<'_, Knobs> {
--- a/sesamebeam_fakes/src/runner/books.rs
+++ b/sesamebeam_fakes/src/runner/books.rs
@@ -65,6 +65,7 @@
     by_digest: BTreeMap<Digest, Counts>,
     runs: Vec<Run>,
     totals: Counts,
+    refusals: Vec<Instant>,
 }
 
 /// What happened to a request.
@@ -107,6 +108,11 @@
         self.lock().totals
     }
 
+    /// Times at which the runner refused a request because a test had it do so.
+    pub fn refusals(&self) -> Vec<Instant> {
+        self.lock().refusals.clone()
+    }
+
     /// Crashes by a killer request.
     pub fn crashes(&self) -> u32 {
         *self.crashes.borrow()
@@ -142,6 +148,10 @@
         self.lock().runs.push(run);
     }
 
+    pub(crate) fn note_refusal(&self) {
+        self.lock().refusals.push(Instant::now());
+    }
+
     pub(crate) fn note_crash(&self) {
         self.crashes.send_modify(|crashes| *crashes += 1);
     }
--- a/sesamebeam_fakes/src/runner/knobs.rs
+++ b/sesamebeam_fakes/src/runner/knobs.rs
@@ -20,8 +20,9 @@
     pub(crate) cut_after: Option<usize>,
     /// Time between two tokens when nothing else runs.
     pub(crate) token_delay: Duration,
-    /// Whether the runner refuses all new work with 503.
-    pub(crate) refuses: bool,
+    /// Pause that the runner asks for as it refuses all new work with 503; none while it
+    /// takes it.
+    pub(crate) refuses: Option<Duration>,
 }
 
 impl Knobs {
@@ -32,7 +33,7 @@
             killers: BTreeSet::new(),
             cut_after: None,
             token_delay: cfg.token_delay,
-            refuses: false,
+            refuses: None,
         }
     }
 
--- a/sesamebeam_fakes/src/runner/routes.rs
+++ b/sesamebeam_fakes/src/runner/routes.rs
@@ -1,6 +1,9 @@
 //! HTTP calls of a runner.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use hyper::{
@@ -62,6 +65,9 @@
 /// Header with the life of the runner.
 const INCARNATION: HeaderName = HeaderName::from_static("x-incarnation");
 
+/// Pause that a runner asks for when its queue is full.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -124,7 +130,7 @@
     match (head.method, path) {
         (Method::POST, "/v1/chat/completions") => {
             let body = reply::read(body).await?;
-            chat(engine, &head.headers, &body).await
+            chat(inner, engine, &head.headers, &body).await
         }
         (Method::GET, "/health") => Ok(health(engine)),
         (Method::POST, "/admin/desired") => {
@@ -136,6 +142,7 @@
 }
 
 async fn chat(
+    inner: &Inner,
     engine: &Arc<Engine>,
     headers: &HeaderMap,
     body: &Bytes,
@@ -144,8 +151,9 @@
     let job = job(engine, headers, &chat)?;
     let priority = priority(headers)?;
     let knobs = engine.knobs();
-    if knobs.refuses {
-        return Err(Box::new(refuse(Refusal::Full)));
+    if let Some(pause) = knobs.refuses {
+        inner.books.note_refusal();
+        return Err(Box::new(queue_full(pause)));
     }
     let stream = engine
         .submit(job, priority)
@@ -185,15 +193,18 @@
     match refusal {
         Refusal::NotLoaded => reply::fault(StatusCode::NOT_FOUND, "version not loaded"),
         Refusal::Cancelled => reply::fault(StatusCode::CONFLICT, "request was cancelled before"),
-        Refusal::Full => {
-            let mut answer = reply::fault(StatusCode::SERVICE_UNAVAILABLE, "queue full");
-            let headers = answer.headers_mut();
-            headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
-            answer
-        }
+        Refusal::Full => queue_full(PAUSE),
     }
 }
 
+fn queue_full(pause: Duration) -> Response<Body> {
+    let mut answer = reply::fault(StatusCode::SERVICE_UNAVAILABLE, "queue full");
+    let seconds = pause.as_secs_f64().to_string();
+    let value = HeaderValue::from_str(&seconds).expect("a number");
+    answer.headers_mut().insert(RETRY_AFTER, value);
+    answer
+}
+
 fn show(stream: Arc<Stream>, offset: usize, cut: Option<usize>) -> Response<Body> {
     let body = EventBody::new(stream, offset, cut);
     reply::stream(StatusCode::OK, EVENT_STREAM, body)
