--- a/sesamebeam_core/src/gateway/router/retry_after.rs
+++ b/sesamebeam_core/src/gateway/router/retry_after.rs
@@ -27,7 +27,7 @@
 impl Router {
     /// Returns after which time a caller can be served here, if all backend servers that
     /// may run its request have named when they take one again; none if one of them has
-    /// not, and may have room at any moment.
+    /// not, and may have room at any moment, or if all of them leave.
     ///
     /// By limits, each caller is given a time of its own. Asked to come back at the same
     /// one, all but the first would be rejected again; and as all entries do so, callers
--- a/sesamebeam_core/src/policy/backoff.rs
+++ b/sesamebeam_core/src/policy/backoff.rs
@@ -32,6 +32,11 @@
         self.asked
     }
 
+    /// Returns whether it lasts longer than another.
+    pub fn outlasts(self, other: Self) -> bool {
+        self.until > other.until
+    }
+
     /// Returns whether it is over.
     pub fn is_over(self, now: MonoTime) -> bool {
         self.until <= now
--- a/sesamebeam_core/src/policy/balance.rs
+++ b/sesamebeam_core/src/policy/balance.rs
@@ -294,10 +294,7 @@
             return;
         };
         let pause = RequestedPause::new(now, asked);
-        let lasts_longer = slot
-            .pause
-            .is_some_and(|known| known.until() >= pause.until());
-        if !lasts_longer {
+        if slot.pause.is_none_or(|known| pause.outlasts(known)) {
             slot.pause = Some(pause);
         }
     }
--- a/sesamebeam_core/tests/gateway/backoff.rs
+++ b/sesamebeam_core/tests/gateway/backoff.rs
@@ -7,30 +7,27 @@
 use sesamebeam_core::{
     gateway::{
         backoff::Backoff,
-        balance::Outcome,
         directory::ServerId,
         request::{
             AnswerHead,
             Load, //
         },
         router::{
-            Choice,
-            Plan,
             Router,
             Unserved, //
         },
     },
-    ids::MonoTime,
     policy::backoff::RequestedPause,
 };
 use yare::parameterized;
 
 use crate::make::{
     announcement,
-    config,
-    head,
+    choice,
+    entry_of,
     ms,
-    router_config, //
+    plan,
+    send, //
 };
 
 /// Pause that is asked for, in milliseconds.
@@ -40,39 +37,7 @@
 const START: u64 = 50_000;
 
 fn entry(servers: u8) -> Router {
-    let mut router = Router::new(router_config());
-    router.set_config(ms(0), config(1));
-    router.set_current();
-    router.set_entries(ms(0), 3);
-    for number in 0..servers {
-        router.announced(ms(0), announcement(number));
-    }
-    router
-}
-
-fn plan(router: &mut Router, now: MonoTime, id: &str) -> Plan {
-    let mut head = head(id);
-    head.prompt.clear();
-    router.admit(now, &head).expect("it is admitted")
-}
-
-fn send(router: &mut Router, now: MonoTime, id: &str) -> Result<ServerId, Unserved> {
-    let plan = plan(router, now, id);
-    let choice = router.choose(now, &plan, None, &[])?;
-    router.finished(now, &plan, &choice, Outcome::Good);
-    Ok(choice.id)
-}
-
-fn choice(number: u8) -> Choice {
-    let said = announcement(number);
-    Choice {
-        id: said.id,
-        born: said.born,
-        addr: said.addr,
-        version: said.version,
-        reading: ms(0),
-        candidates: 1,
-    }
+    entry_of("entry-1", 3, servers)
 }
 
 fn turned_away(pause: u64) -> AnswerHead {
@@ -101,8 +66,7 @@
 
 #[test]
 fn all_kinds_of_sends() {
-    // Guards against sends that go another way than first ones: repeats, larger models,
-    // streams that go on, and what is asked before an unsure answer is dropped.
+    // Guards against repeats, larger models or streams that go on, sent where first ones are not.
     let mut router = entry(3);
     pause(&mut router, START, 0, PAUSE);
     router.backoff_heard(ms(START), &choice(1), &leaving());
@@ -126,8 +90,7 @@
 
 #[test]
 fn pause_ends() {
-    // Guards against a pause that ends early or never: not before its time, whatever else
-    // comes from there, and then at once.
+    // Guards against a pause that ends early, as something else comes from there, or never.
     let mut router = entry(1);
     assert!(pause(&mut router, START, 0, PAUSE));
     let id = choice(0).id;
@@ -142,7 +105,7 @@
     router.tidy(ms(START + 400));
     assert_eq!(router.backed_off(ms(START + 400)), 1);
     let early = send(&mut router, ms(START + PAUSE - 1), "early");
-    assert_eq!(early, Err(Unserved::Limited));
+    assert_eq!(early.err(), Some(Unserved::Limited));
     assert!(send(&mut router, ms(START + PAUSE), "back").is_ok());
     assert_eq!(router.backed_off(ms(START + PAUSE)), 0);
 }
@@ -153,7 +116,7 @@
     pause(&mut router, START, 0, PAUSE);
     assert!(pause(&mut router, START + 1000, 0, PAUSE));
     let early = send(&mut router, ms(START + PAUSE), "early");
-    assert_eq!(early, Err(Unserved::Limited));
+    assert_eq!(early.err(), Some(Unserved::Limited));
     assert!(send(&mut router, ms(START + 1000 + PAUSE), "back").is_ok());
 }
 
@@ -179,8 +142,7 @@
 
 #[test]
 fn leaves_for_good() {
-    // Guards against a late announcement, or the end of a pause, that brings back a
-    // backend server which leaves.
+    // Guards against a late announcement or the end of a pause that brings one back.
     let mut router = entry(2);
     pause(&mut router, START, 0, PAUSE);
     assert_eq!(
@@ -195,17 +157,16 @@
         router.announced(ms(now), late);
         router.tidy(ms(now));
         let chosen = send(&mut router, ms(now), &format!("caller-{n}"));
-        assert_eq!(chosen.as_deref(), Ok("server-1"));
+        assert_eq!(chosen.map(|c| c.id).as_deref(), Ok("server-1"));
     }
     router.backoff_heard(ms(START), &choice(1), &leaving());
     let none = send(&mut router, ms(START), "none");
-    assert_eq!(none, Err(Unserved::NoneLeft));
+    assert_eq!(none.err(), Some(Unserved::NoneLeft));
 }
 
 #[test]
 fn another_life() {
-    // Guards against a new life that is left out for what the one before it asked, and
-    // against the word of an older life or of another one at its address.
+    // Guards against taking the word of one life for that of another under its name or address.
     let mut router = entry(1);
     router.backoff_heard(ms(START), &choice(0), &leaving());
     let mut reborn = announcement(0);
@@ -227,8 +188,7 @@
 
 #[test]
 fn true_retry_after() {
-    // Guards against callers who are told to come back before a backend server takes
-    // requests again, and against all of them coming back when it does.
+    // Guards against callers who come back before a backend server takes any, or all at once.
     let mut router = entry(2);
     pause(&mut router, START, 0, PAUSE);
     pause(&mut router, START + 500, 1, PAUSE);
@@ -254,8 +214,7 @@
 
 #[test]
 fn one_may_have_room() {
-    // Guards against callers who wait for the end of a pause though another backend server
-    // has named none, or is about to leave.
+    // Guards against callers who wait for the end of a pause though another may have room.
     let mut router = entry(3);
     pause(&mut router, START, 0, PAUSE);
     pause(&mut router, START, 1, PAUSE);
@@ -273,8 +232,7 @@
 
 #[test]
 fn beside_a_limit() {
-    // Guards against a time at which the pause is over and the limit not yet, or the other
-    // way round.
+    // Guards against a time at which the pause is over and the limit not yet, or the reverse.
     let mut router = entry(1);
     let limited = AnswerHead {
         limit: Some(2.0),
@@ -326,8 +284,8 @@
             *until = (*until).max(now + length);
             let is_open = open_at.iter().any(|at| *at <= now);
             match send(&mut router, ms(now), &format!("caller-{n}")) {
-                Ok(id) => {
-                    let chosen = (0..4).find(|n| choice(*n).id == id).expect("known");
+                Ok(sent) => {
+                    let chosen = (0..4).find(|n| choice(*n).id == sent.id).expect("known");
                     prop_assert!(open_at[usize::from(chosen)] <= now);
                 }
                 Err(why) => {
--- a/sesamebeam_core/tests/gateway/limits.rs
+++ b/sesamebeam_core/tests/gateway/limits.rs
@@ -10,7 +10,6 @@
 };
 use sesamebeam_core::{
     gateway::{
-        balance::Outcome,
         coordinator::{
             Action,
             Coordinator,
@@ -27,8 +26,6 @@
         loads,
         request::AnswerHead,
         router::{
-            Choice,
-            Plan,
             Router,
             Unserved, //
         },
@@ -39,11 +36,12 @@
 
 use crate::make::{
     announcement,
-    config,
+    choice,
     coordinator,
-    head,
+    entry_of,
     ms,
-    router_config, //
+    plan,
+    send, //
 };
 
 /// Milliseconds in which requests are counted.
@@ -53,29 +51,7 @@
 const AHEAD: u64 = 100_000;
 
 fn entry(number: u64, entries: u32, servers: u8) -> Router {
-    let mut settings = router_config();
-    settings.name = format!("entry-{number}").into();
-    let mut router = Router::new(settings);
-    router.set_config(ms(0), config(1));
-    router.set_current();
-    router.set_entries(ms(0), entries);
-    for number in 0..servers {
-        router.announced(ms(0), announcement(number));
-    }
-    router
-}
-
-fn plan(router: &mut Router, now: MonoTime, id: &str) -> Plan {
-    let mut head = head(id);
-    head.prompt.clear();
-    router.admit(now, &head).expect("it is admitted")
-}
-
-fn send(router: &mut Router, now: MonoTime, id: &str) -> Result<Choice, Unserved> {
-    let plan = plan(router, now, id);
-    let choice = router.choose(now, &plan, None, &[])?;
-    router.finished(now, &plan, &choice, Outcome::Good);
-    Ok(choice)
+    entry_of(&format!("entry-{number}"), entries, servers)
 }
 
 /// Makes the head of a backend server's own answer that names a limit, or none.
@@ -90,16 +66,7 @@
 
 /// Has an answer to an entry name a limit, or none.
 fn answer(router: &mut Router, now: MonoTime, number: u8, limit: Option<f64>) -> bool {
-    let said = announcement(number);
-    let choice = Choice {
-        id: said.id,
-        born: said.born,
-        addr: said.addr,
-        version: said.version,
-        reading: ms(0),
-        candidates: 1,
-    };
-    router.limit_heard(now, &choice, now, &says(limit))
+    router.limit_heard(now, &choice(number), now, &says(limit))
 }
 
 /// Returns the most of some times that lie within [`SPAN`].
@@ -309,14 +276,7 @@
     // server's own: one that has no room for a request says just that.
     let mut router = entry(1, 300, 1);
     answer(&mut router, ms(AHEAD), 0, Some(1.0));
-    let choice = Choice {
-        id: "server-0".into(),
-        born: 0,
-        addr: announcement(0).addr,
-        version: "v1".into(),
-        reading: ms(0),
-        candidates: 1,
-    };
+    let choice = choice(0);
     let none = says(None);
     assert!(!router.limit_heard(ms(AHEAD + 50), &choice, ms(AHEAD - 50), &none));
     let turned_away = AnswerHead {
--- a/sesamebeam_core/tests/gateway/make.rs
+++ b/sesamebeam_core/tests/gateway/make.rs
@@ -7,6 +7,7 @@
 
 use sesamebeam_core::{
     gateway::{
+        balance::Outcome,
         budget::BudgetConfig,
         config::{
             GatewayConfig,
@@ -30,8 +31,11 @@
             PromptPart, //
         },
         router::{
+            Choice,
+            Plan,
             Router,
-            RouterConfig, //
+            RouterConfig,
+            Unserved, //
         },
     },
     ids::MonoTime,
@@ -182,3 +186,45 @@
     };
     Coordinator::new(cfg, ms(0))
 }
+
+/// Makes an entry that knows backend servers and how many entries there are.
+pub(crate) fn entry_of(name: &str, entries: u32, servers: u8) -> Router {
+    let mut settings = router_config();
+    settings.name = name.into();
+    let mut router = Router::new(settings);
+    router.set_config(ms(0), config(1));
+    router.set_current();
+    router.set_entries(ms(0), entries);
+    for number in 0..servers {
+        router.announced(ms(0), announcement(number));
+    }
+    router
+}
+
+/// Admits a request that shares no prompt.
+pub(crate) fn plan(router: &mut Router, now: MonoTime, id: &str) -> Plan {
+    let mut head = head(id);
+    head.prompt.clear();
+    router.admit(now, &head).expect("it is admitted")
+}
+
+/// Sends such a request, which is answered at once.
+pub(crate) fn send(router: &mut Router, now: MonoTime, id: &str) -> Result<Choice, Unserved> {
+    let plan = plan(router, now, id);
+    let choice = router.choose(now, &plan, None, &[])?;
+    router.finished(now, &plan, &choice, Outcome::Good);
+    Ok(choice)
+}
+
+/// Returns the choice of a backend server that the tests announce.
+pub(crate) fn choice(number: u8) -> Choice {
+    let said = announcement(number);
+    Choice {
+        id: said.id,
+        born: said.born,
+        addr: said.addr,
+        version: said.version,
+        reading: ms(0),
+        candidates: 1,
+    }
+}
