Add an engine model and select engines by predicted completion

Requests were balanced by count: engines that state a slowdown of 170 took as many as those of 70 and streams there took four times as long. The model predicts the first and last event of a request from the stated slowdown, the work left and costs learned from own streams; an engine is eligible up to the first quartile of the predictions, and the rendezvous hash chooses. In force only where the settings state contention or an engine states its slowdown; one more u16 in each reported load.

--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -412,6 +412,7 @@
             };
             (decision, router.confidence_threshold(now, &self.plan))
         };
+        let forecast = choice.forecast;
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
             confidence:? = head.confidence, step:? = decision, load:? = head.load,
@@ -421,7 +422,10 @@
             tokens = self.req.head.prompt_tokens,
             prompt:? = self.req.head.prompt, session:? = self.req.head.session,
             route:% = self.plan.route.name, rank = self.plan.engine_rank,
-            org:? = self.plan.organisation,
+            org:? = self.plan.organisation, slowdown:? = forecast.map(|f| f.slowdown),
+            forecast_ms:? = forecast.map(|f| f.first_event.as_millis()),
+            complete_ms:? = forecast.map(|f| f.completion.as_millis()),
+            candidates = choice.candidates,
             config = self.plan.table.config().version;
             "stream began"
         );
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -218,11 +218,15 @@
         let Some(first_event_at) = self.first_event_at else {
             return;
         };
-        let interval = first_event_at.elapsed().div_f64(intervals as f64);
+        let duration = first_event_at.elapsed();
+        let interval = duration.div_f64(intervals as f64);
         let dispatch = &self.dispatch;
         let model = dispatch.model.as_deref();
+        let now = dispatch.gateway.now();
         let mut router = dispatch.gateway.router();
         router.record_event_interval(&dispatch.plan, choice, model, interval);
+        let events = self.events.count();
+        router.record_stream(now, &dispatch.plan, choice, model, events, duration);
     }
 
     fn end_source(&mut self, outcome: Outcome) {
--- a/sesamebeam_bench/benches/directory.rs
+++ b/sesamebeam_bench/benches/directory.rs
@@ -69,6 +69,7 @@
         },
         exposure_share: 0.1,
         session_pause: Duration::from_secs(8),
+        contention: false,
     });
     router.set_config(NOW, config());
     for number in 0..servers {
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod crashes;
 pub mod digests;
 pub mod directory;
+pub mod engines;
 pub mod entry_count;
 pub mod leader_discovery;
 pub mod limits;
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -207,6 +207,12 @@
             Some(affinity) => self.choose_by_prompt(now, &eligible, affinity, params),
             None => self.choose_by_load(now, &eligible, params),
         }?;
+        self.record_send(now, chosen, params.prefill_time);
+        Some(chosen)
+    }
+
+    /// Counts a request that is sent to a backend server.
+    pub fn record_send(&mut self, now: MonoTime, chosen: &ServerRecord, prefill_time: Duration) {
         let stats = self
             .servers
             .entry(chosen.announcement.id.clone())
@@ -215,10 +221,9 @@
         stats.domain = chosen.announcement.domain.clone();
         self.reachability
             .record_attempt(now, &chosen.announcement.domain);
-        if params.prefill_time >= prefill::LONG_PREFILL {
-            self.record_prefill(now, &chosen.announcement.id, params.prefill_time);
+        if prefill_time >= prefill::LONG_PREFILL {
+            self.record_prefill(now, &chosen.announcement.id, prefill_time);
         }
-        Some(chosen)
     }
 
     /// Records a response from a backend server.
@@ -269,6 +274,7 @@
             running: newest_report.map_or(0, |r| r.running),
             waiting: newest_report.map_or(0, |r| r.waiting),
             slots: 0,
+            slowdown: None,
         };
         let load = ServerLoad::new(id, load).with_prefill(stats.prefill_queue.own_remaining(now));
         self.unreported_loads.merge(now, [load]);
@@ -429,7 +435,7 @@
 
     /// Excludes backend servers that were tried, are unreachable or have a high failure
     /// rate, as long as others remain.
-    fn eligible<'a>(
+    pub fn eligible<'a>(
         &self,
         now: MonoTime,
         all: &[&'a ServerRecord],
@@ -478,15 +484,14 @@
         let loads: Vec<f64> = eligible.iter().map(|k| self.shared_load(now, k)).collect();
         let bound = mean(&loads) * (1.0 + LOAD_MARGIN) + allowance;
         let key = affinity.key.to_le_bytes();
-        let prefer_local = affinity.tokens < LOCAL_PROMPT_TOKENS;
         let with_loads = || eligible.iter().copied().zip(loads.iter().copied());
         let within_bound = with_loads().filter(|(k, load)| {
             let backlog = self.prefill_backlog(now, k);
             *load <= bound && backlog <= MAX_PREFILL_BACKLOG
         });
         let best = within_bound.max_by_key(|(k, _)| {
-            let is_local = prefer_local && k.announcement.domain == params.domain;
-            let is_reliable = self.doubt_rate(k, params) == 0.0;
+            let is_local = self.is_preferred_domain(k, params);
+            let is_reliable = self.is_reliable(k, params);
             (
                 is_reliable,
                 is_local,
@@ -547,6 +552,19 @@
         stats.map_or(Duration::ZERO, |stats| stats.prefill_queue.remaining(now))
     }
 
+    /// Returns whether a backend server fails no more often than others of its service.
+    pub fn is_reliable(&self, known: &ServerRecord, params: &ChoiceParams<'_>) -> bool {
+        self.doubt_rate(known, params) == 0.0
+    }
+
+    /// Returns whether a backend server is preferred for its failure domain.
+    pub fn is_preferred_domain(&self, known: &ServerRecord, params: &ChoiceParams<'_>) -> bool {
+        let is_short = params
+            .affinity
+            .is_some_and(|affinity| affinity.tokens < LOCAL_PROMPT_TOKENS);
+        is_short && known.announcement.domain == params.domain
+    }
+
     /// Returns the failure rate for which a backend server is avoided.
     fn doubt_rate(&self, known: &ServerRecord, params: &ChoiceParams<'_>) -> f64 {
         let probes = !params.at_most_once
--- a/sesamebeam_core/src/gateway/config.rs
+++ b/sesamebeam_core/src/gateway/config.rs
@@ -123,6 +123,8 @@
     pub slots: u32,
     /// Capacity of its KV cache in tokens.
     pub kv_capacity_tokens: u64,
+    /// Number of tokens in one event of a stream.
+    pub tokens_per_event: u32,
     /// Models with their cost per 1,000 generated tokens.
     pub models: Vec<(ModelId, f64)>,
 }
--- a/sesamebeam_core/src/gateway/loads.rs
+++ b/sesamebeam_core/src/gateway/loads.rs
@@ -19,6 +19,7 @@
 use super::{
     balance::LOAD_ALLOWANCE,
     directory::ServerId,
+    engines::Slowdown,
     request::Load, //
 };
 use crate::{
@@ -60,6 +61,8 @@
     pub waiting: u32,
     /// Remaining prefill time of long prompts, in milliseconds.
     pub prefill_ms: u16,
+    /// Stated slowdown in percent; 0 if none was stated.
+    pub slowdown_percent: u16,
 }
 
 impl ServerLoad {
@@ -70,6 +73,7 @@
             running: load.running,
             waiting: load.waiting,
             prefill_ms: 0,
+            slowdown_percent: load.slowdown.map_or(0, Slowdown::percent),
         }
     }
 
@@ -84,6 +88,19 @@
         Duration::from_millis(self.prefill_ms.into())
     }
 
+    /// Returns the stated slowdown.
+    pub fn slowdown(&self) -> Option<Slowdown> {
+        Slowdown::from_percent(self.slowdown_percent.into())
+    }
+
+    /// Adds what another record of the same backend server states beside its load.
+    pub fn merge_details(&mut self, other: &Self) {
+        self.prefill_ms = self.prefill_ms.max(other.prefill_ms);
+        if self.slowdown_percent == 0 {
+            self.slowdown_percent = other.slowdown_percent;
+        }
+    }
+
     /// Returns the number of running and queued requests.
     pub fn total(&self) -> u32 {
         self.running.saturating_add(self.waiting)
@@ -106,9 +123,15 @@
         for load in loads {
             let until = now + load.prefill_time();
             let (current, current_until) = self.pending.entry(load.server).or_insert((load, until));
+            let known_slowdown = current.slowdown_percent;
             if load.total() > current.total() {
                 *current = load;
             }
+            // The newest statement describes the present best.
+            current.slowdown_percent = match load.slowdown_percent {
+                0 => known_slowdown,
+                stated => stated,
+            };
             *current_until = until.max(*current_until);
         }
     }
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -212,11 +212,7 @@
     pub fn take(&mut self) -> Self {
         let mut taken = std::mem::take(self);
         taken.loads.sort_by_key(|l| (l.server, Reverse(l.total())));
-        merge_adjacent(
-            &mut taken.loads,
-            |l| l.server,
-            |highest, other| highest.prefill_ms = highest.prefill_ms.max(other.prefill_ms),
-        );
+        merge_adjacent(&mut taken.loads, |l| l.server, ServerLoad::merge_details);
         taken.waits.sort_by_key(|w| w.service);
         merge_adjacent(&mut taken.waits, |w| w.service, |sum, other| sum.add(other));
         taken.work.sort_by_key(|w| w.service);
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -4,7 +4,10 @@
 
 use smol_str::SmolStr;
 
-use super::directory::ServerId;
+use super::{
+    directory::ServerId,
+    engines::Slowdown, //
+};
 use crate::ids::ModelId;
 
 /// Status codes that reject a request for lack of capacity.
@@ -90,6 +93,8 @@
     pub waiting: u32,
     /// Maximum number of running requests.
     pub slots: u32,
+    /// Time that work takes relative to usual, if the backend server states it.
+    pub slowdown: Option<Slowdown>,
 }
 
 impl Load {
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -30,6 +30,7 @@
     cold::ColdServers,
     config::{
         ConfigVersion,
+        EngineConfig,
         GatewayConfig,
         Rank,
         RouteConfig,
@@ -43,6 +44,12 @@
         ServerRecord,
         StartTime, //
     },
+    engines::{
+        Demand,
+        EngineSend,
+        Engines,
+        Forecast, //
+    },
     limits::ServerLimits,
     messages::{
         RetainedSessions,
@@ -104,6 +111,8 @@
     pub exposure_share: f64,
     /// Idle time after which a session counts as ended.
     pub session_pause: Duration,
+    /// Whether callers compete for the capacity of engines.
+    pub contention: bool,
 }
 
 /// Why a request is rejected before it is sent to any backend server.
@@ -171,6 +180,12 @@
     shared_prefix: Option<PromptPart>,
     /// Prompt tokens that no other request shares.
     unshared_tokens: u32,
+    /// Stated length of the response in tokens.
+    response_tokens: u32,
+    /// When the request was admitted.
+    pub admitted_at: MonoTime,
+    /// When its caller stops waiting, or its route's timeout is reached.
+    pub deadline: MonoTime,
     /// Session identifier.
     session: Option<SmolStr>,
     /// Whether the request goes to the new version during a canary phase.
@@ -188,6 +203,22 @@
             route: self.route.name.clone(),
         }
     }
+
+    /// Returns the work that the request brings to an engine with a model.
+    pub fn demand(&self, model: Option<&str>) -> Demand {
+        Demand {
+            model: model.map(ModelId::from),
+            uncached_tokens: self.unshared_tokens,
+            shared_tokens: self.shared_prefix.map_or(0, |part| part.tokens),
+            response_tokens: self.response_tokens,
+        }
+    }
+
+    /// Returns the engine of the plan's service, if it runs models.
+    pub fn engine(&self) -> Option<&EngineConfig> {
+        let service = self.table.config().service(&self.service)?;
+        service.engine.as_ref()
+    }
 }
 
 /// Backend server chosen for a send.
@@ -205,6 +236,8 @@
     pub prefill_time: Duration,
     /// Number of backend servers considered for the choice.
     pub candidates: usize,
+    /// Predicted times, if the service is scheduled by engine time.
+    pub forecast: Option<Forecast>,
 }
 
 impl Choice {
@@ -233,6 +266,7 @@
     backoffs: Backoffs,
     admission: Admission,
     balancer: LoadBalancer,
+    engines: Engines,
     budget: RetryBudget,
     cascade: Cascade,
     response_counts: ResponseCounts,
@@ -253,6 +287,7 @@
             cold: ColdServers::new(cfg.name.clone()),
             limits: ServerLimits::new(cfg.name.clone()),
             backoffs: Backoffs::default(),
+            engines: Engines::new(cfg.contention),
             cfg,
             table: None,
             is_config_current: false,
@@ -346,6 +381,7 @@
         let after = self.directory.get(&id).map(ServerRecord::incarnation);
         if before.is_some() && before != after {
             self.balancer.reset(&id);
+            self.engines.reset(&id);
             self.limits.forget(&id);
             self.backoffs.forget(&id);
         }
@@ -360,6 +396,7 @@
         self.cleanup_at = now + CLEANUP_INTERVAL;
         let directory = &self.directory;
         self.balancer.retain(now, |id| directory.get(id).is_some());
+        self.engines.retain(|id| directory.get(id).is_some());
         self.cold.retain(|id| directory.get(id).is_some());
         self.limits.retain(|id| directory.get(id).is_some());
         self.backoffs.retain(now, |id| directory.get(id).is_some());
@@ -411,6 +448,12 @@
             relative_cost: cascade::relative_cost(head.prompt_tokens, head.response_tokens),
             shared_prefix: head.shared_part().copied(),
             unshared_tokens: head.unshared_tokens(),
+            response_tokens: head.response_tokens.unwrap_or_default(),
+            admitted_at: now,
+            deadline: now
+                + head
+                    .deadline
+                    .map_or(route.timeout, |d| d.min(route.timeout)),
             session: head.session.clone(),
             in_canary,
             seed,
@@ -463,6 +506,22 @@
     /// Records a response from a backend server.
     pub fn record_response(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
         self.balancer.record_response(now, id, load);
+        let (Some(load), Some(known)) = (load, self.directory.get(id)) else {
+            return;
+        };
+        let service = &known.announcement.service;
+        if self.runs_models(service) {
+            self.engines.record_load(now, service, id, load);
+        }
+    }
+
+    /// Returns whether the configuration declares an engine for a service.
+    fn runs_models(&self, service: &str) -> bool {
+        let service = self
+            .table
+            .as_ref()
+            .and_then(|t| t.config().service(service));
+        service.is_some_and(|s| s.engine.is_some())
     }
 
     /// Records that the answer of a backend server is overdue.
@@ -490,6 +549,40 @@
             .record(&plan.service, model, plan.unshared_tokens, took);
         self.balancer
             .record_prefilled(now, &choice.id, choice.prefill_time);
+        if let Some(forecast) = &choice.forecast {
+            let demand = plan.demand(model);
+            let send = EngineSend {
+                service: &plan.service,
+                id: &choice.id,
+                demand: &demand,
+                forecast,
+            };
+            self.engines.record_first_event(now, &send, took);
+        }
+    }
+
+    /// Records a complete stream that came from one backend server: the number of its
+    /// events, and the time from the first to the last.
+    pub fn record_stream(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        choice: &Choice,
+        model: Option<&str>,
+        events: u64,
+        duration: Duration,
+    ) {
+        let (Some(cfg), Some(forecast)) = (plan.engine(), &choice.forecast) else {
+            return;
+        };
+        let send = EngineSend {
+            service: &plan.service,
+            id: &choice.id,
+            demand: &plan.demand(model),
+            forecast,
+        };
+        self.engines
+            .record_stream(now, cfg, &send, events, duration);
     }
 
     /// Records that a send ended, or is continued on another backend server, before its
@@ -497,6 +590,9 @@
     pub fn record_aborted(&mut self, now: MonoTime, choice: &Choice) {
         self.balancer
             .record_prefilled(now, &choice.id, choice.prefill_time);
+        if let Some(forecast) = &choice.forecast {
+            self.engines.record_aborted(now, &choice.id, forecast);
+        }
     }
 
     /// Returns the confidence at which an answer is currently kept.
@@ -553,6 +649,9 @@
         choice: &Choice,
         outcome: Outcome,
     ) {
+        if choice.forecast.is_some() {
+            self.engines.record_end(&choice.id);
+        }
         let outcome = match self.is_current_incarnation(choice) {
             true => outcome,
             false => Outcome::Dropped,
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -13,13 +13,23 @@
             ChoiceParams, //
         },
         cold,
-        config::ColdConfig,
+        config::{
+            ColdConfig,
+            EngineConfig, //
+        },
         directory::{
             ServerGroup,
             ServerId,
             ServerRecord,
             Window, //
         },
+        engines::{
+            EngineSend,
+            selection::{
+                self,
+                Candidate, //
+            },
+        },
         loads::ServerKey,
         rollout::Allowed,
     },
@@ -112,8 +122,38 @@
             at_most_once: plan.route.runs_at_most_once(),
             seed: plan.seed,
         };
-        let chosen = self.balancer.choose(now, &eligible, &params);
-        let chosen = chosen.ok_or(ChooseError::NoneLeft)?;
+        let (chosen, forecast) = match self.timed_engine(plan) {
+            Some(cfg) => {
+                let demand = plan.demand(model);
+                let candidates = self.balancer.eligible(now, &eligible, tried);
+                let candidates: Vec<Candidate<'_>> = candidates
+                    .into_iter()
+                    .map(|server| Candidate {
+                        server,
+                        is_reliable: self.balancer.is_reliable(server, &params),
+                        is_local: self.balancer.is_preferred_domain(server, &params),
+                    })
+                    .collect();
+                let forecaster = self.engines.forecaster(now, cfg, &plan.service, &demand);
+                let key = affinity.map_or(plan.seed, |a| a.key);
+                let time_left = plan.deadline.saturating_sub(now);
+                let chosen = selection::choose(&forecaster, &candidates, key, time_left);
+                let (chosen, forecast) = chosen.ok_or(ChooseError::NoneLeft)?;
+                let send = EngineSend {
+                    service: &plan.service,
+                    id: &chosen.announcement.id,
+                    demand: &demand,
+                    forecast: &forecast,
+                };
+                self.engines.record_send(now, &send);
+                self.balancer.record_send(now, chosen, prefill_time);
+                (chosen, Some(forecast))
+            }
+            None => {
+                let chosen = self.balancer.choose(now, &eligible, &params);
+                (chosen.ok_or(ChooseError::NoneLeft)?, None)
+            }
+        };
         if let Some(cold) = cold.filter(|cold| self.cold.is_cold(now, chosen, Some(cold))) {
             self.cold.use_turn(now, &chosen.announcement.id, cold);
         }
@@ -125,11 +165,18 @@
             version: chosen.announcement.version.clone(),
             prefill_time,
             candidates,
+            forecast,
         };
         self.record_session(now, plan, &choice);
         Ok(choice)
     }
 
+    /// Returns the engine of a plan's service if that is scheduled by engine time.
+    pub(super) fn timed_engine<'a>(&self, plan: &'a Plan) -> Option<&'a EngineConfig> {
+        let is_on = self.engines.is_on(&plan.service);
+        plan.engine().filter(|_| is_on && plan.route.streaming)
+    }
+
     /// Returns whether a request could now continue on a backend server other than its
     /// current one and those already tried.
     pub fn has_alternative(
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -46,7 +46,12 @@
         self.cascade.set_fleet_means(now, waits);
         for load in loads {
             for known in self.directory.with_key(load.server) {
-                self.balancer.apply_load(now, &known.announcement.id, load);
+                let announcement = &known.announcement;
+                self.balancer.apply_load(now, &announcement.id, load);
+                if self.runs_models(&announcement.service) {
+                    self.engines
+                        .apply_load(now, &announcement.service, &announcement.id, &load);
+                }
             }
         }
     }
--- a/sesamebeam_core/tests/gateway/balance.rs
+++ b/sesamebeam_core/tests/gateway/balance.rs
@@ -126,6 +126,7 @@
         running: 10,
         waiting: 4,
         slots: 10,
+        slowdown: None,
     };
     balance.record_response(ms(0), &"server-0".into(), Some(full));
     assert_eq!(choose(&mut balance, 0, &servers, &NEED), "server-1");
@@ -226,6 +227,7 @@
         running: 10,
         waiting: 24,
         slots: 10,
+        slowdown: None,
     };
     balance.record_response(ms(0), &"server-0".into(), Some(full));
     let need = ChoiceParams {
@@ -405,6 +407,7 @@
         running: 8,
         waiting: 6,
         slots: 8,
+        slowdown: None,
     };
     balance.apply_load(ms(10), &id, ServerLoad::new(&id, queue));
     assert_ne!(choose(&mut balance, 20, &servers, &need), first);
@@ -421,6 +424,7 @@
         running: 8,
         waiting: 0,
         slots: 8,
+        slowdown: None,
     };
     let chosen = choose(&mut balance, 0, &servers, &NEED);
     let id = chosen.as_str().into();
@@ -481,6 +485,7 @@
         running: 1,
         waiting: 0,
         slots: 8,
+        slowdown: None,
     };
     other.record_response(ms(700), &first.as_str().into(), Some(idle));
     assert_ne!(choose(&mut other, 710, &servers, &need), first);
--- a/sesamebeam_core/tests/gateway/choosing.rs
+++ b/sesamebeam_core/tests/gateway/choosing.rs
@@ -119,6 +119,7 @@
             running: 3,
             waiting: 0,
             slots: 10,
+            slowdown: None,
         };
         let told = (0..100).map(|n| ServerLoad::new(&of(n), load)).collect();
         let now = ms(1_000 + tick * 200);
--- a/sesamebeam_core/tests/gateway/fixtures.rs
+++ b/sesamebeam_core/tests/gateway/fixtures.rs
@@ -158,6 +158,7 @@
         },
         exposure_share: 0.2,
         session_pause: ms(5000),
+        contention: false,
     }
 }
 
@@ -226,5 +227,6 @@
         version: server.version,
         prefill_time: ms(0),
         candidates: 1,
+        forecast: None,
     }
 }
--- a/sesamebeam_core/tests/gateway/publisher.rs
+++ b/sesamebeam_core/tests/gateway/publisher.rs
@@ -183,6 +183,7 @@
             running,
             waiting: 0,
             slots: 16,
+            slowdown: None,
         };
         ServerLoad::new(&numbered_server(number).id, load)
     };
@@ -294,6 +295,7 @@
             running,
             waiting: 0,
             prefill_ms: running as u16,
+            slowdown_percent: 0,
         }],
         ..Report::default()
     };
--- a/sesamebeam_core/tests/gateway/requests.rs
+++ b/sesamebeam_core/tests/gateway/requests.rs
@@ -350,6 +350,7 @@
             running: 7,
             waiting: 0,
             prefill_ms: 0,
+            slowdown_percent: 0,
         };
         let report = Report {
             loads: vec![load],
--- a/sesamebeam_core/tests/gateway/shortage.rs
+++ b/sesamebeam_core/tests/gateway/shortage.rs
@@ -81,6 +81,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: SLOTS as u32,
+            slowdown: None,
         }
     }
 }
