Escalate to larger models by predicted completion

The threshold followed the mean of past waits and stayed at 0 for seconds after engines had room again.

Change: where a service is scheduled by engine time, an answer is dropped only for the largest model that can be complete in time with a margin of a quarter, as predicted for the engine that the next send would go to. The threshold is the base threshold, lowered as the predicted first event approaches and passes the target time and by the current load of the candidates. Elsewhere decisions are those of the cascade, as before.

The choice of a backend server is split into a selection without side effects, which the judgement shares, and the counting of the send. `keep_from` in the log is the threshold that was applied; `sesamebeam_escalations_total` counts the judgements by step. No new message; one set of service names is new state.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -42,6 +42,7 @@
     },
     registry::Registry,
 };
+use sesamebeam_core::gateway::engines::escalation::Step;
 use tokio_util::sync::CancellationToken;
 
 use crate::listen::{
@@ -116,6 +117,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EscalationLabels {
+    step: &'static str,
+}
+
 /// Gauge of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GaugeKind {
@@ -145,6 +151,7 @@
     sends: Family<SendLabels, Counter>,
     messages: Family<MessageLabels, Counter>,
     message_bytes: Family<MessageLabels, Counter>,
+    escalations: Family<EscalationLabels, Counter>,
     first_byte: Histogram,
     request_duration: Histogram,
     config: Gauge,
@@ -167,6 +174,7 @@
             sends: Family::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
+            escalations: Family::default(),
             first_byte: histogram(),
             request_duration: histogram(),
             config: Gauge::default(),
@@ -210,6 +218,12 @@
         self.message_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
+    /// Records whether an answer of a small model was kept or a larger model was asked.
+    pub fn record_escalation(&self, step: Step) {
+        let labels = EscalationLabels { step: step.name() };
+        self.escalations.get_or_create(&labels).inc();
+    }
+
     /// Records the time from a send to the first byte of its response.
     pub fn record_first_byte(&self, took: Duration) {
         self.first_byte.observe(took.as_secs_f64());
@@ -283,6 +297,11 @@
             "Bytes of these messages",
             self.message_bytes.clone(),
         );
+        registry.register(
+            "escalations",
+            "Answers of small models by whether a larger model was asked",
+            self.escalations.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from a send to the first byte of its answer",
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -21,6 +21,7 @@
     balance::Outcome,
     cascade::Decision,
     directory::ServerId,
+    engines::escalation::Judgement,
     request::ResponseHead,
     router::{
         Choice,
@@ -399,24 +400,26 @@
         let model = self.model.clone().unwrap_or_default();
         let waited = choice.elapsed();
         choice.record_first_event(Some(&model));
-        let (decision, keep_from) = {
+        let judgement = {
             let mut router = self.gateway.router();
             router.record_first_byte(&self.plan, choice, Some(&model), waited);
             // Without a server that can accept the escalated request, dropping this
             // stream would leave the caller without a response.
             let can_ask = self.sends < self.plan.route.max_attempts
                 && router.has_capacity(now, &self.plan, &self.tried);
-            let decision = match self.model {
-                Some(_) => router.judge_confidence(now, &self.plan, &model, head, can_ask),
-                None => Decision::Keep,
-            };
-            (decision, router.confidence_threshold(now, &self.plan))
+            match self.model {
+                Some(_) => router.judge_answer(now, &self.plan, &model, head, &self.tried, can_ask),
+                None => Judgement::kept(router.confidence_threshold(now, &self.plan), None),
+            }
         };
+        if let Some(step) = judgement.step {
+            self.gateway.metrics.record_escalation(step);
+        }
         let forecast = choice.forecast;
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
-            confidence:? = head.confidence, step:? = decision, load:? = head.load,
-            limit:? = head.limit, leaving = head.leaving, keep_from = keep_from,
+            confidence:? = head.confidence, step:? = judgement.decision, load:? = head.load,
+            limit:? = head.limit, leaving = head.leaving, keep_from = judgement.keep_from,
             waited_ms = waited.as_millis() as u64,
             since_ms = self.req.received_at.elapsed().as_millis() as u64, sends = self.sends,
             tokens = self.req.head.prompt_tokens,
@@ -429,7 +432,7 @@
             config = self.plan.table.config().version;
             "stream began"
         );
-        if let Decision::Ask(larger_model) = decision {
+        if let Decision::Ask(larger_model) = judgement.decision {
             choice.record_outcome(Outcome::Dropped);
             // Closing the connection cancels the run, but the request has run in part.
             drop(pending);
--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -9,6 +9,8 @@
     RequestEnd,
     SendEnd, //
 };
+use sesamebeam_core::gateway::engines::escalation::Step;
+use yare::parameterized;
 
 #[test]
 fn text() {
@@ -37,3 +39,16 @@
         assert!(text.contains(line), "{line} is not in\n{text}");
     }
 }
+
+#[parameterized(
+    kept = { Step::Kept, "kept" },
+    middle = { Step::Middle, "middle" },
+    largest = { Step::Largest, "largest" },
+    late = { Step::Late, "late" },
+)]
+fn escalations(step: Step, name: &str) {
+    let exposition = Exposition::default();
+    exposition.record_escalation(step);
+    let line = format!("sesamebeam_escalations_total{{step=\"{name}\"}} 1");
+    assert!(exposition.to_text().contains(&line));
+}
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -201,14 +201,24 @@
         now: MonoTime,
         candidates: &[&'a ServerRecord],
         params: &ChoiceParams<'_>,
+    ) -> Option<&'a ServerRecord> {
+        let chosen = self.pick(now, candidates, params)?;
+        self.record_send(now, chosen, params.prefill_time);
+        Some(chosen)
+    }
+
+    /// Returns the backend server that [`choose`](Self::choose) would choose.
+    pub fn pick<'a>(
+        &self,
+        now: MonoTime,
+        candidates: &[&'a ServerRecord],
+        params: &ChoiceParams<'_>,
     ) -> Option<&'a ServerRecord> {
         let eligible = self.eligible(now, candidates, params.tried);
-        let chosen = match params.affinity {
+        match params.affinity {
             Some(affinity) => self.choose_by_prompt(now, &eligible, affinity, params),
             None => self.choose_by_load(now, &eligible, params),
-        }?;
-        self.record_send(now, chosen, params.prefill_time);
-        Some(chosen)
+        }
     }
 
     /// Counts a request that is sent to a backend server.
--- a/sesamebeam_core/src/gateway/cascade.rs
+++ b/sesamebeam_core/src/gateway/cascade.rs
@@ -145,11 +145,15 @@
 
     /// Returns the current confidence threshold of a service.
     pub fn threshold(&self, now: MonoTime, service: &ServiceId, relative_cost: f64) -> f64 {
-        let wait = self.wait(now, service);
-        let pressure = (wait - NO_PRESSURE_WAIT) / (FULL_PRESSURE_WAIT - NO_PRESSURE_WAIT);
-        let base = (BASE_THRESHOLD - THRESHOLD_DECREASE_PER_COST * relative_cost.max(1.0).ln())
-            .max(FULL_PRESSURE_THRESHOLD);
-        base + (FULL_PRESSURE_THRESHOLD - base) * pressure.clamp(0.0, 1.0)
+        let pressure = pressure(self.wait(now, service));
+        let base = base_threshold(relative_cost);
+        base + (FULL_PRESSURE_THRESHOLD - base) * pressure
+    }
+
+    /// Returns whether this entry received its first configuration so recently that the
+    /// load may not be known yet.
+    pub fn is_starting(&self, now: MonoTime) -> bool {
+        now < self.startup_until
     }
 
     /// Returns the mean wait for a service, over all entries if it is known.
@@ -157,7 +161,7 @@
         let fleet_mean = self.fleet_means.get(&waits::key(service));
         match fleet_mean {
             Some((wait, at)) if now.saturating_sub(*at) < FLEET_MEAN_LIFETIME => *wait,
-            _ if now < self.startup_until => FULL_PRESSURE_WAIT,
+            _ if self.is_starting(now) => FULL_PRESSURE_WAIT,
             _ => {
                 let own = self.own_waits.get(service);
                 own.map_or(0.0, |w| w.mean(now, HALF_LIFE))
@@ -166,6 +170,19 @@
     }
 }
 
+/// Returns the confidence threshold without pressure of a request with a relative cost.
+pub(super) fn base_threshold(relative_cost: f64) -> f64 {
+    let base = BASE_THRESHOLD - THRESHOLD_DECREASE_PER_COST * relative_cost.max(1.0).ln();
+    base.max(FULL_PRESSURE_THRESHOLD)
+}
+
+/// Returns the pressure, from 0 to 1, at a wait for a first event relative to the target
+/// time.
+pub(super) fn pressure(wait: f64) -> f64 {
+    let pressure = (wait - NO_PRESSURE_WAIT) / (FULL_PRESSURE_WAIT - NO_PRESSURE_WAIT);
+    pressure.clamp(0.0, 1.0)
+}
+
 /// Returns the relative cost of a request: the number of tokens charged for each token of
 /// the response, counted in prices of generated tokens.
 pub fn relative_cost(prompt_tokens: u32, response_tokens: Option<u32>) -> f64 {
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -12,6 +12,7 @@
 //! services are balanced by [`balance`](super::balance) alone.
 
 mod costs;
+pub mod escalation;
 pub mod selection;
 mod slowdown;
 mod work;
@@ -117,6 +118,8 @@
     contention: bool,
     /// Services with an engine that has stated its speed.
     stated: HashSet<ServiceId>,
+    /// Services of which the loads that other entries have seen were passed on.
+    shared: HashSet<ServiceId>,
     costs: HashMap<ServiceId, ServiceCosts>,
     servers: HashMap<ServerId, EngineState>,
     /// Median slowdown of the known engines of each service.
@@ -142,6 +145,11 @@
         self.contention || self.stated.contains(service)
     }
 
+    /// Returns whether loads of a service that other entries have seen were received.
+    pub fn has_shared_loads(&self, service: &str) -> bool {
+        self.shared.contains(service)
+    }
+
     /// Records the load stated in a response to this entry.
     pub fn record_load(&mut self, now: MonoTime, service: &ServiceId, id: &ServerId, load: Load) {
         self.record_speed(now, service, id, load.slowdown);
@@ -161,6 +169,9 @@
         id: &ServerId,
         load: &ServerLoad,
     ) {
+        if !self.shared.contains(service) {
+            self.shared.insert(service.clone());
+        }
         self.record_speed(now, service, id, load.slowdown());
         if self.is_on(service) {
             let engine = self.engine_mut(service, id);
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -3,6 +3,7 @@
 mod canary;
 mod capacity;
 mod choosing;
+mod escalation;
 mod exchange;
 mod retry_after;
 
@@ -24,8 +25,7 @@
     },
     cascade::{
         self,
-        Cascade,
-        Decision, //
+        Cascade, //
     },
     cold::ColdServers,
     config::{
@@ -61,8 +61,7 @@
     request::{
         Head,
         Load,
-        PromptPart,
-        ResponseHead, //
+        PromptPart, //
     },
     response_counts::{
         CountKey,
@@ -475,34 +474,6 @@
         }
     }
 
-    /// Decides from the confidence stated by the model whether a successful answer is
-    /// kept or the next larger model is asked.
-    pub fn judge_confidence(
-        &mut self,
-        now: MonoTime,
-        plan: &Plan,
-        asked: &str,
-        answer: &ResponseHead,
-        attempts_left: bool,
-    ) -> Decision {
-        let sizes = &plan.route.models;
-        let step = self.cascade.judge(
-            now,
-            &plan.service,
-            sizes,
-            asked,
-            answer.confidence,
-            plan.relative_cost,
-        );
-        if !attempts_left {
-            return Decision::Keep;
-        }
-        if matches!(step, Decision::Ask(_)) && !self.try_retry(now, plan) {
-            return Decision::Keep;
-        }
-        step
-    }
-
     /// Records a response from a backend server.
     pub fn record_response(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
         self.balancer.record_response(now, id, load);
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -1,5 +1,7 @@
 //! Selection of the backend server for a send.
 
+use std::time::Duration;
+
 use super::{
     Choice,
     ChooseError,
@@ -24,7 +26,7 @@
             Window, //
         },
         engines::{
-            EngineSend,
+            EngineSend, Forecast,
             selection::{
                 self,
                 Candidate, //
@@ -46,6 +48,34 @@
 /// Factor by which the candidate window grows when none of the candidates is usable.
 const WIDEN_FACTOR: usize = 8;
 
+/// Backend server that would get the next send of a request.
+pub(super) struct Pick<'a> {
+    server: &'a ServerRecord,
+    /// Predicted times, if the service is scheduled by engine time.
+    pub(super) forecast: Option<Forecast>,
+    /// Engines among which it was selected, if the service is scheduled by engine time.
+    pub(super) engines: Vec<Candidate<'a>>,
+    /// Number of backend servers considered.
+    considered: usize,
+    /// Expected time to process the unshared part of the prompt.
+    prefill_time: Duration,
+}
+
+impl Pick<'_> {
+    fn choice(&self) -> Choice {
+        let announcement = &self.server.announcement;
+        Choice {
+            id: announcement.id.clone(),
+            started_at: announcement.started_at,
+            addr: announcement.addr,
+            version: announcement.version.clone(),
+            prefill_time: self.prefill_time,
+            candidates: self.considered,
+            forecast: self.forecast,
+        }
+    }
+}
+
 impl Router {
     /// Chooses a backend server for the next send and counts the send.
     ///
@@ -59,39 +89,115 @@
         model: Option<&str>,
         tried: &[ServerId],
     ) -> Result<Choice, ChooseError> {
+        let choice = self.pick(now, plan, model, tried)?.choice();
+        self.record_choice(now, plan, model, &choice);
+        self.record_session(now, plan, &choice);
+        Ok(choice)
+    }
+
+    /// Returns the backend server that would be chosen for a send, without counting the
+    /// send.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no backend server is available.
+    pub(super) fn pick<'a>(
+        &'a self,
+        now: MonoTime,
+        plan: &Plan,
+        model: Option<&str>,
+        tried: &[ServerId],
+    ) -> Result<Pick<'a>, ChooseError> {
         let allowed = self.allowed_versions(plan);
         // The canary servers are picked from the whole service, so that all entries use
         // the same ones.
         if plan.in_canary && self.is_canary(&plan.service) {
-            return self.choose_within(now, plan, model, tried, &allowed, Window::ALL);
+            return self.pick_within(now, plan, model, tried, &allowed, Window::ALL);
         }
         let mut max_candidates = MAX_CANDIDATES;
         loop {
             let window = self.window(plan, model, &allowed, max_candidates);
-            match self.choose_within(now, plan, model, tried, &allowed, window) {
+            match self.pick_within(now, plan, model, tried, &allowed, window) {
                 Err(_) if !window.is_all() => max_candidates *= WIDEN_FACTOR,
                 result => return result,
             }
         }
     }
 
-    /// Chooses among the backend servers whose keys are in a window.
-    fn choose_within(
-        &mut self,
+    /// Picks among the backend servers whose keys are in a window.
+    fn pick_within<'a>(
+        &'a self,
         now: MonoTime,
         plan: &Plan,
         model: Option<&str>,
         tried: &[ServerId],
         allowed: &Allowed,
         window: Window,
-    ) -> Result<Choice, ChooseError> {
+    ) -> Result<Pick<'a>, ChooseError> {
+        let (eligible, considered) = self.usable(now, plan, tried, allowed, window)?;
+        let affinity = affinity(plan, model);
+        let prefill_time = self
+            .prefill_times
+            .estimate(&plan.service, model, plan.unshared_tokens);
+        let params = ChoiceParams {
+            affinity,
+            prefill_time,
+            domain: &self.cfg.domain,
+            tried,
+            at_most_once: plan.route.runs_at_most_once(),
+            seed: plan.seed,
+        };
+        let Some(cfg) = self.timed_engine(plan) else {
+            let server = self.balancer.pick(now, &eligible, &params);
+            return Ok(Pick {
+                server: server.ok_or(ChooseError::NoneLeft)?,
+                forecast: None,
+                engines: Vec::new(),
+                considered,
+                prefill_time,
+            });
+        };
+        let eligible = self.balancer.eligible(now, &eligible, tried);
+        let engines: Vec<Candidate<'a>> = eligible
+            .into_iter()
+            .map(|server| Candidate {
+                server,
+                is_reliable: self.balancer.is_reliable(server, &params),
+                is_local: self.balancer.is_preferred_domain(server, &params),
+            })
+            .collect();
+        let demand = plan.demand(model);
+        let forecaster = self.engines.forecaster(now, cfg, &plan.service, &demand);
+        let key = affinity.map_or(plan.seed, |a| a.key);
+        let time_left = plan.deadline.saturating_sub(now);
+        let chosen = selection::choose(&forecaster, &engines, key, time_left);
+        let (server, forecast) = chosen.ok_or(ChooseError::NoneLeft)?;
+        Ok(Pick {
+            server,
+            forecast: Some(forecast),
+            engines,
+            considered,
+            prefill_time,
+        })
+    }
+
+    /// Returns the backend servers in a window that may run a request now, including those
+    /// already tried, and the number of those considered.
+    fn usable<'a>(
+        &'a self,
+        now: MonoTime,
+        plan: &Plan,
+        tried: &[ServerId],
+        allowed: &Allowed,
+        window: Window,
+    ) -> Result<(Vec<&'a ServerRecord>, usize), ChooseError> {
         let orders = &self.orders;
         let groups = self.directory.groups(&plan.service);
         let groups = groups.filter(|g| orders.admits(g.domain) && allowed.includes(g.version));
         let mut eligible: Vec<&ServerRecord> = groups
             .flat_map(|g| self.directory.members(&g, window))
             .collect();
-        let candidates = eligible.len();
+        let considered = eligible.len();
         eligible.retain(|k| !self.backoffs.is_leaving(&k.announcement.id));
         let staying_count = eligible.len();
         eligible.retain(|k| self.accepts(now, &k.announcement.id));
@@ -105,70 +211,32 @@
         if eligible.is_empty() {
             return Err(self.choose_error(plan));
         }
-        let cold = cold_limits(plan);
-        self.retain_warm(now, &mut eligible, cold, tried);
-        if eligible.is_empty() {
-            return Err(ChooseError::Cold);
+        self.retain_warm(now, &mut eligible, cold_limits(plan), tried);
+        match eligible.is_empty() {
+            true => Err(ChooseError::Cold),
+            false => Ok((eligible, considered)),
         }
-        let affinity = affinity(plan, model);
-        let prefill_time = self
-            .prefill_times
-            .estimate(&plan.service, model, plan.unshared_tokens);
-        let params = ChoiceParams {
-            affinity,
-            prefill_time,
-            domain: &self.cfg.domain,
-            tried,
-            at_most_once: plan.route.runs_at_most_once(),
-            seed: plan.seed,
-        };
-        let (chosen, forecast) = match self.timed_engine(plan) {
-            Some(cfg) => {
-                let demand = plan.demand(model);
-                let candidates = self.balancer.eligible(now, &eligible, tried);
-                let candidates: Vec<Candidate<'_>> = candidates
-                    .into_iter()
-                    .map(|server| Candidate {
-                        server,
-                        is_reliable: self.balancer.is_reliable(server, &params),
-                        is_local: self.balancer.is_preferred_domain(server, &params),
-                    })
-                    .collect();
-                let forecaster = self.engines.forecaster(now, cfg, &plan.service, &demand);
-                let key = affinity.map_or(plan.seed, |a| a.key);
-                let time_left = plan.deadline.saturating_sub(now);
-                let chosen = selection::choose(&forecaster, &candidates, key, time_left);
-                let (chosen, forecast) = chosen.ok_or(ChooseError::NoneLeft)?;
-                let send = EngineSend {
-                    service: &plan.service,
-                    id: &chosen.announcement.id,
-                    demand: &demand,
-                    forecast: &forecast,
-                };
-                self.engines.record_send(now, &send);
-                self.balancer.record_send(now, chosen, prefill_time);
-                (chosen, Some(forecast))
-            }
-            None => {
-                let chosen = self.balancer.choose(now, &eligible, &params);
-                (chosen.ok_or(ChooseError::NoneLeft)?, None)
+    }
+
+    /// Counts a send to the chosen backend server.
+    fn record_choice(&mut self, now: MonoTime, plan: &Plan, model: Option<&str>, choice: &Choice) {
+        if let Some(forecast) = &choice.forecast {
+            let send = EngineSend {
+                service: &plan.service,
+                id: &choice.id,
+                demand: &plan.demand(model),
+                forecast,
+            };
+            self.engines.record_send(now, &send);
+        }
+        if let Some(chosen) = self.directory.get(&choice.id) {
+            self.balancer.record_send(now, chosen, choice.prefill_time);
+            let cold = cold_limits(plan);
+            if let Some(cold) = cold.filter(|cold| self.cold.is_cold(now, chosen, Some(cold))) {
+                self.cold.use_turn(now, &choice.id, cold);
             }
-        };
-        if let Some(cold) = cold.filter(|cold| self.cold.is_cold(now, chosen, Some(cold))) {
-            self.cold.use_turn(now, &chosen.announcement.id, cold);
         }
-        self.limits.record_send(now, &chosen.announcement.id);
-        let choice = Choice {
-            id: chosen.announcement.id.clone(),
-            started_at: chosen.announcement.started_at,
-            addr: chosen.announcement.addr,
-            version: chosen.announcement.version.clone(),
-            prefill_time,
-            candidates,
-            forecast,
-        };
-        self.record_session(now, plan, &choice);
-        Ok(choice)
+        self.limits.record_send(now, &choice.id);
     }
 
     /// Returns the engine of a plan's service if that is scheduled by engine time.
