Mend the engine model and prefer engines with a free slot

Statements count by the time between them, the first ones beside the median of the service. - A prefill rate of 0 never grew again; absurd lengths overflowed a Duration. - After a restart, ends of sends to the old incarnation were taken off the new one's. Their state is dropped, and records about them ignored. - Engine time stayed on after its service was removed, with its costs. - Requests that wait for a slot were taken to slow down those that run.

No trial with daemons was run.

A load with slowdown takes 10 bytes, so 256 of them 13 KB a second, not 11.

--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -221,12 +221,19 @@
         costs.record_stream(predicted, events, duration, running);
     }
 
-    /// Resets the state of an engine that has restarted.
+    /// Removes the state of an engine that has restarted, including own sends: these ended
+    /// with the earlier incarnation, and the caller records nothing more about them.
     pub fn reset(&mut self, id: &ServerId) {
-        if let Some(engine) = self.servers.get_mut(id) {
-            engine.speed = Speed::default();
-            engine.work.reset();
-        }
+        self.servers.remove(id);
+    }
+
+    /// Removes the state of services that are no longer configured to run models.
+    pub fn retain_services(&mut self, is_configured: impl Fn(&ServiceId) -> bool) {
+        self.stated.retain(&is_configured);
+        self.costs.retain(|service, _| is_configured(service));
+        self.medians.retain(|service, _| is_configured(service));
+        self.servers
+            .retain(|_, engine| is_configured(&engine.service) || engine.work.has_own());
     }
 
     /// Removes the state of engines that are gone, and updates the median speeds.
@@ -303,13 +310,22 @@
         known.unwrap_or_else(|| self.median_slowdown(service))
     }
 
+    /// Returns the factor that an engine has last stated, if it has stated any.
+    pub fn stated_slowdown(&self, id: &ServerId) -> Option<f64> {
+        self.servers.get(id)?.speed.stated()
+    }
+
     /// Returns the factor by which work typically takes longer than usual at an engine.
     pub fn typical_slowdown(&self, service: &str, id: &ServerId) -> f64 {
-        let engine = self.servers.get(id);
-        let known = engine.and_then(|engine| engine.speed.typical());
+        let known = self.known_slowdown(id);
         known.unwrap_or_else(|| self.median_slowdown(service))
     }
 
+    /// Returns the typical factor of an engine that has stated any.
+    pub fn known_slowdown(&self, id: &ServerId) -> Option<f64> {
+        self.servers.get(id)?.speed.typical()
+    }
+
     fn median_slowdown(&self, service: &str) -> f64 {
         self.medians.get(service).copied().unwrap_or(1.0)
     }
@@ -338,7 +354,9 @@
         if !self.stated.contains(service) {
             self.stated.insert(service.clone());
         }
-        self.engine_mut(service, id).speed.record(now, slowdown);
+        let median = self.median_slowdown(service);
+        let engine = self.engine_mut(service, id);
+        engine.speed.record(now, slowdown, median);
     }
 
     fn engine_mut(&mut self, service: &ServiceId, id: &ServerId) -> &mut EngineState {
@@ -370,7 +388,11 @@
         let slot_wait = duration.mul_f64(excess / slots);
         let first_event = self.first_event.mul_f64(factor) + backlog + slot_wait;
         let first_event = first_event.min(MAX_FORECAST);
-        let event_time = self.event_times.beside(requests).mul_f64(typical);
+        // Requests beyond the slots wait and don't slow down those that run.
+        let event_time = self
+            .event_times
+            .beside(requests.min(slots))
+            .mul_f64(typical);
         let streaming = event_time.as_secs_f64() * (self.events - 1.0);
         let streaming = Duration::try_from_secs_f64(streaming).unwrap_or(MAX_FORECAST);
         Forecast {
--- a/sesamebeam_core/src/gateway/engines/costs.rs
+++ b/sesamebeam_core/src/gateway/engines/costs.rs
@@ -39,6 +39,14 @@
 /// change it by half.
 const ADJUSTMENT_STEP: f64 = 0.1;
 
+/// Bounds of the learned times, in seconds. An estimate of a quantile moves in proportion to
+/// itself and would never leave 0; the upper bounds are beyond any real engine and keep
+/// sums within the range of [`Duration`].
+const FIXED_BOUNDS: (f64, f64) = (1e-3, 60.0);
+const RATE_BOUNDS: (f64, f64) = (1e-6, 0.01);
+const MAX_STREAM: f64 = 3600.0;
+const MAX_PREFILL: f64 = 3600.0;
+
 /// Weight of the newest value in a moving average.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -136,7 +144,8 @@
     pub(super) fn record_send(&mut self, demand: &Demand) {
         let prefill = self
             .prefill_time(demand, demand.uncached_tokens)
-            .as_secs_f64();
+            .as_secs_f64()
+            .min(MAX_PREFILL);
         self.prefill += MEAN_WEIGHT * (prefill - self.prefill);
         let newest = (
             f64::from(demand.uncached_tokens.min(MAX_TOKENS)),
@@ -152,12 +161,12 @@
         let cost = self.model_mut(demand);
         let tokens = demand.uncached_tokens.min(MAX_TOKENS);
         if tokens <= MAX_FIXED_TOKENS {
-            cost.fixed = toward_quantile(cost.fixed, wait);
+            cost.fixed = toward_quantile(cost.fixed, wait, FIXED_BOUNDS);
         }
         if tokens >= MIN_RATE_TOKENS {
             let sample = (wait - cost.fixed).max(0.0) / f64::from(tokens);
             let rate = cost.rate.unwrap_or(sample);
-            cost.rate = Some(toward_quantile(rate, sample));
+            cost.rate = Some(toward_quantile(rate, sample, RATE_BOUNDS));
         }
     }
 
@@ -171,6 +180,7 @@
         running: f64,
     ) {
         let events = events as f64;
+        let duration = duration.min(MAX_STREAM);
         self.duration += MEAN_WEIGHT * (duration - self.duration);
         if predicted_events > 0.0 {
             let ratio =
@@ -243,9 +253,10 @@
 }
 
 /// Moves an estimate of a quantile by one sample.
-fn toward_quantile(estimate: f64, sample: f64) -> f64 {
+fn toward_quantile(estimate: f64, sample: f64, bounds: (f64, f64)) -> f64 {
     let is_shorter = if sample < estimate { 1.0 } else { 0.0 };
-    estimate * (1.0 + ADJUSTMENT_STEP * (QUANTILE - is_shorter))
+    let moved = estimate * (1.0 + ADJUSTMENT_STEP * (QUANTILE - is_shorter));
+    moved.clamp(bounds.0, bounds.1)
 }
 
 /// Returns the class of a number of running requests.
--- a/sesamebeam_core/src/gateway/engines/selection.rs
+++ b/sesamebeam_core/src/gateway/engines/selection.rs
@@ -19,6 +19,10 @@
 /// Quantile of the predicted completions up to which engines are always eligible.
 const ELIGIBLE_SHARE: f64 = 0.25;
 
+/// Share of the slots up to which an engine is expected to have a free one. Others send to
+/// it before their loads are heard of.
+const FREE_SHARE: f64 = 0.7;
+
 /// Margin above that quantile. Predictions err by more than this.
 const MARGIN: f64 = 0.1;
 
@@ -36,7 +40,10 @@
 /// Chooses the engine for a send, with the prediction for it.
 ///
 /// `key` identifies the shared prompt and the model, or else the request. Engines that
-/// cannot complete the request within `time_left` are chosen only if none can.
+/// cannot complete the request within `time_left` are chosen only if none can, and those
+/// without a free slot only if no engine has one. A full engine may still be predicted to
+/// complete first, but the request would wait there for its first event, and its streams
+/// slow down all others.
 pub fn choose<'a>(
     forecaster: &Forecaster<'_>,
     candidates: &[Candidate<'a>],
@@ -51,10 +58,19 @@
         )
     };
     let mut predicted: Vec<(Candidate<'a>, Forecast)> = candidates.iter().map(predict).collect();
-    if predicted.iter().any(|(_, f)| f.completion <= time_left) {
-        predicted.retain(|(_, f)| f.completion <= time_left);
+    let is_in_time = |f: &Forecast| f.completion <= time_left;
+    let is_any_in_time = predicted.iter().any(|(_, f)| is_in_time(f));
+    let is_usable = |f: &Forecast| is_in_time(f) || !is_any_in_time;
+    if predicted
+        .iter()
+        .any(|(c, f)| has_slot(c, f) && is_usable(f))
+    {
+        predicted.retain(|(c, f)| has_slot(c, f));
     }
+    // Taken before the deadline is considered: if few engines are in time, all of them are
+    // eligible, and entries don't all choose the same one.
     let limit = eligible_limit(&predicted)?;
+    predicted.retain(|(_, f)| is_usable(f));
     let key = key.to_le_bytes();
     let eligible = predicted
         .iter()
@@ -66,6 +82,12 @@
     best.map(|(c, f)| (c.server, *f))
 }
 
+/// Returns whether the request is expected to get a slot immediately.
+fn has_slot(candidate: &Candidate<'_>, forecast: &Forecast) -> bool {
+    let slots = candidate.server.announcement.slots.max(1);
+    forecast.requests + 1.0 <= f64::from(slots) * FREE_SHARE
+}
+
 /// Returns the predicted completion up to which an engine is eligible.
 fn eligible_limit(predicted: &[(Candidate<'_>, Forecast)]) -> Option<Duration> {
     let mut completions: Vec<Duration> = predicted.iter().map(|(_, f)| f.completion).collect();
--- a/sesamebeam_core/src/gateway/engines/slowdown.rs
+++ b/sesamebeam_core/src/gateway/engines/slowdown.rs
@@ -17,6 +17,9 @@
 /// and goes within about half a second.
 const MOMENT: Duration = Duration::from_millis(300);
 
+/// Typical length of such a moment. Statements within it count together as one.
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
+
 /// Weight of the newest statement in the typical slowdown: a moment of heavy load shifts it
 /// by a tenth at most.
 const TYPICAL_WEIGHT: f64 = 0.1;
@@ -48,17 +51,28 @@
 pub(super) struct Speed {
     /// Last statement, and when it arrived.
     stated: Option<(Slowdown, MonoTime)>,
-    /// Moving average of the logarithms of the stated factors.
-    typical_log: Option<f64>,
+    /// Moving average of the logarithms of the stated factors, and their number as far
+    /// as it determines the weight of the next one.
+    typical_log: Option<(f64, f64)>,
 }
 
 impl Speed {
-    /// Records a statement.
-    pub(super) fn record(&mut self, now: MonoTime, slowdown: Slowdown) {
+    /// Records a statement of an engine of a service with a median slowdown.
+    ///
+    /// Statements soon after another weigh less, because a busy engine makes many of them
+    /// in one moment of heavy load. The first ones weigh more, beside the median as one
+    /// statement: an engine that was first heard of in such a moment would otherwise count
+    /// as slow, get no requests and so never state anything else.
+    pub(super) fn record(&mut self, now: MonoTime, slowdown: Slowdown, median: f64) {
+        let since = self
+            .stated
+            .map_or(LOAD_PERIOD, |(_, at)| now.saturating_sub(at));
         self.stated = Some((slowdown, now));
-        let log = slowdown.factor().ln();
-        let typical = self.typical_log.get_or_insert(log);
-        *typical += TYPICAL_WEIGHT * (log - *typical);
+        let (typical, count) = self.typical_log.get_or_insert((median.ln(), 1.0));
+        let share = since.div_duration_f64(LOAD_PERIOD).min(1.0);
+        *count = (*count + share).min(1.0 / TYPICAL_WEIGHT);
+        let weight = share / *count;
+        *typical += weight * (slowdown.factor().ln() - *typical);
     }
 
     /// Returns the factor at this moment, or the typical one if the last statement is too
@@ -70,8 +84,13 @@
         }
     }
 
+    /// Returns the factor stated last.
+    pub(super) fn stated(&self) -> Option<f64> {
+        self.stated.map(|(slowdown, _)| slowdown.factor())
+    }
+
     /// Returns the typical factor.
     pub(super) fn typical(&self) -> Option<f64> {
-        self.typical_log.map(f64::exp)
+        self.typical_log.map(|(log, _)| log.exp())
     }
 }
--- a/sesamebeam_core/src/gateway/engines/work.rs
+++ b/sesamebeam_core/src/gateway/engines/work.rs
@@ -9,6 +9,10 @@
 
 use crate::ids::MonoTime;
 
+/// Largest number of running or waiting requests of others that is considered. Engines
+/// state these numbers.
+const MAX_REQUESTS: u32 = 100_000;
+
 /// Load that an engine stated.
 #[derive(Clone, Copy, Debug)]
 struct StatedLoad {
@@ -70,21 +74,13 @@
     ) {
         let own_running = self.in_flight.saturating_sub(self.unstarted);
         self.stated = Some(StatedLoad {
-            running: f64::from(running.saturating_sub(own_running)),
-            waiting: f64::from(waiting.saturating_sub(self.unstarted)),
+            running: f64::from(running.saturating_sub(own_running).min(MAX_REQUESTS)),
+            waiting: f64::from(waiting.saturating_sub(self.unstarted).min(MAX_REQUESTS)),
             long_prefill,
             at: now,
         });
     }
 
-    /// Forgets everything but own sends, which end on their own.
-    pub(super) fn reset(&mut self) {
-        *self = Self {
-            in_flight: self.in_flight,
-            ..Self::default()
-        };
-    }
-
     /// Returns whether own requests run or wait there.
     pub(super) fn has_own(&self) -> bool {
         self.in_flight > 0
--- a/sesamebeam_core/src/gateway/loads.rs
+++ b/sesamebeam_core/src/gateway/loads.rs
@@ -31,9 +31,8 @@
 /// which due messages are checked. A queue that matters lasts longer than this.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(180);
 
-/// Maximum number of loads in one report. At eight bytes each this is 11 KB a second,
-/// which leaves room for the other messages within the 14 KB a second that an entry may
-/// receive.
+/// Maximum number of loads in one report. At ten bytes each, five times a second, this is
+/// 13 KB a second, within the 14 KB a second that an entry may receive.
 pub const MAX_REPORTED: usize = 256;
 
 /// Mean number of requests per backend server below which small loads are not reported.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -337,6 +337,8 @@
         if self.table.is_none() {
             self.cascade.started(now);
         }
+        self.engines
+            .retain_services(|name| config.service(name).is_some_and(|s| s.engine.is_some()));
         self.table = Some(RouteTable::new(config));
         true
     }
@@ -379,9 +381,11 @@
         let id = announcement.id.clone();
         let changed = self.directory.merge(now, announcement, is_configured);
         let after = self.directory.get(&id).map(ServerRecord::incarnation);
+        if before != after {
+            self.engines.reset(&id);
+        }
         if before.is_some() && before != after {
             self.balancer.reset(&id);
-            self.engines.reset(&id);
             self.limits.forget(&id);
             self.backoffs.forget(&id);
         }
@@ -549,7 +553,7 @@
             .record(&plan.service, model, plan.unshared_tokens, took);
         self.balancer
             .record_prefilled(now, &choice.id, choice.prefill_time);
-        if let Some(forecast) = &choice.forecast {
+        if let Some(forecast) = self.counted_forecast(choice) {
             let demand = plan.demand(model);
             let send = EngineSend {
                 service: &plan.service,
@@ -572,7 +576,7 @@
         events: u64,
         duration: Duration,
     ) {
-        let (Some(cfg), Some(forecast)) = (plan.engine(), &choice.forecast) else {
+        let (Some(cfg), Some(forecast)) = (plan.engine(), self.counted_forecast(choice)) else {
             return;
         };
         let send = EngineSend {
@@ -590,7 +594,7 @@
     pub fn record_aborted(&mut self, now: MonoTime, choice: &Choice) {
         self.balancer
             .record_prefilled(now, &choice.id, choice.prefill_time);
-        if let Some(forecast) = &choice.forecast {
+        if let Some(forecast) = self.counted_forecast(choice) {
             self.engines.record_aborted(now, &choice.id, forecast);
         }
     }
@@ -649,7 +653,7 @@
         choice: &Choice,
         outcome: Outcome,
     ) {
-        if choice.forecast.is_some() {
+        if self.counted_forecast(choice).is_some() {
             self.engines.record_end(&choice.id);
         }
         let outcome = match self.is_current_incarnation(choice) {
@@ -676,6 +680,13 @@
         known.is_none_or(|k| k.announcement.started_at == choice.started_at)
     }
 
+    /// Returns the forecast of a send that is counted at its engine: one by engine time, to
+    /// the current incarnation.
+    fn counted_forecast<'a>(&self, choice: &'a Choice) -> Option<&'a Forecast> {
+        let forecast = choice.forecast.as_ref();
+        forecast.filter(|_| self.is_current_incarnation(choice))
+    }
+
     /// Records sessions that must stay on the versions from before a rollout.
     pub fn pin_sessions(&mut self, now: MonoTime, kept: &RetainedSessions, all: bool) {
         self.sessions.exclude(now, kept, all);
