Judge rollouts by times at the usual speed of the engines

A canary gets few engines. If these are slow ones, a good version had 6.8 times the times of the stable one and was rolled back; on fast ones, a version of 3.2 times the times looked like the others and stayed. Where engine time is on, times to the first byte are divided by the slowdown that the answer stated, and times between events by the typical one, because a stream lasts longer than a moment of heavy load. Engines that stated nothing are judged as before.

Both tests fail without the change.

--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -614,6 +614,9 @@
         took: Duration,
     ) {
         let in_canary = self.is_rollout_target(&plan.service, &choice.version);
+        // The answer has just stated the slowdown at its start.
+        let slowdown = self.engines.stated_slowdown(&choice.id);
+        let took = self.at_usual_speed(plan, slowdown, took);
         self.response_counts
             .record_first_byte(&plan.sender(choice), model, took, in_canary);
     }
@@ -627,10 +630,22 @@
         pace: Duration,
     ) {
         let in_canary = self.is_rollout_target(&plan.service, &choice.version);
+        // A stream lasts longer than a moment of heavy load at its engine.
+        let slowdown = self.engines.known_slowdown(&choice.id);
+        let pace = self.at_usual_speed(plan, slowdown, pace);
         self.response_counts
             .record_event_interval(&plan.sender(choice), model, pace, in_canary);
     }
 
+    /// Returns how long something would have taken on an engine with the usual speed, if the
+    /// plan's service is scheduled by engine time and the engine has stated its slowdown.
+    ///
+    /// The few engines of a canary may all be slow ones, which is no fault of the version.
+    fn at_usual_speed(&self, plan: &Plan, slowdown: Option<f64>, took: Duration) -> Duration {
+        let is_on = plan.engine().is_some() && self.engines.is_on(&plan.service);
+        took.div_f64(slowdown.filter(|_| is_on).unwrap_or(1.0))
+    }
+
     /// Records the answer to a non-streaming request.
     pub fn record_answer(&mut self, plan: &Plan, took: Duration, load: Option<Load>) {
         let target = plan.route.target;
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod directory;
 mod engine_model;
 mod engine_play;
+mod engine_rollouts;
 mod engine_selection;
 mod evacuations;
 mod fixtures;
