--- a/sesamebeam_bench/benches/directory.rs
+++ b/sesamebeam_bench/benches/directory.rs
@@ -15,6 +15,7 @@
     gateway::{
         balance::Outcome,
         config::{
+            EngineConfig,
             GatewayConfig,
             RetrySafety,
             RouteConfig,
@@ -25,8 +26,10 @@
             Directory,
             ServerState, //
         },
+        engines::Slowdown,
         request::{
             Head,
+            Load,
             PromptPart, //
         },
         retry_budget::RetryBudgetConfig,
@@ -39,6 +42,10 @@
 };
 
 const SERVERS: [u32; 6] = [5, 90, 300, 3_000, 10_000, 20_000];
+/// Numbers of engines for a choice by engine time.
+const ENGINES: [u32; 4] = [5, 90, 10_000, 20_000];
+const SLOTS: u32 = 16;
+const MODELS: [&str; 2] = ["small", "large"];
 const DOMAINS: u32 = 5;
 const NOW: MonoTime = MonoTime::ZERO;
 
@@ -50,10 +57,10 @@
         addr: (Ipv4Addr::from(0x0a00_0000 + number), 80).into(),
         domain: format!("hall-{}", number % DOMAINS).into(),
         version: "v1".into(),
-        slots: 16,
+        slots: SLOTS,
         state: ServerState::Ready,
         cold: Duration::ZERO,
-        models: vec!["small".into(), "large".into()],
+        models: MODELS.map(Into::into).to_vec(),
         sequence: 1,
     }
 }
@@ -109,6 +116,55 @@
     }
 }
 
+/// Returns a router whose backend servers are engines that have stated their speed.
+fn engine_router(engines: u32) -> Router {
+    let mut router = router(engines);
+    let mut cfg = config();
+    cfg.version += 1;
+    cfg.services[0].engine = Some(EngineConfig {
+        slots: SLOTS,
+        kv_capacity_tokens: 400_000,
+        tokens_per_event: 4,
+        models: MODELS.map(|model| (model.into(), 1.0)).to_vec(),
+    });
+    router.set_config(NOW, cfg);
+    for number in 0..engines {
+        let load = Load {
+            running: number % SLOTS,
+            waiting: 0,
+            slots: SLOTS,
+            slowdown: Slowdown::from_percent(u64::from(70 + number % 101)),
+        };
+        router.record_response(NOW, &server(number).id, Some(load));
+    }
+    router
+}
+
+fn bench_engine_time(bench: &mut Criterion, engines: u32) {
+    let mut router = engine_router(engines);
+    let requests: Vec<_> = (0..64)
+        .map(|n| router.admit(NOW, &head(&format!("r{n}"), n * 99)))
+        .collect();
+    let plans: Vec<_> = requests.into_iter().flatten().collect();
+    let mut at = 0;
+    bench.bench_with_input(
+        BenchmarkId::new("choose by engine time", engines),
+        &engines,
+        |b, _| {
+            b.iter(|| {
+                at += 1;
+                let plan = &plans[at % plans.len()];
+                if let Ok(choice) = router.choose(NOW, plan, Some(MODELS[0]), &[]) {
+                    assert!(choice.forecast.is_some(), "engine time is on");
+                    router.record_aborted(NOW, &choice);
+                    router.record_outcome(NOW, plan, &choice, Outcome::Dropped);
+                    black_box(choice);
+                }
+            });
+        },
+    );
+}
+
 fn head(id: &str, prompt: u64) -> Head {
     let part = |id| PromptPart { id, tokens: 400 };
     Head {
@@ -131,6 +187,9 @@
         .sample_size(10)
         .warm_up_time(Duration::from_millis(200))
         .measurement_time(Duration::from_millis(600));
+    for engines in ENGINES {
+        bench_engine_time(&mut bench, engines);
+    }
     for servers in SERVERS {
         let mut router = router(servers);
         let requests: Vec<_> = (0..64)
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -385,15 +385,15 @@
         let backlog = work.prefill_left(self.now, self.mean_prefill.mul_f64(factor));
         let slots = f64::from(slots.max(1));
         let excess = (requests + 1.0 - slots).max(0.0);
-        let slot_wait = duration.mul_f64(excess / slots);
+        let slot_wait = match excess > 0.0 {
+            true => duration.mul_f64(excess / slots),
+            false => Duration::ZERO,
+        };
         let first_event = self.first_event.mul_f64(factor) + backlog + slot_wait;
         let first_event = first_event.min(MAX_FORECAST);
         // Requests beyond the slots wait and don't slow down those that run.
-        let event_time = self
-            .event_times
-            .beside(requests.min(slots))
-            .mul_f64(typical);
-        let streaming = event_time.as_secs_f64() * (self.events - 1.0);
+        let event_time = self.event_times.beside(requests.min(slots)) * typical;
+        let streaming = event_time * (self.events - 1.0);
         let streaming = Duration::try_from_secs_f64(streaming).unwrap_or(MAX_FORECAST);
         Forecast {
             first_event,
--- a/sesamebeam_core/src/gateway/engines/costs.rs
+++ b/sesamebeam_core/src/gateway/engines/costs.rs
@@ -92,9 +92,9 @@
 pub(super) struct EventTimes([Option<f64>; CLASS_LIMITS.len() + 1]);
 
 impl EventTimes {
-    /// Returns the time between events beside a number of running requests. A class
+    /// Returns the seconds between events beside a number of running requests. A class
     /// without samples is taken for the nearest one that has any.
-    pub(super) fn beside(&self, running: f64) -> Duration {
+    pub(super) fn beside(&self, running: f64) -> f64 {
         let wanted = class(running);
         let known = |distance: usize| {
             let below = wanted.checked_sub(distance).and_then(|i| self.0[i]);
@@ -102,7 +102,7 @@
             below.or(above)
         };
         let nearest = (0..self.0.len()).find_map(known);
-        Duration::from_secs_f64(nearest.unwrap_or(INITIAL_EVENT_TIME))
+        nearest.unwrap_or(INITIAL_EVENT_TIME)
     }
 
     fn record(&mut self, running: f64, sample: f64) {
--- a/sesamebeam_core/src/gateway/engines/slowdown.rs
+++ b/sesamebeam_core/src/gateway/engines/slowdown.rs
@@ -54,6 +54,8 @@
     /// Moving average of the logarithms of the stated factors, and their number as far
     /// as it determines the weight of the next one.
     typical_log: Option<(f64, f64)>,
+    /// The factor of that average, which each choice reads for many engines.
+    typical: f64,
 }
 
 impl Speed {
@@ -73,6 +75,7 @@
         *count = (*count + share).min(1.0 / TYPICAL_WEIGHT);
         let weight = share / *count;
         *typical += weight * (slowdown.factor().ln() - *typical);
+        self.typical = typical.exp();
     }
 
     /// Returns the factor at this moment, or the typical one if the last statement is too
@@ -91,6 +94,6 @@
 
     /// Returns the typical factor.
     pub(super) fn typical(&self) -> Option<f64> {
-        self.typical_log.map(|(log, _)| log.exp())
+        self.typical_log.map(|_| self.typical)
     }
 }
--- a/sesamebeam_core/src/gateway/engines/work.rs
+++ b/sesamebeam_core/src/gateway/engines/work.rs
@@ -91,6 +91,9 @@
     pub(super) fn prefill_left(&self, now: MonoTime, mean_prefill: Duration) -> Duration {
         let own = self.own_prefill_until.saturating_sub(now);
         let others = self.stated.map_or(Duration::ZERO, |stated| {
+            if stated.waiting == 0.0 && stated.long_prefill.is_zero() {
+                return Duration::ZERO;
+            }
             let waiting = mean_prefill.mul_f64(stated.waiting);
             let age = now.saturating_sub(stated.at);
             waiting.max(stated.long_prefill).saturating_sub(age)
