Hash the names of backend servers faster in each choice

A choice by engine time looks up each of 128 candidates several times, and SipHash took a good part of it. The state of backend servers and of engines is now kept in maps of rustc-hash, which was in the lock file already; nothing depends on their order, and names come from announcements, not from callers.

--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -10,6 +10,8 @@
     time::Duration, //
 };
 
+use rustc_hash::FxHashMap;
+
 use super::{
     directory::{
         ServerId,
@@ -182,7 +184,7 @@
 /// Load balancer of one entry.
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
-    servers: HashMap<ServerId, ServerStats>,
+    servers: FxHashMap<ServerId, ServerStats>,
     reachability: Reachability,
     /// Loads to report to the other entries.
     unreported_loads: Loads,
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -24,6 +24,8 @@
     time::Duration,
 };
 
+use rustc_hash::FxHashMap;
+
 pub use self::{
     costs::Demand,
     slowdown::Slowdown, //
@@ -118,7 +120,7 @@
     /// Services with an engine that has stated its speed.
     stated: HashSet<ServiceId>,
     costs: HashMap<ServiceId, ServiceCosts>,
-    servers: HashMap<ServerId, EngineState>,
+    servers: FxHashMap<ServerId, EngineState>,
     /// Median slowdown of the known engines of each service.
     medians: HashMap<ServiceId, f64>,
 }
