--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -336,6 +336,8 @@
         if self.table.is_none() {
             self.cascade.started(now);
         }
+        self.engines
+            .retain_services(|name| config.service(name).is_some_and(|s| s.engine.is_some()));
         self.table = Some(RouteTable::new(config));
         true
     }
@@ -378,9 +380,11 @@
         let id = announcement.id.clone();
         let changed = self.directory.merge(now, announcement, is_configured);
         let after = self.directory.get(&id).map(ServerRecord::incarnation);
+        if before != after {
+            self.engines.reset(&id);
+        }
         if before.is_some() && before != after {
             self.balancer.reset(&id);
-            self.engines.reset(&id);
             self.limits.forget(&id);
             self.backoffs.forget(&id);
         }
@@ -520,7 +524,7 @@
             .record(&plan.service, model, plan.unshared_tokens, took);
         self.balancer
             .record_prefilled(now, &choice.id, choice.prefill_time);
-        if let Some(forecast) = &choice.forecast {
+        if let Some(forecast) = self.counted_forecast(choice) {
             let demand = plan.demand(model);
             let send = EngineSend {
                 service: &plan.service,
@@ -543,7 +547,7 @@
         events: u64,
         duration: Duration,
     ) {
-        let (Some(cfg), Some(forecast)) = (plan.engine(), &choice.forecast) else {
+        let (Some(cfg), Some(forecast)) = (plan.engine(), self.counted_forecast(choice)) else {
             return;
         };
         let send = EngineSend {
@@ -561,7 +565,7 @@
     pub fn record_aborted(&mut self, now: MonoTime, choice: &Choice) {
         self.balancer
             .record_prefilled(now, &choice.id, choice.prefill_time);
-        if let Some(forecast) = &choice.forecast {
+        if let Some(forecast) = self.counted_forecast(choice) {
             self.engines.record_aborted(now, &choice.id, forecast);
         }
     }
@@ -581,6 +585,9 @@
         took: Duration,
     ) {
         let in_canary = self.is_rollout_target(&plan.service, &choice.version);
+        // The answer has just stated the slowdown at its start.
+        let slowdown = self.engines.stated_slowdown(&choice.id);
+        let took = self.at_usual_speed(plan, slowdown, took);
         self.response_counts
             .record_first_byte(&plan.sender(choice), model, took, in_canary);
     }
@@ -594,10 +601,22 @@
         pace: Duration,
     ) {
         let in_canary = self.is_rollout_target(&plan.service, &choice.version);
+        // A stream lasts longer than a moment of heavy load at its engine.
+        let slowdown = self.engines.known_slowdown(&choice.id);
+        let pace = self.at_usual_speed(plan, slowdown, pace);
         self.response_counts
             .record_event_interval(&plan.sender(choice), model, pace, in_canary);
     }
 
+    /// Returns how long something would have taken on an engine with the usual speed, if the
+    /// plan's service is scheduled by engine time and the engine has stated its slowdown.
+    ///
+    /// The few engines of a canary may all be slow ones, which is no fault of the version.
+    fn at_usual_speed(&self, plan: &Plan, slowdown: Option<f64>, took: Duration) -> Duration {
+        let is_on = plan.engine().is_some() && self.engines.is_on(&plan.service);
+        took.div_f64(slowdown.filter(|_| is_on).unwrap_or(1.0))
+    }
+
     /// Records the answer to a non-streaming request.
     pub fn record_answer(&mut self, plan: &Plan, took: Duration, load: Option<Load>) {
         let target = plan.route.target;
@@ -620,7 +639,7 @@
         choice: &Choice,
         outcome: Outcome,
     ) {
-        if choice.forecast.is_some() {
+        if self.counted_forecast(choice).is_some() {
             self.engines.record_end(&choice.id);
         }
         let outcome = match self.is_current_incarnation(choice) {
@@ -647,6 +666,13 @@
         known.is_none_or(|k| k.announcement.started_at == choice.started_at)
     }
 
+    /// Returns the forecast of a send that is counted at its engine: one by engine time, to
+    /// the current incarnation.
+    fn counted_forecast<'a>(&self, choice: &'a Choice) -> Option<&'a Forecast> {
+        let forecast = choice.forecast.as_ref();
+        forecast.filter(|_| self.is_current_incarnation(choice))
+    }
+
     /// Records sessions that must stay on the versions from before a rollout.
     pub fn pin_sessions(&mut self, now: MonoTime, kept: &RetainedSessions, all: bool) {
         self.sessions.exclude(now, kept, all);
