--- a/sesamebeam_core/src/gateway/cascade.rs
+++ b/sesamebeam_core/src/gateway/cascade.rs
@@ -145,11 +145,16 @@
 
     /// Returns the current confidence threshold of a service.
     pub fn threshold(&self, now: MonoTime, service: &ServiceId, relative_cost: f64) -> f64 {
-        let pressure = pressure(self.wait(now, service));
+        let pressure = self.pressure(now, service);
         let base = base_threshold(relative_cost);
         base + (FULL_PRESSURE_THRESHOLD - base) * pressure
     }
 
+    /// Returns the pressure by the waits of requests that have started.
+    pub fn pressure(&self, now: MonoTime, service: &ServiceId) -> f64 {
+        pressure(self.wait(now, service))
+    }
+
     /// Returns whether this entry received its first configuration so recently that the
     /// load may not be known yet.
     pub fn is_starting(&self, now: MonoTime) -> bool {
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -71,6 +71,8 @@
     pub slowdown: f64,
     /// Number of requests that run or wait there.
     pub requests: f64,
+    /// Whether requests wait there, or would.
+    pub has_queue: bool,
 }
 
 /// A send to an engine.
@@ -415,6 +417,7 @@
             shared_prefill: self.shared_prefill.mul_f64(factor).min(MAX_FORECAST),
             slowdown: factor,
             requests,
+            has_queue: work.has_queue(self.now) || requests + 1.0 > slots,
         }
     }
 }
--- a/sesamebeam_core/src/gateway/engines/escalation.rs
+++ b/sesamebeam_core/src/gateway/engines/escalation.rs
@@ -11,13 +11,7 @@
     Forecaster,
     selection::Candidate, //
 };
-use crate::{
-    gateway::cascade::{
-        self,
-        Decision, //
-    },
-    ids::ModelId,
-};
+use crate::{gateway::cascade::Decision, ids::ModelId};
 
 /// Margin of a predicted completion, relative to its time.
 const COMPLETION_MARGIN: f64 = 0.25;
@@ -27,6 +21,11 @@
 const ON_TIME: f64 = 0.75;
 const LATE: f64 = 1.25;
 
+/// Share of the engines with a queue up to which there is no pressure, as selection still
+/// finds one without, and from which there is full pressure.
+const NO_PRESSURE_SHARE: f64 = 0.25;
+const FULL_PRESSURE_SHARE: f64 = 0.5;
+
 /// Shortest target time that first events are compared with, in seconds.
 const MIN_TARGET: f64 = 0.001;
 
@@ -146,26 +145,20 @@
     }
 }
 
-/// Returns the pressure, from 0 to 1, by the current load of the candidates: the median of
-/// the predicted times to the first event, relative to the target time. Without candidates
-/// there is full pressure.
-pub fn pressure(
-    forecaster: &Forecaster<'_>,
-    candidates: &[Candidate<'_>],
-    target: Duration,
-) -> f64 {
-    let first_event = |c: &Candidate<'_>| {
+/// Returns the pressure, from 0 to 1, by the current load of the candidates: the share of
+/// them at which a request would wait. Without candidates there is full pressure.
+pub fn pressure(forecaster: &Forecaster<'_>, candidates: &[Candidate<'_>]) -> f64 {
+    let has_queue = |c: &&Candidate<'_>| {
         let announcement = &c.server.announcement;
         let forecast = forecaster.forecast(&announcement.id, announcement.slots);
-        forecast.first_event
+        forecast.has_queue
     };
-    let mut first_events: Vec<Duration> = candidates.iter().map(first_event).collect();
-    if first_events.is_empty() {
+    if candidates.is_empty() {
         return 1.0;
     }
-    let middle = first_events.len() / 2;
-    let (_, median, _) = first_events.select_nth_unstable(middle);
-    cascade::pressure(relative_to(target, *median))
+    let queues = candidates.iter().filter(has_queue).count() as f64;
+    let share = queues / candidates.len() as f64;
+    ((share - NO_PRESSURE_SHARE) / (FULL_PRESSURE_SHARE - NO_PRESSURE_SHARE)).clamp(0.0, 1.0)
 }
 
 /// Returns a time as a multiple of the target time.
--- a/sesamebeam_core/src/gateway/engines/selection.rs
+++ b/sesamebeam_core/src/gateway/engines/selection.rs
@@ -41,7 +41,7 @@
 ///
 /// `key` identifies the shared prompt and the model, or else the request. Engines that
 /// cannot complete the request within `time_left` are chosen only if none can, and those
-/// without a free slot only if no engine has one. A full engine may still be predicted to
+/// without a free slot only if few engines have one. A full engine may still be predicted to
 /// complete first, but the request would wait there for its first event, and its streams
 /// slow down all others.
 pub fn choose<'a>(
@@ -61,10 +61,12 @@
     let is_in_time = |f: &Forecast| f.completion <= time_left;
     let is_any_in_time = predicted.iter().any(|(_, f)| is_in_time(f));
     let is_usable = |f: &Forecast| is_in_time(f) || !is_any_in_time;
-    if predicted
+    // If fewer have a free slot, all entries that hear the same loads would choose these.
+    let min_free = (predicted.len() as f64 * ELIGIBLE_SHARE).ceil() as usize;
+    let free = predicted
         .iter()
-        .any(|(c, f)| has_slot(c, f) && is_usable(f))
-    {
+        .filter(|(c, f)| has_slot(c, f) && is_usable(f));
+    if free.count() >= min_free.max(1) {
         predicted.retain(|(c, f)| has_slot(c, f));
     }
     // Taken before the deadline is considered: if few engines are in time, all of them are
--- a/sesamebeam_core/src/gateway/engines/work.rs
+++ b/sesamebeam_core/src/gateway/engines/work.rs
@@ -13,6 +13,9 @@
 /// state these numbers.
 const MAX_REQUESTS: u32 = 100_000;
 
+/// Time for which a stated queue is taken to exist. Loads are passed on several times in it.
+const QUEUE_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Load that an engine stated.
 #[derive(Clone, Copy, Debug)]
 struct StatedLoad {
@@ -101,6 +104,13 @@
         own + others
     }
 
+    /// Returns whether requests of others waited there when it last stated its load, unless
+    /// that was too long ago.
+    pub(super) fn has_queue(&self, now: MonoTime) -> bool {
+        let recent = |s: &StatedLoad| now < s.at + QUEUE_LIFETIME;
+        self.stated.filter(recent).is_some_and(|s| s.waiting >= 1.0)
+    }
+
     /// Returns the expected number of requests that run or wait, if a stream takes
     /// `mean_duration` on average.
     pub(super) fn requests(&self, now: MonoTime, mean_duration: Duration) -> f64 {
--- a/sesamebeam_core/src/gateway/router/escalation.rs
+++ b/sesamebeam_core/src/gateway/router/escalation.rs
@@ -143,6 +143,7 @@
         let smallest = plan.route.models.first().cloned();
         let demand = self.engines.mean_demand(service, smallest);
         let forecaster = self.engines.forecaster(now, cfg, service, &demand);
-        escalation::pressure(&forecaster, candidates, plan.route.target)
+        let current = escalation::pressure(&forecaster, candidates);
+        current.min(self.cascade.pressure(now, service))
     }
 }
--- a/sesamebeam_core/tests/gateway/engine_escalation.rs
+++ b/sesamebeam_core/tests/gateway/engine_escalation.rs
@@ -60,6 +60,7 @@
         shared_prefill: ms(0),
         slowdown: 1.0,
         requests: 0.0,
+        has_queue: false,
     }
 }
 
--- a/sesamebeam_core/tests/gateway/engine_play.rs
+++ b/sesamebeam_core/tests/gateway/engine_play.rs
@@ -363,6 +363,7 @@
     shared_prefill: Duration::ZERO,
     slowdown: 1.0,
     requests: 0.0,
+    has_queue: false,
 };
 
 /// Returns the head of a request that shares one of several prompts.
