Show engine time and its forecast errors in the metrics

An operator could not see whether an entry schedules by engine time, nor how far its forecasts are off. A gauge is 1 where any service of the entry uses engine time; a histogram holds the absolute error of the forecast of the first event, observed where that event is recorded, for sends that had a forecast.

Tested: the exposition's text, and the router with settings of contention and with stated slowdowns, on services with an engine and without.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -133,6 +133,8 @@
     LimitedServers,
     /// Number of backend servers that asked for a pause or are shutting down.
     BackedOffServers,
+    /// Whether any service is scheduled by engine time.
+    EngineTime,
     /// Delay of the latest event loop tick in milliseconds.
     LoopDelay,
 }
@@ -154,6 +156,8 @@
     evacuated: Gauge,
     limited: Gauge,
     backed_off: Gauge,
+    engine_time: Gauge,
+    forecast_error: Histogram,
     loop_delay: Gauge,
 }
 
@@ -176,6 +180,8 @@
             evacuated: Gauge::default(),
             limited: Gauge::default(),
             backed_off: Gauge::default(),
+            engine_time: Gauge::default(),
+            forecast_error: histogram(),
             loop_delay: Gauge::default(),
         };
         exposition.register();
@@ -215,6 +221,11 @@
         self.first_byte.observe(took.as_secs_f64());
     }
 
+    /// Records the absolute error of the forecast of a first event.
+    pub fn record_forecast_error(&self, error: Duration) {
+        self.forecast_error.observe(error.as_secs_f64());
+    }
+
     /// Sets a gauge. A value above `i64::MAX` is reported as `i64::MAX`.
     pub fn set_gauge(&self, gauge: GaugeKind, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
@@ -226,6 +237,7 @@
             GaugeKind::EvacuatedDomains => self.evacuated.set(value),
             GaugeKind::LimitedServers => self.limited.set(value),
             GaugeKind::BackedOffServers => self.backed_off.set(value),
+            GaugeKind::EngineTime => self.engine_time.set(value),
             GaugeKind::LoopDelay => self.loop_delay.set(value),
         };
     }
@@ -312,6 +324,16 @@
             "Backend servers that asked this entry for a pause, or leave",
             self.backed_off.clone(),
         );
+        registry.register(
+            "engine_time",
+            "Whether any service is scheduled by engine time",
+            self.engine_time.clone(),
+        );
+        registry.register(
+            "forecast_error_seconds",
+            "Absolute error of the forecast of the first event",
+            self.forecast_error.clone(),
+        );
         registry.register(
             "loop_delay_milliseconds",
             "By how much the loop turned late",
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -293,6 +293,10 @@
         gateway
             .metrics
             .set_gauge(GaugeKind::BackedOffServers, backed_off as u64);
+        let uses_engine_time = gateway.router().uses_engine_time();
+        gateway
+            .metrics
+            .set_gauge(GaugeKind::EngineTime, u64::from(uses_engine_time));
         let Some(followed) = self.subscription.followed() else {
             return;
         };
--- a/sesamebeam/src/gateway/in_flight.rs
+++ b/sesamebeam/src/gateway/in_flight.rs
@@ -58,6 +58,10 @@
         if !std::mem::replace(&mut self.first_event_recorded, true) {
             let now = self.gateway.now();
             let elapsed = self.elapsed();
+            if let Some(forecast) = &self.choice.forecast {
+                let error = forecast.first_event.abs_diff(elapsed);
+                self.gateway.metrics.record_forecast_error(error);
+            }
             let mut router = self.gateway.router();
             router.record_first_event(now, &self.plan, &self.choice, model, elapsed);
         }
--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -17,7 +17,9 @@
     exposition.record_request(RequestEnd::Refused, Duration::ZERO);
     exposition.record_send(SendEnd::Good);
     exposition.record_first_byte(Duration::from_millis(2));
+    exposition.record_forecast_error(Duration::from_millis(15));
     exposition.record_message(MessageDirection::ToEntries, "loads", 30, 59);
+    exposition.set_gauge(GaugeKind::EngineTime, 1);
     exposition.set_gauge(GaugeKind::LoopDelay, 4);
     exposition.set_gauge(GaugeKind::ConfigVersion, 7);
     exposition.set_gauge(GaugeKind::Ready, u64::MAX);
@@ -30,6 +32,9 @@
         "sesamebeam_first_byte_seconds_count 1",
         "sesamebeam_messages_total{way=\"ToEntries\",kind=\"loads\"} 59",
         "sesamebeam_message_bytes_total{way=\"ToEntries\",kind=\"loads\"} 1770",
+        "sesamebeam_forecast_error_seconds_bucket{le=\"0.008\"} 0",
+        "sesamebeam_forecast_error_seconds_bucket{le=\"0.016\"} 1",
+        "sesamebeam_engine_time 1",
         "sesamebeam_loop_delay_milliseconds 4",
         "sesamebeam_config_version 7",
         "sesamebeam_ready 9223372036854775807",
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -524,6 +524,14 @@
         service.is_some_and(|s| s.engine.is_some())
     }
 
+    /// Returns whether any service is scheduled by engine time.
+    pub fn uses_engine_time(&self) -> bool {
+        let services = self.table.iter().flat_map(|t| &t.config().services);
+        services
+            .filter(|s| s.engine.is_some())
+            .any(|s| self.engines.is_on(&s.name))
+    }
+
     /// Records that the answer of a backend server is overdue.
     pub fn record_overdue(&mut self, now: MonoTime, id: &ServerId) {
         self.balancer.record_overdue(now, id);
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -5,7 +5,12 @@
 use sesamebeam_core::gateway::{
     balance,
     cascade::Decision,
-    request::ResponseHead,
+    config::EngineConfig,
+    engines::Slowdown,
+    request::{
+        Load,
+        ResponseHead, //
+    },
     rollout::{
         Phase,
         Rollout, //
@@ -335,3 +340,37 @@
     assert!((0.2..0.3).contains(&in_pulse), "{in_pulse} of a pulse");
     assert_eq!(new[5..].iter().sum::<u32>(), 0);
 }
+
+/// Guards against a gauge that shows engine time where a service only could use it, or not
+/// where one does: settings that state contention need a service with an engine, and
+/// without them an engine has to state its slowdown.
+#[parameterized(
+    plain = { true, false, None, false },
+    contention = { true, true, None, true },
+    not_stated = { false, true, None, false },
+    stated = { false, true, Some(170), true },
+    stated_by_plain = { false, false, Some(170), false },
+)]
+fn uses_engine_time(contention: bool, has_engine: bool, percent: Option<u64>, is_on: bool) {
+    let mut settings = router_config();
+    settings.contention = contention;
+    let mut router = Router::new(settings);
+    assert!(!router.uses_engine_time());
+    let mut config = config(1);
+    config.services[0].engine = has_engine.then(|| EngineConfig {
+        slots: 16,
+        kv_capacity_tokens: 100_000,
+        tokens_per_event: 1,
+        models: vec![("small".into(), 1.0)],
+    });
+    router.set_config(ms(0), config);
+    router.apply_announcement(ms(0), announcement(1));
+    let load = Load {
+        running: 1,
+        waiting: 0,
+        slots: 16,
+        slowdown: percent.and_then(Slowdown::from_percent),
+    };
+    router.record_response(ms(10), &announcement(1).id, Some(load));
+    assert_eq!(router.uses_engine_time(), is_on);
+}
