Play engines of uneven speed in the soak

The soak had plain backend servers alone: moves, refusals at once, escalations and fair shares were never played on real daemons. In half of the schedules three engines now come beside the others, with two slots, a queue of two, speeds that differ by up to 2.5 and moments in which one is slower by 2.5; some entries have `pressure` in their contracts. Callers of two organisations, one with five times the callers of the other, ask for streams that may be resumed and for streams that run once. Checked: end by the deadline, refusals of what ran, second runs, whole streams in order, the shares of answered requests, and that engine time is on at every entry.

The engines of a schedule are drawn after its other events, which stay the same for a seed.

--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -41,6 +41,12 @@
 /// that a caller sends.
 const LEAVES_IN_MS: u64 = 500;
 
+/// Ended requests of an organisation from which its share of answered ones counts, and how
+/// much of the largest such share it must have: all have the same callers, faults and
+/// engines, and few requests make a share uncertain.
+const SHARE_COUNTS_FROM: u64 = 20;
+const LEAST_SHARE: f64 = 0.5;
+
 /// Everything that was seen in one run.
 #[derive(Debug)]
 pub struct Books {
@@ -94,11 +100,30 @@
     pauses: Vec<Pause>,
     /// When, in milliseconds of the run, each entry passed on that a life leaves.
     told_leaving: BTreeMap<(usize, String), u64>,
+    /// Requests that began to run at an engine and may do so again.
+    started: BTreeSet<String>,
+    /// What became of the requests to engines of each organisation.
+    served: BTreeMap<&'static str, Served>,
+    /// When a fault last hit each entry, or ended.
+    disturbed: BTreeMap<usize, Instant>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
 }
 
+/// Requests of an organisation that ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    answered: u64,
+    ended: u64,
+}
+
+impl Served {
+    fn share(self) -> f64 {
+        self.answered as f64 / self.ended.max(1) as f64
+    }
+}
+
 /// What a run came to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -123,6 +148,40 @@
         inner.refused.insert(id.to_owned());
     }
 
+    /// Notes that a request that may be repeated begins to run.
+    pub fn started(&self, id: &str) {
+        self.lock().started.insert(id.to_owned());
+    }
+
+    /// Notes that a caller of engines was told that its request has not run.
+    pub fn told_not_run(&self, id: &str) {
+        self.lock().refused.insert(id.to_owned());
+    }
+
+    /// Notes that a request of an organisation to engines ended.
+    pub fn served(&self, organisation: &'static str, answered: bool) {
+        let mut inner = self.lock();
+        let served = inner.served.entry(organisation).or_default();
+        served.ended += 1;
+        served.answered += u64::from(answered);
+    }
+
+    /// Notes that a fault hits an entry, or ends.
+    pub fn disturbed(&self, entry: usize) {
+        self.lock().disturbed.insert(entry, Instant::now());
+    }
+
+    /// Notes that a request sent then was over too long after its deadline. That is no
+    /// fault of an entry that stood still or ended in between.
+    pub fn late(&self, id: &str, entry: usize, sent_at: Instant) {
+        let mut inner = self.lock();
+        if inner.disturbed.get(&entry).is_none_or(|at| *at < sent_at) {
+            let took = sent_at.elapsed().as_millis();
+            let line = format!("request {id} was over after {took} ms, past its deadline");
+            inner.broken.push(line);
+        }
+    }
+
     /// Notes an answer that is whole and the request's own.
     pub fn answered(&self) {
         self.lock().answered += 1;
@@ -263,6 +322,11 @@
         self.lock().answered
     }
 
+    /// Returns the number of requests to engines that were answered.
+    pub fn engine_answers(&self) -> u64 {
+        self.lock().served.values().map(|s| s.answered).sum()
+    }
+
     /// Holds all that was seen against the promises.
     pub fn verdict(&self) -> Verdict {
         let inner = self.lock();
@@ -275,9 +339,27 @@
                 broken.push(format!("request {id} was refused as not run, and ran"));
             }
         }
+        for id in inner.started.intersection(&inner.refused) {
+            broken.push(format!("request {id} was refused as not run, and ran"));
+        }
+        let counts = inner
+            .served
+            .values()
+            .filter(|s| s.ended >= SHARE_COUNTS_FROM);
+        let largest = counts.map(|s| s.share()).fold(0.0, f64::max);
+        for (name, served) in &inner.served {
+            let (share, ended) = (served.share(), served.ended);
+            if ended >= SHARE_COUNTS_FROM && share < LEAST_SHARE * largest {
+                broken.push(format!(
+                    "{name} got {share:.2} of {ended} requests answered, another {largest:.2}"
+                ));
+            }
+        }
+        let answered: u64 = inner.served.values().map(|s| s.answered).sum();
+        let ended: u64 = inner.served.values().map(|s| s.ended).sum();
         Verdict {
-            answered: inner.answered,
-            failed: inner.failed,
+            answered: inner.answered + answered,
+            failed: inner.failed + ended - answered,
             broken,
         }
     }
--- a/sesamebeam_soak/src/callers.rs
+++ b/sesamebeam_soak/src/callers.rs
@@ -55,7 +55,7 @@
 const MAX_PAUSE_MS: u64 = 40;
 
 /// Statuses that say that a request has not run.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// What a caller asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -45,6 +45,9 @@
 /// Port of the readiness question.
 const READY: u16 = 8220;
 
+/// Port of the metrics.
+const METRICS: u16 = 8231;
+
 /// Port of operators and backend servers.
 const CONTROL: u16 = 8229;
 
@@ -68,6 +71,8 @@
     folder: TempDir,
     /// Second part of the addresses, so that runs do not meet.
     slot: u8,
+    /// Whether the settings of each entry say that callers compete for capacity.
+    contention: [bool; ENTRIES],
     running: BTreeMap<Target, Child>,
     started: BTreeMap<Target, u32>,
 }
@@ -78,11 +83,12 @@
     /// # Errors
     ///
     /// Fails if a folder or process cannot be made.
-    pub async fn start(program: &Path, slot: u8) -> io::Result<Self> {
+    pub async fn start(program: &Path, slot: u8, contention: [bool; ENTRIES]) -> io::Result<Self> {
         let mut fleet = Self {
             program: program.to_path_buf(),
             folder: tempfile::tempdir()?,
             slot,
+            contention,
             running: BTreeMap::new(),
             started: BTreeMap::new(),
         };
@@ -102,6 +108,11 @@
         SocketAddr::new(self.ip(Target::Entry(entry)), READY)
     }
 
+    /// Returns where an entry serves its metrics.
+    pub fn metrics(&self, entry: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(Target::Entry(entry)), METRICS)
+    }
+
     /// Returns where operators call a replica.
     pub fn control(&self, replica: usize) -> SocketAddr {
         SocketAddr::new(self.ip(Target::Replica(replica)), CONTROL)
@@ -149,6 +160,7 @@
             .open(log)?;
         Command::new(&self.program)
             .arg(role)
+            .args(["--metrics-port", &METRICS.to_string()])
             .env("SESAMEBEAM_NODE_FILE", &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -256,9 +268,14 @@
                 format!("front = \"{ip}:{FRONT}\"\nready_address = \"{ip}:{READY}\"")
             }
         };
+        let contracts = match target {
+            Target::Entry(n) if self.contention[n] => "[\"pressure\"]",
+            _ => "[]",
+        };
         format!(
             "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
              internal_ports = [{INTERNAL}, {INTERNAL}]\nseeds = [{}]\nbootstrap = {first}\n\
+             contracts = {contracts}\n\
              data_dir = \"{}\"\n[listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n\
              [bounds]\ngrace_s = {GRACE_S}\nretry_budget_ratio = 0.9\nbudget_window_s = 10\n\
              budget_slack = 60\nexposure_share = 0.15\nsession_s = 5\n",
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -3,11 +3,13 @@
 //! Entries and control replicas run as separate processes on loopback, before
 //! scripted backend servers behind proxies. A seeded schedule delays, resets,
 //! cuts and silences connections, and stops, pauses, kills and restarts
-//! processes, in series that overlap. What callers, operators and backend
+//! processes, in series that overlap. In half of the schedules there are engines
+//! of uneven speed besides, with callers of their own. What callers, operators and backend
 //! servers see is written into [`books`], which hold it against the promises.
 
 pub mod books;
 pub mod callers;
+pub mod engines;
 pub mod fleet;
 pub mod lives;
 pub mod operator;
@@ -15,3 +17,4 @@
 pub mod run;
 pub mod schedule;
 pub mod server;
+pub mod stream_callers;
--- a/sesamebeam_soak/src/lives.rs
+++ b/sesamebeam_soak/src/lives.rs
@@ -64,6 +64,7 @@
         let announced = ended.child_token();
         let announcing = tokio::spawn(operator::announce(
             life.id.clone(),
+            operator::POOL,
             domain,
             addr,
             controls.clone(),
--- a/sesamebeam_soak/src/operator.rs
+++ b/sesamebeam_soak/src/operator.rs
@@ -33,7 +33,11 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::books::Books;
+use crate::{
+    books::Books,
+    engines,
+    stream_callers, //
+};
 
 /// Time that an operator waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(1200);
@@ -48,8 +52,18 @@
 /// Redirections that are followed.
 const REDIRECTIONS: usize = 2;
 
-/// Returns a configuration.
-pub fn config(version: u64) -> String {
+/// Service of plain backend servers.
+pub const POOL: &str = "pool";
+
+/// Service of engines.
+pub const MODELS_POOL: &str = "models";
+
+/// Returns a configuration, with routes to engines or without.
+pub fn config(version: u64, has_engines: bool) -> String {
+    let (mut routes, mut services, mut tenants) = Default::default();
+    if has_engines {
+        (routes, services, tenants) = engine_parts();
+    }
     let route = |name: &str, kind: &str, more: &str| {
         format!(
             r#"{{"name":"{name}","host":"desk.example","path_prefix":"/{name}/","kind":"{kind}",
@@ -57,15 +71,45 @@
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{}],
-        "services":[{{"name":"pool","health_path":"/health","max_connections":500}}],
-        "tenants":[{{"name":"quay","api_keys":["k1"]}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{}{routes}],
+        "services":[{{"name":"pool","health_path":"/health","max_connections":500}}{services}],
+        "tenants":[{{"name":"quay","api_keys":["k1"]}}{tenants}]}}"#,
         route("book", "non_idempotent", ""),
         route("read", "idempotent", ""),
         route("notes", "streaming", r#","stream_resume":true"#),
     )
 }
 
+/// Returns the routes, services and organisations that a configuration has for engines: one
+/// route whose streams may be resumed and escalated, and one whose requests run once.
+fn engine_parts() -> (String, String, String) {
+    let route = |name: &str, sizes: &[&str], resume: bool| {
+        format!(
+            r#",{{"name":"{name}","host":"desk.example","path_prefix":"/{name}/",
+            "kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"priority":1,
+            "service":"{MODELS_POOL}","max_attempts":3,"stream_resume":{resume},
+            "sizes":{sizes:?}}}"#
+        )
+    };
+    let costs = engines::MODELS.iter().zip([1, 3, 10]);
+    let models: Vec<String> = costs
+        .map(|(name, cost)| format!(r#"{{"name":"{name}","cost":{cost}}}"#))
+        .collect();
+    let service = format!(
+        r#",{{"name":"{MODELS_POOL}","health_path":"/health","max_connections":500,
+        "engine":{{"slots":{},"kv_capacity":100000,"models":[{}]}}}}"#,
+        engines::SLOTS,
+        models.join(",")
+    );
+    let tenants = stream_callers::ORGANISATIONS
+        .iter()
+        .map(|(name, key, _)| format!(r#",{{"name":"{name}","api_keys":["{key}"]}}"#))
+        .collect();
+    let tale = route("tale", &engines::MODELS, true);
+    let once = route("once", &engines::MODELS[..1], false);
+    (tale + &once, service, tenants)
+}
+
 /// Calls a replica and returns status and body; redirections are followed.
 pub async fn call(
     client: &Client,
@@ -106,12 +150,13 @@
     controls: Vec<SocketAddr>,
     next: Arc<AtomicU64>,
     books: Arc<Books>,
+    has_engines: bool,
     cancel: CancellationToken,
 ) {
     let client = Client::new(Duration::from_millis(500));
     while !cancel.is_cancelled() {
         let version = next.fetch_add(1, Ordering::Relaxed);
-        let text = config(version);
+        let text = config(version, has_engines);
         for addr in controls.iter().cycle().skip(version as usize % 3).take(9) {
             let answer = call(&client, *addr, &Method::PUT, "/config", &text).await;
             match answer {
@@ -215,6 +260,7 @@
 /// Announces a backend server until cancelled.
 pub async fn announce(
     life: String,
+    service: &'static str,
     domain: &'static str,
     addr: SocketAddr,
     controls: Vec<SocketAddr>,
@@ -228,7 +274,7 @@
         }
         sequence += 1;
         let beat = format!(
-            r#"{{"service":"pool","address":"{addr}","zone":"{domain}","version":"v1","slots":8,
+            r#"{{"service":"{service}","address":"{addr}","zone":"{domain}","version":"v1","slots":8,
             "state":"ready","cold_remaining_ms":0,"sequence":{sequence}}}"#
         );
         let path = format!("/instances/{life}");
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -36,6 +36,10 @@
         self,
         CALLERS, //
     },
+    engines::{
+        self,
+        Engine, //
+    },
     fleet::{
         Fleet,
         targets, //
@@ -58,6 +62,10 @@
         self,
         Life, //
     },
+    stream_callers::{
+        Caller,
+        ORGANISATIONS, //
+    },
 };
 
 /// Failure domain of the daemons and most backend servers, and of the one that is
@@ -72,6 +80,9 @@
 /// Answers that show that service is back.
 const RECOVERED: u64 = 60;
 
+/// Line of an entry's metrics that shows that it schedules by engine time.
+const ENGINE_TIME_ON: &str = "sesamebeam_engine_time 1";
+
 /// Pause between two looks at something that should happen.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -79,6 +90,7 @@
 struct Stage {
     fleet: Mutex<Fleet>,
     modes: Vec<watch::Sender<Mode>>,
+    engines: Vec<Arc<Engine>>,
     books: Arc<Books>,
 }
 
@@ -95,7 +107,10 @@
     logs: Option<&Path>,
 ) -> io::Result<Verdict> {
     let books = Arc::new(Books::default());
-    let fleet = Fleet::start(program, slot).await?;
+    let engine_set = schedule.engines.as_ref();
+    let has_engines = engine_set.is_some();
+    let contention = engine_set.map_or([false; ENTRIES], |set| set.contention);
+    let fleet = Fleet::start(program, slot, contention).await?;
     let controls: Vec<SocketAddr> = (0..REPLICAS).map(|n| fleet.control(n)).collect();
     let fronts: Vec<SocketAddr> = (0..ENTRIES).map(|n| fleet.front(n)).collect();
     let cancel = CancellationToken::new();
@@ -114,12 +129,31 @@
         let addr = proxy::start(addr, mode).await?;
         tasks.spawn(operator::announce(
             life.id.clone(),
+            operator::POOL,
             domain,
             addr,
             controls.clone(),
             cancel.clone(),
         ));
     }
+    let mut engines = Vec::new();
+    for (number, &slowdown) in engine_set.iter().flat_map(|s| &s.slowdowns).enumerate() {
+        let (tx, mode) = watch::channel(Mode::Pass);
+        modes.push(tx);
+        let id = format!("engine-{number}");
+        let engine = Arc::new(Engine::new(id.clone(), slowdown));
+        engines.push(Arc::clone(&engine));
+        let addr = engines::start(engine, Arc::clone(&books), cancel.child_token()).await?;
+        let addr = proxy::start(addr, mode).await?;
+        tasks.spawn(operator::announce(
+            id,
+            operator::MODELS_POOL,
+            DOMAIN,
+            addr,
+            controls.clone(),
+            cancel.clone(),
+        ));
+    }
     let brief = lives::succeed(
         schedule.seed,
         DOMAIN,
@@ -140,6 +174,7 @@
             controls.clone(),
             next,
             books,
+            has_engines,
             cancel.clone(),
         ));
     }
@@ -160,14 +195,24 @@
             ));
         }
     }
+    for caller in stream_callers(&fronts).filter(|_| has_engines) {
+        let books = Arc::clone(&books);
+        tasks.spawn(caller.call(schedule.seed, books, cancel.clone()));
+    }
+    let metrics: Vec<SocketAddr> = (0..ENTRIES).map(|n| fleet.metrics(n)).collect();
     let stage = Arc::new(Stage {
         fleet: Mutex::new(fleet),
         modes,
+        engines,
         books: Arc::clone(&books),
     });
-    wait_for_answers(&stage, 0, "at the start").await;
+    wait_for_answers(&stage, (0, 0), "at the start").await;
     play(&stage, schedule).await;
-    wait_for_answers(&stage, books.answers(), "after all faults").await;
+    let before = (books.answers(), books.engine_answers());
+    wait_for_answers(&stage, before, "after all faults").await;
+    if has_engines {
+        check_engine_time(&metrics, &books).await;
+    }
     cancel.cancel();
     while tasks.join_next().await.is_some() {}
     read_back(&controls, &books).await;
@@ -183,10 +228,51 @@
     Ok(verdict)
 }
 
+/// Returns the callers of engines at all entries.
+fn stream_callers(fronts: &[SocketAddr]) -> impl Iterator<Item = Caller> {
+    let fronts = fronts.iter().copied().enumerate();
+    fronts.flat_map(|(entry, front)| {
+        ORGANISATIONS
+            .into_iter()
+            .flat_map(move |(organisation, key, count)| {
+                (0..count).map(move |number| Caller {
+                    entry,
+                    front,
+                    organisation,
+                    key,
+                    number,
+                })
+            })
+    })
+}
+
+/// Checks that every entry schedules by engine time.
+async fn check_engine_time(metrics: &[SocketAddr], books: &Books) {
+    let client = Client::new(Duration::from_millis(500));
+    let until = Instant::now() + RECOVERY;
+    for addr in metrics {
+        loop {
+            let answer = operator::call(&client, *addr, &Method::GET, "/metrics", "").await;
+            let text = answer.map(|(_, body)| String::from_utf8_lossy(&body).into_owned());
+            if text.is_some_and(|text| text.lines().any(|line| line == ENGINE_TIME_ON)) {
+                break;
+            }
+            if Instant::now() >= until {
+                books.broke(format!("engine time is not on at {addr}"));
+                break;
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+}
+
 /// Waits until callers are served, and writes down if they are not.
-async fn wait_for_answers(stage: &Stage, before: u64, when: &str) {
+async fn wait_for_answers(stage: &Stage, before: (u64, u64), when: &str) {
     let until = Instant::now() + RECOVERY;
-    while stage.books.answers() < before + RECOVERED {
+    let (books, has_engines) = (&stage.books, !stage.engines.is_empty());
+    while books.answers() < before.0 + RECOVERED
+        || has_engines && books.engine_answers() < before.1 + RECOVERED
+    {
         if Instant::now() >= until {
             stage.books.broke(format!("no service {when}"));
             return;
@@ -241,9 +327,11 @@
             boot(&stage, target).await;
         }
         Fault::Pause(target) => {
+            disturb(&stage, target);
             stage.fleet.lock().await.signal(target, Signal::STOP);
             sleep(lasting).await;
             stage.fleet.lock().await.signal(target, Signal::CONT);
+            disturb(&stage, target);
             if let Target::Entry(number) = target {
                 stage.books.froze(number);
             }
@@ -263,6 +351,13 @@
         Fault::Reset(n) => spoil(&stage, n, Mode::Reset, lasting).await,
         Fault::CutAnswers(n) => spoil(&stage, n, Mode::CutAnswers, lasting).await,
         Fault::Silence(n) => spoil(&stage, n, Mode::Silence, lasting).await,
+        Fault::Slow(n) => {
+            if let Some(engine) = stage.engines.get(n) {
+                engine.set_slower(true);
+                sleep(lasting).await;
+                engine.set_slower(false);
+            }
+        }
     }
 }
 
@@ -277,11 +372,19 @@
 
 /// Notes that an entry that ends, or has started, knows nothing of what it passed on.
 fn forget(stage: &Stage, target: Target) {
+    disturb(stage, target);
     if let Target::Entry(number) = target {
         stage.books.forgot(number);
     }
 }
 
+/// Notes that a fault of an entry begins or ends.
+fn disturb(stage: &Stage, target: Target) {
+    if let Target::Entry(number) = target {
+        stage.books.disturbed(number);
+    }
+}
+
 async fn spoil(stage: &Stage, server: usize, mode: Mode, lasting: Duration) {
     if let Some(tx) = stage.modes.get(server) {
         tx.send_replace(mode);
--- a/sesamebeam_soak/src/schedule.rs
+++ b/sesamebeam_soak/src/schedule.rs
@@ -28,6 +28,11 @@
 /// Backend servers of a run.
 pub const SERVERS: usize = 3;
 
+/// Engines of a run that has any, and how long work usually takes at one, in percent: the
+/// speeds differ by up to 2.5.
+const ENGINES: usize = 3;
+const SLOWDOWN_PERCENT: std::ops::RangeInclusive<u64> = 70..=175;
+
 /// Longest pause or cut, in milliseconds: several times what is noticed.
 const LONGEST_MS: u64 = 2500;
 
@@ -66,6 +71,19 @@
     CutAnswers(usize),
     /// Nothing passes to or from a backend server.
     Silence(usize),
+    /// An engine is slower than usual.
+    Slow(usize),
+}
+
+/// Engines of a run, which are backend servers beside the others and come after them in
+/// the numbers of [`Fault`]s on connections.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSet {
+    /// How long work usually takes at each, in percent.
+    pub slowdowns: Vec<u64>,
+    /// Whether the settings of each entry say that callers compete for capacity.
+    pub contention: [bool; ENTRIES],
 }
 
 /// One event of a schedule.
@@ -91,6 +109,9 @@
     /// Events by time.
     #[serde(default)]
     pub events: Vec<Event>,
+    /// Engines; none if the run has only plain backend servers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engines: Option<EngineSet>,
 }
 
 /// Why a schedule cannot be used.
@@ -138,11 +159,22 @@
                 fault: draw_fault(&mut rng),
             })
             .collect();
+        // Drawn last: what else a seed stands for is the same with engines or without.
+        let engines = rng.random::<bool>().then(|| draw_engines(&mut rng));
+        if engines.is_some() {
+            let count = rng.random_range(3..=8);
+            events.extend((0..count).map(|_| Event {
+                at_ms: rng.random_range(0..length_ms.max(1)),
+                for_ms: rng.random_range(SHORTEST_MS..LONGEST_MS),
+                fault: draw_engine_fault(&mut rng),
+            }));
+        }
         events.sort_by_key(|event| event.at_ms);
         Self {
             seed,
             length_ms,
             events,
+            engines,
         }
     }
 
@@ -162,11 +194,16 @@
             source: Box::new(source),
         })?;
         for (number, event) in schedule.events.iter().enumerate() {
-            check(&path, number, event.fault)?;
+            check(&path, number, event.fault, schedule.engine_count())?;
         }
         Ok(schedule)
     }
 
+    /// Returns the number of engines.
+    pub fn engine_count(&self) -> usize {
+        self.engines.as_ref().map_or(0, |set| set.slowdowns.len())
+    }
+
     /// Returns the schedule in the form in which it can be read.
     pub fn text(&self) -> String {
         // A schedule has a form: it holds numbers and names alone.
@@ -193,15 +230,34 @@
     }
 }
 
-fn check(path: &Path, number: usize, fault: Fault) -> Result<(), ScheduleError> {
+fn draw_engines(rng: &mut StdRng) -> EngineSet {
+    let mut slowdown = || rng.random_range(SLOWDOWN_PERCENT);
+    let slowdowns = (0..ENGINES).map(|_| slowdown()).collect();
+    EngineSet {
+        slowdowns,
+        contention: rng.random(),
+    }
+}
+
+fn draw_engine_fault(rng: &mut StdRng) -> Fault {
+    let engine = rng.random_range(0..ENGINES);
+    match rng.random_range(0..6) {
+        0 => Fault::Delay(SERVERS + engine),
+        1 => Fault::Reset(SERVERS + engine),
+        _ => Fault::Slow(engine),
+    }
+}
+
+fn check(path: &Path, number: usize, fault: Fault, engines: usize) -> Result<(), ScheduleError> {
     let (what, at, count) = match fault {
         Fault::Kill(t) | Fault::Stop(t) | Fault::Pause(t) | Fault::Reload(t) => match t {
             Target::Replica(n) => ("replica", n, REPLICAS),
             Target::Entry(n) => ("entry", n, ENTRIES),
         },
         Fault::Delay(n) | Fault::Reset(n) | Fault::CutAnswers(n) | Fault::Silence(n) => {
-            ("backend server", n, SERVERS)
+            ("backend server", n, SERVERS + engines)
         }
+        Fault::Slow(n) => ("engine", n, engines),
         Fault::KillAll => return Ok(()),
     };
     if at < count {
--- a/sesamebeam_soak/src/server.rs
+++ b/sesamebeam_soak/src/server.rs
@@ -111,7 +111,8 @@
     }
 }
 
-type Body = UnsyncBoxBody<Bytes, Infallible>;
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 /// Returns what a backend server answers to a request.
 pub fn body_of(id: &str) -> String {
@@ -127,6 +128,22 @@
     life: Arc<Life>,
     books: Arc<Books>,
     ended: CancellationToken,
+) -> io::Result<SocketAddr> {
+    let answer = move |req| {
+        let (life, books) = (Arc::clone(&life), Arc::clone(&books));
+        async move { answer(req, &life, &books).await }
+    };
+    listen(answer, ended).await
+}
+
+/// Listens until it ends, and answers each request.
+///
+/// # Errors
+///
+/// Fails if no port can be had.
+pub async fn listen<A: Future<Output = Response<Body>> + Send + 'static>(
+    answer: impl Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    ended: CancellationToken,
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
@@ -139,11 +156,11 @@
             let Ok((stream, _)) = accepted else {
                 return;
             };
-            let (life, books) = (Arc::clone(&life), Arc::clone(&books));
+            let answer = answer.clone();
             tokio::spawn(async move {
                 let service = service_fn(move |req| {
-                    let (life, books) = (Arc::clone(&life), Arc::clone(&books));
-                    async move { Ok::<_, Infallible>(answer(req, &life, &books).await) }
+                    let answered = answer(req);
+                    async move { Ok::<_, Infallible>(answered.await) }
                 });
                 // A caller that goes away is no fault.
                 let _ = http1::Builder::new()
@@ -163,9 +180,7 @@
     let (id, after) = (text("request-id"), text("last-event-id"));
     let path = req.uri().path().to_owned();
     if text("expect-instance") != life.id {
-        let mut refusal = Response::new(full(String::new()));
-        *refusal.status_mut() = StatusCode::MISDIRECTED_REQUEST;
-        return refusal;
+        return misdirected();
     }
     for secret in ["credential", "hold", "kv-from"] {
         if req.headers().contains_key(secret) {
@@ -177,7 +192,7 @@
         books.reached(entry, &life.id, sent_ms);
         if let Some(pause) = life.pause() {
             books.asked_pause(entry, &life.id, pause);
-            return turn_away(pause, &id);
+            return turn_away(pause, &id, None);
         }
     }
     if life.id == EVACUATED {
@@ -212,14 +227,24 @@
     response.unwrap_or_else(|_| Response::new(full(String::new())))
 }
 
-/// Turns a request away that has not run, and asks for a pause.
-fn turn_away(pause: Duration, id: &str) -> Response<Body> {
-    let response = Response::builder()
+/// Refuses a request that is meant for another life.
+pub fn misdirected() -> Response<Body> {
+    let mut refusal = Response::new(full(String::new()));
+    *refusal.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+    refusal
+}
+
+/// Turns a request away that has not run, asks for a pause and states the load, if any.
+pub fn turn_away(pause: Duration, id: &str, load: Option<&str>) -> Response<Body> {
+    let mut response = Response::builder()
         .status(StatusCode::SERVICE_UNAVAILABLE)
         .header("Request-Id", id)
         .header("Not-Executed", "1")
-        .header(RETRY_AFTER, pause.as_secs_f64().to_string())
-        .body(full(String::new()));
+        .header(RETRY_AFTER, pause.as_secs_f64().to_string());
+    if let Some(load) = load {
+        response = response.header("Instance-Load", load);
+    }
+    let response = response.body(full(String::new()));
     response.unwrap_or_else(|_| Response::new(full(String::new())))
 }
 
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -69,6 +69,17 @@
     play(203, &Schedule::draw(7, SHORT_MS));
 }
 
+/// Guards against faults of scheduling by engine time that need real daemons: waits past a
+/// deadline, refusals of what ran, second runs, gaps or doubles in streams that went on
+/// elsewhere, and an organisation that starves beside one with five times its callers.
+#[test]
+fn uneven_engines() {
+    let schedule = Schedule::draw(3, SHORT_MS);
+    let set = schedule.engines.as_ref().expect("this seed has engines");
+    assert!(set.contention.contains(&true) && set.contention.contains(&false));
+    play(207, &schedule);
+}
+
 #[test]
 fn same_seed_same_schedule() {
     assert_eq!(Schedule::draw(9, 6000), Schedule::draw(9, 6000));
@@ -80,6 +91,10 @@
     field = { "seed = 1\nlength_ms = 5\nlenght = 3\n", "unknown field `lenght`" },
     number = { "seed = 1\nlength_ms = 5\n[[events]]\nat_ms = 1\nfor_ms = 1\nfault = { reset = 9 }\n",
         "event 0 is about backend server 9, of which there are 3" },
+    no_engine = { "seed = 1\nlength_ms = 5\n[[events]]\nat_ms = 1\nfor_ms = 1\nfault = { slow = 0 }\n",
+        "event 0 is about engine 0, of which there are 0" },
+    entries = { "seed = 1\nlength_ms = 5\n[engines]\nslowdowns = [100]\ncontention = [true]\n",
+        "invalid length 1, expected an array of length 2" },
 )]
 fn bad_file(text: &str, why: &str) {
     let folder = tempfile::tempdir().expect("a folder");
