--- a/sesamebeam_core/src/gateway/loads.rs
+++ b/sesamebeam_core/src/gateway/loads.rs
@@ -31,8 +31,8 @@
 /// which due messages are checked. A queue that matters lasts longer than this.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(180);
 
-/// Maximum number of loads in one report. At eight bytes each this is 11 KB a second,
-/// which leaves room for the other messages within the 14 KB a second that an entry may
+/// Maximum number of loads in one report. At ten bytes each this is 12.8 KB a second,
+/// which leaves 1.2 KB for the other messages within the 14 KB a second that an entry may
 /// receive.
 pub const MAX_REPORTED: usize = 256;
 
