Find a starved organisation in the soak

The soak compared organisations by the share of their requests that was answered, from 20 ended requests on. In a trial whose engines put one organisation behind all others, its two callers waited until their deadlines, ended fewer than 20 requests, and no line was written. The mean number of answers to a caller is compared now: all callers behave alike.

--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -17,7 +17,11 @@
     },
 };
 
-use crate::server::LIMIT;
+use crate::{
+    schedule::ENTRIES,
+    server::LIMIT,
+    stream_callers::ORGANISATIONS, //
+};
 
 /// Time after its acknowledgement in which an order to evacuate is known to all entries,
 /// and what was sent before has arrived: an entry may be paused for 2.5 s, its bytes may
@@ -41,11 +45,12 @@
 /// that a caller sends.
 const LEAVES_IN_MS: u64 = 500;
 
-/// Ended requests of an organisation from which its share of answered ones counts, and how
-/// much of the largest such share it must have: all have the same callers, faults and
-/// engines, and few requests make a share uncertain.
-const SHARE_COUNTS_FROM: u64 = 20;
-const LEAST_SHARE: f64 = 0.5;
+/// Mean number of answers to a caller of engines from which organisations are compared, and
+/// the part of it that the callers of each must have on the mean. All callers have the same
+/// faults and engines and behave alike. The share of requests that were answered would not
+/// show starvation: a caller that waits long sends few requests.
+const COMPARED_FROM: f64 = 5.0;
+const LEAST_PART: f64 = 0.5;
 
 /// Everything that was seen in one run.
 #[derive(Debug)]
@@ -118,9 +123,23 @@
     ended: u64,
 }
 
-impl Served {
-    fn share(self) -> f64 {
-        self.answered as f64 / self.ended.max(1) as f64
+impl Inner {
+    /// Returns a line for each organisation whose callers got much less than others.
+    fn starved(&self) -> Vec<String> {
+        let answered = |name: &str| self.served.get(name).map_or(0, |s| s.answered) as f64;
+        let total: f64 = ORGANISATIONS.iter().map(|(name, ..)| answered(name)).sum();
+        let callers: u64 = ORGANISATIONS.iter().map(|(.., count)| count).sum();
+        let mean = total / (callers * ENTRIES as u64) as f64;
+        let mut lines = Vec::new();
+        for (name, _, count) in ORGANISATIONS {
+            let got = answered(name) / (count * ENTRIES as u64) as f64;
+            if mean >= COMPARED_FROM && got < LEAST_PART * mean {
+                lines.push(format!(
+                    "callers of {name} got {got:.1} answers each, all {mean:.1}"
+                ));
+            }
+        }
+        lines
     }
 }
 
@@ -339,22 +358,10 @@
                 broken.push(format!("request {id} was refused as not run, and ran"));
             }
         }
+        broken.extend(inner.starved());
         for id in inner.started.intersection(&inner.refused) {
             broken.push(format!("request {id} was refused as not run, and ran"));
         }
-        let counts = inner
-            .served
-            .values()
-            .filter(|s| s.ended >= SHARE_COUNTS_FROM);
-        let largest = counts.map(|s| s.share()).fold(0.0, f64::max);
-        for (name, served) in &inner.served {
-            let (share, ended) = (served.share(), served.ended);
-            if ended >= SHARE_COUNTS_FROM && share < LEAST_SHARE * largest {
-                broken.push(format!(
-                    "{name} got {share:.2} of {ended} requests answered, another {largest:.2}"
-                ));
-            }
-        }
         let answered: u64 = inner.served.values().map(|s| s.answered).sum();
         let ended: u64 = inner.served.values().map(|s| s.ended).sum();
         Verdict {
