--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -17,7 +17,11 @@
     },
 };
 
-use crate::server::LIMIT;
+use crate::{
+    schedule::ENTRIES,
+    server::LIMIT,
+    stream_callers::ORGANISATIONS, //
+};
 
 /// Time after its acknowledgement in which an order to evacuate is known to all entries,
 /// and what was sent before has arrived: an entry may be paused for 2.5 s, its bytes may
@@ -41,6 +45,13 @@
 /// that a caller sends.
 const LEAVES_IN_MS: u64 = 500;
 
+/// Mean number of answers to a caller of engines from which organisations are compared, and
+/// the part of it that the callers of each must have on the mean. All callers have the same
+/// faults and engines and behave alike. The share of requests that were answered would not
+/// show starvation: a caller that waits long sends few requests.
+const COMPARED_FROM: f64 = 5.0;
+const LEAST_PART: f64 = 0.5;
+
 /// Everything that was seen in one run.
 #[derive(Debug)]
 pub struct Books {
@@ -94,11 +105,44 @@
     pauses: Vec<Pause>,
     /// When, in milliseconds of the run, each entry passed on that a life leaves.
     told_leaving: BTreeMap<(usize, String), u64>,
+    /// Requests that began to run at an engine and may do so again.
+    started: BTreeSet<String>,
+    /// What became of the requests to engines of each organisation.
+    served: BTreeMap<&'static str, Served>,
+    /// When a fault last hit each entry, or ended.
+    disturbed: BTreeMap<usize, Instant>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
 }
 
+/// Requests of an organisation that ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    answered: u64,
+    ended: u64,
+}
+
+impl Inner {
+    /// Returns a line for each organisation whose callers got much less than others.
+    fn starved(&self) -> Vec<String> {
+        let answered = |name: &str| self.served.get(name).map_or(0, |s| s.answered) as f64;
+        let total: f64 = ORGANISATIONS.iter().map(|(name, ..)| answered(name)).sum();
+        let callers: u64 = ORGANISATIONS.iter().map(|(.., count)| count).sum();
+        let mean = total / (callers * ENTRIES as u64) as f64;
+        let mut lines = Vec::new();
+        for (name, _, count) in ORGANISATIONS {
+            let got = answered(name) / (count * ENTRIES as u64) as f64;
+            if mean >= COMPARED_FROM && got < LEAST_PART * mean {
+                lines.push(format!(
+                    "callers of {name} got {got:.1} answers each, all {mean:.1}"
+                ));
+            }
+        }
+        lines
+    }
+}
+
 /// What a run came to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -123,6 +167,40 @@
         inner.refused.insert(id.to_owned());
     }
 
+    /// Notes that a request that may be repeated begins to run.
+    pub fn started(&self, id: &str) {
+        self.lock().started.insert(id.to_owned());
+    }
+
+    /// Notes that a caller of engines was told that its request has not run.
+    pub fn told_not_run(&self, id: &str) {
+        self.lock().refused.insert(id.to_owned());
+    }
+
+    /// Notes that a request of an organisation to engines ended.
+    pub fn served(&self, organisation: &'static str, answered: bool) {
+        let mut inner = self.lock();
+        let served = inner.served.entry(organisation).or_default();
+        served.ended += 1;
+        served.answered += u64::from(answered);
+    }
+
+    /// Notes that a fault hits an entry, or ends.
+    pub fn disturbed(&self, entry: usize) {
+        self.lock().disturbed.insert(entry, Instant::now());
+    }
+
+    /// Notes that a request sent then was over too long after its deadline. That is no
+    /// fault of an entry that stood still or ended in between.
+    pub fn late(&self, id: &str, entry: usize, sent_at: Instant) {
+        let mut inner = self.lock();
+        if inner.disturbed.get(&entry).is_none_or(|at| *at < sent_at) {
+            let took = sent_at.elapsed().as_millis();
+            let line = format!("request {id} was over after {took} ms, past its deadline");
+            inner.broken.push(line);
+        }
+    }
+
     /// Notes an answer that is whole and the request's own.
     pub fn answered(&self) {
         self.lock().answered += 1;
@@ -263,6 +341,11 @@
         self.lock().answered
     }
 
+    /// Returns the number of requests to engines that were answered.
+    pub fn engine_answers(&self) -> u64 {
+        self.lock().served.values().map(|s| s.answered).sum()
+    }
+
     /// Holds all that was seen against the promises.
     pub fn verdict(&self) -> Verdict {
         let inner = self.lock();
@@ -275,9 +358,15 @@
                 broken.push(format!("request {id} was refused as not run, and ran"));
             }
         }
+        broken.extend(inner.starved());
+        for id in inner.started.intersection(&inner.refused) {
+            broken.push(format!("request {id} was refused as not run, and ran"));
+        }
+        let answered: u64 = inner.served.values().map(|s| s.answered).sum();
+        let ended: u64 = inner.served.values().map(|s| s.ended).sum();
         Verdict {
-            answered: inner.answered,
-            failed: inner.failed,
+            answered: inner.answered + answered,
+            failed: inner.failed + ended - answered,
             broken,
         }
     }
