Move delayed requests to another engine

A request that is sent to an engine which stops or slows down stayed there until its deadline, although other engines could have served it in time.

Adds the decision (engines/progress.rs), the prediction for the engine that would be chosen elsewhere (router/choosing/preview.rs), and the edge: a send without a first event that is overdue, and a stream that cannot be complete by its deadline at its current rate, move once to another engine within max_attempts and the retry budget. The new engine is chosen before the current run is given up, and nothing is sent to it before the connection of the current run is closed. Applies only to resumable streams of services that are scheduled by engine time.

State: two numbers and at most a few samples for each running stream; no messages. Tested by tables and a property in tests/gateway/engine_moves.rs.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -42,6 +42,7 @@
     },
     registry::Registry,
 };
+use sesamebeam_core::gateway::engines::progress::MoveReason;
 use tokio_util::sync::CancellationToken;
 
 use crate::listen::{
@@ -101,6 +102,11 @@
     end: SendEnd,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MoveLabels {
+    why: &'static str,
+}
+
 /// Direction of a message between a control replica and an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum MessageDirection {
@@ -143,6 +149,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     sends: Family<SendLabels, Counter>,
+    moves: Family<MoveLabels, Counter>,
     messages: Family<MessageLabels, Counter>,
     message_bytes: Family<MessageLabels, Counter>,
     first_byte: Histogram,
@@ -165,6 +172,7 @@
             registry: Registry::with_prefix("sesamebeam"),
             requests: Family::default(),
             sends: Family::default(),
+            moves: Family::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
             first_byte: histogram(),
@@ -195,6 +203,12 @@
         self.sends.get_or_create(&SendLabels { end }).inc();
     }
 
+    /// Records a delayed request that is moved to another engine.
+    pub fn record_move(&self, reason: MoveReason) {
+        let why = reason.as_str();
+        self.moves.get_or_create(&MoveLabels { why }).inc();
+    }
+
     /// Records a message of `bytes` bytes that is sent to each of `receivers` receivers.
     pub fn record_message(
         &self,
@@ -273,6 +287,11 @@
             self.requests.clone(),
         );
         registry.register("sends", "Sends by how they ended", self.sends.clone());
+        registry.register(
+            "moves",
+            "Delayed requests moved to another engine",
+            self.moves.clone(),
+        );
         registry.register(
             "messages",
             "Messages between control replicas and entries by kind",
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -8,6 +8,7 @@
 mod hop_by_hop;
 mod in_flight;
 mod listener;
+mod moving;
 mod protocol;
 mod response;
 mod send;
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -21,6 +21,7 @@
     balance::Outcome,
     cascade::Decision,
     directory::ServerId,
+    engines::progress::Progress,
     request::ResponseHead,
     router::{
         Choice,
@@ -87,6 +88,8 @@
     may_have_run: bool,
     /// Whether a backend server rejected it because all its slots were taken.
     found_full_server: bool,
+    /// Progress by which a delayed request is moved to another engine.
+    pub(super) progress: Progress,
 }
 
 /// What to do after a send.
@@ -97,10 +100,20 @@
     TryNextServer(Option<Box<CallerResponse>>),
     /// Ask a larger model; the retry budget was already charged.
     EscalateModel,
+    /// Send the request to this engine; the retry budget was already charged.
+    Move(Box<InFlightSend>),
     /// Relay this stream to the caller.
     Stream(Box<PendingResponse>),
 }
 
+/// How a send ended.
+enum Sending {
+    /// The send has a result.
+    Ended(SendResult),
+    /// The request moves to this engine.
+    Moved(InFlightSend),
+}
+
 /// A response whose head was received and whose body was not read yet.
 pub(super) struct PendingResponse {
     /// The send that it belongs to.
@@ -127,6 +140,7 @@
             refused: 0,
             may_have_run: false,
             found_full_server: false,
+            progress: Progress::default(),
         }
     }
 
@@ -134,33 +148,27 @@
     pub(super) async fn run(mut self) -> CallerResponse {
         let mut fallback = None;
         let mut is_prepaid = true;
+        let mut moved_to = None;
         loop {
             if !self.has_attempts_left() || !is_prepaid && !self.try_spend_retry() {
                 break;
             }
-            let choice = match self.choose_or_wait().await {
+            let chosen = match moved_to.take() {
+                Some(choice) => Ok(choice),
+                None => self.choose_or_wait().await,
+            };
+            let choice = match chosen {
                 Ok(choice) => choice,
                 Err(error) => {
                     log::info!(id:% = self.req.head.id, why:% = error; "not sent");
                     break;
                 }
             };
-            let model = self.model.clone();
-            let detect_silence =
-                self.is_repeatable() && self.has_alternative_after(self.sends + 1, &choice);
-            let resume = self.req.head.resume_after;
-            let sent = self
-                .gateway
-                .send(
-                    &self.req,
-                    &self.plan,
-                    &choice,
-                    model.as_deref(),
-                    resume,
-                    detect_silence,
-                )
-                .await;
-            match self.handle_send_result(choice, sent).await {
+            let next_step = match self.send_or_move(&choice).await {
+                Sending::Ended(sent) => self.handle_send_result(choice, sent).await,
+                Sending::Moved(next) => self.handle_move(choice, next),
+            };
+            match next_step {
                 NextStep::Respond(response) => return *response,
                 NextStep::Stream(pending) => return Relay::response(self, *pending),
                 NextStep::TryNextServer(response) => {
@@ -168,11 +176,49 @@
                     is_prepaid = self.sends == 0;
                 }
                 NextStep::EscalateModel => is_prepaid = true,
+                NextStep::Move(next) => {
+                    is_prepaid = true;
+                    moved_to = Some(*next);
+                }
             }
         }
         self.reject_or_fail(fallback)
     }
 
+    /// Sends the request, and gives the send up if it moves to another engine.
+    async fn send_or_move(&self, choice: &InFlightSend) -> Sending {
+        let detect_silence =
+            self.is_repeatable() && self.has_alternative_after(self.sends + 1, choice);
+        let sending = self.gateway.send(
+            &self.req,
+            &self.plan,
+            choice,
+            self.model.as_deref(),
+            self.req.head.resume_after,
+            detect_silence,
+        );
+        if !self.may_move_wait(choice) {
+            return Sending::Ended(sending.await);
+        }
+        // An answer that has arrived takes precedence. Dropping the send closes its
+        // connection.
+        tokio::select! {
+            biased;
+            sent = sending => Sending::Ended(sent),
+            next = self.wait_for_move(choice) => Sending::Moved(next),
+        }
+    }
+
+    /// Ends a send that is given up for one to another engine.
+    fn handle_move(&mut self, mut choice: InFlightSend, next: InFlightSend) -> NextStep {
+        self.progress.record_move();
+        self.sends += 1;
+        self.may_have_run = true;
+        self.tried.push(choice.id.clone());
+        choice.record_outcome(Outcome::Dropped);
+        NextStep::Move(Box::new(next))
+    }
+
     /// Builds the response to a request that no backend server answered.
     fn reject_or_fail(&self, fallback: Option<Box<CallerResponse>>) -> CallerResponse {
         if let Some(response) = fallback {
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -12,6 +12,7 @@
 //! services are balanced by [`balance`](super::balance) alone.
 
 mod costs;
+pub mod progress;
 pub mod selection;
 mod slowdown;
 mod work;
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod choosing;
 mod exchange;
+mod moving;
 mod retry_after;
 
 use std::{
@@ -15,7 +16,10 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
-pub use self::choosing::MAX_CANDIDATES;
+pub use self::{
+    choosing::MAX_CANDIDATES,
+    moving::CurrentSend, //
+};
 use super::{
     backoff::Backoffs,
     balance::{
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -1,5 +1,7 @@
 //! Selection of the backend server for a send.
 
+mod preview;
+
 use super::{
     Choice,
     ChooseError,
