--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -9,6 +9,7 @@
     RequestEnd,
     SendEnd, //
 };
+use sesamebeam_core::gateway::engines::progress::MoveReason;
 
 #[test]
 fn text() {
@@ -37,3 +38,16 @@
         assert!(text.contains(line), "{line} is not in\n{text}");
     }
 }
+
+#[test]
+fn moves() {
+    // Guards against reasons that are named otherwise than in the log.
+    let exposition = Exposition::default();
+    exposition.record_move(MoveReason::Waiting);
+    exposition.record_move(MoveReason::Running);
+    let text = exposition.to_text();
+    for why in ["waiting", "running"] {
+        let line = format!("sesamebeam_moves_total{{why=\"{why}\"}} 1");
+        assert!(text.contains(&line), "{line} is not in\n{text}");
+    }
+}
--- a/sesamebeam_core/src/gateway/engines/progress.rs
+++ b/sesamebeam_core/src/gateway/engines/progress.rs
@@ -30,6 +30,10 @@
 /// engine's instance take about half a second.
 const RATE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Number of events below which the rate is measured over twice that period. An engine that
+/// prefills a long prompt of another request sends nothing for more than a second.
+const MIN_RATE_EVENTS: u64 = 4;
+
 /// Factor by which the predicted time to complete a stream elsewhere is extended before it
 /// is compared with the deadline.
 const COMPLETION_MARGIN: f64 = 1.25;
@@ -71,6 +75,15 @@
     events: u64,
 }
 
+impl Sample {
+    /// Returns whether the time since this sample suffices to measure a rate.
+    fn is_enough(&self, now: MonoTime, events: u64) -> bool {
+        let has_events = events.saturating_sub(self.events) >= MIN_RATE_EVENTS;
+        let factor = if has_events { 1 } else { 2 };
+        now.saturating_sub(self.at) >= RATE_PERIOD * factor
+    }
+}
+
 /// Progress of one request.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
@@ -118,9 +131,8 @@
         if self.samples.back().is_some_and(|last| last.events < events) {
             self.samples.push_back(Sample { at: now, events });
         }
-        let is_outdated =
-            |next: &Sample| next.events < events && now.saturating_sub(next.at) >= RATE_PERIOD;
-        while self.samples.get(1).is_some_and(is_outdated) {
+        let may_start_at = |next: &Sample| next.events < events && next.is_enough(now, events);
+        while self.samples.get(1).is_some_and(may_start_at) {
             self.samples.pop_front();
         }
     }
@@ -129,11 +141,12 @@
     /// none while the stream is too young. Without any event since the start, the time
     /// since then is taken for one interval.
     pub fn event_time(&self) -> Option<Duration> {
-        let first = self.samples.front()?;
-        let period = self.checked_at.saturating_sub(first.at);
-        let last = self.samples.back()?;
+        let (first, last) = (self.samples.front()?, self.samples.back()?);
         let events = last.events.saturating_sub(first.events).max(1);
-        (period >= RATE_PERIOD).then(|| period.div_f64(events as f64))
+        let period = self.checked_at.saturating_sub(first.at);
+        first
+            .is_enough(self.checked_at, last.events)
+            .then(|| period.div_f64(events as f64))
     }
 
     /// Decides whether a request without a first event moves.
--- a/sesamebeam_core/tests/gateway/engine_moves.rs
+++ b/sesamebeam_core/tests/gateway/engine_moves.rs
@@ -82,6 +82,7 @@
     margin_missed = { 200, 2_000, 4_100, 0, 5_000, false },
     shared_part_missed = { 200, 2_000, 3_500, 600, 5_000, false },
     too_young = { 200, 750, 3_000, 0, 5_000, false },
+    short_stall = { 100_000, 1_750, 3_000, 0, 5_000, false },
     stalled = { 100_000, 2_000, 3_000, 0, 5_000, true },
 )]
 fn streams(interval: u64, period: u64, elsewhere: u64, shared: u64, left: u64, moves: bool) {
