Learn event intervals of requests that moved while they waited

The stream of a request that moved before its first event comes from one run, so its duration is as good a sample as any. Only streams that moved while they ran are left out: their duration covers the last run only.

--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -65,6 +65,8 @@
     source: Option<Source>,
     /// Send to the engine to which the stream moves.
     moved_to: Option<InFlightSend>,
+    /// Whether the stream was moved, so that its duration is not that of one run.
+    has_moved: bool,
 }
 
 /// The run that currently produces the stream.
@@ -109,6 +111,7 @@
                 lease: Some(lease),
             }),
             moved_to: None,
+            has_moved: false,
         };
         relay.record_start();
         let frames = try_unfold(relay, |relay| async move { relay.next().await });
@@ -236,7 +239,7 @@
     /// run.
     fn record_event_interval(&self, choice: &InFlightSend) {
         let intervals = self.events.count().saturating_sub(1);
-        if intervals == 0 || self.dispatch.progress.has_moved() {
+        if intervals == 0 || self.has_moved {
             return;
         }
         let Some(first_event_at) = self.first_event_at else {
@@ -277,6 +280,7 @@
         }
         if let Some(choice) = self.moved_to.take() {
             self.dispatch.progress.record_move();
+            self.has_moved = true;
             if self.resume_at(choice).await {
                 return true;
             }
