--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -9,7 +9,10 @@
     RequestEnd,
     SendEnd, //
 };
-use sesamebeam_core::gateway::engines::escalation::Step;
+use sesamebeam_core::gateway::engines::{
+    escalation::Step,
+    progress::MoveReason, //
+};
 use yare::parameterized;
 
 #[test]
@@ -57,3 +60,16 @@
     let line = format!("sesamebeam_escalations_total{{step=\"{name}\"}} 1");
     assert!(exposition.to_text().contains(&line));
 }
+
+#[test]
+fn moves() {
+    // Guards against reasons that are named otherwise than in the log.
+    let exposition = Exposition::default();
+    exposition.record_move(MoveReason::Waiting);
+    exposition.record_move(MoveReason::Running);
+    let text = exposition.to_text();
+    for why in ["waiting", "running"] {
+        let line = format!("sesamebeam_moves_total{{why=\"{why}\"}} 1");
+        assert!(text.contains(&line), "{line} is not in\n{text}");
+    }
+}
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -13,6 +13,7 @@
 
 mod costs;
 pub mod escalation;
+pub mod progress;
 pub mod selection;
 mod slowdown;
 mod work;
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -5,6 +5,7 @@
 mod choosing;
 mod escalation;
 mod exchange;
+mod moving;
 mod retry_after;
 
 use std::{
@@ -16,7 +17,10 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
-pub use self::choosing::MAX_CANDIDATES;
+pub use self::{
+    choosing::MAX_CANDIDATES,
+    moving::CurrentSend, //
+};
 use super::{
     backoff::Backoffs,
     balance::{
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -50,7 +50,7 @@
 
 /// Backend server that would get the next send of a request.
 pub(super) struct Pick<'a> {
-    server: &'a ServerRecord,
+    pub(super) server: &'a ServerRecord,
     /// Predicted times, if the service is scheduled by engine time.
     pub(super) forecast: Option<Forecast>,
     /// Engines among which it was selected, if the service is scheduled by engine time.
