Share engine time between organisations and refuse impossible requests

One organisation's surge delayed the requests of all others at the engines, and requests that no engine could complete were sent and reached their deadline. A streaming request that every candidate is predicted to complete too late is refused on arrival with a Retry-After.

The virtual times of the admission queue move into a type of their own that both use; what the queue decides is unchanged.

State: one virtual time and one time stamp for each configured organisation and service.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -133,6 +133,8 @@
     LimitedServers,
     /// Number of backend servers that asked for a pause or are shutting down.
     BackedOffServers,
+    /// Number of organisations that use more than their share of engine time.
+    OrganisationsAhead,
     /// Delay of the latest event loop tick in milliseconds.
     LoopDelay,
 }
@@ -154,6 +156,8 @@
     evacuated: Gauge,
     limited: Gauge,
     backed_off: Gauge,
+    organisations_ahead: Gauge,
+    engine_refusals: Counter,
     loop_delay: Gauge,
 }
 
@@ -176,6 +180,8 @@
             evacuated: Gauge::default(),
             limited: Gauge::default(),
             backed_off: Gauge::default(),
+            organisations_ahead: Gauge::default(),
+            engine_refusals: Counter::default(),
             loop_delay: Gauge::default(),
         };
         exposition.register();
@@ -190,6 +196,11 @@
         self.request_duration.observe(took.as_secs_f64());
     }
 
+    /// Records a request that was refused because no engine could complete it in time.
+    pub fn record_engine_refusal(&self) {
+        self.engine_refusals.inc();
+    }
+
     /// Records a finished send.
     pub fn record_send(&self, end: SendEnd) {
         self.sends.get_or_create(&SendLabels { end }).inc();
@@ -226,6 +237,7 @@
             GaugeKind::EvacuatedDomains => self.evacuated.set(value),
             GaugeKind::LimitedServers => self.limited.set(value),
             GaugeKind::BackedOffServers => self.backed_off.set(value),
+            GaugeKind::OrganisationsAhead => self.organisations_ahead.set(value),
             GaugeKind::LoopDelay => self.loop_delay.set(value),
         };
     }
@@ -312,6 +324,16 @@
             "Backend servers that asked this entry for a pause, or leave",
             self.backed_off.clone(),
         );
+        registry.register(
+            "organisations_ahead",
+            "Organisations that use more than their share of engine time",
+            self.organisations_ahead.clone(),
+        );
+        registry.register(
+            "engine_refusals",
+            "Requests refused because no engine could complete them in time",
+            self.engine_refusals.clone(),
+        );
         registry.register(
             "loop_delay_milliseconds",
             "By how much the loop turned late",
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -168,7 +168,13 @@
 
 fn reject(gateway: &Gateway, id: &str, refusal: Refusal) -> CallerResponse {
     let version = gateway.router().version();
-    log::info!(id = id, why:% = refusal, config:? = version; "request refused");
+    match refusal {
+        Refusal::CannotComplete { after } => log::info!(
+            id = id, why:% = refusal, after_ms = after.as_millis() as u64, config:? = version;
+            "request refused"
+        ),
+        _ => log::info!(id = id, why:% = refusal, config:? = version; "request refused"),
+    }
     gateway
         .metrics
         .record_request(RequestEnd::Refused, Duration::ZERO);
@@ -177,6 +183,10 @@
         Refusal::Quarantined | Refusal::ShortOfCapacity => {
             response::retry_later(StatusCode::SERVICE_UNAVAILABLE)
         }
+        Refusal::CannotComplete { after } => {
+            gateway.metrics.record_engine_refusal();
+            response::retry_after(StatusCode::SERVICE_UNAVAILABLE, after)
+        }
         Refusal::NoRoute => response::empty(StatusCode::NOT_FOUND),
         Refusal::UnknownKey => response::empty(StatusCode::UNAUTHORIZED),
     }
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -293,6 +293,10 @@
         gateway
             .metrics
             .set_gauge(GaugeKind::BackedOffServers, backed_off as u64);
+        let ahead = gateway.router().organisations_ahead(now);
+        gateway
+            .metrics
+            .set_gauge(GaugeKind::OrganisationsAhead, ahead as u64);
         let Some(followed) = self.subscription.followed() else {
             return;
         };
--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -11,7 +11,9 @@
 //! that callers compete for capacity, or where an engine has stated its speed. All other
 //! services are balanced by [`balance`](super::balance) alone.
 
+pub mod admission;
 mod costs;
+pub mod fairness;
 pub mod selection;
 mod slowdown;
 mod work;
@@ -92,10 +94,12 @@
 }
 
 /// Predictor for one request of a service, at any of its engines.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Forecaster<'a> {
     engines: &'a Engines,
+    /// Time of the send, and how far it is ahead of the last event known.
     now: MonoTime,
+    delay: Duration,
     /// Slowdown assumed for unknown engines.
     median: f64,
     /// Time to the first event without queueing. This and the following times are those of
@@ -269,6 +273,7 @@
         Forecaster {
             engines: self,
             now,
+            delay: Duration::ZERO,
             median: self.median_slowdown(service),
             first_event: costs.first_event_time(demand),
             prefill: costs.prefill_time(demand, demand.uncached_tokens),
@@ -352,6 +357,32 @@
 }
 
 impl Forecaster<'_> {
+    /// Returns a predictor for the same request if it is sent after a delay and no other
+    /// request is sent until then.
+    #[must_use]
+    pub fn delayed(&self, delay: Duration) -> Self {
+        Self {
+            now: self.now + delay,
+            delay: self.delay + delay,
+            ..*self
+        }
+    }
+
+    /// Returns the engine time of the request: its prefill and its events, without queueing
+    /// and beside no other request.
+    pub fn engine_time(&self) -> Duration {
+        let streaming = self.event_times.beside(0.0).as_secs_f64() * (self.events - 1.0);
+        let streaming = Duration::try_from_secs_f64(streaming).unwrap_or(MAX_FORECAST);
+        self.first_event.saturating_add(streaming).min(MAX_FORECAST)
+    }
+
+    /// Returns whether a prediction for an engine rests on observations: the engine has
+    /// stated its load, and streams of its service were measured.
+    pub fn is_informed(&self, id: &ServerId) -> bool {
+        let engine = self.engines.servers.get(id);
+        self.event_times.is_measured() && engine.is_some_and(|e| e.work.is_stated())
+    }
+
     /// Predicts how long the request would take at an engine if it were sent now.
     pub fn forecast(&self, id: &ServerId, slots: u32) -> Forecast {
         let engine = self.engines.servers.get(id);
@@ -363,9 +394,10 @@
             .unwrap_or(typical);
         let work = engine.map(|e| e.work).unwrap_or_default();
         let duration = self.duration.mul_f64(typical);
-        let requests = work.requests(self.now, duration);
-        let backlog = work.prefill_left(self.now, self.mean_prefill.mul_f64(factor));
         let slots = f64::from(slots.max(1));
+        let ended = work.own_ended_after(self.delay, duration, slots);
+        let requests = work.requests(self.now, duration) - ended;
+        let backlog = work.prefill_left(self.now, self.mean_prefill.mul_f64(factor));
         let excess = (requests + 1.0 - slots).max(0.0);
         let slot_wait = duration.mul_f64(excess / slots);
         let first_event = self.first_event.mul_f64(factor) + backlog + slot_wait;
--- /dev/null
+++ b/sesamebeam_core/src/gateway/engines/admission.rs
@@ -0,0 +1,94 @@
+//! Immediate refusal of requests that no engine can complete in time.
+//!
+//! A request that is refused only when its deadline is reached has taken the time of its
+//! caller and perhaps that of an engine. One that is refused on arrival can be repeated
+//! when it can be served.
+
+use std::time::Duration;
+
+use super::Forecaster;
+use crate::gateway::directory::ServerId;
+
+/// Share of the time left within which requests other than the most urgent must be
+/// predicted to be complete, so that the most urgent are refused last.
+const LESS_URGENT_SHARE: f64 = 0.9;
+
+/// The same for organisations that use more than their share of engine time.
+const AHEAD_SHARE: f64 = 0.8;
+
+/// Shortest and longest delay after which completion is predicted again.
+const MIN_DELAY: Duration = Duration::from_millis(100);
+const MAX_DELAY: Duration = Duration::from_secs(300);
+
+/// Number of halvings by which the delay is narrowed down: to a thirty-second part.
+const HALVINGS: u32 = 4;
+
+/// Largest share of the delay that is added at random.
+const MAX_JITTER: f64 = 0.2;
+
+/// An engine that would be considered for a send.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSlots<'a> {
+    /// The engine.
+    pub id: &'a ServerId,
+    /// Number of requests that it runs at a time.
+    pub slots: u32,
+}
+
+/// Returns the time within which a request must be predicted to be complete.
+pub fn completion_limit(time_left: Duration, is_most_urgent: bool, is_ahead: bool) -> Duration {
+    match (is_ahead, is_most_urgent) {
+        (true, _) => time_left.mul_f64(AHEAD_SHARE),
+        (false, false) => time_left.mul_f64(LESS_URGENT_SHARE),
+        (false, true) => time_left,
+    }
+}
+
+/// Returns after which delay an equal request is predicted to be complete within `limit`;
+/// none if the request is not refused.
+///
+/// A request is refused only if every candidate has stated its load and none is predicted
+/// to complete it. One that would not be complete on idle engines either is not refused:
+/// there is no time at which it can be served, and the prediction rests on its stated
+/// length and on learned costs alone. If these were wrong, the service would refuse all
+/// requests and never learn better.
+pub fn refusal_delay(
+    forecaster: &Forecaster<'_>,
+    candidates: &[EngineSlots<'_>],
+    limit: Duration,
+) -> Option<Duration> {
+    let completes = |delay: Duration| {
+        let forecaster = forecaster.delayed(delay);
+        let mut forecasts = candidates
+            .iter()
+            .map(|c| forecaster.forecast(c.id, c.slots));
+        forecasts.any(|f| f.completion <= limit)
+    };
+    let is_certain = candidates.iter().all(|c| forecaster.is_informed(c.id));
+    if candidates.is_empty() || completes(Duration::ZERO) || !is_certain {
+        return None;
+    }
+    let mut too_short = Duration::ZERO;
+    let mut delay = MIN_DELAY;
+    while !completes(delay) {
+        if delay >= MAX_DELAY {
+            return None;
+        }
+        too_short = delay;
+        delay = (delay * 2).min(MAX_DELAY);
+    }
+    for _ in 0..HALVINGS {
+        let middle = (too_short + delay) / 2;
+        match completes(middle) {
+            true => delay = middle,
+            false => too_short = middle,
+        }
+    }
+    Some(delay)
+}
+
+/// Adds jitter to a delay, so that callers who are refused together return at different
+/// times. `at` is a point in [0, 1) that differs by request.
+pub fn with_jitter(delay: Duration, at: f64) -> Duration {
+    delay + delay.mul_f64(MAX_JITTER * at.clamp(0.0, 1.0))
+}
--- a/sesamebeam_core/src/gateway/engines/costs.rs
+++ b/sesamebeam_core/src/gateway/engines/costs.rs
@@ -97,6 +97,11 @@
         Duration::from_secs_f64(nearest.unwrap_or(INITIAL_EVENT_TIME))
     }
 
+    /// Returns whether any stream was measured.
+    pub(super) fn is_measured(&self) -> bool {
+        self.0.iter().any(Option::is_some)
+    }
+
     fn record(&mut self, running: f64, sample: f64) {
         let mean = self.0[class(running)].get_or_insert(sample);
         *mean += MEAN_WEIGHT * (sample - *mean);
--- a/sesamebeam_core/src/gateway/engines/work.rs
+++ b/sesamebeam_core/src/gateway/engines/work.rs
@@ -90,6 +90,23 @@
         self.in_flight > 0
     }
 
+    /// Returns whether the engine has stated its load.
+    pub(super) fn is_stated(&self) -> bool {
+        self.stated.is_some()
+    }
+
+    /// Returns how many of the own requests are expected to end within `wait`, if each
+    /// slot completes one in `mean_duration`.
+    pub(super) fn own_ended_after(
+        &self,
+        wait: Duration,
+        mean_duration: Duration,
+        slots: f64,
+    ) -> f64 {
+        let rounds = wait.as_secs_f64() / mean_duration.as_secs_f64().max(0.001);
+        (rounds * slots).min(f64::from(self.in_flight))
+    }
+
     /// Returns the time that the engine still needs for prompts that were sent to it, if a
     /// request of others needs `mean_prefill` on average.
     pub(super) fn prefill_left(&self, now: MonoTime, mean_prefill: Duration) -> Duration {
--- a/sesamebeam_core/src/gateway/prompt_lengths.rs
+++ b/sesamebeam_core/src/gateway/prompt_lengths.rs
@@ -35,13 +35,15 @@
     ///
     /// Within a rank, an engine prefills one prompt at a time: a prompt of 50,000 tokens
     /// ahead of one of 500 delays it by a second. Running shorter prompts first reduces
-    /// the mean wait. A request never overtakes one of a more urgent rank.
+    /// the mean wait. A request never overtakes one of a more urgent rank. One that is
+    /// `deferred` is ranked as if its prompt were long.
     pub(super) fn engine_rank(
         &mut self,
         table: &RouteTable,
         route: &RouteConfig,
         rank: Rank,
         tokens: u32,
+        deferred: bool,
     ) -> Rank {
         let tokens = f64::from(tokens);
         let mean = self.means.entry(route.name.clone()).or_insert(tokens);
@@ -50,6 +52,7 @@
         let (rank_index, ranks) = table.rank_index(rank);
         let classes = (ENGINE_RANKS / ranks.max(1)).clamp(1, LENGTH_CLASSES);
         let class = match tokens {
+            _ if deferred => LENGTH_CLASSES - 1,
             t if t > mean * CLASS_RATIO => LENGTH_CLASSES - 1,
             t if t > mean / CLASS_RATIO => LENGTH_CLASSES - 2,
             _ => 0,
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -3,6 +3,7 @@
 mod canary;
 mod capacity;
 mod choosing;
+mod engine_admission;
 mod exchange;
 mod retry_after;
 
@@ -48,7 +49,8 @@
         Demand,
         EngineSend,
         Engines,
-        Forecast, //
+        Forecast,
+        fairness::Fairness, //
     },
     limits::ServerLimits,
     messages::{
@@ -135,6 +137,13 @@
     /// admitted.
     #[error("service short of capacity")]
     ShortOfCapacity,
+    /// No engine is expected to complete the request by its deadline.
+    #[error("cannot be complete by its deadline")]
+    CannotComplete {
+        /// Time after which an equal request could be complete by its deadline, with
+        /// jitter.
+        after: Duration,
+    },
 }
 
 /// Why no backend server could be chosen for a send.
@@ -267,6 +276,7 @@
     admission: Admission,
     balancer: LoadBalancer,
     engines: Engines,
+    fairness: Fairness,
     budget: RetryBudget,
     cascade: Cascade,
     response_counts: ResponseCounts,
@@ -288,6 +298,7 @@
             limits: ServerLimits::new(cfg.name.clone()),
             backoffs: Backoffs::default(),
             engines: Engines::new(cfg.contention),
+            fairness: Fairness::default(),
             cfg,
             table: None,
             is_config_current: false,
@@ -337,6 +348,7 @@
         if self.table.is_none() {
             self.cascade.started(now);
         }
+        self.fairness.retain(&config);
         self.table = Some(RouteTable::new(config));
         true
     }
@@ -433,15 +445,20 @@
             self.sessions
                 .may_use_canary(now, &service, session, &head.id, canary_share);
         let rank = table::rank(route, &caller);
+        let is_ahead = self.record_arrival(now, &table, route, &service, organisation.as_ref());
         let is_model_open = head
             .model
             .as_deref()
             .is_none_or(|m| m == crate::ids::ANY_MODEL);
         let model = route.models.first().filter(|_| is_model_open).cloned();
-        Ok(Plan {
-            engine_rank: self
-                .prompt_lengths
-                .engine_rank(&table, route, rank, head.prompt_tokens),
+        let plan = Plan {
+            engine_rank: self.prompt_lengths.engine_rank(
+                &table,
+                route,
+                rank,
+                head.prompt_tokens,
+                is_ahead,
+            ),
             route: route.clone(),
             organisation,
             model,
@@ -459,7 +476,12 @@
             seed,
             service,
             table,
-        })
+        };
+        // A resumed stream needs less time than is predicted for the whole of it.
+        if head.resume_after.is_none() {
+            self.check_completion(now, &plan, rank, is_ahead)?;
+        }
+        Ok(plan)
     }
 
     /// Turns a rejection into [`Refusal::NoConfig`] while the configuration may be
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -44,7 +44,7 @@
 pub const MAX_CANDIDATES: usize = 128;
 
 /// Factor by which the candidate window grows when none of the candidates is usable.
-const WIDEN_FACTOR: usize = 8;
+pub(super) const WIDEN_FACTOR: usize = 8;
 
 impl Router {
     /// Chooses a backend server for the next send and counts the send.
@@ -145,7 +145,13 @@
                     demand: &demand,
                     forecast: &forecast,
                 };
+                let engine_time = forecaster.engine_time();
                 self.engines.record_send(now, &send);
+                if self.engines.has_contention()
+                    && let Some(org) = &plan.organisation
+                {
+                    self.fairness.charge(&plan.service, org, engine_time);
+                }
                 self.balancer.record_send(now, chosen, prefill_time);
                 (chosen, Some(forecast))
             }
@@ -243,7 +249,7 @@
 
     /// Returns the part of the key space that contains about `max_candidates` eligible
     /// backend servers. All entries use the same part for requests that share a prompt.
-    fn window(
+    pub(super) fn window(
         &self,
         plan: &Plan,
         model: Option<&str>,
@@ -277,7 +283,7 @@
     /// Cold servers are idle and would otherwise attract too much load: after the
     /// recovery of a failure domain, single backend servers received up to 30 requests a
     /// second from 74 entries, and those with the most requests crashed.
-    fn retain_warm(
+    pub(super) fn retain_warm(
         &self,
         now: MonoTime,
         eligible: &mut Vec<&ServerRecord>,
@@ -319,7 +325,7 @@
 }
 
 /// Returns the warm-up limits of a plan's service, if it has any.
-fn cold_limits(plan: &Plan) -> Option<&ColdConfig> {
+pub(super) fn cold_limits(plan: &Plan) -> Option<&ColdConfig> {
     let service = plan.table.config().service(&plan.service);
     service.and_then(|s| s.cold.as_ref())
 }
--- a/sesamebeam_core/src/gateway/router/retry_after.rs
+++ b/sesamebeam_core/src/gateway/router/retry_after.rs
@@ -93,7 +93,7 @@
 
 /// Rounds up to the granularity of `Retry-After`, as a caller that returns too early is
 /// rejected again.
-fn round_up(after: Duration) -> Duration {
+pub(super) fn round_up(after: Duration) -> Duration {
     let steps = after.as_nanos().div_ceil(RETRY_AFTER_STEP.as_nanos());
     u32::try_from(steps).map_or(after, |steps| RETRY_AFTER_STEP * steps)
 }
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod servers;
 pub mod suspects;
+pub mod virtual_times;
 
 /// Settings of all decisions, each with a switch that disables it.
 ///
--- a/sesamebeam_core/src/policy/admission/queue.rs
+++ b/sesamebeam_core/src/policy/admission/queue.rs
@@ -17,6 +17,7 @@
         OrgId,
         RequestId, //
     },
+    policy::virtual_times::VirtualTimes,
 };
 
 /// Weight of a new sample in the moving averages.
@@ -51,11 +52,10 @@
     queues: [IndexMap<OrgId, OrgQueue>; 3],
     /// Number of queued requests by priority.
     queue_lens: [usize; 3],
-    /// Virtual time up to which each organisation has been served.
-    virtual_times: IndexMap<OrgId, f64>,
-    /// Virtual time of the pool: the largest value so far of the least virtual
-    /// time among the queued organisations when a request was dequeued.
-    virtual_clock: f64,
+    /// Virtual times of the organisations. Their clock is the largest value so far of
+    /// the least virtual time among the queued organisations when a request was
+    /// dequeued.
+    virtual_times: VirtualTimes,
     /// Latest start times of the queued requests, earliest first.
     latest_starts: BTreeSet<(MonoTime, RequestId)>,
     started: IndexMap<RequestId, (OrgId, Duration, f64)>,
@@ -191,12 +191,8 @@
         request: RequestId,
         expected_duration: Duration,
     ) {
-        let virtual_time = self
-            .virtual_times
-            .entry(org.clone())
-            .or_insert(self.virtual_clock);
-        let start = virtual_time.max(self.virtual_clock);
-        *virtual_time = start + expected_duration.as_secs_f64() / share;
+        self.virtual_times
+            .charge(org, expected_duration.as_secs_f64() / share);
         self.started
             .insert(request, (org.clone(), expected_duration, share));
     }
@@ -206,9 +202,8 @@
         let Some((org, expected_duration, share)) = self.started.swap_remove(&request) else {
             return;
         };
-        if let Some(virtual_time) = self.virtual_times.get_mut(&org) {
-            *virtual_time += (ran.as_secs_f64() - expected_duration.as_secs_f64()) / share;
-        }
+        let difference = (ran.as_secs_f64() - expected_duration.as_secs_f64()) / share;
+        self.virtual_times.correct(&org, difference);
         let seconds = ran.as_secs_f64();
         let mean_duration = self.mean_duration.get_or_insert(seconds);
         *mean_duration += AVERAGE_WEIGHT * (seconds - *mean_duration);
@@ -282,15 +277,12 @@
     }
 
     fn virtual_time(&self, org: &str) -> f64 {
-        self.virtual_times
-            .get(org)
-            .copied()
-            .unwrap_or(self.virtual_clock)
-            .max(self.virtual_clock)
+        self.virtual_times.start_time(org)
     }
 
     fn dequeue(&mut self, index: usize, org: &OrgId) -> Option<QueuedRequest> {
-        self.virtual_clock = self.virtual_clock.max(self.min_virtual_time());
+        let queued = self.queues.iter().flat_map(|queues| queues.keys());
+        self.virtual_times.advance(queued);
         let queue = self.queues[index].get_mut(org)?;
         let waiting = queue.waiting.pop_front()?;
         if queue.waiting.is_empty() {
@@ -302,22 +294,6 @@
         Some(waiting)
     }
 
-    /// Returns the least virtual time among the organisations with queued
-    /// requests. An organisation that was idle thus does not accumulate credit.
-    fn min_virtual_time(&self) -> f64 {
-        self.queues
-            .iter()
-            .flat_map(|queues| queues.keys())
-            .map(|org| {
-                self.virtual_times
-                    .get(org)
-                    .copied()
-                    .unwrap_or(self.virtual_clock)
-            })
-            .min_by(f64::total_cmp)
-            .unwrap_or(self.virtual_clock)
-    }
-
     pub(super) fn cancel(&mut self, request: RequestId) -> bool {
         self.remove(|waiting| waiting.request == request).is_some()
     }
