Test fair sharing and immediate refusal

A lead now falls by a factor of e in 1 s.

The search for the delay of a refusal covers the 8 best candidates, which bounds its cost.

--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -37,3 +37,17 @@
         assert!(text.contains(line), "{line} is not in\n{text}");
     }
 }
+
+#[test]
+fn engine_admission() {
+    let exposition = Exposition::default();
+    exposition.record_engine_refusal();
+    exposition.set_gauge(GaugeKind::OrganisationsAhead, 2);
+    let text = exposition.to_text();
+    for line in [
+        "sesamebeam_engine_refusals_total 1",
+        "sesamebeam_organisations_ahead 2",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
--- a/sesamebeam_core/src/gateway/engines/admission.rs
+++ b/sesamebeam_core/src/gateway/engines/admission.rs
@@ -23,6 +23,10 @@
 /// Number of halvings by which the delay is narrowed down: to a thirty-second part.
 const HALVINGS: u32 = 4;
 
+/// Number of candidates for which later completions are predicted: those that would
+/// complete the request first now. It bounds the cost of a refusal.
+const MAX_SEARCHED: usize = 8;
+
 /// Largest share of the delay that is added at random.
 const MAX_JITTER: f64 = 0.2;
 
@@ -57,15 +61,24 @@
     candidates: &[EngineSlots<'_>],
     limit: Duration,
 ) -> Option<Duration> {
+    let mut predicted = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let forecast = forecaster.forecast(candidate.id, candidate.slots);
+        if forecast.completion <= limit || !forecaster.is_informed(candidate.id) {
+            return None;
+        }
+        predicted.push((forecast.completion, candidate));
+    }
+    predicted.sort_unstable_by_key(|(completion, _)| *completion);
+    predicted.truncate(MAX_SEARCHED);
     let completes = |delay: Duration| {
         let forecaster = forecaster.delayed(delay);
-        let mut forecasts = candidates
+        let mut forecasts = predicted
             .iter()
-            .map(|c| forecaster.forecast(c.id, c.slots));
+            .map(|(_, c)| forecaster.forecast(c.id, c.slots));
         forecasts.any(|f| f.completion <= limit)
     };
-    let is_certain = candidates.iter().all(|c| forecaster.is_informed(c.id));
-    if candidates.is_empty() || completes(Duration::ZERO) || !is_certain {
+    if predicted.is_empty() {
         return None;
     }
     let mut too_short = Duration::ZERO;
--- a/sesamebeam_core/src/gateway/engines/fairness.rs
+++ b/sesamebeam_core/src/gateway/engines/fairness.rs
@@ -34,8 +34,10 @@
 
 /// Time in which a lead falls by a factor of e. Requests are sent even if their
 /// organisation is ahead, so that without this a lead would remain after a surge for as
-/// long as all organisations send the same.
-const LEAD_DECAY: Duration = Duration::from_secs(5);
+/// long as all organisations send the same, and one that always sends somewhat more than
+/// the smallest would be ahead for good. With 1 s, an organisation is ahead that takes
+/// over 2 s of engine time per second more than the smallest.
+const LEAD_DECAY: Duration = Duration::from_secs(1);
 
 /// Engine time that this entry has given to organisations.
 #[derive(Debug, Default)]
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod digests;
 mod directory;
+mod engine_fairness;
 mod evacuations;
 mod fixtures;
 mod group;
