Hold less urgent requests to a share that idle engines can reach

A request that idle engines complete within its time left, but not within 0.9 or 0.8 of it, was taken as one that can never be served and was sent, while a more urgent one was refused.

The share is raised to the time that idle engines need.

--- a/sesamebeam_core/src/gateway/engines/admission.rs
+++ b/sesamebeam_core/src/gateway/engines/admission.rs
@@ -39,28 +39,32 @@
     pub slots: u32,
 }
 
-/// Returns the time within which a request must be predicted to be complete.
-pub fn completion_limit(time_left: Duration, is_most_urgent: bool, is_ahead: bool) -> Duration {
+/// Returns the share of the time left within which a request must be predicted to be
+/// complete.
+pub fn time_share(is_most_urgent: bool, is_ahead: bool) -> f64 {
     match (is_ahead, is_most_urgent) {
-        (true, _) => time_left.mul_f64(AHEAD_SHARE),
-        (false, false) => time_left.mul_f64(LESS_URGENT_SHARE),
-        (false, true) => time_left,
+        (true, _) => AHEAD_SHARE,
+        (false, false) => LESS_URGENT_SHARE,
+        (false, true) => 1.0,
     }
 }
 
-/// Returns after which delay an equal request is predicted to be complete within `limit`;
-/// none if the request is not refused.
+/// Returns after which delay an equal request is predicted to be complete within a share
+/// of its time left; none if the request is not refused.
 ///
 /// A request is refused only if every candidate has stated its load and none is predicted
 /// to complete it. One that would not be complete on idle engines either is not refused:
 /// there is no time at which it can be served, and the prediction rests on its stated
 /// length and on learned costs alone. If these were wrong, the service would refuse all
-/// requests and never learn better.
+/// requests and never learn better. One that only idle engines would complete within its
+/// time left, but not within the share, is held to what these need.
 pub fn refusal_delay(
     forecaster: &Forecaster<'_>,
     candidates: &[EngineSlots<'_>],
-    limit: Duration,
+    time_left: Duration,
+    share: f64,
 ) -> Option<Duration> {
+    let limit = time_left.mul_f64(share);
     let mut predicted = Vec::with_capacity(candidates.len());
     for candidate in candidates {
         let forecast = forecaster.forecast(candidate.id, candidate.slots);
@@ -71,22 +75,22 @@
     }
     predicted.sort_unstable_by_key(|(completion, _)| *completion);
     predicted.truncate(MAX_SEARCHED);
-    let completes = |delay: Duration| {
+    let earliest = |delay: Duration| {
         let forecaster = forecaster.delayed(delay);
-        let mut forecasts = predicted
+        let forecasts = predicted
             .iter()
             .map(|(_, c)| forecaster.forecast(c.id, c.slots));
-        forecasts.any(|f| f.completion <= limit)
+        forecasts.map(|f| f.completion).min()
     };
-    if predicted.is_empty() {
+    let idle = earliest(MAX_DELAY).filter(|idle| *idle <= time_left)?;
+    let limit = limit.max(idle);
+    let completes = |delay| earliest(delay).is_some_and(|completion| completion <= limit);
+    if completes(Duration::ZERO) {
         return None;
     }
     let mut too_short = Duration::ZERO;
     let mut delay = MIN_DELAY;
-    while !completes(delay) {
-        if delay >= MAX_DELAY {
-            return None;
-        }
+    while delay < MAX_DELAY && !completes(delay) {
         too_short = delay;
         delay = (delay * 2).min(MAX_DELAY);
     }
--- a/sesamebeam_core/src/gateway/router/engine_admission.rs
+++ b/sesamebeam_core/src/gateway/router/engine_admission.rs
@@ -82,8 +82,8 @@
         let forecaster = self.engines.forecaster(now, cfg, &plan.service, &demand);
         let is_most_urgent = plan.table.rank_index(rank).0 == 0;
         let time_left = plan.deadline.saturating_sub(now);
-        let limit = admission::completion_limit(time_left, is_most_urgent, is_ahead);
-        match admission::refusal_delay(&forecaster, &candidates, limit) {
+        let share = admission::time_share(is_most_urgent, is_ahead);
+        match admission::refusal_delay(&forecaster, &candidates, time_left, share) {
             None => Ok(()),
             Some(delay) => {
                 let at = hash::unit(&plan.seed.to_le_bytes(), "engine-refusal");
