--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -149,6 +149,8 @@
     BackedOffServers,
     /// Whether any service is scheduled by engine time.
     EngineTime,
+    /// Number of organisations that use more than their share of engine time.
+    OrganisationsAhead,
     /// Delay of the latest event loop tick in milliseconds.
     LoopDelay,
 }
@@ -174,6 +176,8 @@
     backed_off: Gauge,
     engine_time: Gauge,
     forecast_error: Histogram,
+    organisations_ahead: Gauge,
+    engine_refusals: Counter,
     loop_delay: Gauge,
 }
 
@@ -200,6 +204,8 @@
             backed_off: Gauge::default(),
             engine_time: Gauge::default(),
             forecast_error: histogram(),
+            organisations_ahead: Gauge::default(),
+            engine_refusals: Counter::default(),
             loop_delay: Gauge::default(),
         };
         exposition.register();
@@ -214,6 +220,11 @@
         self.request_duration.observe(took.as_secs_f64());
     }
 
+    /// Records a request that was refused because no engine could complete it in time.
+    pub fn record_engine_refusal(&self) {
+        self.engine_refusals.inc();
+    }
+
     /// Records a finished send.
     pub fn record_send(&self, end: SendEnd) {
         self.sends.get_or_create(&SendLabels { end }).inc();
@@ -268,6 +279,7 @@
             GaugeKind::LimitedServers => self.limited.set(value),
             GaugeKind::BackedOffServers => self.backed_off.set(value),
             GaugeKind::EngineTime => self.engine_time.set(value),
+            GaugeKind::OrganisationsAhead => self.organisations_ahead.set(value),
             GaugeKind::LoopDelay => self.loop_delay.set(value),
         };
     }
@@ -374,6 +386,16 @@
             "Absolute error of the forecast of the first event",
             self.forecast_error.clone(),
         );
+        registry.register(
+            "organisations_ahead",
+            "Organisations that use more than their share of engine time",
+            self.organisations_ahead.clone(),
+        );
+        registry.register(
+            "engine_refusals",
+            "Requests refused because no engine could complete them in time",
+            self.engine_refusals.clone(),
+        );
         registry.register(
             "loop_delay_milliseconds",
             "By how much the loop turned late",
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -297,6 +297,10 @@
         gateway
             .metrics
             .set_gauge(GaugeKind::EngineTime, u64::from(uses_engine_time));
+        let ahead = gateway.router().organisations_ahead(now);
+        gateway
+            .metrics
+            .set_gauge(GaugeKind::OrganisationsAhead, ahead as u64);
         let Some(followed) = self.subscription.followed() else {
             return;
         };
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -228,6 +228,7 @@
                 forecast,
             };
             self.engines.record_send(now, &send);
+            self.charge_organisation(now, plan, send.demand);
         }
         if let Some(chosen) = self.directory.get(&choice.id) {
             self.balancer.record_send(now, chosen, choice.prefill_time);
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod digests;
 mod directory;
 mod engine_escalation;
+mod engine_fairness;
 mod engine_model;
 mod engine_moves;
 mod engine_play;
