Move waiting requests only when their objective is at risk

A move starts the wait again. Moves of running streams are taken out again: by the stated length of the answer too many streams look late, and the second prefill delays others.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -42,10 +42,7 @@
     },
     registry::Registry,
 };
-use sesamebeam_core::gateway::engines::{
-    escalation::Step,
-    progress::MoveReason, //
-};
+use sesamebeam_core::gateway::engines::escalation::Step;
 use tokio_util::sync::CancellationToken;
 
 use crate::listen::{
@@ -105,11 +102,6 @@
     end: SendEnd,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct MoveLabels {
-    why: &'static str,
-}
-
 /// Direction of a message between a control replica and an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum MessageDirection {
@@ -161,7 +153,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     sends: Family<SendLabels, Counter>,
-    moves: Family<MoveLabels, Counter>,
+    moves: Counter,
     messages: Family<MessageLabels, Counter>,
     message_bytes: Family<MessageLabels, Counter>,
     escalations: Family<EscalationLabels, Counter>,
@@ -189,7 +181,7 @@
             registry: Registry::with_prefix("sesamebeam"),
             requests: Family::default(),
             sends: Family::default(),
-            moves: Family::default(),
+            moves: Counter::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
             escalations: Family::default(),
@@ -231,9 +223,8 @@
     }
 
     /// Records a delayed request that is moved to another engine.
-    pub fn record_move(&self, reason: MoveReason) {
-        let why = reason.as_str();
-        self.moves.get_or_create(&MoveLabels { why }).inc();
+    pub fn record_move(&self) {
+        self.moves.inc();
     }
 
     /// Records a message of `bytes` bytes that is sent to each of `receivers` receivers.
--- a/sesamebeam/src/gateway/moving.rs
+++ b/sesamebeam/src/gateway/moving.rs
@@ -18,10 +18,7 @@
         self,
         Move, //
     },
-    router::{
-        CurrentSend,
-        Plan, //
-    },
+    router::CurrentSend,
 };
 use tokio::time::sleep;
 
@@ -44,7 +41,8 @@
     /// returns the send there.
     pub(super) async fn wait_for_move(&self, choice: &InFlightSend) -> InFlightSend {
         let predicted = choice.forecast.map_or(Duration::ZERO, |f| f.first_event);
-        let mut pause = progress::overdue_after(predicted).saturating_sub(choice.elapsed());
+        let overdue = progress::overdue_after(predicted, self.plan.route.target);
+        let mut pause = overdue.saturating_sub(choice.elapsed());
         loop {
             let started_at = Instant::now();
             sleep(pause).await;
@@ -64,47 +62,7 @@
             self.gateway
                 .router()
                 .judge_waiting(now, &send, choice.elapsed(), &self.progress)?;
-        let next = self.choose_elsewhere(Arc::clone(&self.plan), &send.excluded())?;
-        self.record_move(choice, decision);
-        Some(next)
-    }
-
-    /// Records the start of a run that continues after `received` events.
-    pub(super) fn record_stream_start(&mut self, received: u64) {
-        let now = self.gateway.now();
-        if self.gateway.router().may_move(&self.plan) {
-            self.progress.record_start(now, received);
-        }
-    }
-
-    /// Returns when the running stream is checked next, if it may still be moved.
-    pub(super) fn move_check_at(&self) -> Option<Instant> {
-        let at = self.progress.next_check()?;
-        Some(self.gateway.start + at)
-    }
-
-    /// Checks a running stream of which `received` events have arrived. Returns the send to
-    /// another engine if it moves there.
-    pub(super) fn check_stream(
-        &mut self,
-        choice: &InFlightSend,
-        received: u64,
-    ) -> Option<InFlightSend> {
-        self.progress.record_events(self.gateway.now(), received);
-        self.find_move_of_stream(choice, received)
-    }
-
-    fn find_move_of_stream(&self, choice: &InFlightSend, received: u64) -> Option<InFlightSend> {
-        if !self.has_attempts_left() {
-            return None;
-        }
-        let send = self.current_send(choice);
-        let now = self.gateway.now();
-        let (decision, rest) =
-            self.gateway
-                .router()
-                .judge_running(now, &send, received, &self.progress)?;
-        let next = self.choose_elsewhere(Arc::new(rest), &send.excluded())?;
+        let next = self.choose_elsewhere(&send.excluded())?;
         self.record_move(choice, decision);
         Some(next)
     }
@@ -118,13 +76,13 @@
         }
     }
 
-    fn choose_elsewhere(&self, plan: Arc<Plan>, excluded: &[ServerId]) -> Option<InFlightSend> {
+    fn choose_elsewhere(&self, excluded: &[ServerId]) -> Option<InFlightSend> {
         let now = self.gateway.now();
         let chosen = self
             .gateway
             .router()
-            .choose(now, &plan, self.model.as_deref(), excluded);
-        let gateway = Arc::clone(&self.gateway);
+            .choose(now, &self.plan, self.model.as_deref(), excluded);
+        let (gateway, plan) = (Arc::clone(&self.gateway), Arc::clone(&self.plan));
         // Without a place elsewhere the request stays.
         chosen
             .ok()
@@ -132,9 +90,9 @@
     }
 
     fn record_move(&self, choice: &InFlightSend, decision: Move) {
-        self.gateway.metrics.record_move(decision.reason);
+        self.gateway.metrics.record_move();
         log::info!(
-            id:% = self.req.head.id, from:% = choice.id, why = decision.reason.as_str(),
+            id:% = self.req.head.id, from:% = choice.id,
             expected_ms = decision.expected.as_millis() as u64,
             elsewhere_ms = decision.elsewhere.as_millis() as u64;
             "request moved"
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -63,10 +63,6 @@
     /// When the first events of the current run were received.
     first_event_at: Option<Instant>,
     source: Option<Source>,
-    /// Send to the engine to which the stream moves.
-    moved_to: Option<InFlightSend>,
-    /// Whether the stream was moved, so that its duration is not that of one run.
-    has_moved: bool,
 }
 
 /// The run that currently produces the stream.
@@ -83,7 +79,7 @@
     Data(Bytes),
     /// The stream is complete.
     Complete,
-    /// The stream was interrupted, or moves to another engine.
+    /// The stream was interrupted.
     Interrupted(Outcome),
     /// The deadline has passed.
     TimedOut,
@@ -100,7 +96,7 @@
         } = pending;
         let (mut parts, body) = response.into_parts();
         strip_hop_by_hop(&mut parts.headers);
-        let mut relay = Self {
+        let relay = Self {
             events: EventSplitter::starting_after(dispatch.req.head.resume_after),
             dispatch,
             first_event_at: None,
@@ -110,10 +106,7 @@
                 head,
                 lease: Some(lease),
             }),
-            moved_to: None,
-            has_moved: false,
         };
-        relay.record_start();
         let frames = try_unfold(relay, |relay| async move { relay.next().await });
         let body = BodyExt::boxed_unsync(StreamBody::new(frames));
         Response::from_parts(parts, body)
@@ -156,23 +149,11 @@
         let deadline = self.dispatch.req.deadline;
         let max_interval = self.dispatch.plan.route.gap.unwrap_or(SILENCE_TIMEOUT);
         let max_silence = SILENCE_TIMEOUT.max(max_interval * MAX_EVENT_INTERVALS);
-        let mut check_at = Instant::now() + max_silence;
         loop {
-            let move_check_at = self.dispatch.move_check_at();
-            let wake_at = move_check_at.map_or(check_at, |at| at.min(check_at));
-            let frame = timeout_at(deadline.min(wake_at).into(), source.body.frame()).await;
-            let is_move_due = move_check_at.is_some_and(|at| Instant::now() >= at);
+            let check_at = Instant::now() + max_silence;
+            let frame = timeout_at(deadline.min(check_at).into(), source.body.frame()).await;
             match frame {
                 Err(_) if Instant::now() >= deadline => return Step::TimedOut,
-                Err(_) if is_move_due => {
-                    // Everything that has arrived was read before.
-                    let received = received(&self.events);
-                    self.moved_to = self.dispatch.check_stream(&source.choice, received);
-                    if self.moved_to.is_some() {
-                        return Step::Interrupted(Outcome::Dropped);
-                    }
-                    continue;
-                }
                 Err(_) => {
                     let dispatch = &self.dispatch;
                     let last_response = dispatch
@@ -193,7 +174,6 @@
                 Ok(None) | Ok(Some(Err(_))) => return Step::Interrupted(Outcome::Failed),
                 Ok(Some(Ok(frame))) => {
                     let Ok(chunk) = frame.into_data() else {
-                        check_at = Instant::now() + max_silence;
                         continue;
                     };
                     let gateway = &self.dispatch.gateway;
@@ -207,16 +187,9 @@
                     }
                 }
             }
-            check_at = Instant::now() + max_silence;
         }
     }
 
-    /// Records the start of a run.
-    fn record_start(&mut self) {
-        let received = received(&self.events);
-        self.dispatch.record_stream_start(received);
-    }
-
     fn complete(&mut self) {
         let Some(mut source) = self.source.take() else {
             return;
@@ -239,7 +212,7 @@
     /// run.
     fn record_event_interval(&self, choice: &InFlightSend) {
         let intervals = self.events.count().saturating_sub(1);
-        if intervals == 0 || self.has_moved {
+        if intervals == 0 {
             return;
         }
         let Some(first_event_at) = self.first_event_at else {
@@ -278,13 +251,6 @@
         if !self.dispatch.plan.route.resumable {
             return false;
         }
-        if let Some(choice) = self.moved_to.take() {
-            self.dispatch.progress.record_move();
-            self.has_moved = true;
-            if self.resume_at(choice).await {
-                return true;
-            }
-        }
         loop {
             if !self.dispatch.has_attempts_left() || !self.dispatch.try_spend_retry() {
                 return false;
@@ -329,7 +295,6 @@
                     head,
                     lease: Some(lease),
                 });
-                self.record_start();
                 return true;
             }
             SendResult::Answered(_, head, _) if head.not_run || head.misdirected => {
@@ -356,12 +321,6 @@
     }
 }
 
-/// Returns the number of events of the response that the caller has. One that resumes a
-/// stream has those before, whose ids count from 1.
-fn received(events: &EventSplitter) -> u64 {
-    events.count().max(events.last_id().unwrap_or(0))
-}
-
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.source.is_some() {
--- a/sesamebeam_core/src/gateway/router/moving.rs
+++ b/sesamebeam_core/src/gateway/router/moving.rs
@@ -9,13 +9,13 @@
 };
 use crate::{
     gateway::{
-        config::EngineConfig,
         directory::ServerId,
         engines::{
             Forecast,
             progress::{
                 Move,
-                Progress, //
+                Progress,
+                Wait, //
             },
         },
     },
@@ -63,67 +63,24 @@
             return None;
         }
         let predicted = send.choice.forecast?.first_event;
-        let elsewhere = self.forecast_elsewhere(now, send, send.plan)?;
+        let elsewhere = self.forecast_elsewhere(now, send)?;
         let time_left = send.plan.deadline.saturating_sub(now);
-        let decision = progress.judge_waiting(predicted, waited, &elsewhere, time_left)?;
+        let wait = Wait {
+            predicted,
+            waited,
+            objective: send.plan.route.target,
+        };
+        let decision = progress.judge_waiting(wait, &elsewhere, time_left)?;
         self.try_retry(now, send.plan).then_some(decision)
     }
 
-    /// Decides whether a stream moves of which `received` events have arrived, and charges
-    /// the retry budget if it does. Returns the decision with the plan of what remains.
-    pub fn judge_running(
-        &mut self,
-        now: MonoTime,
-        send: &CurrentSend<'_>,
-        received: u64,
-        progress: &Progress,
-    ) -> Option<(Move, Plan)> {
-        let plan = send.plan;
-        if !self.may_move(plan) {
-            return None;
-        }
-        let cfg = self.timed_engine(plan)?;
-        let demand = plan.demand(send.model);
-        let events = self.engines.expected_events(cfg, &plan.service, &demand);
-        let remaining = events - received as f64;
-        let time_left = plan.deadline.saturating_sub(now);
-        // The forecast elsewhere costs as much as a choice, and most streams are in time.
-        let is_late = progress
-            .completion(remaining)
-            .is_some_and(|c| c > time_left);
-        if remaining <= 0.0 || !is_late {
-            return None;
-        }
-        let rest = plan.after_events(cfg, received, remaining / events);
-        let elsewhere = self.forecast_elsewhere(now, send, &rest)?;
-        let decision = progress.judge_running(remaining, &elsewhere, time_left)?;
-        self.try_retry(now, plan).then_some((decision, rest))
-    }
-
-    /// Predicts how long a plan would take at the engine that would be chosen for it now, if
+    /// Predicts how long a send would take at the engine that would be chosen for it now, if
     /// it moved away from its current one; none if no reachable engine is left.
-    fn forecast_elsewhere(
-        &self,
-        now: MonoTime,
-        send: &CurrentSend<'_>,
-        plan: &Plan,
-    ) -> Option<Forecast> {
-        let pick = self.pick(now, plan, send.model, &send.excluded()).ok()?;
+    fn forecast_elsewhere(&self, now: MonoTime, send: &CurrentSend<'_>) -> Option<Forecast> {
+        let pick = self
+            .pick(now, send.plan, send.model, &send.excluded())
+            .ok()?;
         pick.forecast
             .filter(|_| self.balancer.is_reachable(now, pick.server))
     }
 }
-
-impl Plan {
-    /// Returns the plan of a stream that continues after `received` events at an engine that
-    /// has nothing of it, with this share of the response left.
-    fn after_events(&self, cfg: &EngineConfig, received: u64, share_left: f64) -> Self {
-        let received = u32::try_from(received).unwrap_or(u32::MAX);
-        let generated = received.saturating_mul(cfg.tokens_per_event.max(1));
-        Self {
-            unshared_tokens: self.unshared_tokens.saturating_add(generated),
-            response_tokens: (f64::from(self.response_tokens) * share_left).ceil() as u32,
-            ..self.clone()
-        }
-    }
-}
