--- a/sesamebeam_core/src/gateway/engines.rs
+++ b/sesamebeam_core/src/gateway/engines.rs
@@ -308,13 +308,6 @@
         }
     }
 
-    /// Returns the expected number of events of a response.
-    pub fn expected_events(&self, cfg: &EngineConfig, service: &str, demand: &Demand) -> f64 {
-        let unknown = ServiceCosts::default();
-        let costs = self.costs.get(service).unwrap_or(&unknown);
-        costs.events(demand.response_tokens, cfg.tokens_per_event)
-    }
-
     /// Returns the work of a mean request of a service to a model.
     pub fn mean_demand(&self, service: &str, model: Option<ModelId>) -> Demand {
         let unknown = ServiceCosts::default();
