--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -5,6 +5,8 @@
 //! the second half of the rollout if there is no evidence against it by then, and rolled
 //! back as soon as there is such evidence.
 
+mod comparison;
+
 use std::{
     collections::{
         BTreeMap,
@@ -19,6 +21,12 @@
 };
 use smol_str::SmolStr;
 
+use self::comparison::{
+    Counts,
+    FailureCriteria,
+    is_slower,
+    total, //
+};
 use super::{
     config::{
         RouteId,
@@ -83,13 +91,6 @@
 /// times a second.
 const RECENT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Minimum number of timings for a comparison.
-const MIN_TIMINGS: u32 = 8;
-
-/// Ratio of its mean time to that of the previous versions from which a version counts as
-/// slow. Smaller differences may be caused by load.
-const SLOW_RATIO: f64 = 3.0;
-
 /// Phase of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
@@ -114,29 +115,6 @@
     pub phase: Phase,
 }
 
-/// Minimum differences in failures at which a new version counts as worse than the
-/// previous ones. All of them must be met.
-#[derive(Clone, Copy, Debug)]
-struct FailureCriteria {
-    /// Number of failures.
-    bad: u32,
-    /// Difference between the failure rates.
-    excess: f64,
-    /// Log-likelihood ratio of different failure rates to equal ones.
-    evidence: f64,
-}
-
-/// Counters of one side (the new version or the previous ones) on one route.
-#[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    good: u32,
-    bad: u32,
-    timed: u32,
-    slowness: f64,
-    paced: u32,
-    pace: f64,
-}
-
 /// Responses in one interval, by route.
 #[derive(Debug)]
 struct Interval {
@@ -306,60 +284,6 @@
     latest.max(EARLIEST_PROMOTION)
 }
 
-fn total(side: &BTreeMap<RouteId, Counts>) -> Counts {
-    side.values().fold(Counts::default(), |a, b| Counts {
-        good: a.good + b.good,
-        bad: a.bad + b.bad,
-        timed: a.timed + b.timed,
-        slowness: a.slowness + b.slowness,
-        paced: a.paced + b.paced,
-        pace: a.pace + b.pace,
-    })
-}
-
-impl FailureCriteria {
-    /// Returns whether the new version meets the criteria.
-    fn are_met(&self, new: Counts, old: Counts) -> bool {
-        let share = |c: Counts| f64::from(c.bad) / f64::from((c.good + c.bad).max(1));
-        let exceeds = new.bad >= self.bad && share(new) > share(old) + self.excess;
-        exceeds && log_likelihood_ratio(new, old) >= self.evidence
-    }
-}
-
-/// Returns the log-likelihood ratio of two different failure rates to a common one.
-fn log_likelihood_ratio(new: Counts, old: Counts) -> f64 {
-    let combined = Counts {
-        good: new.good + old.good,
-        bad: new.bad + old.bad,
-        ..Counts::default()
-    };
-    log_likelihood(new) + log_likelihood(old) - log_likelihood(combined)
-}
-
-/// Returns the log-likelihood of the responses under their own failure rate.
-fn log_likelihood(c: Counts) -> f64 {
-    let all = f64::from(c.good + c.bad);
-    let term = |n: u32| match n {
-        0 => 0.0,
-        n => f64::from(n) * (f64::from(n) / all).ln(),
-    };
-    term(c.good) + term(c.bad)
-}
-
-/// Returns whether the new version is slower, by its time to first byte or its time
-/// between events.
-///
-/// With few requests a faulty version's first bytes may be as fast as usual. Its slowness
-/// then shows only in the time between the events of its streams.
-fn is_slower(new: Counts, old: Counts) -> bool {
-    let slower = |new: (u32, f64), old: (u32, f64)| {
-        let mean = |(count, sum): (u32, f64)| sum / f64::from(count.max(1));
-        new.0 >= MIN_TIMINGS && old.0 >= MIN_TIMINGS && mean(new) > mean(old) * SLOW_RATIO
-    };
-    let first = slower((new.timed, new.slowness), (old.timed, old.slowness));
-    first || slower((new.paced, new.pace), (old.paced, old.pace))
-}
-
 /// Versions of a service to which a request may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Allowed {
--- /dev/null
+++ b/sesamebeam_core/src/gateway/rollout/comparison.rs
@@ -0,0 +1,90 @@
+//! Statistical comparison of a new version with the previous ones.
+
+use std::collections::BTreeMap;
+
+use crate::gateway::config::RouteId;
+
+/// Minimum number of timings for a comparison.
+const MIN_TIMINGS: u32 = 8;
+
+/// Ratio of its mean time to that of the previous versions from which a version counts as
+/// slow. Smaller differences may be caused by load.
+const SLOW_RATIO: f64 = 3.0;
+
+/// Minimum differences in failures at which a new version counts as worse than the
+/// previous ones. All of them must be met.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FailureCriteria {
+    /// Number of failures.
+    pub(super) bad: u32,
+    /// Difference between the failure rates.
+    pub(super) excess: f64,
+    /// Log-likelihood ratio of different failure rates to equal ones.
+    pub(super) evidence: f64,
+}
+
+/// Counters of one side (the new version or the previous ones) on one route.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Counts {
+    pub(super) good: u32,
+    pub(super) bad: u32,
+    pub(super) timed: u32,
+    pub(super) slowness: f64,
+    pub(super) paced: u32,
+    pub(super) pace: f64,
+}
+
+/// Returns the sum of the counters of all routes.
+pub(super) fn total(side: &BTreeMap<RouteId, Counts>) -> Counts {
+    side.values().fold(Counts::default(), |a, b| Counts {
+        good: a.good + b.good,
+        bad: a.bad + b.bad,
+        timed: a.timed + b.timed,
+        slowness: a.slowness + b.slowness,
+        paced: a.paced + b.paced,
+        pace: a.pace + b.pace,
+    })
+}
+
+impl FailureCriteria {
+    /// Returns whether the new version meets the criteria.
+    pub(super) fn are_met(&self, new: Counts, old: Counts) -> bool {
+        let share = |c: Counts| f64::from(c.bad) / f64::from((c.good + c.bad).max(1));
+        let exceeds = new.bad >= self.bad && share(new) > share(old) + self.excess;
+        exceeds && log_likelihood_ratio(new, old) >= self.evidence
+    }
+}
+
+/// Returns the log-likelihood ratio of two different failure rates to a common one.
+fn log_likelihood_ratio(new: Counts, old: Counts) -> f64 {
+    let combined = Counts {
+        good: new.good + old.good,
+        bad: new.bad + old.bad,
+        ..Counts::default()
+    };
+    log_likelihood(new) + log_likelihood(old) - log_likelihood(combined)
+}
+
+/// Returns the log-likelihood of the responses under their own failure rate.
+fn log_likelihood(c: Counts) -> f64 {
+    let all = f64::from(c.good + c.bad);
+    let term = |n: u32| match n {
+        0 => 0.0,
+        n => f64::from(n) * (f64::from(n) / all).ln(),
+    };
+    term(c.good) + term(c.bad)
+}
+
+/// Returns whether the new version is slower, by its time to first byte or its time
+/// between events.
+///
+/// With few requests a faulty version's first bytes may be as fast as usual. Its slowness
+/// then shows only in the time between the events of its streams.
+pub(super) fn is_slower(new: Counts, old: Counts) -> bool {
+    let slower = |new: (u32, f64), old: (u32, f64)| {
+        let mean = |(count, sum): (u32, f64)| sum / f64::from(count.max(1));
+        new.0 >= MIN_TIMINGS && old.0 >= MIN_TIMINGS && mean(new) > mean(old) * SLOW_RATIO
+    };
+    let first = slower((new.timed, new.slowness), (old.timed, old.slowness));
+    first || slower((new.paced, new.pace), (old.paced, old.pace))
+}
