Log the recent responses of both sides when a rollout moves (EXPOSURE)

The sums over the whole rollout can't tell when the previous versions failed, so that a disturbance that is long over and one that goes on look the same.

--- a/sesamebeam/src/group/log_events.rs
+++ b/sesamebeam/src/group/log_events.rs
@@ -13,10 +13,14 @@
             service,
             target,
             phase,
-            counts: (good, bad, old_good, old_bad),
+            counts,
+            recent,
         } => log::info!(
             service:% = service, target:% = target, phase:? = phase,
-            new_good = good, new_bad = bad, old_good = old_good, old_bad = old_bad;
+            new_good = counts.new_good, new_bad = counts.new_bad,
+            old_good = counts.old_good, old_bad = counts.old_bad,
+            recent_new_good = recent.new_good, recent_new_bad = recent.new_bad,
+            recent_old_good = recent.old_good, recent_old_bad = recent.old_bad;
             "roll-out moves"
         ),
         LogEvent::Evacuation {
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -63,7 +63,10 @@
         Doubt,
         OutlierDetector, //
     },
-    rollout::Phase,
+    rollout::{
+        Phase,
+        ResponseSummary, //
+    },
     shortage::{
         AdmissionControl,
         ShareOf, //
@@ -231,8 +234,10 @@
         target: SmolStr,
         /// The new phase.
         phase: Phase,
-        /// Good and bad responses of the new version, then of the previous versions.
-        counts: (u32, u32, u32, u32),
+        /// Responses since the start of the rollout.
+        counts: ResponseSummary,
+        /// Responses of the last few seconds.
+        recent: ResponseSummary,
     },
     /// A failure domain was evacuated or readmitted.
     Evacuation {
--- a/sesamebeam_core/src/gateway/coordinator/rollout_monitors.rs
+++ b/sesamebeam_core/src/gateway/coordinator/rollout_monitors.rs
@@ -139,13 +139,14 @@
             if phase == rollout.phase {
                 continue;
             }
-            let counts = watch.summary();
+            let (counts, recent) = (watch.summary(), watch.recent_summary());
             let target = rollout.target.clone();
             self.log(LogEvent::Rollout {
                 service: service.clone(),
                 target: target.clone(),
                 phase,
                 counts,
+                recent,
             });
             self.propose_internal(&Command::SetRolloutPhase {
                 service,
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -120,7 +120,21 @@
 struct Interval {
     /// Start of the interval.
     started_at: MonoTime,
-    counts: BTreeMap<RouteId, Counts>,
+    new: BTreeMap<RouteId, Counts>,
+    old: BTreeMap<RouteId, Counts>,
+}
+
+/// Good and bad responses of the new version and of the previous ones, for logging.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ResponseSummary {
+    /// Good responses of the new version.
+    pub new_good: u32,
+    /// Bad responses of the new version.
+    pub new_bad: u32,
+    /// Good responses of the previous versions.
+    pub old_good: u32,
+    /// Bad responses of the previous versions.
+    pub old_bad: u32,
 }
 
 /// Evidence that the leader collects about a running rollout.
@@ -130,7 +144,7 @@
     since: MonoTime,
     new: BTreeMap<RouteId, Counts>,
     old: BTreeMap<RouteId, Counts>,
-    /// Recent responses of the new version by interval, oldest first.
+    /// Recent responses by interval, oldest first.
     recent: VecDeque<Interval>,
 }
 
@@ -158,23 +172,17 @@
 
     /// Adds evidence that an entry has reported.
     pub fn add(&mut self, now: MonoTime, target: &str, evidence: &Evidence) {
-        if evidence.version == target {
-            let counts = self.recent_counts(now, &evidence.route);
-            counts.good += evidence.good;
-            counts.bad += evidence.bad;
-        }
-        let side = if evidence.version == target {
-            &mut self.new
+        let is_new = evidence.version == target;
+        let interval = self.current_interval(now);
+        let recent = if is_new {
+            &mut interval.new
         } else {
-            &mut self.old
+            &mut interval.old
         };
-        let counts = side.entry(evidence.route.clone()).or_default();
-        counts.good += evidence.good;
-        counts.bad += evidence.bad;
-        counts.timed += evidence.timed_responses;
-        counts.slowness += evidence.latency_ratio_sum;
-        counts.paced += evidence.timed_streams;
-        counts.pace += evidence.interval_ratio_sum;
+        let route = &evidence.route;
+        recent.entry(route.clone()).or_default().add(evidence);
+        let side = if is_new { &mut self.new } else { &mut self.old };
+        side.entry(route.clone()).or_default().add(evidence);
     }
 
     /// Returns the phase in which the rollout should be now. `exposure` is the share of
@@ -216,29 +224,34 @@
         counts_by_route.map(|(r, new)| (*new, self.old.get(r).copied().unwrap_or_default()))
     }
 
-    /// Returns the successes and failures of the new version and of the previous ones,
-    /// for logging.
-    pub fn summary(&self) -> (u32, u32, u32, u32) {
-        let new = total(&self.new);
-        let old = total(&self.old);
-        (new.good, new.bad, old.good, old.bad)
+    /// Returns the responses since the start of the rollout.
+    pub fn summary(&self) -> ResponseSummary {
+        summarize(total(&self.new), total(&self.old))
     }
 
-    /// Returns the counters of a route in the current interval.
-    fn recent_counts(&mut self, now: MonoTime, route: &RouteId) -> &mut Counts {
+    /// Returns the responses of the last few seconds.
+    pub fn recent_summary(&self) -> ResponseSummary {
+        let sum = |side: fn(&Interval) -> &BTreeMap<RouteId, Counts>| {
+            let totals = self.recent.iter().map(|interval| total(side(interval)));
+            totals.fold(Counts::default(), Counts::plus)
+        };
+        summarize(sum(|interval| &interval.new), sum(|interval| &interval.old))
+    }
+
+    /// Returns the current interval.
+    fn current_interval(&mut self, now: MonoTime) -> &mut Interval {
         let is_old = |interval: &mut Interval| interval.started_at + RECENT_PERIOD < now;
         while self.recent.pop_front_if(is_old).is_some() {}
         let newest = self.recent.back();
         if newest.is_none_or(|interval| interval.started_at + RECENT_INTERVAL <= now) {
-            let counts = BTreeMap::new();
             self.recent.push_back(Interval {
                 started_at: now,
-                counts,
+                new: BTreeMap::new(),
+                old: BTreeMap::new(),
             });
         }
         let last = self.recent.len() - 1;
-        let counts = &mut self.recent[last].counts;
-        counts.entry(route.clone()).or_default()
+        &mut self.recent[last]
     }
 
     /// Returns whether the recent responses of the new version, over any period up to
@@ -247,7 +260,7 @@
     fn fails_recently(&self, route: Option<&RouteId>, old: Counts) -> bool {
         let mut new = Counts::default();
         self.recent.iter().rev().any(|interval| {
-            let counts = interval.counts.iter();
+            let counts = interval.new.iter();
             for (_, counts) in counts.filter(|(r, _)| route.is_none_or(|route| route == *r)) {
                 new.good += counts.good;
                 new.bad += counts.bad;
@@ -273,6 +286,15 @@
     }
 }
 
+fn summarize(new: Counts, old: Counts) -> ResponseSummary {
+    ResponseSummary {
+        new_good: new.good,
+        new_bad: new.bad,
+        old_good: old.good,
+        old_bad: old.bad,
+    }
+}
+
 /// Returns the share of the rollout's duration after which a version is promoted.
 ///
 /// A fault may show only under a load that does not occur during the rollout. The
--- a/sesamebeam_core/src/gateway/rollout/comparison.rs
+++ b/sesamebeam_core/src/gateway/rollout/comparison.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use crate::gateway::config::RouteId;
+use crate::gateway::{
+    config::RouteId,
+    messages::Evidence, //
+};
 
 /// Minimum number of timings for a comparison.
 const MIN_TIMINGS: u32 = 8;
@@ -34,16 +37,33 @@
     pub(super) pace: f64,
 }
 
+impl Counts {
+    /// Adds evidence that an entry has reported.
+    pub(super) fn add(&mut self, evidence: &Evidence) {
+        self.good += evidence.good;
+        self.bad += evidence.bad;
+        self.timed += evidence.timed_responses;
+        self.slowness += evidence.latency_ratio_sum;
+        self.paced += evidence.timed_streams;
+        self.pace += evidence.interval_ratio_sum;
+    }
+
+    /// Returns the sum of two counters.
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            good: self.good + other.good,
+            bad: self.bad + other.bad,
+            timed: self.timed + other.timed,
+            slowness: self.slowness + other.slowness,
+            paced: self.paced + other.paced,
+            pace: self.pace + other.pace,
+        }
+    }
+}
+
 /// Returns the sum of the counters of all routes.
 pub(super) fn total(side: &BTreeMap<RouteId, Counts>) -> Counts {
-    side.values().fold(Counts::default(), |a, b| Counts {
-        good: a.good + b.good,
-        bad: a.bad + b.bad,
-        timed: a.timed + b.timed,
-        slowness: a.slowness + b.slowness,
-        paced: a.paced + b.paced,
-        pace: a.pace + b.pace,
-    })
+    side.values().copied().fold(Counts::default(), Counts::plus)
 }
 
 impl FailureCriteria {
@@ -57,12 +77,7 @@
 
 /// Returns the log-likelihood ratio of two different failure rates to a common one.
 fn log_likelihood_ratio(new: Counts, old: Counts) -> f64 {
-    let combined = Counts {
-        good: new.good + old.good,
-        bad: new.bad + old.bad,
-        ..Counts::default()
-    };
-    log_likelihood(new) + log_likelihood(old) - log_likelihood(combined)
+    log_likelihood(new) + log_likelihood(old) - log_likelihood(new.plus(old))
 }
 
 /// Returns the log-likelihood of the responses under their own failure rate.
