--- a/sesamebeam_core/tests/gateway/rollouts.rs
+++ b/sesamebeam_core/tests/gateway/rollouts.rs
@@ -1,5 +1,10 @@
 //! Decisions on rollouts of new versions.
 
+use std::{
+    ops::Range,
+    time::Duration, //
+};
+
 use rand::{
     RngExt,
     SeedableRng,
@@ -284,3 +289,95 @@
         "{results:?} of {SIMULATED_ROLLOUTS}"
     );
 }
+
+/// Length of the rollouts in the cases below, and when its service is disturbed.
+const DISTURBED_ROLLOUT: Duration = Duration::from_secs(24);
+const DISTURBANCE: Range<u64> = 2_000..12_000;
+
+/// Failure rates of a rollout whose service is disturbed for some seconds.
+#[derive(Clone, Copy)]
+struct DisturbedRollout {
+    /// Requests a second.
+    rate: f64,
+    /// Failure rate of the service at other times.
+    usual: f64,
+    /// Addition to the failure rate of the previous versions during the disturbance.
+    old: f64,
+    /// The same for the new version.
+    new: f64,
+    /// Addition to the failure rate of the new version at all times.
+    fault: f64,
+}
+
+impl DisturbedRollout {
+    /// Returns the phase in which the rollout ends with random failures.
+    fn simulate(&self, seed: u64) -> Phase {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut monitor = RolloutMonitor::new(ms(0));
+        let mut rollout = Rollout {
+            duration: DISTURBED_ROLLOUT,
+            ..rollout(Phase::Canary)
+        };
+        let reports = DISTURBED_ROLLOUT.as_millis() as u64 / 200;
+        for now in (0..reports).map(|report| report * 200) {
+            let is_disturbed = DISTURBANCE.contains(&now);
+            let share = match rollout.phase {
+                Phase::Canary => SHARE * CANARY_PART,
+                Phase::Promoted | Phase::Completed | Phase::RolledBack => 1.0,
+            };
+            let added = |rate: f64| if is_disturbed { rate } else { 0.0 };
+            let old = self.usual + added(self.old);
+            let new = self.usual + added(self.new) + self.fault;
+            for (version, share, fails) in [("v1", 1.0 - share, old), ("v2", share, new)] {
+                let expected = self.rate * 0.2 * share;
+                let count = expected as u32 + u32::from(rng.random::<f64>() < expected.fract());
+                let bad = (0..count).filter(|_| rng.random::<f64>() < fails).count() as u32;
+                monitor.add(ms(now), "v2", &evidence(version, count - bad, bad, 1.0));
+            }
+            rollout.phase = monitor.phase(ms(now), &rollout, SHARE);
+        }
+        rollout.phase
+    }
+
+    /// Returns the number of [`SIMULATED_ROLLOUTS`] that end in a phase.
+    fn count(&self, phase: Phase) -> usize {
+        let ends = (0..SIMULATED_ROLLOUTS).map(|seed| self.simulate(seed));
+        ends.filter(|end| *end == phase).count()
+    }
+}
+
+#[parameterized(
+    usual_load = { 45.0, 0.1 },
+    heavy_load = { 300.0, 0.1 },
+    never_fails = { 45.0, 0.0 },
+)]
+fn bad_after_disturbance(rate: f64, usual: f64) {
+    // A faulty version takes over, as the previous ones failed more often in a disturbance
+    // that has ended.
+    let rollout = DisturbedRollout {
+        rate,
+        usual,
+        old: 0.45,
+        new: 0.0,
+        fault: 0.25,
+    };
+    assert_eq!(rollout.count(Phase::Completed), 0);
+}
+
+#[parameterized(
+    usual_load = { 45.0, 0.1 },
+    heavy_load = { 300.0, 0.1 },
+    never_fails = { 45.0, 0.0 },
+)]
+fn good_in_disturbance(rate: f64, usual: f64) {
+    // A disturbance of the whole service is no evidence against the new version.
+    let rollout = DisturbedRollout {
+        rate,
+        usual,
+        old: 0.45,
+        new: 0.45,
+        fault: 0.0,
+    };
+    let stopped = rollout.count(Phase::RolledBack);
+    assert!(stopped <= 2, "{stopped} of {SIMULATED_ROLLOUTS} stopped");
+}
