--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -139,6 +139,8 @@
     LimitedServers,
     /// Number of backend servers that asked for a pause or are shutting down.
     BackedOffServers,
+    /// Number of services none of whose backend servers this entry reaches.
+    IsolatedServices,
     /// Whether any service is scheduled by engine time.
     EngineTime,
     /// Number of organisations that use more than their share of engine time.
@@ -166,6 +168,7 @@
     evacuated: Gauge,
     limited: Gauge,
     backed_off: Gauge,
+    isolated: Gauge,
     engine_time: Gauge,
     forecast_error: Histogram,
     organisations_ahead: Gauge,
@@ -194,6 +197,7 @@
             evacuated: Gauge::default(),
             limited: Gauge::default(),
             backed_off: Gauge::default(),
+            isolated: Gauge::default(),
             engine_time: Gauge::default(),
             forecast_error: histogram(),
             organisations_ahead: Gauge::default(),
@@ -269,6 +273,7 @@
             GaugeKind::EvacuatedDomains => self.evacuated.set(value),
             GaugeKind::LimitedServers => self.limited.set(value),
             GaugeKind::BackedOffServers => self.backed_off.set(value),
+            GaugeKind::IsolatedServices => self.isolated.set(value),
             GaugeKind::EngineTime => self.engine_time.set(value),
             GaugeKind::OrganisationsAhead => self.organisations_ahead.set(value),
             GaugeKind::LoopDelay => self.loop_delay.set(value),
@@ -367,6 +372,11 @@
             "Backend servers that asked this entry for a pause, or leave",
             self.backed_off.clone(),
         );
+        registry.register(
+            "isolated_services",
+            "Services none of whose backend servers this entry reaches",
+            self.isolated.clone(),
+        );
         registry.register(
             "engine_time",
             "Whether any service is scheduled by engine time",
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -22,6 +22,7 @@
     seq::SliceRandom, //
 };
 use sesamebeam_core::gateway::{
+    config::ServiceId,
     digests::BucketSet,
     directory::Announcement,
     limits::LimitOf,
@@ -131,6 +132,7 @@
         tasks: BTreeMap::new(),
         queues: BTreeMap::new(),
         reached: CancellationToken::new(),
+        isolated: Vec::new(),
         events: tx,
         halt: halt.clone(),
     };
@@ -146,6 +148,7 @@
         _ = report_ticks.tick() => connections.report(),
         _ = poll_ticks.tick() => {
         connections.poll_subscription();
+        connections.check_isolation();
         connections.report_failures();
         }
         }
@@ -172,6 +175,8 @@
     queues: BTreeMap<SocketAddr, mpsc::Sender<FromEntry>>,
     /// Cancelled when the first connection is established.
     reached: CancellationToken,
+    /// Isolated services that were logged last.
+    isolated: Vec<ServiceId>,
     events: UnboundedSender<(SocketAddr, ConnectionEvent)>,
     halt: CancellationToken,
 }
@@ -310,6 +315,19 @@
         }
     }
 
+    /// Logs when the set of isolated services has changed.
+    fn check_isolation(&mut self) {
+        let isolated = self.gateway.router().isolated_services().to_vec();
+        if isolated == self.isolated {
+            return;
+        }
+        log::info!(services:? = isolated, before:? = self.isolated; "isolated services changed");
+        let count = isolated.len() as u64;
+        let metrics = &self.gateway.metrics;
+        metrics.set_gauge(GaugeKind::IsolatedServices, count);
+        self.isolated = isolated;
+    }
+
     /// Reports failures without waiting for the interval, since other entries are
     /// probably affected as well.
     fn report_failures(&mut self) {
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -6,6 +6,7 @@
 mod engine_admission;
 mod escalation;
 mod exchange;
+mod isolated;
 mod moving;
 mod retry_after;
 
@@ -56,6 +57,7 @@
         Forecast,
         fairness::Fairness, //
     },
+    isolation::Isolation,
     limits::ServerLimits,
     messages::{
         RetainedSessions,
@@ -278,6 +280,7 @@
     backoffs: Backoffs,
     admission: Admission,
     balancer: LoadBalancer,
+    isolation: Isolation,
     engines: Engines,
     fairness: Fairness,
     budget: RetryBudget,
@@ -310,6 +313,7 @@
             directory: Directory::default(),
             admission: Admission::default(),
             balancer: LoadBalancer::default(),
+            isolation: Isolation::default(),
             cascade: Cascade::default(),
             response_counts: ResponseCounts::default(),
             quarantine: Quarantine::default(),
@@ -354,6 +358,7 @@
         self.engines
             .retain_services(|name| config.service(name).is_some_and(|s| s.engine.is_some()));
         self.fairness.retain(&config);
+        self.isolation.retain(|name| config.service(name).is_some());
         self.table = Some(RouteTable::new(config));
         true
     }
@@ -507,6 +512,7 @@
     /// Records a response from a backend server.
     pub fn record_response(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
         self.balancer.record_response(now, id, load);
+        self.record_reached(id);
         let (Some(load), Some(known)) = (load, self.directory.get(id)) else {
             return;
         };
@@ -681,6 +687,7 @@
             false => Outcome::Dropped,
         };
         self.balancer.record_outcome(now, &choice.id, outcome);
+        self.record_unreached(&plan.service, &choice.id, outcome);
         self.record_session(now, plan, choice);
         self.response_counts
             .record_outcome(&plan.sender(choice), outcome);
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod evacuations;
 mod fixtures;
 mod group;
+mod isolation;
 mod joining;
 mod limits;
 mod outliers;
