--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -18,7 +18,10 @@
 };
 
 use crate::{
-    schedule::ENTRIES,
+    schedule::{
+        CONTACT_MS,
+        ENTRIES, //
+    },
     server::LIMIT,
     stream_callers::ORGANISATIONS, //
 };
@@ -52,6 +55,15 @@
 const COMPARED_FROM: f64 = 5.0;
 const LEAST_PART: f64 = 0.5;
 
+/// Part of the share of first tries served elsewhere that must be served at an entry which
+/// is cut from all backend servers, unless no more fail there than a few, and a part of all.
+const LEAST_SERVED: f64 = 2.0 / 3.0;
+const FAILED_SLACK: u32 = 10;
+const FAILED_ONE_IN: u32 = 50;
+
+/// Time after a cut in which what entries sent for each other has arrived.
+const CUT_OVER_IN_MS: u64 = 5000;
+
 /// Everything that was seen in one run.
 #[derive(Debug)]
 pub struct Books {
@@ -111,11 +123,35 @@
     served: BTreeMap<&'static str, Served>,
     /// When a fault last hit each entry, or ended.
     disturbed: BTreeMap<usize, Instant>,
+    /// First tries of callers.
+    tries: Vec<Try>,
+    /// Times at which an entry was cut from all backend servers.
+    cuts: Vec<CutSpan>,
+    /// Faults of daemons that go on.
+    daemon_faults: usize,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
 }
 
+/// First try of a caller.
+#[derive(Clone, Copy, Debug)]
+struct Try {
+    entry: usize,
+    sent_ms: u64,
+    is_served: bool,
+}
+
+/// Time for which an entry was cut from all backend servers.
+#[derive(Clone, Copy, Debug)]
+struct CutSpan {
+    entry: usize,
+    from_ms: u64,
+    to_ms: Option<u64>,
+    /// Whether a fault of a daemon overlaps it, so that more than the cut is to be seen.
+    is_overlapped: bool,
+}
+
 /// Requests of an organisation that ended.
 #[derive(Clone, Copy, Debug, Default)]
 struct Served {
@@ -123,7 +159,39 @@
     ended: u64,
 }
 
+impl CutSpan {
+    /// Returns a line if callers of the entry were served far less than others.
+    fn neglected(&self, tries: &[Try]) -> Option<String> {
+        let span = self.from_ms + CONTACT_MS..self.to_ms?;
+        let count = |is_cut: bool| {
+            let there = tries.iter().filter(|t| span.contains(&t.sent_ms));
+            let there = there.filter(|t| (t.entry == self.entry) == is_cut);
+            there.fold((0, 0), |(served, all), t| {
+                (served + u32::from(t.is_served), all + 1)
+            })
+        };
+        let ((served, all), (others_served, others)) = (count(true), count(false));
+        let share = |served: u32, all: u32| f64::from(served) / f64::from(all.max(1));
+        let is_worse = share(served, all) < LEAST_SERVED * share(others_served, others);
+        let many_failed = all - served > FAILED_SLACK + (all + others) / FAILED_ONE_IN;
+        (is_worse && many_failed && !self.is_overlapped).then(|| {
+            format!(
+                "entry {} was cut from all backend servers and served {served} of {all} \
+                 first tries, the others {others_served} of {others}",
+                self.entry
+            )
+        })
+    }
+}
+
 impl Inner {
+    /// Returns whether entries may pass requests on for one that is cut, or have just
+    /// done so: who sent what reaches a backend server isn't known then.
+    fn is_cut(&self, now_ms: u64) -> bool {
+        let is_recent = |cut: &CutSpan| cut.to_ms.is_none_or(|to| now_ms < to + CUT_OVER_IN_MS);
+        self.cuts.iter().any(is_recent)
+    }
+
     /// Returns a line for each organisation whose callers got much less than others.
     fn starved(&self) -> Vec<String> {
         let answered = |name: &str| self.served.get(name).map_or(0, |s| s.answered) as f64;
@@ -259,6 +327,54 @@
         inner.told_leaving.retain(|(told, _), _| *told != entry);
     }
 
+    /// Notes the first try of a caller.
+    pub fn tried(&self, entry: usize, sent_ms: u64, is_served: bool) {
+        self.lock().tries.push(Try {
+            entry,
+            sent_ms,
+            is_served,
+        });
+    }
+
+    /// Notes that an entry is cut from all backend servers.
+    pub fn cut_began(&self, entry: usize) {
+        let from_ms = self.now_ms();
+        let mut inner = self.lock();
+        let is_overlapped = inner.daemon_faults > 0;
+        inner.cuts.push(CutSpan {
+            entry,
+            from_ms,
+            to_ms: None,
+            is_overlapped,
+        });
+        inner.pauses.clear();
+        inner.told_leaving.clear();
+    }
+
+    /// Notes that the cut of an entry ends.
+    pub fn cut_ended(&self, entry: usize) {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let open = inner.cuts.iter_mut().filter(|cut| cut.entry == entry);
+        for cut in open.filter(|cut| cut.to_ms.is_none()) {
+            cut.to_ms = Some(now_ms);
+        }
+    }
+
+    /// Notes that a fault of a daemon begins or ends.
+    pub fn daemons_hit(&self, begins: bool) {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        if begins {
+            inner.daemon_faults += 1;
+        } else {
+            inner.daemon_faults -= 1;
+        }
+        for cut in &mut inner.cuts {
+            cut.is_overlapped |= cut.to_ms.is_none_or(|to| now_ms < to);
+        }
+    }
+
     /// Returns the milliseconds since the run began.
     pub fn now_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
@@ -266,7 +382,11 @@
 
     /// Notes that a life turns an entry away and asks it for a pause.
     pub fn asked_pause(&self, entry: usize, life: &str, lasts: Duration) {
+        let now_ms = self.now_ms();
         let mut inner = self.lock();
+        if inner.is_cut(now_ms) {
+            return;
+        }
         inner
             .pauses
             .retain(|pause| pause.asked_at.elapsed() < pause.lasts);
@@ -283,6 +403,9 @@
     pub fn told_leaving(&self, entry: usize, life: &str) {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
+        if inner.is_cut(now_ms) {
+            return;
+        }
         let told = inner.told_leaving.entry((entry, life.to_owned()));
         told.or_insert(now_ms);
     }
@@ -359,6 +482,11 @@
             }
         }
         broken.extend(inner.starved());
+        let neglected = inner
+            .cuts
+            .iter()
+            .filter_map(|cut| cut.neglected(&inner.tries));
+        broken.extend(neglected);
         for id in inner.started.intersection(&inner.refused) {
             broken.push(format!("request {id} was refused as not run, and ran"));
         }
--- a/sesamebeam_soak/src/callers.rs
+++ b/sesamebeam_soak/src/callers.rs
@@ -94,14 +94,19 @@
             1 => Kind::Read,
             _ => Kind::Notes,
         };
-        ask(&client, front, kind, &id, &books).await;
+        let sent_ms = books.now_ms();
+        let is_served = ask(&client, front, kind, &id, &books).await;
+        if let Some(entry) = entry_of(&id) {
+            books.tried(entry, sent_ms, is_served);
+        }
         sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
     }
 }
 
-async fn ask(client: &Client, front: SocketAddr, kind: Kind, id: &str, books: &Books) {
+/// Sends a request and returns whether it was served.
+async fn ask(client: &Client, front: SocketAddr, kind: Kind, id: &str, books: &Books) -> bool {
     let Some(req) = request(kind, id, books.now_ms()) else {
-        return;
+        return false;
     };
     let terms = SendOptions {
         reuse: Reuse::Any,
@@ -110,7 +115,10 @@
     };
     let (response, lease) = match client.send(front, req, terms).await {
         Ok(answered) => answered,
-        Err(_) => return books.failed(),
+        Err(_) => {
+            books.failed();
+            return false;
+        }
     };
     if let Some(entry) = entry_of(id) {
         note_headers(response.headers(), entry, books);
@@ -128,17 +136,19 @@
         {
             lease.release();
         }
-        return;
+        return false;
     }
     if response.headers().get("response-seal").is_none() {
         books.broke(format!("request {id}: a success without a mark"));
     }
-    if check_body(kind, id, response, books).await {
+    let is_served = check_body(kind, id, response, books).await;
+    if is_served {
         books.answered();
         lease.release();
     } else {
         books.failed();
     }
+    is_served
 }
 
 fn request(kind: Kind, id: &str, now_ms: u64) -> Option<Request<Full<Bytes>>> {
--- /dev/null
+++ b/sesamebeam_soak/src/entry_links.rs
@@ -0,0 +1,285 @@
+//! Network of one entry, which can be cut from all backend servers.
+//!
+//! The entry reaches the control replicas through proxies that replace the address of each
+//! backend server by one of this network. Callers and other entries reach the entry directly.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    io,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use rustix::net::sockopt;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use sesamebeam::frames::{
+    self,
+    FrameError,
+    Receiver,
+    Sender, //
+};
+use sesamebeam_core::gateway::{
+    directory::Announcement,
+    messages::{
+        FromEntry,
+        Hello,
+        ToEntry, //
+    },
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener, TcpSocket, TcpStream,
+        tcp::{
+            ReadHalf,
+            WriteHalf, //
+        },
+    },
+    sync::watch,
+    time::timeout,
+};
+
+/// How long a connection attempt waits until the queue of a listener counts as full.
+const QUEUE_FULL_AFTER: Duration = Duration::from_millis(50);
+
+/// What happens to the connections of an entry that is cut from all backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cut {
+    /// Nothing passes, and new ones are not answered.
+    Hang,
+    /// They are reset, and new ones refused.
+    Reset,
+    /// They live on, and new ones are refused.
+    Live,
+}
+
+/// Network of one entry.
+#[derive(Debug)]
+pub struct EntryLinks {
+    ip: IpAddr,
+    cut: watch::Sender<Option<Cut>>,
+    /// Addresses of backend servers as the entry knows them, by their own, and the reverse.
+    known: Mutex<[BTreeMap<SocketAddr, SocketAddr>; 2]>,
+    /// Addresses of control replicas as the entry knows them.
+    replicas: BTreeSet<SocketAddr>,
+}
+
+impl EntryLinks {
+    /// Starts a network on an address of its own, with a proxy for each control replica at
+    /// the first address of each pair.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be listened on.
+    pub async fn start(
+        ip: IpAddr,
+        replicas: impl IntoIterator<Item = (SocketAddr, SocketAddr)>,
+    ) -> io::Result<Arc<Self>> {
+        let replicas: Vec<_> = replicas.into_iter().collect();
+        let links = Arc::new(Self {
+            ip,
+            cut: watch::Sender::new(None),
+            known: Mutex::default(),
+            replicas: replicas.iter().map(|(near, _)| *near).collect(),
+        });
+        for (near, far) in replicas {
+            let listener = TcpListener::bind(near).await?;
+            let links = Arc::clone(&links);
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let links = Arc::clone(&links);
+                    // Either end closing the connection ends it on the other side too.
+                    tokio::spawn(async move { links.pass_control(stream, far).await });
+                }
+            });
+        }
+        Ok(links)
+    }
+
+    /// Cuts the entry from all backend servers, or ends the cut.
+    pub fn set_cut(&self, cut: Option<Cut>) {
+        self.cut.send_replace(cut);
+    }
+
+    async fn pass_control(
+        self: Arc<Self>,
+        near: TcpStream,
+        far: SocketAddr,
+    ) -> Result<(), FrameError> {
+        let (to_entry, mut from_entry) = frames::split(near)?;
+        let (mut to_replica, from_replica) = frames::connect(far).await?;
+        let hello: Hello = from_entry.next().await?;
+        to_replica.send(&hello).await?;
+        tokio::select! {
+            ended = self.pass_to_entry(from_replica, to_entry) => ended,
+            ended = self.pass_from_entry(from_entry, to_replica) => ended,
+        }
+    }
+
+    async fn pass_to_entry(
+        self: &Arc<Self>,
+        mut rx: Receiver,
+        mut tx: Sender,
+    ) -> Result<(), FrameError> {
+        loop {
+            let mut message: ToEntry = rx.next().await?;
+            match &mut message {
+                ToEntry::Fleet { replicas, .. } => {
+                    *replicas = self.replicas.iter().copied().collect();
+                }
+                ToEntry::Servers(servers) => {
+                    for server in servers {
+                        server.addr = self.near_addr(server.addr).await?;
+                    }
+                }
+                _ => {}
+            }
+            tx.send(&message).await?;
+        }
+    }
+
+    async fn pass_from_entry(&self, mut rx: Receiver, mut tx: Sender) -> Result<(), FrameError> {
+        loop {
+            let mut message: FromEntry = rx.next().await?;
+            if let FromEntry::Servers(servers) = &mut message {
+                self.restore_addrs(servers);
+            }
+            tx.send(&message).await?;
+        }
+    }
+
+    fn restore_addrs(&self, servers: &mut [Announcement]) {
+        let [_, far_addrs] = &*self.lock();
+        for server in servers {
+            if let Some(far) = far_addrs.get(&server.addr) {
+                server.addr = *far;
+            }
+        }
+    }
+
+    /// Returns the address at which the entry reaches a backend server.
+    async fn near_addr(self: &Arc<Self>, far: SocketAddr) -> io::Result<SocketAddr> {
+        if let Some(near) = self.lock()[0].get(&far) {
+            return Ok(*near);
+        }
+        let listener = TcpListener::bind((self.ip, 0)).await?;
+        let near = listener.local_addr()?;
+        let mut known = self.lock();
+        // Another connection of the entry may have been told at the same time.
+        if let Some(near) = known[0].get(&far) {
+            return Ok(*near);
+        }
+        known[0].insert(far, near);
+        known[1].insert(near, far);
+        drop(known);
+        tokio::spawn(serve(listener, near, far, self.cut.subscribe()));
+        Ok(near)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, [BTreeMap<SocketAddr, SocketAddr>; 2]> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Passes connections to a backend server, except while the entry is cut.
+async fn serve(
+    listener: TcpListener,
+    near: SocketAddr,
+    far: SocketAddr,
+    mut cut: watch::Receiver<Option<Cut>>,
+) -> io::Result<()> {
+    let mut listener = listener;
+    loop {
+        let passed = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(pass(stream, far, cut.clone()));
+            }
+        };
+        let mut began = cut.clone();
+        tokio::select! {
+            () = passed => return Ok(()),
+            began = began.wait_for(Option::is_some) => {
+                if began.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        drop(listener);
+        let is_hanging = *cut.borrow() == Some(Cut::Hang);
+        let hung = match is_hanging {
+            true => Some(fill_queue(near).await?),
+            false => None,
+        };
+        if cut.wait_for(Option::is_none).await.is_err() {
+            return Ok(());
+        }
+        drop(hung);
+        listener = TcpListener::bind(near).await?;
+    }
+}
+
+/// Listens with a full queue: the system does not answer further attempts to connect.
+async fn fill_queue(addr: SocketAddr) -> io::Result<(TcpListener, Vec<TcpStream>)> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    let listener = socket.listen(1)?;
+    let mut queued = Vec::new();
+    while let Ok(stream) = timeout(QUEUE_FULL_AFTER, TcpStream::connect(addr)).await {
+        queued.push(stream?);
+    }
+    Ok((listener, queued))
+}
+
+/// Passes bytes until either end closes or the connection is reset.
+async fn pass(near: TcpStream, far: SocketAddr, cut: watch::Receiver<Option<Cut>>) {
+    let Ok(mut far) = TcpStream::connect(far).await else {
+        return;
+    };
+    let mut near = near;
+    let mut reset = cut.clone();
+    let (near_rx, near_tx) = near.split();
+    let (far_rx, far_tx) = far.split();
+    let is_reset = tokio::select! {
+        () = copy(near_rx, far_tx, cut.clone()) => false,
+        () = copy(far_rx, near_tx, cut) => false,
+        reset = reset.wait_for(|cut| *cut == Some(Cut::Reset)) => reset.is_ok(),
+    };
+    if is_reset {
+        // A connection without this option is closed in order.
+        let _ = sockopt::set_socket_linger(&near, Some(Duration::ZERO));
+    }
+}
+
+/// Copies bytes, and holds them back while the entry is cut and its connections hang.
+async fn copy(mut rx: ReadHalf<'_>, mut tx: WriteHalf<'_>, mut cut: watch::Receiver<Option<Cut>>) {
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let Ok(read @ 1..) = rx.read(&mut buf).await else {
+            return;
+        };
+        let passes = cut.wait_for(|cut| *cut != Some(Cut::Hang)).await.is_ok();
+        if !passes || tx.write_all(&buf[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -13,6 +13,7 @@
         PathBuf, //
     },
     process::Stdio,
+    sync::Arc,
     time::Duration,
 };
 
@@ -33,12 +34,24 @@
     },
 };
 
-use crate::schedule::{
-    ENTRIES,
-    REPLICAS,
-    Target, //
+use crate::{
+    entry_links::{
+        Cut,
+        EntryLinks, //
+    },
+    schedule::{
+        ENTRIES,
+        REPLICAS,
+        Target, //
+    },
 };
 
+/// Third part of the addresses of the first entry's network; the others follow.
+const FIRST_NETWORK: u8 = 1;
+
+/// Last part of the address of backend servers in an entry's network.
+const SERVERS_HOST: u8 = 50;
+
 /// Port at which callers connect.
 const FRONT: u16 = 8227;
 
@@ -51,6 +64,9 @@
 /// Port of operators and backend servers.
 const CONTROL: u16 = 8229;
 
+/// Last part of the address of the first replica; the others follow.
+const REPLICA_HOST: u8 = 11;
+
 /// First port between processes.
 const INTERNAL: u16 = 7340;
 
@@ -75,6 +91,8 @@
     contention: [bool; ENTRIES],
     running: BTreeMap<Target, Child>,
     started: BTreeMap<Target, u32>,
+    /// Network of each entry.
+    links: Vec<Arc<EntryLinks>>,
 }
 
 impl Fleet {
@@ -91,13 +109,47 @@
             contention,
             running: BTreeMap::new(),
             started: BTreeMap::new(),
+            links: Vec::new(),
         };
+        for entry in 0..ENTRIES {
+            let links = fleet.start_links(entry).await?;
+            fleet.links.push(links);
+        }
         for target in targets() {
             fleet.boot(target).await?;
         }
         Ok(fleet)
     }
 
+    async fn start_links(&self, entry: usize) -> io::Result<Arc<EntryLinks>> {
+        let replicas = (0..REPLICAS).map(|n| {
+            let far = self.ip(Target::Replica(n));
+            let near = self.in_network(entry, REPLICA_HOST + n as u8);
+            (
+                SocketAddr::new(near, INTERNAL),
+                SocketAddr::new(far, INTERNAL),
+            )
+        });
+        EntryLinks::start(self.in_network(entry, SERVERS_HOST), replicas).await
+    }
+
+    /// Returns an address in an entry's network.
+    fn in_network(&self, entry: usize, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(
+            127,
+            self.slot,
+            FIRST_NETWORK + entry as u8,
+            host,
+        ))
+    }
+
+    /// Cuts an entry from all backend servers, or ends the cut.
+    pub fn set_cut(&self, entry: usize, cut: Option<Cut>) {
+        if let Some(links) = self.links.get(entry) {
+            links.set_cut(cut);
+        }
+    }
+
     /// Returns where callers connect to an entry.
     pub fn front(&self, entry: usize) -> SocketAddr {
         SocketAddr::new(self.ip(Target::Entry(entry)), FRONT)
@@ -250,7 +302,7 @@
 
     fn ip(&self, target: Target) -> IpAddr {
         let last = match target {
-            Target::Replica(n) => 11 + n as u8,
+            Target::Replica(n) => REPLICA_HOST + n as u8,
             Target::Entry(n) => 31 + n as u8,
         };
         IpAddr::V4(Ipv4Addr::new(127, self.slot, 0, last))
@@ -258,9 +310,14 @@
 
     fn settings(&self, target: Target, name: &str, first: bool) -> String {
         let ip = self.ip(target);
-        let seeds: Vec<String> = (0..REPLICAS)
-            .map(|n| format!("\"{}\"", self.control(n)))
-            .collect();
+        let seed = |n: usize| match target {
+            Target::Replica(_) => self.control(n),
+            Target::Entry(entry) => {
+                let host = REPLICA_HOST + n as u8;
+                SocketAddr::new(self.in_network(entry, host), CONTROL)
+            }
+        };
+        let seeds: Vec<String> = (0..REPLICAS).map(|n| format!("\"{}\"", seed(n))).collect();
         let data = self.folder.path().join(format!("{name}-data"));
         let listen = match target {
             Target::Replica(_) => format!("control = \"{ip}:{CONTROL}\""),
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod books;
 pub mod callers;
 pub mod engines;
+pub mod entry_links;
 pub mod fleet;
 pub mod lives;
 pub mod operator;
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -308,6 +308,10 @@
 
 async fn cause(stage: Arc<Stage>, event: Event) {
     let lasting = Duration::from_millis(event.for_ms);
+    let hits_daemons = event.fault.hits_daemons();
+    if hits_daemons {
+        stage.books.daemons_hit(true);
+    }
     match event.fault {
         Fault::Kill(target) => {
             forget(&stage, target);
@@ -351,6 +355,13 @@
         Fault::Reset(n) => spoil(&stage, n, Mode::Reset, lasting).await,
         Fault::CutAnswers(n) => spoil(&stage, n, Mode::CutAnswers, lasting).await,
         Fault::Silence(n) => spoil(&stage, n, Mode::Silence, lasting).await,
+        Fault::CutEntry { entry, how } => {
+            stage.books.cut_began(entry);
+            stage.fleet.lock().await.set_cut(entry, Some(how));
+            sleep(lasting).await;
+            stage.fleet.lock().await.set_cut(entry, None);
+            stage.books.cut_ended(entry);
+        }
         Fault::Slow(n) => {
             if let Some(engine) = stage.engines.get(n) {
                 engine.set_slower(true);
@@ -359,6 +370,9 @@
             }
         }
     }
+    if hits_daemons {
+        stage.books.daemons_hit(false);
+    }
 }
 
 async fn boot(stage: &Stage, target: Target) {
--- a/sesamebeam_soak/src/schedule.rs
+++ b/sesamebeam_soak/src/schedule.rs
@@ -19,6 +19,8 @@
 };
 use thiserror::Error;
 
+use crate::entry_links::Cut;
+
 /// Control replicas of a run.
 pub const REPLICAS: usize = 3;
 
@@ -39,6 +41,17 @@
 /// Shortest pause or cut, in milliseconds.
 const SHORTEST_MS: u64 = 100;
 
+/// Shortest and longest time for which an entry is cut from all backend servers, in
+/// milliseconds: what callers get is only compared after [`CONTACT_MS`].
+const CUT_MS: std::ops::Range<u64> = 4500..7000;
+
+/// One in how many schedules cuts an entry.
+const CUT_ENTRY_ONE_IN: u32 = 3;
+
+/// Time after the beginning of a cut from which callers of the entry must be served, in
+/// milliseconds.
+pub const CONTACT_MS: u64 = 3000;
+
 /// Which process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -73,6 +86,23 @@
     Silence(usize),
     /// An engine is slower than usual.
     Slow(usize),
+    /// An entry is cut from all backend servers.
+    CutEntry {
+        /// Which entry.
+        entry: usize,
+        /// What happens to its connections.
+        how: Cut,
+    },
+}
+
+impl Fault {
+    /// Returns whether the fault hits daemons.
+    pub fn hits_daemons(self) -> bool {
+        matches!(
+            self,
+            Self::Kill(_) | Self::Stop(_) | Self::Pause(_) | Self::KillAll
+        )
+    }
 }
 
 /// Engines of a run, which are backend servers beside the others and come after them in
@@ -169,6 +199,13 @@
                 fault: draw_engine_fault(&mut rng),
             }));
         }
+        if rng.random_range(0..CUT_ENTRY_ONE_IN) == 0 {
+            events.push(Event {
+                at_ms: rng.random_range(0..length_ms.max(1)),
+                for_ms: rng.random_range(CUT_MS),
+                fault: draw_cut(&mut rng),
+            });
+        }
         events.sort_by_key(|event| event.at_ms);
         Self {
             seed,
@@ -248,6 +285,18 @@
     }
 }
 
+fn draw_cut(rng: &mut StdRng) -> Fault {
+    let how = match rng.random_range(0..3) {
+        0 => Cut::Hang,
+        1 => Cut::Reset,
+        _ => Cut::Live,
+    };
+    Fault::CutEntry {
+        entry: rng.random_range(0..ENTRIES),
+        how,
+    }
+}
+
 fn check(path: &Path, number: usize, fault: Fault, engines: usize) -> Result<(), ScheduleError> {
     let (what, at, count) = match fault {
         Fault::Kill(t) | Fault::Stop(t) | Fault::Pause(t) | Fault::Reload(t) => match t {
@@ -258,6 +307,7 @@
             ("backend server", n, SERVERS + engines)
         }
         Fault::Slow(n) => ("engine", n, engines),
+        Fault::CutEntry { entry, .. } => ("entry", entry, ENTRIES),
         Fault::KillAll => return Ok(()),
     };
     if at < count {
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -64,6 +64,19 @@
     play(slot, &schedule);
 }
 
+/// Guards against entries that turn callers away as they reach no backend server, although
+/// others reach all.
+#[parameterized(
+    hang = { "cut-hang", 208 },
+    reset = { "cut-reset", 209 },
+    live = { "cut-live", 210 },
+)]
+fn cut_entry(name: &str, slot: u8) {
+    let file = format!("{}/tests/seeds/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+    let schedule = Schedule::read(file).expect("it can be read");
+    play(slot, &schedule);
+}
+
 #[test]
 fn short_run() {
     play(203, &Schedule::draw(7, SHORT_MS));
