--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -77,6 +77,19 @@
     Unknown,
 }
 
+/// What became of a request that an entry offered to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ForwardingEnd {
+    /// The other entry answered.
+    Answered,
+    /// It declined the request.
+    Declined,
+    /// It could not be reached.
+    Unreachable,
+    /// The connection failed; the request may have run.
+    Lost,
+}
+
 /// Outcome of one send of a request to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum SendEnd {
@@ -97,6 +110,16 @@
     end: RequestEnd,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ForwardingLabels {
+    end: ForwardingEnd,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AcceptedLabels {
+    accepted: bool,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SendLabels {
     end: SendEnd,
@@ -156,6 +179,8 @@
     requests: Family<RequestLabels, Counter>,
     sends: Family<SendLabels, Counter>,
     moves: Counter,
+    forwardings: Family<ForwardingLabels, Counter>,
+    accepted: Family<AcceptedLabels, Counter>,
     messages: Family<MessageLabels, Counter>,
     message_bytes: Family<MessageLabels, Counter>,
     escalations: Family<EscalationLabels, Counter>,
@@ -185,6 +210,8 @@
             requests: Family::default(),
             sends: Family::default(),
             moves: Counter::default(),
+            forwardings: Family::default(),
+            accepted: Family::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
             escalations: Family::default(),
@@ -231,6 +258,18 @@
         self.moves.inc();
     }
 
+    /// Records what became of a request that was offered to another entry.
+    pub fn record_forwarding(&self, end: ForwardingEnd) {
+        let labels = ForwardingLabels { end };
+        self.forwardings.get_or_create(&labels).inc();
+    }
+
+    /// Records whether a request of another entry was accepted.
+    pub fn record_accepted(&self, accepted: bool) {
+        let labels = AcceptedLabels { accepted };
+        self.accepted.get_or_create(&labels).inc();
+    }
+
     /// Records a message of `bytes` bytes that is sent to each of `receivers` receivers.
     pub fn record_message(
         &self,
@@ -328,6 +367,16 @@
             "Delayed requests moved to another engine",
             self.moves.clone(),
         );
+        registry.register(
+            "forwardings",
+            "Requests offered to other entries by what became of them",
+            self.forwardings.clone(),
+        );
+        registry.register(
+            "forwarded_requests",
+            "Requests of other entries by whether they were accepted",
+            self.accepted.clone(),
+        );
         registry.register(
             "messages",
             "Messages between control replicas and entries by kind",
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -5,10 +5,12 @@
 mod control_connections;
 mod dispatch;
 mod event_splitter;
+mod forwarding;
 mod hop_by_hop;
 mod in_flight;
 mod listener;
 mod moving;
+mod probes;
 mod protocol;
 mod response;
 mod send;
@@ -29,6 +31,7 @@
     },
 };
 
+use rand::RngExt;
 use sesamebeam_core::{
     gateway::router::{
         Router,
@@ -39,6 +42,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{
     Notify,
+    Semaphore,
     watch, //
 };
 use tokio_util::sync::CancellationToken;
@@ -70,6 +74,8 @@
     pub caller_addr: SocketAddr,
     /// Listen address for the load balancer's readiness checks.
     pub readiness_addr: SocketAddr,
+    /// Listen address for requests of other entries; none if the entry serves none.
+    pub forwarding_addr: Option<SocketAddr>,
     /// Port on which control replicas accept connections from entries.
     pub control_port: u16,
     /// Time between the termination signal and the forced kill.
@@ -84,6 +90,12 @@
     protocol: Arc<dyn EntryProtocol>,
     router: Mutex<Router>,
     client: Client,
+    /// Secret that authorizes requests of other entries.
+    forwarding_key: u128,
+    /// Where requests of other entries are accepted.
+    forwarding_addr: OnceLock<SocketAddr>,
+    /// Permits to serve requests of other entries.
+    accepted: Arc<Semaphore>,
     metrics: Arc<Exposition>,
     start: Instant,
     /// Notified when a configuration or announcements of backend servers are received.
@@ -143,6 +155,9 @@
     let gateway = Arc::new(Gateway {
         router: Mutex::new(Router::new(settings.router.clone())),
         client: Client::new(CONNECT_TIMEOUT),
+        forwarding_key: rand::rng().random(),
+        forwarding_addr: OnceLock::new(),
+        accepted: Arc::new(Semaphore::new(forwarding::MAX_ACCEPTED)),
         start: Instant::now(),
         settings,
         protocol,
@@ -159,6 +174,7 @@
         seeds,
         halt.clone(),
     ));
+    tokio::spawn(probes::run(Arc::clone(&gateway), halt.clone()));
     let result = listener::run(gateway, halt.clone()).await;
     halt.cancel();
     result
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -29,15 +29,19 @@
         Refusal, //
     },
 };
-use tokio::time::{
-    sleep,
-    timeout,
-    timeout_at, //
+use tokio::{
+    sync::OwnedSemaphorePermit,
+    time::{
+        sleep,
+        timeout,
+        timeout_at, //
+    },
 };
 
 use super::{
     Gateway,
     dispatch::Dispatch,
+    forwarding,
     response::{
         self,
         CallerResponse, //
@@ -67,10 +71,27 @@
 /// time is left to serve it.
 const STARTUP_WAIT_SHARE: f64 = 0.4;
 
-/// Handles a request from a caller.
-pub(super) async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> CallerResponse {
+/// Who sent a request to this entry.
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another entry, to which a caller sent it.
+    Peer {
+        /// Number of backend servers to which that entry has sent the request.
+        sends: u32,
+        /// Held until the request ends.
+        _permit: OwnedSemaphorePermit,
+    },
+}
+
+/// Handles a request.
+pub(super) async fn handle(
+    gateway: Arc<Gateway>,
+    req: Request<Incoming>,
+    origin: Origin,
+) -> CallerResponse {
     let chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = process(Arc::clone(&gateway), req).await;
+    let mut response = process(Arc::clone(&gateway), req, origin).await;
     // A chunked body can smuggle a second request past a proxy that uses `Content-Length`
     // instead. Nothing after it is read from this connection.
     if chunked || gateway.stopping.is_cancelled() {
@@ -79,7 +100,7 @@
     response
 }
 
-async fn process(gateway: Arc<Gateway>, req: Request<Incoming>) -> CallerResponse {
+async fn process(gateway: Arc<Gateway>, req: Request<Incoming>, origin: Origin) -> CallerResponse {
     let received_at = Instant::now();
     let (parts, body) = req.into_parts();
     let head = match gateway.protocol.parse_request_head(&parts) {
@@ -94,6 +115,12 @@
         Ok(plan) => plan,
         Err(refusal) => return reject(&gateway, &head.id, refusal),
     };
+    if !origin.is_caller() {
+        if gateway.router().is_isolated(&plan.service) {
+            return forwarding::decline(&gateway, "no backend server is reachable");
+        }
+        gateway.metrics.record_accepted(true);
+    }
     if gateway.has_just_started() {
         delay_by_startup_jitter(&head).await;
     }
@@ -126,7 +153,7 @@
         received_at,
         deadline,
     };
-    Dispatch::new(gateway, req, plan).run().await
+    Dispatch::new(gateway, req, plan, origin).run().await
 }
 
 /// Makes the routing decisions for a request, waiting for the first configuration if
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -25,6 +25,7 @@
     config::ServiceId,
     digests::BucketSet,
     directory::Announcement,
+    forwarding::ForwardingOffer,
     limits::LimitOf,
     messages::{
         FromEntry,
@@ -133,6 +134,7 @@
         queues: BTreeMap::new(),
         reached: CancellationToken::new(),
         isolated: Vec::new(),
+        offer: None,
         events: tx,
         halt: halt.clone(),
     };
@@ -149,6 +151,7 @@
         _ = poll_ticks.tick() => {
         connections.poll_subscription();
         connections.check_isolation();
+        connections.update_offer();
         connections.report_failures();
         }
         }
@@ -177,6 +180,8 @@
     reached: CancellationToken,
     /// Isolated services that were logged last.
     isolated: Vec<ServiceId>,
+    /// What this entry offers to others.
+    offer: Option<ForwardingOffer>,
     events: UnboundedSender<(SocketAddr, ConnectionEvent)>,
     halt: CancellationToken,
 }
@@ -243,6 +248,7 @@
             ConnectionEvent::Connected(tx) => {
                 self.reached.cancel();
                 self.queues.insert(addr, tx);
+                self.send(addr, FromEntry::OfferForwarding(self.offer.clone()));
                 self.subscription.connected(self.gateway.now(), addr);
                 self.poll_subscription();
             }
@@ -315,6 +321,25 @@
         }
     }
 
+    /// Tells all replicas when what this entry offers to others has changed.
+    fn update_offer(&mut self) {
+        let gateway = &self.gateway;
+        let is_open = !gateway.stopping.is_cancelled() && gateway.router().table().is_some();
+        let addr = gateway.forwarding_addr.get().filter(|_| is_open);
+        let offer = addr.map(|addr| ForwardingOffer {
+            addr: *addr,
+            key: gateway.forwarding_key,
+            isolated_from: self.isolated.clone(),
+        });
+        if offer == self.offer {
+            return;
+        }
+        self.offer.clone_from(&offer);
+        for addr in self.queues.keys() {
+            self.send(*addr, FromEntry::OfferForwarding(offer.clone()));
+        }
+    }
+
     /// Logs when the set of isolated services has changed.
     fn check_isolation(&mut self) {
         let isolated = self.gateway.router().isolated_services().to_vec();
@@ -423,6 +448,7 @@
             ToEntry::RetainedSessions(sessions, all) => {
                 gateway.router().pin_sessions(now, &sessions, all)
             }
+            ToEntry::ForwardingOffers(offers) => gateway.router().set_offers(offers),
         }
     }
 
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatch of one request: sends it to backend servers until one responds.
 
 use std::{
+    ops::ControlFlow,
     sync::Arc,
     time::{
         Duration,
@@ -36,7 +37,11 @@
 
 use super::{
     Gateway,
-    admission::startup_wait_deadline,
+    admission::{
+        Origin,
+        startup_wait_deadline, //
+    },
+    forwarding,
     hop_by_hop::strip_hop_by_hop,
     in_flight::InFlightSend,
     response::{
@@ -58,7 +63,7 @@
 };
 
 /// Maximum size of a buffered response.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Maximum number of sends for which no connection was made. Each costs a connect
 /// timeout.
@@ -83,14 +88,16 @@
     pub(super) tried: Vec<ServerId>,
     /// Number of sends that reached a backend server.
     pub(super) sends: u32,
+    /// Who sent the request to this entry.
+    pub(super) origin: Origin,
     /// Number of sends for which no connection was made.
-    unsent: usize,
+    pub(super) unsent: usize,
     /// Number of refused connections, not included in `unsent`.
-    refused: usize,
+    pub(super) refused: usize,
     /// Whether a backend server may have run the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Whether a backend server rejected it because all its slots were taken.
-    found_full_server: bool,
+    pub(super) found_full_server: bool,
     /// Progress by which a delayed request is moved to another engine.
     pub(super) progress: Progress,
 }
@@ -131,14 +138,20 @@
 
 impl Dispatch {
     /// Creates the dispatch of a request that was not sent yet.
-    pub(super) fn new(gateway: Arc<Gateway>, req: BufferedRequest, plan: Plan) -> Self {
+    pub(super) fn new(
+        gateway: Arc<Gateway>,
+        req: BufferedRequest,
+        plan: Plan,
+        origin: Origin,
+    ) -> Self {
         Self {
             model: plan.model.clone(),
             plan: Arc::new(plan),
             req,
             gateway,
             tried: Vec::new(),
-            sends: 0,
+            sends: origin.sends(),
+            origin,
             unsent: 0,
             refused: 0,
             may_have_run: false,
@@ -152,7 +165,15 @@
         let mut fallback = None;
         let mut is_prepaid = true;
         let mut moved_to = None;
+        let mut is_forwardable = true;
         loop {
+            if is_forwardable && fallback.is_none() && self.prefers_peer() {
+                is_forwardable = false;
+                self = match self.forward().await {
+                    ControlFlow::Break(response) => return response,
+                    ControlFlow::Continue(dispatch) => dispatch,
+                };
+            }
             if !self.has_attempts_left() || !is_prepaid && !self.try_spend_retry() {
                 break;
             }
@@ -185,6 +206,12 @@
                 }
             }
         }
+        if is_forwardable && fallback.is_none() {
+            self = match self.forward().await {
+                ControlFlow::Break(response) => return response,
+                ControlFlow::Continue(dispatch) => dispatch,
+            };
+        }
         self.reject_or_fail(fallback)
     }
 
@@ -223,7 +250,7 @@
     }
 
     /// Builds the response to a request that no backend server answered.
-    fn reject_or_fail(&self, fallback: Option<Box<CallerResponse>>) -> CallerResponse {
+    pub(super) fn reject_or_fail(&self, fallback: Option<Box<CallerResponse>>) -> CallerResponse {
         if let Some(response) = fallback {
             return *response;
         }
@@ -246,6 +273,9 @@
             self.record_end(RequestEnd::Unknown);
             return response::empty(status);
         }
+        if !self.origin.is_caller() && self.unsent + self.refused > 0 && !self.found_full_server {
+            return forwarding::decline(&self.gateway, "no backend server could be reached");
+        }
         if self.found_full_server && !self.plan.route.streaming {
             self.gateway.router().record_rejected(&self.plan);
         }
@@ -297,10 +327,14 @@
 
     /// Returns whether the limits of the route and the deadline permit another send.
     pub(super) fn has_attempts_left(&self) -> bool {
-        self.sends < self.plan.route.max_attempts
-            && self.unsent < MAX_UNSENT
+        self.unsent < MAX_UNSENT
             && self.refused < MAX_REFUSED_CONNECTIONS
-            && Instant::now() < self.req.deadline
+            && self.has_time_and_sends_left()
+    }
+
+    /// Returns the same, however many backend servers could not be reached.
+    pub(super) fn has_time_and_sends_left(&self) -> bool {
+        self.sends < self.plan.route.max_attempts && Instant::now() < self.req.deadline
     }
 
     /// Returns whether another send could follow the current one, the last of `sends`.
@@ -335,7 +369,7 @@
     }
 
     /// Returns whether the request may be sent again although it may have run.
-    fn is_repeatable(&self) -> bool {
+    pub(super) fn is_repeatable(&self) -> bool {
         !self.plan.route.runs_at_most_once()
     }
 
--- /dev/null
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -0,0 +1,344 @@
+//! Forwarding of requests to another entry, and acceptance of those that others forward.
+//!
+//! Entries forward over HTTP with the caller's own headers. A secret that the accepting
+//! entry has told the control replicas authorizes each request.
+
+use std::{
+    ops::ControlFlow,
+    sync::Arc,
+    time::Instant, //
+};
+
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Uri,
+    body::{
+        Bytes,
+        Incoming, //
+    },
+    header::HeaderName,
+};
+use sesamebeam_core::{
+    gateway::{
+        forwarding::{
+            ForwardingOffer,
+            MAX_PEERS_TRIED, //
+        },
+        request::ResponseHead,
+    },
+    ids::ProcessAddr,
+};
+use subtle::ConstantTimeEq;
+use tokio::time::timeout_at;
+
+use super::{
+    Gateway,
+    admission::{
+        self,
+        Origin, //
+    },
+    dispatch::{
+        Dispatch,
+        MAX_RESPONSE_BYTES, //
+    },
+    hop_by_hop::strip_hop_by_hop,
+    response::{
+        self,
+        CallerResponse, //
+    },
+    send::BufferedRequest,
+    stream::Relay,
+};
+use crate::{
+    exposition::{
+        ForwardingEnd,
+        RequestEnd, //
+    },
+    http::client::{
+        ClientError,
+        ConnectionGuard,
+        Reuse,
+        SendOptions, //
+    },
+};
+
+/// Secret of the entry to which a request is forwarded.
+const KEY: HeaderName = HeaderName::from_static("sesamebeam-peer-key");
+
+/// Number of backend servers to which the request was already sent.
+const SENDS: HeaderName = HeaderName::from_static("sesamebeam-sends");
+
+/// Marks a refusal of the accepting entry that says nothing about the request: another
+/// entry may serve it.
+const DECLINED: HeaderName = HeaderName::from_static("sesamebeam-declined");
+
+/// Maximum number of requests of other entries that an entry serves at a time. With more,
+/// its own callers would wait for it.
+pub(super) const MAX_ACCEPTED: usize = 256;
+
+/// A request in flight at another entry, counted there until it ends.
+pub(super) struct PeerSend {
+    gateway: Arc<Gateway>,
+    /// Address of the other entry.
+    pub(super) addr: ProcessAddr,
+}
+
+impl Drop for PeerSend {
+    fn drop(&mut self) {
+        self.gateway.router().record_forwarded_end(self.addr);
+    }
+}
+
+/// An answer that another entry has passed on.
+pub(super) struct PeerAnswer {
+    /// The request there.
+    pub(super) send: PeerSend,
+    /// The answer as received.
+    pub(super) response: Response<Incoming>,
+    /// Its parsed head.
+    pub(super) head: ResponseHead,
+    /// Connection on which it is received.
+    pub(super) lease: ConnectionGuard,
+}
+
+/// Result of offering a request to other entries.
+pub(super) enum Forwarded {
+    /// One of them answers.
+    Answered(Box<PeerAnswer>),
+    /// None of them has accepted the request.
+    Declined,
+    /// The request may have run and cannot be sent again.
+    Lost,
+}
+
+impl Dispatch {
+    /// Returns whether the request goes to another entry because this one reaches no backend
+    /// server.
+    pub(super) fn prefers_peer(&self) -> bool {
+        self.may_forward() && self.gateway.router().is_isolated(&self.plan.service)
+    }
+
+    /// Returns whether the request may be forwarded: it came from a caller and may run.
+    fn may_forward(&self) -> bool {
+        let may_run = !self.may_have_run || self.is_repeatable();
+        self.origin.is_caller() && may_run && self.has_time_and_sends_left()
+    }
+
+    /// Has another entry serve the request, if no backend server could be reached. Goes on
+    /// if none does.
+    pub(super) async fn forward(mut self) -> ControlFlow<CallerResponse, Self> {
+        if !self.may_forward() || !self.reached_nobody() {
+            return ControlFlow::Continue(self);
+        }
+        if self.sends > 0 && !self.try_spend_retry() {
+            return ControlFlow::Continue(self);
+        }
+        match self.offer_to_peers(self.req.head.resume_after).await {
+            Forwarded::Answered(answer) => ControlFlow::Break(self.pass_on(*answer).await),
+            Forwarded::Declined => ControlFlow::Continue(self),
+            Forwarded::Lost => ControlFlow::Break(self.reject_or_fail(None)),
+        }
+    }
+
+    /// Returns whether no backend server could be reached.
+    fn reached_nobody(&self) -> bool {
+        let is_isolated = self.gateway.router().is_isolated(&self.plan.service);
+        is_isolated || self.unsent + self.refused > 0 && !self.found_full_server
+    }
+
+    /// Offers the request to other entries until one answers.
+    pub(super) async fn offer_to_peers(&mut self, resume_after: Option<u64>) -> Forwarded {
+        let mut tried = Vec::new();
+        while tried.len() < MAX_PEERS_TRIED && Instant::now() < self.req.deadline {
+            let now = self.gateway.now();
+            let chosen = self.gateway.router().choose_peer(now, &self.plan, &tried);
+            let Some(offer) = chosen else {
+                break;
+            };
+            let send = PeerSend {
+                gateway: Arc::clone(&self.gateway),
+                addr: offer.addr,
+            };
+            tried.push(offer.addr);
+            let sent = self.send_to_peer(&offer, resume_after).await;
+            let why = match sent {
+                Ok((response, lease)) if response.headers().contains_key(DECLINED) => {
+                    lease.release();
+                    self.record_forwarding(&offer, ForwardingEnd::Declined, "declined");
+                    self.gateway
+                        .router()
+                        .record_peer_unavailable(now, offer.addr);
+                    continue;
+                }
+                Ok((response, lease)) => {
+                    let (parts, body) = response.into_parts();
+                    let head = self.gateway.protocol.parse_response_head(&parts);
+                    if head.id.as_ref().is_none_or(|id| *id == self.req.head.id) {
+                        self.record_forwarding(&offer, ForwardingEnd::Answered, "answered");
+                        self.gateway.router().record_forwarded(now, &self.plan);
+                        let response = Response::from_parts(parts, body);
+                        return Forwarded::Answered(Box::new(PeerAnswer {
+                            send,
+                            response,
+                            head,
+                            lease,
+                        }));
+                    }
+                    "answer to another request".to_owned()
+                }
+                Err(e) if e.is_unsent() => {
+                    self.record_forwarding(&offer, ForwardingEnd::Unreachable, &e.to_string());
+                    self.gateway
+                        .router()
+                        .record_peer_unavailable(now, offer.addr);
+                    continue;
+                }
+                Err(e) => e.to_string(),
+            };
+            self.record_forwarding(&offer, ForwardingEnd::Lost, &why);
+            self.may_have_run = true;
+            self.sends += 1;
+            if !self.may_forward() || !self.try_spend_retry() {
+                return Forwarded::Lost;
+            }
+        }
+        Forwarded::Declined
+    }
+
+    async fn send_to_peer(
+        &self,
+        offer: &ForwardingOffer,
+        resume_after: Option<u64>,
+    ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
+        let remaining = self.req.deadline.saturating_duration_since(Instant::now());
+        let mut headers = self.req.parts.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        let protocol = &self.gateway.protocol;
+        protocol.prepare_forwarded_headers(&mut headers, remaining, resume_after);
+        set(&mut headers, KEY, &format!("{:032x}", offer.key));
+        set(&mut headers, SENDS, &self.sends.to_string());
+        let mut request = Request::new(Full::new(self.req.body.clone()));
+        *request.method_mut() = self.req.parts.method.clone();
+        *request.uri_mut() = path_of(&self.req);
+        *request.headers_mut() = headers;
+        let options = SendOptions {
+            reuse: Reuse::Any,
+            header_timeout: remaining,
+            send_by: None,
+        };
+        self.gateway.client.send(offer.addr, request, options).await
+    }
+
+    /// Passes the answer of another entry on to the caller.
+    async fn pass_on(mut self, answer: PeerAnswer) -> CallerResponse {
+        if answer.head.is_success() && self.plan.route.streaming {
+            return Relay::response_from_peer(self, answer);
+        }
+        let PeerAnswer {
+            send,
+            response,
+            lease,
+            ..
+        } = answer;
+        let (mut parts, body) = response.into_parts();
+        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let body: Bytes = match timeout_at(self.req.deadline.into(), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            _ => {
+                log::info!(id:% = self.req.head.id, peer:% = send.addr; "forwarded answer broke off");
+                self.may_have_run = true;
+                return self.reject_or_fail(None);
+            }
+        };
+        lease.release();
+        self.record_end(RequestEnd::Answered);
+        strip_hop_by_hop(&mut parts.headers);
+        Response::from_parts(parts, response::full_body(body))
+    }
+
+    /// Records what became of a request that was offered to another entry.
+    fn record_forwarding(&self, offer: &ForwardingOffer, end: ForwardingEnd, why: &str) {
+        self.gateway.metrics.record_forwarding(end);
+        log::info!(
+            id:% = self.req.head.id, peer:% = offer.addr, sends = self.sends,
+            offers = self.gateway.router().offer_count(&self.plan.service), why = why;
+            "forwarded"
+        );
+    }
+}
+
+/// Handles a request that another entry forwards.
+pub(super) async fn handle(gateway: Arc<Gateway>, mut req: Request<Incoming>) -> CallerResponse {
+    let Some(sends) = authorize(&gateway, req.headers_mut()) else {
+        log::warn!("forwarded request without the key of this entry");
+        return response::empty_and_close(StatusCode::FORBIDDEN);
+    };
+    if gateway.stopping.is_cancelled() {
+        return decline(&gateway, "stopping");
+    }
+    match Arc::clone(&gateway.accepted).try_acquire_owned() {
+        Ok(permit) => {
+            let origin = Origin::Peer {
+                sends,
+                _permit: permit,
+            };
+            admission::handle(gateway, req, origin).await
+        }
+        Err(_) => decline(&gateway, "serving too many requests of other entries"),
+    }
+}
+
+/// Checks the key of a forwarded request and removes the headers that concern only entries.
+/// Returns the number of earlier sends.
+fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<u32> {
+    let key = headers.remove(KEY)?;
+    let sends = headers.remove(SENDS)?;
+    let own = format!("{:032x}", gateway.forwarding_key);
+    if !bool::from(own.as_bytes().ct_eq(key.as_bytes())) {
+        return None;
+    }
+    sends.to_str().ok()?.parse().ok()
+}
+
+/// Declines a request of another entry, which has not run.
+pub(super) fn decline(gateway: &Gateway, why: &str) -> CallerResponse {
+    log::info!(why = why; "forwarded request declined");
+    gateway.metrics.record_accepted(false);
+    let mut response = response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
+    set(response.headers_mut(), DECLINED, "1");
+    if gateway.stopping.is_cancelled() {
+        response::set_connection_close(response.headers_mut());
+    }
+    response
+}
+
+impl Origin {
+    /// Returns whether a caller sent the request, and no other entry.
+    pub(super) fn is_caller(&self) -> bool {
+        matches!(self, Self::Caller)
+    }
+
+    /// Returns the number of backend servers to which another entry has sent the request.
+    pub(super) fn sends(&self) -> u32 {
+        match self {
+            Self::Caller => 0,
+            Self::Peer { sends, .. } => *sends,
+        }
+    }
+}
+
+fn path_of(req: &BufferedRequest) -> Uri {
+    let path = req.parts.uri.path_and_query();
+    path.map_or_else(Uri::default, |path| Uri::from(path.clone()))
+}
+
+/// Sets a header of entries, whose values are all numbers.
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = value.parse() {
+        headers.insert(name, value);
+    }
+}
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -39,7 +39,12 @@
 
 use super::{
     Gateway,
-    admission, //
+    admission::{
+        self,
+        Origin, //
+    },
+    forwarding,
+    response::CallerResponse, //
 };
 use crate::listen::{
     self,
@@ -85,16 +90,18 @@
 pub(super) async fn run(gateway: Arc<Gateway>, halt: CancellationToken) -> Result<(), ListenError> {
     let ready = listen::bind(gateway.settings.readiness_addr).await?;
     let callers = listen::bind(gateway.settings.caller_addr).await?;
+    let open = Arc::new(AtomicUsize::new(0));
+    accept_from_peers(&gateway, &open, halt.clone()).await;
     let shared = Arc::clone(&gateway);
     tokio::spawn(listen::accept(ready, halt.clone(), move |stream| {
         serve_readiness(Arc::clone(&shared), stream)
     }));
-    let open = Arc::new(AtomicUsize::new(0));
     let accepting = listen::accept(callers, halt, |stream| {
         let guard = OpenConnection::new(&open);
         let gateway = Arc::clone(&gateway);
         async move {
-            serve(gateway, stream).await;
+            let answer = |gateway, req| admission::handle(gateway, req, Origin::Caller);
+            serve(gateway, stream, answer).await;
             drop(guard);
         }
     });
@@ -105,6 +112,36 @@
     Ok(())
 }
 
+/// Accepts connections of other entries, if this one has an address for them. Without it,
+/// the entry serves its own callers all the same.
+async fn accept_from_peers(
+    gateway: &Arc<Gateway>,
+    open: &Arc<AtomicUsize>,
+    halt: CancellationToken,
+) {
+    let Some(addr) = gateway.settings.forwarding_addr else {
+        return;
+    };
+    let listener = match listen::bind(addr).await {
+        Ok(listener) => listener,
+        Err(e) => {
+            log::warn!(error:% = e; "requests of other entries are not accepted");
+            return;
+        }
+    };
+    // Set here alone, once.
+    let _ = gateway.forwarding_addr.set(addr);
+    let (gateway, open) = (Arc::clone(gateway), Arc::clone(open));
+    tokio::spawn(listen::accept(listener, halt, move |stream| {
+        let guard = OpenConnection::new(&open);
+        let gateway = Arc::clone(&gateway);
+        async move {
+            serve(gateway, stream, forwarding::handle).await;
+            drop(guard);
+        }
+    }));
+}
+
 /// Waits for the termination signal, then until the last connection has ended or the time
 /// for shutdown is over.
 async fn drain(gateway: &Gateway, open: &AtomicUsize) {
@@ -124,14 +161,21 @@
     log::info!(open = open.load(Ordering::Relaxed); "stopped");
 }
 
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
+/// Serves a connection, each of whose requests is passed to `answer`.
+async fn serve<A>(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    answer: impl Fn(Arc<Gateway>, Request<Incoming>) -> A,
+) where
+    A: Future<Output = CallerResponse>,
+{
     let limits = gateway
         .router()
         .table()
         .map_or(Limits::default(), |t| t.config().limits);
     let service = service_fn(|req: Request<Incoming>| {
-        let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, Infallible>(admission::handle(gateway, req).await) }
+        let answered = answer(Arc::clone(&gateway), req);
+        async move { Ok::<_, Infallible>(answered.await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/sesamebeam/src/gateway/protocol.rs
+++ b/sesamebeam/src/gateway/protocol.rs
@@ -1,6 +1,8 @@
 //! Interface between an entry and the wire format of requests, responses and
 //! configurations.
 
+use std::time::Duration;
+
 use hyper::{
     HeaderMap,
     http::{
@@ -45,6 +47,15 @@
     /// that callers may not set and adds those set by the entry.
     fn prepare_request_headers(&self, headers: &mut HeaderMap, out: &Outgoing<'_>);
 
+    /// Changes the headers of a caller for another entry, which parses them as a caller's:
+    /// sets the remaining time, and the event after which a stream goes on, if any.
+    fn prepare_forwarded_headers(
+        &self,
+        headers: &mut HeaderMap,
+        remaining: Duration,
+        resume_after: Option<u64>,
+    );
+
     /// Parses the head of a response.
     fn parse_response_head(&self, head: &response::Parts) -> ResponseHead;
 
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -36,6 +36,11 @@
         unsent_outcome, //
     },
     event_splitter::EventSplitter,
+    forwarding::{
+        Forwarded,
+        PeerAnswer,
+        PeerSend, //
+    },
     hop_by_hop::strip_hop_by_hop,
     in_flight::InFlightSend,
     response::{
@@ -65,9 +70,17 @@
     source: Option<Source>,
 }
 
+/// Where a stream comes from.
+enum Origin {
+    /// A backend server.
+    Server(InFlightSend),
+    /// Another entry, which judges its own source.
+    Peer { _send: PeerSend },
+}
+
 /// The run that currently produces the stream.
 struct Source {
-    choice: InFlightSend,
+    origin: Origin,
     body: Incoming,
     head: ResponseHead,
     lease: Option<ConnectionGuard>,
@@ -94,6 +107,33 @@
             head,
             lease,
         } = pending;
+        Self::respond(dispatch, Origin::Server(choice), response, head, lease)
+    }
+
+    /// Creates the response that relays a stream from another entry.
+    pub(super) fn response_from_peer(dispatch: Dispatch, answer: PeerAnswer) -> CallerResponse {
+        let PeerAnswer {
+            send,
+            response,
+            head,
+            lease,
+        } = answer;
+        Self::respond(
+            dispatch,
+            Origin::Peer { _send: send },
+            response,
+            head,
+            lease,
+        )
+    }
+
+    fn respond(
+        dispatch: Dispatch,
+        origin: Origin,
+        response: Response<Incoming>,
+        head: ResponseHead,
+        lease: ConnectionGuard,
+    ) -> CallerResponse {
         let (mut parts, body) = response.into_parts();
         strip_hop_by_hop(&mut parts.headers);
         let relay = Self {
@@ -101,7 +141,7 @@
             dispatch,
             first_event_at: None,
             source: Some(Source {
-                choice,
+                origin,
                 body,
                 head,
                 lease: Some(lease),
@@ -156,16 +196,16 @@
                 Err(_) if Instant::now() >= deadline => return Step::TimedOut,
                 Err(_) => {
                     let dispatch = &self.dispatch;
-                    let last_response = dispatch
-                        .gateway
-                        .router()
-                        .last_response_at(&source.choice.id);
+                    let Origin::Server(choice) = &source.origin else {
+                        continue;
+                    };
+                    let last_response = dispatch.gateway.router().last_response_at(&choice.id);
                     let is_silent =
                         dispatch.gateway.now().saturating_sub(last_response) > SILENCE_TIMEOUT;
                     let resumable = dispatch.plan.route.resumable;
                     if is_silent
                         && resumable
-                        && dispatch.has_alternative_after(dispatch.sends, &source.choice)
+                        && dispatch.has_alternative_after(dispatch.sends, choice)
                     {
                         return Step::Interrupted(Outcome::Silent);
                     }
@@ -177,9 +217,11 @@
                         continue;
                     };
                     let gateway = &self.dispatch.gateway;
-                    gateway
-                        .router()
-                        .record_response(gateway.now(), &source.choice.id, None);
+                    if let Origin::Server(choice) = &source.origin {
+                        gateway
+                            .router()
+                            .record_response(gateway.now(), &choice.id, None);
+                    }
                     match self.events.push(chunk) {
                         Ok(data) if data.is_empty() => {}
                         Ok(data) => return Step::Data(data),
@@ -197,8 +239,10 @@
         if let Some(lease) = source.lease.take() {
             self.dispatch.return_connection(lease, &source.head);
         }
-        self.record_event_interval(&source.choice);
-        source.choice.record_outcome(Outcome::Good);
+        if let Origin::Server(choice) = &mut source.origin {
+            self.record_event_interval(choice);
+            choice.record_outcome(Outcome::Good);
+        }
         let fingerprint = self.dispatch.req.fingerprint;
         self.dispatch
             .gateway
@@ -230,23 +274,26 @@
     }
 
     fn end_source(&mut self, outcome: Outcome) {
-        if let Some(mut source) = self.source.take() {
-            if outcome == Outcome::Silent {
-                self.dispatch.gateway.client.retire(source.choice.addr);
-            }
-            if outcome == Outcome::Failed {
-                let dispatch = &self.dispatch;
-                dispatch
-                    .gateway
-                    .check_for_crash(&dispatch.req, &source.choice);
-            }
-            source.choice.record_outcome(outcome);
-            self.dispatch.tried.push(source.choice.id.clone());
-        }
         self.events.discard_partial();
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let Origin::Server(mut choice) = source.origin else {
+            return;
+        };
+        if outcome == Outcome::Silent {
+            self.dispatch.gateway.client.retire(choice.addr);
+        }
+        if outcome == Outcome::Failed {
+            let dispatch = &self.dispatch;
+            dispatch.gateway.check_for_crash(&dispatch.req, &choice);
+        }
+        choice.record_outcome(outcome);
+        self.dispatch.tried.push(choice.id.clone());
     }
 
-    /// Resumes the stream at another backend server after the last complete event.
+    /// Resumes the stream at another backend server, or through another entry, after the
+    /// last complete event.
     async fn resume(&mut self) -> bool {
         if !self.dispatch.plan.route.resumable {
             return false;
@@ -255,6 +302,9 @@
             if !self.dispatch.has_attempts_left() || !self.dispatch.try_spend_retry() {
                 return false;
             }
+            if self.dispatch.prefers_peer() {
+                return self.resume_at_peer().await;
+            }
             let Ok(choice) = self.dispatch.choose() else {
                 return false;
             };
@@ -264,6 +314,30 @@
         }
     }
 
+    /// Resumes the stream through another entry; the retry budget was already charged.
+    async fn resume_at_peer(&mut self) -> bool {
+        let forwarded = self.dispatch.offer_to_peers(self.events.last_id()).await;
+        let Forwarded::Answered(answer) = forwarded else {
+            return false;
+        };
+        let PeerAnswer {
+            send,
+            response,
+            head,
+            lease,
+        } = *answer;
+        if !head.is_success() || !head.sealed {
+            return false;
+        }
+        self.source = Some(Source {
+            origin: Origin::Peer { _send: send },
+            body: response.into_body(),
+            head,
+            lease: Some(lease),
+        });
+        true
+    }
+
     async fn resume_at(&mut self, mut choice: InFlightSend) -> bool {
         let dispatch = &self.dispatch;
         let last_event = self.events.last_id();
@@ -290,7 +364,7 @@
                     "stream goes on"
                 );
                 self.source = Some(Source {
-                    choice,
+                    origin: Origin::Server(choice),
                     body: response.into_body(),
                     head,
                     lease: Some(lease),
--- a/sesamebeam/src/group/internal_server.rs
+++ b/sesamebeam/src/group/internal_server.rs
@@ -151,6 +151,7 @@
                 }
                 FromEntry::Servers(servers) => Event::Servers(servers),
                 FromEntry::Report(report) => Event::EntryReported(report),
+                FromEntry::OfferForwarding(offer) => Event::ForwardingOffered(entry_id, offer),
                 FromEntry::Heartbeat => continue,
             };
             if inputs.send(Input::Event(event)).is_err() {
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod engines;
 pub mod entry_count;
+pub mod forwarding;
 mod isolation;
 pub mod leader_discovery;
 pub mod limits;
--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -364,6 +364,17 @@
         self.doubts = doubts.into_iter().map(share).collect();
     }
 
+    /// Ends the pauses of backend servers that could not be reached.
+    pub fn end_pauses<'a>(&mut self, servers: impl IntoIterator<Item = &'a ServerRecord>) {
+        for server in servers {
+            let announcement = &server.announcement;
+            self.reachability.record_response(&announcement.domain);
+            if let Some(stats) = self.servers.get_mut(&announcement.id) {
+                stats.retry_delay = RetryDelay::default();
+            }
+        }
+    }
+
     /// Pauses a backend server with an overdue answer, here and at the other entries in
     /// this failure domain, until it responds.
     pub fn record_overdue(&mut self, now: MonoTime, id: &ServerId) {
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -6,6 +6,7 @@
 //! accepts announcements and forwards them, but makes no decisions.
 
 mod announce;
+mod forwarding;
 mod group;
 mod placement;
 mod publisher;
@@ -31,6 +32,7 @@
 
 use self::{
     announce::PendingConfirmation,
+    forwarding::ForwardingOffers,
     placement::VoterPlacement,
     publisher::Publisher,
     requests::PendingRequest,
@@ -45,6 +47,7 @@
         Directory,
         ServerState, //
     },
+    forwarding::ForwardingOffer,
     limits::{
         KnownLimits,
         LimitOf, //
@@ -155,6 +158,8 @@
     Servers(Vec<Announcement>),
     /// An entry has reported its observations.
     EntryReported(Report),
+    /// An entry offers to serve requests of other entries, or no longer does.
+    ForwardingOffered(EntryId, Option<ForwardingOffer>),
     /// A non-member process has sent a membership request.
     MembershipRequested(Ticket, MembershipRequest),
     /// A caller has sent a request.
@@ -299,6 +304,7 @@
     directory: Directory,
     publisher: Publisher,
     rollout_monitors: RolloutMonitors,
+    forwarding: ForwardingOffers,
     placement: VoterPlacement,
     /// Leader as learned by a non-member process, and when.
     leader_hint: Option<(SocketAddr, MonoTime)>,
@@ -333,6 +339,7 @@
             directory: Directory::default(),
             publisher: Publisher::default(),
             rollout_monitors: RolloutMonitors::default(),
+            forwarding: ForwardingOffers::default(),
             placement: VoterPlacement::default(),
             leader_hint: None,
             pending_requests: BTreeMap::new(),
@@ -390,6 +397,7 @@
             Event::SectionsRequested(entry, sections) => self.send_sections(entry, &sections),
             Event::Servers(servers) => self.merge_announcements(servers),
             Event::EntryReported(report) => self.handle_entry_report(report),
+            Event::ForwardingOffered(entry, offer) => self.forwarding.set(entry, offer),
             Event::MembershipRequested(ticket, request) => {
                 self.handle_membership_request(ticket, request)
             }
--- a/sesamebeam_core/src/gateway/coordinator/publisher.rs
+++ b/sesamebeam_core/src/gateway/coordinator/publisher.rs
@@ -152,6 +152,7 @@
     pub(super) fn remove_entry(&mut self, entry: EntryId) {
         self.publisher.entries.remove(&entry);
         self.publisher.update_requests.remove(&entry);
+        self.forwarding.set(entry, None);
         self.unfollow(entry);
     }
 
@@ -162,6 +163,7 @@
     /// too large a portion of the shared budgets.
     pub(super) fn follow(&mut self, entry: EntryId, sync_state: SyncState) {
         self.publisher.followers.insert(entry);
+        self.forwarding.add_follower(entry);
         self.publisher
             .entry_counter
             .record_reported(sync_state.entries);
@@ -188,6 +190,7 @@
     /// Ends an entry's subscription.
     pub(super) fn unfollow(&mut self, entry: EntryId) {
         self.publisher.followers.remove(&entry);
+        self.forwarding.remove_follower(entry);
     }
 
     /// Records that an entry requests the data that it is missing.
@@ -282,6 +285,7 @@
             self.push(self.publisher.followers(), ToEntry::Doubts(doubts));
         }
         self.publish_limits();
+        self.publish_offers();
         let summary = self.summary();
         if summary != self.publisher.summary {
             self.publisher.summary = summary;
@@ -504,7 +508,7 @@
     }
 
     /// Queues a message to entries unless there are no recipients.
-    fn push(&mut self, to: Recipients, message: ToEntry) {
+    pub(super) fn push(&mut self, to: Recipients, message: ToEntry) {
         if to != Recipients::Only(Vec::new()) {
             self.actions.push(Action::Push(to, message));
         }
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -35,6 +35,7 @@
         Announcement,
         ServerIncarnation, //
     },
+    forwarding::ForwardingOffer,
     limits::LimitOf,
     loads::{
         ServerKey,
@@ -105,6 +106,8 @@
     Report(Report),
     /// Keeps the connection alive.
     Heartbeat,
+    /// The sender offers to serve requests of other entries, or no longer does.
+    OfferForwarding(Option<ForwardingOffer>),
 }
 
 impl FromEntry {
@@ -118,6 +121,7 @@
             Self::Servers(_) => "servers",
             Self::Report(_) => "report",
             Self::Heartbeat => "alive",
+            Self::OfferForwarding(_) => "offer",
         }
     }
 }
@@ -305,6 +309,8 @@
     RetainedSessions(RetainedSessions, bool),
     /// Heartbeat with a summary of the sender's state.
     Heartbeat(StateSummary),
+    /// Entries that serve requests of the receiver if it reaches no backend server.
+    ForwardingOffers(Vec<ForwardingOffer>),
 }
 
 impl ToEntry {
@@ -323,6 +329,7 @@
             Self::Quarantined(_) => "quarantined",
             Self::RetainedSessions(..) => "kept",
             Self::Heartbeat(_) => "alive",
+            Self::ForwardingOffers(_) => "offers",
         }
     }
 }
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -81,6 +81,12 @@
         self.current_bucket(now, service).requests += 1;
     }
 
+    /// Withdraws a request that another entry counts.
+    pub fn withdraw_request(&mut self, now: MonoTime, service: &ServiceId) {
+        let bucket = self.current_bucket(now, service);
+        bucket.requests = bucket.requests.saturating_sub(1);
+    }
+
     /// Spends one retry if the budget allows it.
     pub fn try_retry(&mut self, now: MonoTime, service: &ServiceId) -> bool {
         self.current_bucket(now, service);
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -21,6 +21,7 @@
 
 pub use self::{
     choosing::MAX_CANDIDATES,
+    isolated::Probe,
     moving::CurrentSend, //
 };
 use super::{
@@ -57,6 +58,7 @@
         Forecast,
         fairness::Fairness, //
     },
+    forwarding::Peers,
     isolation::Isolation,
     limits::ServerLimits,
     messages::{
@@ -281,6 +283,7 @@
     admission: Admission,
     balancer: LoadBalancer,
     isolation: Isolation,
+    peers: Peers,
     engines: Engines,
     fairness: Fairness,
     budget: RetryBudget,
@@ -314,6 +317,7 @@
             admission: Admission::default(),
             balancer: LoadBalancer::default(),
             isolation: Isolation::default(),
+            peers: Peers::default(),
             cascade: Cascade::default(),
             response_counts: ResponseCounts::default(),
             quarantine: Quarantine::default(),
@@ -512,11 +516,15 @@
     /// Records a response from a backend server.
     pub fn record_response(&mut self, now: MonoTime, id: &ServerId, load: Option<Load>) {
         self.balancer.record_response(now, id, load);
-        self.record_reached(id);
-        let (Some(load), Some(known)) = (load, self.directory.get(id)) else {
+        let Some(known) = self.directory.get(id) else {
             return;
         };
-        let service = &known.announcement.service;
+        let service = known.announcement.service.clone();
+        self.record_reached(now, &service);
+        let Some(load) = load else {
+            return;
+        };
+        let service = &service;
         if self.runs_models(service) {
             self.engines.record_load(now, service, id, load);
         }
@@ -542,6 +550,9 @@
     /// Records that the answer of a backend server is overdue.
     pub fn record_overdue(&mut self, now: MonoTime, id: &ServerId) {
         self.balancer.record_overdue(now, id);
+        if let Some(known) = self.directory.get(id) {
+            self.isolation.record_overdue(&known.announcement.service);
+        }
     }
 
     /// Returns when a backend server last responded.
@@ -687,7 +698,7 @@
             false => Outcome::Dropped,
         };
         self.balancer.record_outcome(now, &choice.id, outcome);
-        self.record_unreached(&plan.service, &choice.id, outcome);
+        self.record_reachability(&plan.service, &choice.id, outcome);
         self.record_session(now, plan, choice);
         self.response_counts
             .record_outcome(&plan.sender(choice), outcome);
--- a/sesamebeam_core/src/gateway/router/isolated.rs
+++ b/sesamebeam_core/src/gateway/router/isolated.rs
@@ -1,16 +1,46 @@
-//! Services none of whose backend servers this entry reaches.
+//! Services none of whose backend servers this entry reaches, and the entries that serve
+//! requests to them instead.
 
-use super::Router;
-use crate::gateway::{
-    balance::Outcome,
-    config::ServiceId,
-    directory::ServerId, //
+use std::net::SocketAddr;
+
+use super::{
+    Plan,
+    Router, //
+};
+use crate::{
+    gateway::{
+        balance::Outcome,
+        config::ServiceId,
+        directory::{
+            ServerId,
+            ServerRecord,
+            Window, //
+        },
+        forwarding::ForwardingOffer,
+    },
+    ids::{
+        MonoTime,
+        ProcessAddr, //
+    },
 };
 
+/// A backend server to which a connection is opened to find out whether it is reachable.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// Its service.
+    pub service: ServiceId,
+    /// Its identifier.
+    pub id: ServerId,
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
 impl Router {
-    /// Returns the services none of whose backend servers this entry reaches.
-    pub fn isolated_services(&self) -> &[ServiceId] {
-        self.isolation.services()
+    /// Returns the services none of whose backend servers this entry reaches, by name.
+    pub fn isolated_services(&self) -> Vec<ServiceId> {
+        let mut services: Vec<ServiceId> = self.isolation.services().cloned().collect();
+        services.sort();
+        services
     }
 
     /// Returns whether this entry reaches no backend server of a service.
@@ -18,15 +48,57 @@
         self.isolation.contains(service)
     }
 
-    /// Updates the isolation of a backend server's service after a response.
-    pub(super) fn record_reached(&mut self, id: &ServerId) {
-        if let Some(known) = self.directory.get(id) {
-            self.isolation.record_response(&known.announcement.service);
+    /// Returns the backend servers to be probed now. `random` returns a number below its
+    /// argument.
+    pub fn take_due_probes(
+        &mut self,
+        now: MonoTime,
+        mut random: impl FnMut(usize) -> usize,
+    ) -> Vec<Probe> {
+        let mut probes = Vec::new();
+        for (service, count) in self.isolation.take_due_probes(now) {
+            let mut servers: Vec<&ServerRecord> = self.open_servers(&service).collect();
+            for _ in 0..count.min(servers.len()) {
+                let server = servers.swap_remove(random(servers.len()));
+                probes.push(Probe {
+                    service: service.clone(),
+                    id: server.announcement.id.clone(),
+                    addr: server.announcement.addr,
+                });
+            }
+        }
+        probes
+    }
+
+    /// Records the result of a probe.
+    pub fn record_probe(&mut self, now: MonoTime, probe: &Probe, is_reachable: bool) {
+        if is_reachable {
+            self.record_reached(now, &probe.service);
+        } else {
+            self.record_unreached(&probe.service, &probe.id);
         }
     }
 
-    /// Updates the isolation of a backend server's service after a send.
-    pub(super) fn record_unreached(
+    /// Records a response from a service.
+    ///
+    /// When it ends an isolation, no backend server is paused any longer: their pauses say
+    /// nothing about them, and the first one that responds would get all requests.
+    pub(super) fn record_reached(&mut self, now: MonoTime, service: &ServiceId) {
+        if self.isolation.record_response(now, service) {
+            let groups = self.directory.groups(service);
+            let servers = groups.flat_map(|g| self.directory.members(&g, Window::ALL));
+            self.balancer.end_pauses(servers);
+        }
+    }
+
+    /// Records that a backend server of a service could not be reached.
+    pub(super) fn record_unreached(&mut self, service: &ServiceId, id: &ServerId) {
+        let known = self.directory.groups(service).map(|g| g.count()).sum();
+        self.isolation.record_unreachable(service, id, known);
+    }
+
+    /// Updates the isolation of a service after a send.
+    pub(super) fn record_reachability(
         &mut self,
         service: &ServiceId,
         id: &ServerId,
@@ -34,10 +106,47 @@
     ) {
         match outcome {
             Outcome::Unreachable | Outcome::Down | Outcome::Silent => {
-                let known = self.directory.groups(service).map(|g| g.count()).sum();
-                self.isolation.record_unreachable(service, id, known);
+                self.record_unreached(service, id);
             }
             Outcome::Good | Outcome::Failed | Outcome::Refused | Outcome::Dropped => {}
         }
     }
+
+    /// Sets the offers of other entries to serve requests.
+    pub fn set_offers(&mut self, offers: Vec<ForwardingOffer>) {
+        self.peers.set_offers(offers);
+    }
+
+    /// Returns the number of other entries that offer to serve requests to a service.
+    pub fn offer_count(&self, service: &str) -> usize {
+        self.peers.count(service)
+    }
+
+    /// Chooses the entry that serves a request instead of this one.
+    pub fn choose_peer(
+        &mut self,
+        now: MonoTime,
+        plan: &Plan,
+        tried: &[ProcessAddr],
+    ) -> Option<ForwardingOffer> {
+        let seed = plan.seed.to_le_bytes();
+        let affinity = plan.session.as_ref().map_or(&seed[..], |s| s.as_bytes());
+        self.peers.choose(now, &plan.service, affinity, tried)
+    }
+
+    /// Records that a forwarded request ended.
+    pub fn record_forwarded_end(&mut self, peer: ProcessAddr) {
+        self.peers.record_end(peer);
+    }
+
+    /// Records that another entry could not be reached, or declined a request.
+    pub fn record_peer_unavailable(&mut self, now: MonoTime, peer: ProcessAddr) {
+        self.peers.record_unreachable(now, peer);
+    }
+
+    /// Leaves the counting of a request to the entry to which it was forwarded. Counted at
+    /// both, it would allow twice the retries.
+    pub fn record_forwarded(&mut self, now: MonoTime, plan: &Plan) {
+        self.budget.withdraw_request(now, &plan.service);
+    }
 }
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod engine_selection;
 mod evacuations;
 mod fixtures;
+mod forwarding;
 mod group;
 mod isolation;
 mod joining;
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -67,8 +67,9 @@
 /// Last part of the address of the first replica; the others follow.
 const REPLICA_HOST: u8 = 11;
 
-/// First port between processes.
+/// First and last port between processes.
 const INTERNAL: u16 = 7340;
+const LAST_INTERNAL: u16 = 7355;
 
 /// Longest time from a start until the daemon catches SIGHUP. It takes a few
 /// milliseconds; the rest is for a machine that is busy with other work.
@@ -331,7 +332,7 @@
         };
         format!(
             "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
-             internal_ports = [{INTERNAL}, {INTERNAL}]\nseeds = [{}]\nbootstrap = {first}\n\
+             internal_ports = [{INTERNAL}, {LAST_INTERNAL}]\nseeds = [{}]\nbootstrap = {first}\n\
              contracts = {contracts}\n\
              data_dir = \"{}\"\n[listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n\
              [bounds]\ngrace_s = {GRACE_S}\nretry_budget_ratio = 0.9\nbudget_window_s = 10\n\
