--- a/sesamebeam_core/src/gateway/balance.rs
+++ b/sesamebeam_core/src/gateway/balance.rs
@@ -329,6 +329,11 @@
         std::mem::take(&mut self.unreached)
     }
 
+    /// Puts an unreachable backend server back that is not to be reported yet.
+    pub fn restore_unreached(&mut self, server: ServerKey, is_down: bool) {
+        self.unreached.push((server, is_down));
+    }
+
     /// Records that another entry in this failure domain could not reach a backend
     /// server.
     ///
--- a/sesamebeam_core/src/gateway/isolation.rs
+++ b/sesamebeam_core/src/gateway/isolation.rs
@@ -41,6 +41,17 @@
     probed_at: Option<MonoTime>,
 }
 
+/// Whether any backend server of a service is reachable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// One has responded since the last failure.
+    Some,
+    /// Nothing has been heard since a failure.
+    Unknown,
+    /// The service is isolated.
+    None,
+}
+
 /// Services by whether this entry reaches them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Isolation {
@@ -84,7 +95,16 @@
 
     /// Returns whether no backend server of a service is reachable.
     pub(super) fn contains(&self, service: &str) -> bool {
-        self.services.get(service).is_some_and(|s| s.is_isolated)
+        self.reach(service) == Reach::None
+    }
+
+    /// Returns whether any backend server of a service is reachable.
+    pub(super) fn reach(&self, service: &str) -> Reach {
+        match self.services.get(service) {
+            Some(state) if state.is_isolated => Reach::None,
+            Some(state) if state.is_suspected => Reach::Unknown,
+            _ => Reach::Some,
+        }
     }
 
     /// Iterates over the isolated services.
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -5,6 +5,7 @@
 use crate::{
     gateway::{
         directory::ServerId,
+        isolation::Reach,
         limits::LimitOf,
         loads::ServerLoad,
         messages::{
@@ -120,16 +121,25 @@
         }
     }
 
-    /// Takes the unreachable backend servers.
+    /// Takes the unreachable backend servers whose service this entry is known to reach.
+    ///
+    /// An entry that reaches nobody says nothing about backend servers: the other entries of
+    /// its failure domain would avoid all of them. What it cannot tell yet waits.
     fn take_unreached(&mut self) -> Vec<UnreachableServer> {
-        let from = &self.cfg.domain;
-        let unreached = |(server, is_down)| UnreachableServer {
-            from: from.clone(),
-            server,
-            is_down,
-        };
-        let servers = self.balancer.take_unreached();
-        servers.into_iter().map(unreached).collect()
+        let mut unreachable = Vec::new();
+        for (server, is_down) in self.balancer.take_unreached() {
+            let known = self.directory.with_key(server).next();
+            match known.map(|k| self.isolation.reach(&k.announcement.service)) {
+                Some(Reach::Unknown) => self.balancer.restore_unreached(server, is_down),
+                Some(Reach::None) => {}
+                Some(Reach::Some) | None => unreachable.push(UnreachableServer {
+                    from: self.cfg.domain.clone(),
+                    server,
+                    is_down,
+                }),
+            }
+        }
+        unreachable
     }
 
     /// Takes the answer counts of services whose rollout can still be rolled back.
--- a/sesamebeam_core/tests/gateway/isolation.rs
+++ b/sesamebeam_core/tests/gateway/isolation.rs
@@ -63,3 +63,38 @@
     router.record_response(ms(10), &"server-1".into(), None);
     assert!(router.isolated_services().is_empty());
 }
+
+/// Returns the number of backend servers that an entry reports as unreachable.
+fn reported(router: &mut Router, now: u64) -> usize {
+    router.take_report(ms(now)).unreachable.len()
+}
+
+#[test]
+fn cut_entry_reports_nothing() {
+    // Guards against sound entries that avoid backend servers which only a cut entry of
+    // their failure domain does not reach.
+    let mut router = router(5);
+    assert_eq!(
+        fail_until_isolated(&mut router, Outcome::Unreachable, 2),
+        None
+    );
+    assert_eq!(reported(&mut router, 50), 0);
+    assert_eq!(
+        fail_until_isolated(&mut router, Outcome::Unreachable, 3),
+        Some(3)
+    );
+    assert_eq!(reported(&mut router, 100), 0);
+    router.record_response(ms(200), &"server-4".into(), None);
+    assert_eq!(reported(&mut router, 250), 0);
+}
+
+#[test]
+fn reported_once_others_respond() {
+    // Guards against entries that each have to find out what one of them knows.
+    let mut router = router(5);
+    fail_until_isolated(&mut router, Outcome::Unreachable, 2);
+    assert_eq!(reported(&mut router, 50), 0);
+    router.record_response(ms(60), &"server-4".into(), None);
+    assert_eq!(reported(&mut router, 100), 2);
+    assert_eq!(reported(&mut router, 150), 0);
+}
