Name a stream's source and the peers of an entry apart from others, and note the changes

Two kinds of origin and of peers bore one name. An answer that another entry passes on as a success without a backend server's mark counts as none.

--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -76,8 +76,8 @@
 /// entry may serve it.
 const DECLINED: HeaderName = HeaderName::from_static("sesamebeam-declined");
 
-/// Maximum number of requests of other entries that an entry serves at a time. With more,
-/// its own callers would wait for it.
+/// Maximum number of requests of other entries that an entry serves at a time, so that its
+/// own callers are served too.
 pub(super) const MAX_ACCEPTED: usize = 256;
 
 /// A request in flight at another entry, counted there until it ends.
@@ -177,7 +177,8 @@
                 Ok((response, lease)) => {
                     let (parts, body) = response.into_parts();
                     let head = self.gateway.protocol.parse_response_head(&parts);
-                    if head.id.as_ref().is_none_or(|id| *id == self.req.head.id) {
+                    let is_ours = head.id.as_ref().is_none_or(|id| *id == self.req.head.id);
+                    if is_ours && (head.sealed || !head.is_success()) {
                         self.record_forwarding(&offer, ForwardingEnd::Answered, "answered");
                         self.gateway.router().record_forwarded(now, &self.plan);
                         let response = Response::from_parts(parts, body);
@@ -188,7 +189,7 @@
                             lease,
                         }));
                     }
-                    "answer to another request".to_owned()
+                    "answer to another request, or a success without a mark".to_owned()
                 }
                 Err(e) if e.is_unsent() => {
                     self.record_forwarding(&offer, ForwardingEnd::Unreachable, &e.to_string());
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -71,7 +71,7 @@
 }
 
 /// Where a stream comes from.
-enum Origin {
+enum Upstream {
     /// A backend server.
     Server(InFlightSend),
     /// Another entry, which judges its own source.
@@ -80,7 +80,7 @@
 
 /// The run that currently produces the stream.
 struct Source {
-    origin: Origin,
+    upstream: Upstream,
     body: Incoming,
     head: ResponseHead,
     lease: Option<ConnectionGuard>,
@@ -107,7 +107,7 @@
             head,
             lease,
         } = pending;
-        Self::respond(dispatch, Origin::Server(choice), response, head, lease)
+        Self::respond(dispatch, Upstream::Server(choice), response, head, lease)
     }
 
     /// Creates the response that relays a stream from another entry.
@@ -120,7 +120,7 @@
         } = answer;
         Self::respond(
             dispatch,
-            Origin::Peer { _send: send },
+            Upstream::Peer { _send: send },
             response,
             head,
             lease,
@@ -129,7 +129,7 @@
 
     fn respond(
         dispatch: Dispatch,
-        origin: Origin,
+        upstream: Upstream,
         response: Response<Incoming>,
         head: ResponseHead,
         lease: ConnectionGuard,
@@ -141,7 +141,7 @@
             dispatch,
             first_event_at: None,
             source: Some(Source {
-                origin,
+                upstream,
                 body,
                 head,
                 lease: Some(lease),
@@ -196,7 +196,7 @@
                 Err(_) if Instant::now() >= deadline => return Step::TimedOut,
                 Err(_) => {
                     let dispatch = &self.dispatch;
-                    let Origin::Server(choice) = &source.origin else {
+                    let Upstream::Server(choice) = &source.upstream else {
                         continue;
                     };
                     let last_response = dispatch.gateway.router().last_response_at(&choice.id);
@@ -217,7 +217,7 @@
                         continue;
                     };
                     let gateway = &self.dispatch.gateway;
-                    if let Origin::Server(choice) = &source.origin {
+                    if let Upstream::Server(choice) = &source.upstream {
                         gateway
                             .router()
                             .record_response(gateway.now(), &choice.id, None);
@@ -239,7 +239,7 @@
         if let Some(lease) = source.lease.take() {
             self.dispatch.return_connection(lease, &source.head);
         }
-        if let Origin::Server(choice) = &mut source.origin {
+        if let Upstream::Server(choice) = &mut source.upstream {
             self.record_event_interval(choice);
             choice.record_outcome(Outcome::Good);
         }
@@ -278,7 +278,7 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        let Origin::Server(mut choice) = source.origin else {
+        let Upstream::Server(mut choice) = source.upstream else {
             return;
         };
         if outcome == Outcome::Silent {
@@ -330,7 +330,7 @@
             return false;
         }
         self.source = Some(Source {
-            origin: Origin::Peer { _send: send },
+            upstream: Upstream::Peer { _send: send },
             body: response.into_body(),
             head,
             lease: Some(lease),
@@ -364,7 +364,7 @@
                     "stream goes on"
                 );
                 self.source = Some(Source {
-                    origin: Origin::Server(choice),
+                    upstream: Upstream::Server(choice),
                     body: response.into_body(),
                     head,
                     lease: Some(lease),
--- a/sesamebeam_core/src/gateway/forwarding.rs
+++ b/sesamebeam_core/src/gateway/forwarding.rs
@@ -47,7 +47,7 @@
 
 /// Other entries that serve requests of this one.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Peers {
+pub(super) struct ForwardingPeers {
     offers: Vec<ForwardingOffer>,
     /// Requests in flight at each.
     in_flight: HashMap<ProcessAddr, usize>,
@@ -55,7 +55,7 @@
     paused_until: HashMap<ProcessAddr, MonoTime>,
 }
 
-impl Peers {
+impl ForwardingPeers {
     /// Sets the offers of other entries.
     pub(super) fn set_offers(&mut self, offers: Vec<ForwardingOffer>) {
         let is_offered = |addr: &ProcessAddr| offers.iter().any(|o| o.addr == *addr);
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -58,7 +58,7 @@
         Forecast,
         fairness::Fairness, //
     },
-    forwarding::Peers,
+    forwarding::ForwardingPeers,
     isolation::Isolation,
     limits::ServerLimits,
     messages::{
@@ -283,7 +283,7 @@
     admission: Admission,
     balancer: LoadBalancer,
     isolation: Isolation,
-    peers: Peers,
+    peers: ForwardingPeers,
     engines: Engines,
     fairness: Fairness,
     budget: RetryBudget,
@@ -317,7 +317,7 @@
             admission: Admission::default(),
             balancer: LoadBalancer::default(),
             isolation: Isolation::default(),
-            peers: Peers::default(),
+            peers: ForwardingPeers::default(),
             cascade: Cascade::default(),
             response_counts: ResponseCounts::default(),
             quarantine: Quarantine::default(),
