--- a/sesamebeam_soak/src/entry_links.rs
+++ b/sesamebeam_soak/src/entry_links.rs
@@ -56,6 +56,7 @@
     sync::watch,
     time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 
 /// How long a connection attempt waits until the queue of a listener counts as full.
 const QUEUE_FULL_AFTER: Duration = Duration::from_millis(50);
@@ -81,11 +82,13 @@
     known: Mutex<[BTreeMap<SocketAddr, SocketAddr>; 2]>,
     /// Addresses of control replicas as the entry knows them.
     replicas: BTreeSet<SocketAddr>,
+    /// Cancelled when nothing listens there any more.
+    ended: CancellationToken,
 }
 
 impl EntryLinks {
-    /// Starts a network on an address of its own, with a proxy for each control replica at
-    /// the first address of each pair.
+    /// Starts a network on an address of its own until it ends, with a proxy for each control
+    /// replica at the first address of each pair.
     ///
     /// # Errors
     ///
@@ -93,6 +96,7 @@
     pub async fn start(
         ip: IpAddr,
         replicas: impl IntoIterator<Item = (SocketAddr, SocketAddr)>,
+        ended: CancellationToken,
     ) -> io::Result<Arc<Self>> {
         let replicas: Vec<_> = replicas.into_iter().collect();
         let links = Arc::new(Self {
@@ -100,17 +104,20 @@
             cut: watch::Sender::new(None),
             known: Mutex::default(),
             replicas: replicas.iter().map(|(near, _)| *near).collect(),
+            ended,
         });
         for (near, far) in replicas {
             let listener = TcpListener::bind(near).await?;
             let links = Arc::clone(&links);
-            tokio::spawn(async move {
+            let ended = links.ended.clone();
+            let accepting = async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let links = Arc::clone(&links);
                     // Either end closing the connection ends it on the other side too.
                     tokio::spawn(async move { links.pass_control(stream, far).await });
                 }
-            });
+            };
+            tokio::spawn(ended.run_until_cancelled_owned(accepting));
         }
         Ok(links)
     }
@@ -191,7 +198,8 @@
         known[0].insert(far, near);
         known[1].insert(near, far);
         drop(known);
-        tokio::spawn(serve(listener, near, far, self.cut.subscribe()));
+        let serving = serve(listener, near, far, self.cut.subscribe());
+        tokio::spawn(self.ended.clone().run_until_cancelled_owned(serving));
         Ok(near)
     }
 
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -33,6 +33,7 @@
         timeout, //
     },
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     entry_links::{
@@ -94,6 +95,8 @@
     started: BTreeMap<Target, u32>,
     /// Network of each entry.
     links: Vec<Arc<EntryLinks>>,
+    /// Cancelled when the daemons have ended.
+    ended: CancellationToken,
 }
 
 impl Fleet {
@@ -111,6 +114,7 @@
             running: BTreeMap::new(),
             started: BTreeMap::new(),
             links: Vec::new(),
+            ended: CancellationToken::new(),
         };
         for entry in 0..ENTRIES {
             let links = fleet.start_links(entry).await?;
@@ -131,7 +135,8 @@
                 SocketAddr::new(far, INTERNAL),
             )
         });
-        EntryLinks::start(self.in_network(entry, SERVERS_HOST), replicas).await
+        let ip = self.in_network(entry, SERVERS_HOST);
+        EntryLinks::start(ip, replicas, self.ended.child_token()).await
     }
 
     /// Returns an address in an entry's network.
@@ -297,6 +302,7 @@
             self.signal(target, Signal::CONT);
             self.kill(target).await;
         }
+        self.ended.cancel();
         // Ports are free again once the system has seen the ends.
         sleep(Duration::from_millis(10)).await;
     }
