--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -242,9 +242,13 @@
         let PeerAnswer {
             send,
             response,
+            head,
             lease,
-            ..
         } = answer;
+        // The other entry knows nothing of the sends from here.
+        if self.may_have_run && head.promises_not_run() {
+            return self.reject_or_fail(None);
+        }
         let (mut parts, body) = response.into_parts();
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let body: Bytes = match timeout_at(self.req.deadline.into(), reading).await {
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -14,6 +14,10 @@
 const TOO_MANY_REQUESTS: u16 = 429;
 const SERVICE_UNAVAILABLE: u16 = 503;
 
+/// Other status codes of a request that has not run.
+const REQUEST_TIMEOUT: u16 = 408;
+const MISDIRECTED_REQUEST: u16 = 421;
+
 /// Id of a request, set by its caller.
 pub type CallId = SmolStr;
 
@@ -145,6 +149,11 @@
         (200..300).contains(&self.status)
     }
 
+    /// Returns whether the status code promises that the request has not run.
+    pub fn promises_not_run(&self) -> bool {
+        self.rejects_for_capacity() || matches!(self.status, REQUEST_TIMEOUT | MISDIRECTED_REQUEST)
+    }
+
     /// Returns whether the status code rejects the request for lack of capacity.
     pub fn rejects_for_capacity(&self) -> bool {
         matches!(self.status, TOO_MANY_REQUESTS | SERVICE_UNAVAILABLE)
