--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -377,14 +377,7 @@
     async fn handle_send_result(&mut self, mut choice: InFlightSend, sent: SendResult) -> NextStep {
         let outcome = match sent {
             SendResult::Unsent(e) => {
-                log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = e; "not sent");
-                let outcome = unsent_outcome(&e);
-                match outcome {
-                    Outcome::Down => self.refused += 1,
-                    _ => self.unsent += 1,
-                }
-                self.tried.push(choice.id.clone());
-                choice.record_outcome(outcome);
+                self.record_unsent(&mut choice, &e);
                 return NextStep::TryNextServer(None);
             }
             SendResult::Answered(response, head, lease) => {
@@ -424,6 +417,18 @@
         self.handle_possible_run(&choice)
     }
 
+    /// Records that nothing could be sent to a backend server.
+    pub(super) fn record_unsent(&mut self, choice: &mut InFlightSend, error: &ClientError) {
+        log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = error; "not sent");
+        let outcome = unsent_outcome(error);
+        match outcome {
+            Outcome::Down => self.refused += 1,
+            _ => self.unsent += 1,
+        }
+        self.tried.push(choice.id.clone());
+        choice.record_outcome(outcome);
+    }
+
     /// Decides how to continue after a failed send whose request may have run.
     fn handle_possible_run(&mut self, choice: &Choice) -> NextStep {
         self.may_have_run = true;
@@ -585,7 +590,7 @@
 }
 
 /// Returns the outcome to record for a backend server to which nothing could be sent.
-pub(super) fn unsent_outcome(error: &ClientError) -> Outcome {
+fn unsent_outcome(error: &ClientError) -> Outcome {
     match error {
         ClientError::Refused(_) => Outcome::Down,
         _ => Outcome::Unreachable,
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -131,7 +131,7 @@
     /// Has another entry serve the request, if no backend server could be reached. Goes on
     /// if none does.
     pub(super) async fn forward(mut self) -> ControlFlow<CallerResponse, Self> {
-        if !self.may_forward() || !self.reached_nobody() {
+        if !self.needs_peer() {
             return ControlFlow::Continue(self);
         }
         if self.sends > 0 && !self.try_spend_retry() {
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Returns whether the request may be forwarded and no backend server could be reached.
+    pub(super) fn needs_peer(&self) -> bool {
+        self.may_forward() && self.reached_nobody()
+    }
+
     /// Returns whether no backend server could be reached.
     fn reached_nobody(&self) -> bool {
         let is_isolated = self.gateway.router().is_isolated(&self.plan.service);
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -32,8 +32,7 @@
 use super::{
     dispatch::{
         Dispatch,
-        PendingResponse,
-        unsent_outcome, //
+        PendingResponse, //
     },
     event_splitter::EventSplitter,
     forwarding::{
@@ -86,6 +85,16 @@
     lease: Option<ConnectionGuard>,
 }
 
+/// Result of an attempt to resume a stream.
+enum Resumption {
+    /// The stream goes on.
+    Resumed,
+    /// Nothing was sent.
+    Unsent,
+    /// The attempt failed, or the backend server rejected it.
+    Failed,
+}
+
 /// Result of reading from the source.
 enum Step {
     /// Complete events.
@@ -298,20 +307,25 @@
         if !self.dispatch.plan.route.resumable {
             return false;
         }
-        loop {
-            if !self.dispatch.has_attempts_left() || !self.dispatch.try_spend_retry() {
+        let mut is_charged = false;
+        while self.dispatch.has_attempts_left() {
+            if !is_charged && !self.dispatch.try_spend_retry() {
                 return false;
             }
+            is_charged = true;
             if self.dispatch.prefers_peer() {
-                return self.resume_at_peer().await;
+                break;
             }
             let Ok(choice) = self.dispatch.choose() else {
-                return false;
+                break;
             };
-            if self.resume_at(choice).await {
-                return true;
+            match self.resume_at(choice).await {
+                Resumption::Resumed => return true,
+                Resumption::Unsent => {}
+                Resumption::Failed => is_charged = false,
             }
         }
+        is_charged && self.dispatch.needs_peer() && self.resume_at_peer().await
     }
 
     /// Resumes the stream through another entry; the retry budget was already charged.
@@ -338,7 +352,7 @@
         true
     }
 
-    async fn resume_at(&mut self, mut choice: InFlightSend) -> bool {
+    async fn resume_at(&mut self, mut choice: InFlightSend) -> Resumption {
         let dispatch = &self.dispatch;
         let last_event = self.events.last_id();
         let model = dispatch.model.clone();
@@ -369,20 +383,23 @@
                     head,
                     lease: Some(lease),
                 });
-                return true;
+                return Resumption::Resumed;
+            }
+            SendResult::Unsent(e) => {
+                self.dispatch.record_unsent(&mut choice, &e);
+                return Resumption::Unsent;
             }
             SendResult::Answered(_, head, _) if head.not_run || head.misdirected => {
                 Outcome::Refused
             }
             SendResult::Answered(..) | SendResult::ConnectionFailed(_) => Outcome::Failed,
-            SendResult::Unsent(e) => unsent_outcome(&e),
             SendResult::ServerSilent => Outcome::Silent,
             SendResult::TimedOut => Outcome::Dropped,
         };
         self.dispatch.sends += 1;
         choice.record_outcome(outcome);
         self.dispatch.tried.push(choice.id.clone());
-        false
+        Resumption::Failed
     }
 
     fn log(&self, message: &str) {
