--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -57,6 +57,7 @@
     reload_at_start = { "1000-reload-at-start", 204 },
     reload_at_start_and_kill = { "2008-reload-at-start", 206 },
     reload_at_start_again = { "2022-reload-at-start", 205 },
+    not_run_after_forwarding = { "9037-not-run-after-forwarding", 211 },
 )]
 fn failed_once(name: &str, slot: u8) {
     let file = format!("{}/tests/seeds/{name}.toml", env!("CARGO_MANIFEST_DIR"));
