--- a/sesamebeam_core/src/gateway/coordinator/forwarding.rs
+++ b/sesamebeam_core/src/gateway/coordinator/forwarding.rs
@@ -5,7 +5,6 @@
 //! that need others is spread over all.
 
 use std::{
-    cmp::Reverse,
     collections::BTreeMap,
     time::Duration, //
 };
@@ -62,16 +61,27 @@
         self.told.remove(&entry);
     }
 
-    /// Returns what followers are to be told now.
+    /// Returns what followers are to be told now: the offers that follow them in the order of
+    /// hashes, those of entries that reach all services first. Their cost grows with the
+    /// number of entries alone, and each offer is told to about as many followers.
     fn take_due(&mut self, now: MonoTime) -> Vec<(EntryId, Vec<ForwardingOffer>)> {
         if !self.is_changed || now < self.updated_at + UPDATE_INTERVAL {
             return Vec::new();
         }
         self.is_changed = false;
         self.updated_at = now;
+        let (sound, isolated): (Vec<_>, Vec<_>) = self
+            .offers
+            .iter()
+            .partition(|(_, offer)| offer.isolated_from.is_empty());
+        let (sound, isolated) = (Ring::new(sound), Ring::new(isolated));
         let mut due = Vec::new();
         for (follower, told) in &mut self.told {
-            let offers = selection(&self.offers, *follower);
+            let others = sound.after(*follower).chain(isolated.after(*follower));
+            let mut offers: Vec<_> = others.take(MAX_OFFERS).collect();
+            // The order of ids keeps equal selections equal.
+            offers.sort_unstable_by_key(|(entry, _)| *entry);
+            let offers: Vec<_> = offers.into_iter().map(|(_, o)| o.clone()).collect();
             if *told != offers {
                 told.clone_from(&offers);
                 due.push((*follower, offers));
@@ -81,27 +91,30 @@
     }
 }
 
-/// Returns the offers that a follower is told: those of entries that reach all services
-/// come first.
-fn selection(
-    offers: &BTreeMap<EntryId, ForwardingOffer>,
-    follower: EntryId,
-) -> Vec<ForwardingOffer> {
-    let rank = |(entry, offer): &(&EntryId, &ForwardingOffer)| {
-        let key = [follower.to_le_bytes(), entry.to_le_bytes()].concat();
-        (offer.isolated_from.len(), Reverse(hash::name(&key)))
-    };
-    let mut others: Vec<_> = offers
-        .iter()
-        .filter(|(entry, _)| **entry != follower)
-        .collect();
-    if others.len() > MAX_OFFERS {
-        others.select_nth_unstable_by_key(MAX_OFFERS, rank);
-        others.truncate(MAX_OFFERS);
+/// Offers in the order of the hashes of their entries.
+struct Ring<'a>(Vec<(u64, EntryId, &'a ForwardingOffer)>);
+
+impl<'a> Ring<'a> {
+    fn new(offers: impl IntoIterator<Item = (&'a EntryId, &'a ForwardingOffer)>) -> Self {
+        let place = |(entry, offer): (&EntryId, &'a ForwardingOffer)| (hash(*entry), *entry, offer);
+        let mut places: Vec<_> = offers.into_iter().map(place).collect();
+        places.sort_unstable_by_key(|(hash, entry, _)| (*hash, *entry));
+        Self(places)
+    }
+
+    /// Returns the offers of other entries, beginning after the hash of a follower.
+    fn after(&self, follower: EntryId) -> impl Iterator<Item = (EntryId, &'a ForwardingOffer)> {
+        let from = hash(follower);
+        let first = self.0.partition_point(|(hash, ..)| *hash <= from);
+        let (before, after) = self.0.split_at(first);
+        let places = after.iter().chain(before);
+        let others = places.filter(move |(_, entry, _)| *entry != follower);
+        others.map(|(_, entry, offer)| (*entry, *offer))
     }
-    // The order of ids keeps equal selections equal.
-    others.sort_unstable_by_key(|(entry, _)| **entry);
-    others.into_iter().map(|(_, offer)| offer.clone()).collect()
+}
+
+fn hash(entry: EntryId) -> u64 {
+    hash::name(&entry.to_le_bytes())
 }
 
 impl Coordinator {
