Tell in the soak which entry sent what to a backend server

What a backend server asks of an entry, or says about leaving, was held against the entry of the request's caller. Connections now come from an address of the sending entry's network, so that these checks hold during cuts too, where they were off.

--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -61,9 +61,6 @@
 const FAILED_SLACK: u32 = 10;
 const FAILED_ONE_IN: u32 = 50;
 
-/// Time after a cut in which what entries sent for each other has arrived.
-const CUT_OVER_IN_MS: u64 = 5000;
-
 /// Everything that was seen in one run.
 #[derive(Debug)]
 pub struct Books {
@@ -123,6 +120,8 @@
     served: BTreeMap<&'static str, Served>,
     /// When a fault last hit each entry, or ended.
     disturbed: BTreeMap<usize, Instant>,
+    /// Entry that sent each request to a backend server.
+    senders: BTreeMap<String, usize>,
     /// First tries of callers.
     tries: Vec<Try>,
     /// Times at which an entry was cut from all backend servers.
@@ -185,13 +184,6 @@
 }
 
 impl Inner {
-    /// Returns whether entries may pass requests on for one that is cut, or have just
-    /// done so: who sent what reaches a backend server isn't known then.
-    fn is_cut(&self, now_ms: u64) -> bool {
-        let is_recent = |cut: &CutSpan| cut.to_ms.is_none_or(|to| now_ms < to + CUT_OVER_IN_MS);
-        self.cuts.iter().any(is_recent)
-    }
-
     /// Returns a line for each organisation whose callers got much less than others.
     fn starved(&self) -> Vec<String> {
         let answered = |name: &str| self.served.get(name).map_or(0, |s| s.answered) as f64;
@@ -347,8 +339,6 @@
             to_ms: None,
             is_overlapped,
         });
-        inner.pauses.clear();
-        inner.told_leaving.clear();
     }
 
     /// Notes that the cut of an entry ends.
@@ -382,11 +372,7 @@
 
     /// Notes that a life turns an entry away and asks it for a pause.
     pub fn asked_pause(&self, entry: usize, life: &str, lasts: Duration) {
-        let now_ms = self.now_ms();
         let mut inner = self.lock();
-        if inner.is_cut(now_ms) {
-            return;
-        }
         inner
             .pauses
             .retain(|pause| pause.asked_at.elapsed() < pause.lasts);
@@ -403,16 +389,20 @@
     pub fn told_leaving(&self, entry: usize, life: &str) {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
-        if inner.is_cut(now_ms) {
-            return;
-        }
         let told = inner.told_leaving.entry((entry, life.to_owned()));
         told.or_insert(now_ms);
     }
 
-    /// Notes that a request of an entry, which a caller sent then, reached a life.
-    pub fn reached(&self, entry: usize, life: &str, sent_ms: u64) {
+    /// Returns the entry that sent a request to a backend server last: another one than its
+    /// caller's, if it was forwarded.
+    pub fn sender(&self, id: &str) -> Option<usize> {
+        self.lock().senders.get(id).copied()
+    }
+
+    /// Notes that a request, which a caller sent then, reached a life from an entry.
+    pub fn reached(&self, id: &str, entry: usize, life: &str, sent_ms: u64) {
         let mut inner = self.lock();
+        inner.senders.insert(id.to_owned(), entry);
         let mut broken = Vec::new();
         for pause in &mut inner.pauses {
             pause.came += usize::from(pause.counts(entry, life));
--- a/sesamebeam_soak/src/callers.rs
+++ b/sesamebeam_soak/src/callers.rs
@@ -120,8 +120,8 @@
             return false;
         }
     };
-    if let Some(entry) = entry_of(id) {
-        note_headers(response.headers(), entry, books);
+    if let Some(sender) = books.sender(id) {
+        note_headers(response.headers(), sender, books);
     }
     let status = response.status().as_u16();
     if status != 200 {
@@ -168,7 +168,7 @@
     built.ok()
 }
 
-/// Notes what an entry has passed on of what its backend server says.
+/// Notes what was passed on of what a backend server has said to the entry that sent there.
 fn note_headers(headers: &HeaderMap, entry: usize, books: &Books) {
     if headers.contains_key(LIMIT_HEADER) {
         books.told_limit(entry);
--- a/sesamebeam_soak/src/entry_links.rs
+++ b/sesamebeam_soak/src/entry_links.rs
@@ -258,9 +258,24 @@
     Ok((listener, queued))
 }
 
+/// Opens a connection from an address of this machine.
+///
+/// # Errors
+///
+/// Fails if the address cannot be used or the connection cannot be opened.
+pub async fn connect_from(ip: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(ip, 0))?;
+    socket.connect(to).await
+}
+
 /// Passes bytes until either end closes or the connection is reset.
 async fn pass(near: TcpStream, far: SocketAddr, cut: watch::Receiver<Option<Cut>>) {
-    let Ok(mut far) = TcpStream::connect(far).await else {
+    // The address of the network tells a backend server which entry sends.
+    let Ok(from) = near.local_addr() else {
+        return;
+    };
+    let Ok(mut far) = connect_from(from.ip(), far).await else {
         return;
     };
     let mut near = near;
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -349,6 +349,16 @@
     }
 }
 
+/// Returns the entry in whose network an address is.
+pub fn entry_at(addr: SocketAddr) -> Option<usize> {
+    let IpAddr::V4(ip) = addr.ip() else {
+        return None;
+    };
+    let [_, _, network, _] = ip.octets();
+    let entry = network.checked_sub(FIRST_NETWORK).map(usize::from);
+    entry.filter(|entry| *entry < ENTRIES)
+}
+
 /// Returns all daemons of a run.
 pub fn targets() -> impl Iterator<Item = Target> {
     let replicas = (0..REPLICAS).map(Target::Replica);
--- a/sesamebeam_soak/src/proxy.rs
+++ b/sesamebeam_soak/src/proxy.rs
@@ -22,6 +22,8 @@
     time::sleep,
 };
 
+use crate::entry_links;
+
 /// Delay of a slow connection, for each piece that passes.
 const DELAY: Duration = Duration::from_millis(120);
 
@@ -71,7 +73,10 @@
     if *mode.borrow() == Mode::Reset {
         return;
     }
-    let Ok(far) = TcpStream::connect(to).await else {
+    let Ok(from) = near.peer_addr() else {
+        return;
+    };
+    let Ok(far) = entry_links::connect_from(from.ip(), to).await else {
         return;
     };
     let (near_rx, near_tx) = near.into_split();
--- a/sesamebeam_soak/src/server.rs
+++ b/sesamebeam_soak/src/server.rs
@@ -43,7 +43,8 @@
 
 use crate::{
     books::Books,
-    callers, //
+    callers,
+    fleet, //
 };
 
 /// Backend server whose failure domain is evacuated at times.
@@ -153,12 +154,13 @@
                 () = ended.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
-            let Ok((stream, _)) = accepted else {
+            let Ok((stream, from)) = accepted else {
                 return;
             };
             let answer = answer.clone();
             tokio::spawn(async move {
-                let service = service_fn(move |req| {
+                let service = service_fn(move |mut req: Request<Incoming>| {
+                    req.extensions_mut().insert(from);
                     let answered = answer(req);
                     async move { Ok::<_, Infallible>(answered.await) }
                 });
@@ -187,9 +189,10 @@
             books.broke(format!("request {id} came with {secret}"));
         }
     }
-    if let Some(entry) = callers::entry_of(&id) {
+    let sender = req.extensions().get().copied().and_then(fleet::entry_at);
+    if let Some(entry) = sender.filter(|_| callers::entry_of(&id).is_some()) {
         let sent_ms = text(SENT_HEADER).parse().unwrap_or(0);
-        books.reached(entry, &life.id, sent_ms);
+        books.reached(&id, entry, &life.id, sent_ms);
         if let Some(pause) = life.pause() {
             books.asked_pause(entry, &life.id, pause);
             return turn_away(pause, &id, None);
@@ -199,7 +202,7 @@
         books.reached_evacuated(&id);
     }
     if life.id == LIMITED {
-        books.reached_limited(callers::entry_of(&id));
+        books.reached_limited(sender);
     }
     let body = if path.starts_with("/notes/") {
         events(after.parse().unwrap_or(0))
