Log how far an answer had come when its backend server went down

The line "backend server went down" now has the parts of the prompt, and whether the head or a part of the body of the answer had come. No decision changes.

--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -26,7 +26,10 @@
         escalation::Judgement,
         progress::Progress, //
     },
-    request::ResponseHead,
+    request::{
+        AnswerStage,
+        ResponseHead, //
+    },
     router::{
         Choice,
         ChooseError,
@@ -395,7 +398,8 @@
                     id:% = self.req.head.id, server:% = choice.id, why = error;
                     "send broke off"
                 );
-                self.gateway.check_for_crash(&self.req, &choice);
+                self.gateway
+                    .check_for_crash(&self.req, &choice, AnswerStage::Awaited);
                 Outcome::Failed
             }
             SendResult::ServerSilent => {
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -23,6 +23,7 @@
     gateway::{
         backoff::Backoff,
         request::{
+            AnswerStage,
             Head,
             Outgoing,
             ResponseHead, //
@@ -266,16 +267,24 @@
     /// Checks whether a backend server crashed while it ran a request: a terminated
     /// process refuses connections, while one that only closed the connection accepts
     /// them.
-    pub(super) fn check_for_crash(self: &Arc<Self>, req: &BufferedRequest, choice: &Choice) {
+    pub(super) fn check_for_crash(
+        self: &Arc<Self>,
+        req: &BufferedRequest,
+        choice: &Choice,
+        stage: AnswerStage,
+    ) {
         let gateway = Arc::clone(self);
         let (fingerprint, choice) = (req.fingerprint, choice.clone());
-        let id = req.head.id.clone();
+        let (id, prompt) = (req.head.id.clone(), req.head.prompt.clone());
         tokio::spawn(async move {
             let connected = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(choice.addr)).await;
             if let Ok(Err(e)) = connected
                 && e.kind() == ErrorKind::ConnectionRefused
             {
-                log::info!(id:% = id, server:% = choice.id; "backend server went down");
+                log::info!(
+                    id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt;
+                    "backend server went down"
+                );
                 gateway.router().record_crash(fingerprint, &choice);
             }
         });
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -25,7 +25,10 @@
 };
 use sesamebeam_core::gateway::{
     balance::Outcome,
-    request::ResponseHead, //
+    request::{
+        AnswerStage,
+        ResponseHead, //
+    },
 };
 use tokio::time::timeout_at;
 
@@ -173,8 +176,8 @@
                     return Ok(None);
                 }
                 Step::Interrupted(outcome) => {
-                    self.first_event_at = None;
                     self.end_source(outcome);
+                    self.first_event_at = None;
                     if !self.resume().await {
                         self.dispatch.record_end(RequestEnd::StreamBroken);
                         self.log("stream broke off");
@@ -294,8 +297,14 @@
             self.dispatch.gateway.client.retire(choice.addr);
         }
         if outcome == Outcome::Failed {
+            let stage = match self.first_event_at {
+                Some(_) => AnswerStage::UnderWay,
+                None => AnswerStage::Begun,
+            };
             let dispatch = &self.dispatch;
-            dispatch.gateway.check_for_crash(&dispatch.req, &choice);
+            dispatch
+                .gateway
+                .check_for_crash(&dispatch.req, &choice, stage);
         }
         choice.record_outcome(outcome);
         self.dispatch.tried.push(choice.id.clone());
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -110,6 +110,17 @@
     }
 }
 
+/// How far the answer to a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerStage {
+    /// Nothing of it has come.
+    Awaited,
+    /// Its head has come.
+    Begun,
+    /// A part of its body has come.
+    UnderWay,
+}
+
 /// Contents of a response head.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
