--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -164,6 +164,8 @@
     BackedOffServers,
     /// Number of services none of whose backend servers this entry reaches.
     IsolatedServices,
+    /// Number of prompt parts, or of sets of them, that are refused.
+    FatalParts,
     /// Whether any service is scheduled by engine time.
     EngineTime,
     /// Number of organisations that use more than their share of engine time.
@@ -198,6 +200,8 @@
     forecast_error: Histogram,
     organisations_ahead: Gauge,
     engine_refusals: Counter,
+    quarantine_refusals: Counter,
+    fatal_parts: Gauge,
     loop_delay: Gauge,
 }
 
@@ -229,6 +233,8 @@
             forecast_error: histogram(),
             organisations_ahead: Gauge::default(),
             engine_refusals: Counter::default(),
+            quarantine_refusals: Counter::default(),
+            fatal_parts: Gauge::default(),
             loop_delay: Gauge::default(),
         };
         exposition.register();
@@ -248,6 +254,11 @@
         self.engine_refusals.inc();
     }
 
+    /// Records a request that was refused because it crashes backend servers.
+    pub fn record_quarantine_refusal(&self) {
+        self.quarantine_refusals.inc();
+    }
+
     /// Records a finished send.
     pub fn record_send(&self, end: SendEnd) {
         self.sends.get_or_create(&SendLabels { end }).inc();
@@ -313,6 +324,7 @@
             GaugeKind::LimitedServers => self.limited.set(value),
             GaugeKind::BackedOffServers => self.backed_off.set(value),
             GaugeKind::IsolatedServices => self.isolated.set(value),
+            GaugeKind::FatalParts => self.fatal_parts.set(value),
             GaugeKind::EngineTime => self.engine_time.set(value),
             GaugeKind::OrganisationsAhead => self.organisations_ahead.set(value),
             GaugeKind::LoopDelay => self.loop_delay.set(value),
@@ -441,6 +453,16 @@
             "Organisations that use more than their share of engine time",
             self.organisations_ahead.clone(),
         );
+        registry.register(
+            "quarantine_refusals",
+            "Requests refused because they crash backend servers",
+            self.quarantine_refusals.clone(),
+        );
+        registry.register(
+            "fatal_parts",
+            "Sets of prompt parts for which requests are refused",
+            self.fatal_parts.clone(),
+        );
         registry.register(
             "engine_refusals",
             "Requests refused because no engine could complete them in time",
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -111,7 +111,7 @@
         }
     };
     let admitted = admit(&gateway, &head, received_at).await;
-    let plan = match admitted {
+    let mut plan = match admitted {
         Ok(plan) => plan,
         Err(refusal) => return reject(&gateway, &head.id, refusal),
     };
@@ -136,10 +136,10 @@
             return response::empty_and_close(status);
         }
     };
-    let fingerprint = send::fingerprint(&head, &body);
+    plan.identify(send::fingerprint(&head, &body));
     // A guard in the condition of an `if let` lives until the end of its body, where
     // `reject` takes the same lock. Without this binding, the whole entry deadlocks.
-    let checked = gateway.router().check_fingerprint(fingerprint);
+    let checked = gateway.router().check_quarantine(&plan);
     if let Err(refusal) = checked {
         return reject(&gateway, &head.id, refusal);
     }
@@ -149,7 +149,6 @@
         head,
         parts,
         body,
-        fingerprint,
         received_at,
         deadline,
     };
@@ -207,9 +206,11 @@
         .record_request(RequestEnd::Refused, Duration::ZERO);
     match refusal {
         Refusal::NoConfig => response::retry_after_startup(),
-        Refusal::Quarantined | Refusal::ShortOfCapacity => {
-            response::retry_later(StatusCode::SERVICE_UNAVAILABLE)
+        Refusal::Quarantined => {
+            gateway.metrics.record_quarantine_refusal();
+            response::quarantined()
         }
+        Refusal::ShortOfCapacity => response::retry_later(StatusCode::SERVICE_UNAVAILABLE),
         Refusal::CannotComplete { after } => {
             gateway.metrics.record_engine_refusal();
             response::retry_after(StatusCode::SERVICE_UNAVAILABLE, after)
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -28,8 +28,10 @@
     forwarding::ForwardingOffer,
     limits::LimitOf,
     messages::{
+        FatalParts,
         FromEntry,
         Hello,
+        PartSuspicion,
         Report,
         ToEntry, //
     },
@@ -274,13 +276,18 @@
             let held = self.gateway.router().sync_state();
             match action {
                 SubscriptionAction::Follow(addr) => {
-                    self.send(addr, FromEntry::Follow(held));
-                    let ages = self.gateway.router().rollout_ages(now);
-                    let report = Report {
-                        rollout_ages: ages,
-                        ..Report::default()
+                    // A replica that has just started learns the fatal parts before it tells
+                    // this entry which it knows.
+                    let report = {
+                        let router = self.gateway.router();
+                        Report {
+                            rollout_ages: router.rollout_ages(now),
+                            fatal_parts: router.fatal_parts(now),
+                            ..Report::default()
+                        }
                     };
-                    self.send(addr, FromEntry::Report(report));
+                    self.send(addr, FromEntry::Report(Box::new(report)));
+                    self.send(addr, FromEntry::Follow(held));
                 }
                 SubscriptionAction::Unfollow(addr) => self.send(addr, FromEntry::Unfollow),
                 SubscriptionAction::Ask(addr) => self.send(addr, FromEntry::RequestUpdate(held)),
@@ -315,9 +322,21 @@
         let Some(followed) = self.subscription.followed() else {
             return;
         };
+        self.request_probes();
         let report = gateway.router().take_report(now);
         if !report.is_empty() {
-            self.send(followed, FromEntry::Report(report));
+            self.send(followed, FromEntry::Report(Box::new(report)));
+        }
+    }
+
+    /// Asks whether a request with fatal prompt parts may be sent. Only the leader answers.
+    fn request_probes(&self) {
+        let now = self.gateway.now();
+        let requests = self.gateway.router().take_probe_requests(now);
+        for known in requests {
+            for addr in self.queues.keys() {
+                self.send(*addr, FromEntry::RequestProbe(known.clone()));
+            }
         }
     }
 
@@ -444,6 +463,13 @@
             }
             ToEntry::Limits(limits) => self.apply_limits(addr, &limits),
             ToEntry::Unreachable(reports) => gateway.router().apply_unreachable(now, &reports),
+            ToEntry::FatalParts { fatal, suspected } => {
+                self.apply_fatal_parts(addr, fatal, suspected)
+            }
+            ToEntry::ProbeAllowed(parts) => {
+                log::info!(replica:% = addr, parts:? = parts; "one request with fatal parts allowed");
+                gateway.router().allow_probe(&parts);
+            }
             ToEntry::Quarantined(fingerprints) => gateway.router().set_quarantined(fingerprints),
             ToEntry::RetainedSessions(sessions, all) => {
                 gateway.router().pin_sessions(now, &sessions, all)
@@ -473,6 +499,28 @@
         self.gateway.state_changed.notify_waiters();
     }
 
+    fn apply_fatal_parts(
+        &self,
+        from: SocketAddr,
+        fatal: Vec<FatalParts>,
+        suspected: Vec<PartSuspicion>,
+    ) {
+        let gateway = &self.gateway;
+        let (told, suspected_count) = (fatal.clone(), suspected.len());
+        let changed = gateway
+            .router()
+            .set_fatal_parts(gateway.now(), fatal, suspected);
+        if changed {
+            log::warn!(
+                replica:% = from, fatal:? = told, suspected = suspected_count;
+                "fatal prompt parts learned"
+            );
+            gateway
+                .metrics
+                .set_gauge(GaugeKind::FatalParts, told.len() as u64);
+        }
+    }
+
     fn apply_limits(&self, from: SocketAddr, limits: &[LimitOf]) {
         let now = self.gateway.now();
         let mut router = self.gateway.router();
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -26,6 +26,7 @@
         escalation::Judgement,
         progress::Progress, //
     },
+    quarantine::FailedSend,
     request::{
         AnswerStage,
         ResponseHead, //
@@ -276,6 +277,11 @@
             self.record_end(RequestEnd::Unknown);
             return response::empty(status);
         }
+        if !self.gateway.router().may_run(&self.plan) {
+            self.gateway.metrics.record_quarantine_refusal();
+            self.record_end(RequestEnd::Refused);
+            return response::quarantined();
+        }
         if !self.origin.is_caller() && self.unsent + self.refused > 0 && !self.found_full_server {
             return forwarding::decline(&self.gateway, "no backend server could be reached");
         }
@@ -398,8 +404,7 @@
                     id:% = self.req.head.id, server:% = choice.id, why = error;
                     "send broke off"
                 );
-                self.gateway
-                    .check_for_crash(&self.req, &choice, AnswerStage::Awaited);
+                self.check_for_crash(&choice, AnswerStage::Awaited);
                 Outcome::Failed
             }
             SendResult::ServerSilent => {
@@ -421,6 +426,14 @@
         self.handle_possible_run(&choice)
     }
 
+    /// Checks whether a backend server crashed while it ran the request.
+    pub(super) fn check_for_crash(&self, choice: &InFlightSend, stage: AnswerStage) {
+        let sent_at = self.gateway.now().saturating_sub(choice.elapsed());
+        let failed = FailedSend { sent_at, stage };
+        self.gateway
+            .check_for_crash(&self.req, &self.plan, choice, failed);
+    }
+
     /// Records that nothing could be sent to a backend server.
     pub(super) fn record_unsent(&mut self, choice: &mut InFlightSend, error: &ClientError) {
         log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = error; "not sent");
@@ -553,6 +566,9 @@
                     Outcome::Failed
                 };
                 log::info!(id:% = self.req.head.id, server:% = choice.id; "answer broke off");
+                if outcome == Outcome::Failed {
+                    self.check_for_crash(&choice, AnswerStage::Begun);
+                }
                 choice.record_outcome(outcome);
                 return self.handle_possible_run(&choice);
             }
@@ -571,7 +587,8 @@
         if !failed {
             let mut router = self.gateway.router();
             router.record_first_byte(&self.plan, &choice, None, choice.elapsed());
-            router.record_completion(self.req.fingerprint);
+            router.record_completion(&self.plan);
+            router.record_event(self.gateway.now(), &self.plan);
         }
         choice.record_outcome(outcome);
         log::info!(
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -122,10 +122,14 @@
         self.may_forward() && self.gateway.router().is_isolated(&self.plan.service)
     }
 
-    /// Returns whether the request may be forwarded: it came from a caller and may run.
+    /// Returns whether the request may be forwarded: it came from a caller, may run, and
+    /// crashes no backend servers.
     fn may_forward(&self) -> bool {
         let may_run = !self.may_have_run || self.is_repeatable();
-        self.origin.is_caller() && may_run && self.has_time_and_sends_left()
+        self.origin.is_caller()
+            && may_run
+            && self.has_time_and_sends_left()
+            && self.gateway.router().may_run(&self.plan)
     }
 
     /// Has another entry serve the request, if no backend server could be reached. Goes on
--- a/sesamebeam/src/gateway/response.rs
+++ b/sesamebeam/src/gateway/response.rs
@@ -83,6 +83,16 @@
     response
 }
 
+/// Creates a response that rejects a request because it crashes backend servers.
+pub(super) fn quarantined() -> CallerResponse {
+    let mut response = retry_later(StatusCode::SERVICE_UNAVAILABLE);
+    let text = Bytes::from_static(b"request crashes backend servers\n");
+    *response.body_mut() = full_body(text);
+    let plain = header::HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
 /// Creates an empty response after which the connection is closed.
 pub(super) fn empty_and_close(status: StatusCode) -> CallerResponse {
     let mut response = empty(status);
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -22,8 +22,8 @@
 use sesamebeam_core::{
     gateway::{
         backoff::Backoff,
+        quarantine::FailedSend,
         request::{
-            AnswerStage,
             Head,
             Outgoing,
             ResponseHead, //
@@ -85,8 +85,6 @@
     pub(super) parts: request::Parts,
     /// Request body.
     pub(super) body: Bytes,
-    /// Hash of its path, caller and body.
-    pub(super) fingerprint: Digest,
     /// When the request was received.
     pub(super) received_at: Instant,
     /// Deadline: the earlier of the caller's and that of the route.
@@ -270,11 +268,13 @@
     pub(super) fn check_for_crash(
         self: &Arc<Self>,
         req: &BufferedRequest,
+        plan: &Arc<Plan>,
         choice: &Choice,
-        stage: AnswerStage,
+        failed: FailedSend,
     ) {
         let gateway = Arc::clone(self);
-        let (fingerprint, choice) = (req.fingerprint, choice.clone());
+        let noticed_at = self.now();
+        let (plan, choice) = (Arc::clone(plan), choice.clone());
         let (id, prompt) = (req.head.id.clone(), req.head.prompt.clone());
         tokio::spawn(async move {
             let connected = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(choice.addr)).await;
@@ -282,10 +282,12 @@
                 && e.kind() == ErrorKind::ConnectionRefused
             {
                 log::info!(
-                    id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt;
+                    id:% = id, server:% = choice.id, answer:? = failed.stage, prompt:? = prompt;
                     "backend server went down"
                 );
-                gateway.router().record_crash(fingerprint, &choice);
+                gateway
+                    .router()
+                    .record_crash(noticed_at, &plan, &choice, failed);
             }
         });
     }
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -168,7 +168,7 @@
         loop {
             match self.step().await {
                 Step::Data(data) => {
-                    self.first_event_at.get_or_insert_with(Instant::now);
+                    self.record_first_event();
                     return Ok(Some((Frame::data(data), self)));
                 }
                 Step::Complete => {
@@ -194,6 +194,15 @@
         }
     }
 
+    /// Records the first events of the current run.
+    fn record_first_event(&mut self) {
+        if self.first_event_at.is_none() {
+            self.first_event_at = Some(Instant::now());
+            let (gateway, plan) = (&self.dispatch.gateway, &self.dispatch.plan);
+            gateway.router().record_event(gateway.now(), plan);
+        }
+    }
+
     async fn step(&mut self) -> Step {
         let Some(source) = &mut self.source else {
             return Step::Interrupted(Outcome::Dropped);
@@ -255,11 +264,8 @@
             self.record_event_interval(choice);
             choice.record_outcome(Outcome::Good);
         }
-        let fingerprint = self.dispatch.req.fingerprint;
-        self.dispatch
-            .gateway
-            .router()
-            .record_completion(fingerprint);
+        let dispatch = &self.dispatch;
+        dispatch.gateway.router().record_completion(&dispatch.plan);
         self.dispatch.record_end(RequestEnd::StreamComplete);
         self.log("stream complete");
     }
@@ -302,9 +308,7 @@
                 None => AnswerStage::Begun,
             };
             let dispatch = &self.dispatch;
-            dispatch
-                .gateway
-                .check_for_crash(&dispatch.req, &choice, stage);
+            dispatch.check_for_crash(&choice, stage);
         }
         choice.record_outcome(outcome);
         self.dispatch.tried.push(choice.id.clone());
@@ -401,7 +405,11 @@
             SendResult::Answered(_, head, _) if head.not_run || head.misdirected => {
                 Outcome::Refused
             }
-            SendResult::Answered(..) | SendResult::ConnectionFailed(_) => Outcome::Failed,
+            SendResult::Answered(..) => Outcome::Failed,
+            SendResult::ConnectionFailed(_) => {
+                self.dispatch.check_for_crash(&choice, AnswerStage::Awaited);
+                Outcome::Failed
+            }
             SendResult::ServerSilent => Outcome::Silent,
             SendResult::TimedOut => Outcome::Dropped,
         };
--- a/sesamebeam/src/group/internal_server.rs
+++ b/sesamebeam/src/group/internal_server.rs
@@ -150,7 +150,8 @@
                     Event::SectionsRequested(entry_id, sections)
                 }
                 FromEntry::Servers(servers) => Event::Servers(servers),
-                FromEntry::Report(report) => Event::EntryReported(report),
+                FromEntry::Report(report) => Event::EntryReported(*report),
+                FromEntry::RequestProbe(known) => Event::ProbeRequested(entry_id, known),
                 FromEntry::OfferForwarding(offer) => Event::ForwardingOffered(entry_id, offer),
                 FromEntry::Heartbeat => continue,
             };
--- a/sesamebeam/src/group/log_events.rs
+++ b/sesamebeam/src/group/log_events.rs
@@ -53,6 +53,12 @@
             );
         }
         LogEvent::Doubts(doubts) => log::info!(doubts:? = doubts; "backend servers doubted"),
+        LogEvent::FatalParts(fatal) => {
+            log::warn!(fatal:? = fatal; "prompt parts that crash backend servers")
+        }
+        LogEvent::FatalPartsProbed(parts) => {
+            log::info!(parts:? = parts; "one request with fatal prompt parts allowed")
+        }
         LogEvent::Limits(limits) => log::info!(limits:? = limits; "backend servers limited"),
         LogEvent::Shares(shares) => log::info!(shares:? = shares; "services short of capacity"),
         LogEvent::DiskStalled(true) => log::warn!("disk stalls"),
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -6,6 +6,7 @@
 //! accepts announcements and forwards them, but makes no decisions.
 
 mod announce;
+mod crash_reports;
 mod forwarding;
 mod group;
 mod placement;
@@ -47,6 +48,7 @@
         Directory,
         ServerState, //
     },
+    fatal_parts::CrashesByPart,
     forwarding::ForwardingOffer,
     limits::{
         KnownLimits,
@@ -55,6 +57,7 @@
     loads::Loads,
     messages::{
         CoordinatorMessage,
+        FatalParts,
         MembershipReply,
         MembershipRequest,
         Report,
@@ -66,6 +69,7 @@
         Doubt,
         OutlierDetector, //
     },
+    request::PartId,
     rollout::{
         Phase,
         ResponseSummary, //
@@ -158,6 +162,8 @@
     Servers(Vec<Announcement>),
     /// An entry has reported its observations.
     EntryReported(Report),
+    /// An entry asks whether it may send one request with these fatal prompt parts.
+    ProbeRequested(EntryId, FatalParts),
     /// An entry offers to serve requests of other entries, or no longer does.
     ForwardingOffered(EntryId, Option<ForwardingOffer>),
     /// A non-member process has sent a membership request.
@@ -283,6 +289,10 @@
     Shares(Vec<ShareOf>),
     /// Backend servers that fail more often than the average of their service.
     Doubts(Vec<Doubt>),
+    /// Prompt parts held to crash backend servers, after a change.
+    FatalParts(Vec<FatalParts>),
+    /// One request with these fatal parts is allowed, to find out whether they still are.
+    FatalPartsProbed(Vec<PartId>),
     /// The disk has stalled, or has recovered.
     DiskStalled(bool),
     /// A log entry could not be decoded.
@@ -312,6 +322,7 @@
     pending_confirmations: BTreeMap<u64, PendingConfirmation>,
     next_ticket: u64,
     crashes: CrashTracker,
+    part_crashes: CrashesByPart,
     loads: Loads,
     limits: KnownLimits,
     outliers: OutlierDetector,
@@ -346,6 +357,7 @@
             pending_confirmations: BTreeMap::new(),
             next_ticket: 1,
             crashes: CrashTracker::default(),
+            part_crashes: CrashesByPart::default(),
             loads: Loads::default(),
             limits: KnownLimits::default(),
             outliers: OutlierDetector::default(),
@@ -397,6 +409,7 @@
             Event::SectionsRequested(entry, sections) => self.send_sections(entry, &sections),
             Event::Servers(servers) => self.merge_announcements(servers),
             Event::EntryReported(report) => self.handle_entry_report(report),
+            Event::ProbeRequested(entry, known) => self.answer_probe_request(entry, &known),
             Event::ForwardingOffered(entry, offer) => self.forwarding.set(entry, offer),
             Event::MembershipRequested(ticket, request) => {
                 self.handle_membership_request(ticket, request)
--- a/sesamebeam_core/src/gateway/coordinator/publisher.rs
+++ b/sesamebeam_core/src/gateway/coordinator/publisher.rs
@@ -33,7 +33,7 @@
         limits::LimitOf,
         messages::{
             CoordinatorMessage,
-            Crash,
+            FatalParts,
             Report,
             RetainedSessions,
             StateSummary,
@@ -108,6 +108,8 @@
     summary: StateSummary,
     /// Last published shares.
     shares: Vec<ShareOf>,
+    /// Last published fatal prompt parts.
+    pub(super) fatal_parts: Vec<FatalParts>,
     /// Last published limits.
     limits: Vec<LimitOf>,
     /// Digest of the backend servers that were last saved, and when.
@@ -131,7 +133,7 @@
         self.published_current = false;
     }
 
-    fn followers(&self) -> Recipients {
+    pub(super) fn followers(&self) -> Recipients {
         Recipients::Only(self.followers.iter().copied().collect())
     }
 }
@@ -169,10 +171,7 @@
             .record_reported(sync_state.entries);
         self.request_update(entry, sync_state);
         let this_entry = Recipients::Only(vec![entry]);
-        let quarantined = self.crashes.quarantined();
-        if !quarantined.is_empty() {
-            self.push(this_entry.clone(), ToEntry::Quarantined(quarantined));
-        }
+        self.send_quarantine(entry);
         let doubts = self.outliers.doubts().to_vec();
         self.push(this_entry.clone(), ToEntry::Doubts(doubts));
         if !self.limits.is_empty() {
@@ -218,7 +217,7 @@
         self.outliers.record(report.outcomes.iter().copied());
         self.waits.add(self.now, report.waits.iter().copied());
         self.admission.record(self.now, report.work.iter().copied());
-        self.count_crashes(&report.crashes);
+        self.process_crashes(report);
         for sessions in &report.retained_sessions {
             self.retain_sessions(sessions);
         }
@@ -285,6 +284,7 @@
             self.push(self.publisher.followers(), ToEntry::Doubts(doubts));
         }
         self.publish_limits();
+        self.publish_suspected_parts();
         self.publish_offers();
         let summary = self.summary();
         if summary != self.publisher.summary {
@@ -458,18 +458,6 @@
         self.push_servers(&self.publisher.followers(), pending.into_values().collect());
     }
 
-    /// Counts crashes and publishes the requests that have caused several.
-    fn count_crashes(&mut self, crashes: &[Crash]) {
-        let mut found = false;
-        for crash in crashes {
-            found |= self.crashes.record(crash.clone());
-        }
-        if found {
-            let push = ToEntry::Quarantined(self.crashes.quarantined());
-            self.push(self.publisher.followers(), push);
-        }
-    }
-
     /// Records retained sessions and forwards them to followers.
     fn retain_sessions(&mut self, sessions: &RetainedSessions) {
         self.rollout_monitors.retain_sessions(sessions);
--- a/sesamebeam_core/src/gateway/crashes.rs
+++ b/sesamebeam_core/src/gateway/crashes.rs
@@ -32,18 +32,18 @@
 
 impl CrashTracker {
     /// Counts a crash and returns whether its request is now quarantined.
-    pub fn record(&mut self, crash: Crash) -> bool {
+    pub fn record(&mut self, crash: &Crash) -> bool {
         let found = self
             .tracked
             .iter_mut()
             .find(|(f, _)| *f == crash.fingerprint);
         if let Some((_, servers)) = found {
-            return servers.insert(crash.server) && servers.len() == QUARANTINE_THRESHOLD;
+            return servers.insert(crash.server.clone()) && servers.len() == QUARANTINE_THRESHOLD;
         }
         if self.tracked.len() >= MAX_TRACKED {
             self.tracked.pop_front();
         }
-        let servers = BTreeSet::from([crash.server]);
+        let servers = BTreeSet::from([crash.server.clone()]);
         self.tracked.push_back((crash.fingerprint, servers));
         false
     }
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -45,6 +45,7 @@
         AnswerCounts,
         Doubt, //
     },
+    request::PartId,
     shortage::{
         ServiceLoad,
         ShareOf, //
@@ -103,11 +104,13 @@
     /// Backend servers known to the sender, as requested by the receiver.
     Servers(Vec<Announcement>),
     /// Observations since the last report.
-    Report(Report),
+    Report(Box<Report>),
     /// Keeps the connection alive.
     Heartbeat,
     /// The sender offers to serve requests of other entries, or no longer does.
     OfferForwarding(Option<ForwardingOffer>),
+    /// Asks the leader whether one request with these fatal parts may be sent.
+    RequestProbe(FatalParts),
 }
 
 impl FromEntry {
@@ -122,6 +125,7 @@
             Self::Report(_) => "report",
             Self::Heartbeat => "alive",
             Self::OfferForwarding(_) => "offer",
+            Self::RequestProbe(_) => "request_probe",
         }
     }
 }
@@ -158,6 +162,12 @@
     pub work: Vec<ServiceLoad>,
     /// Requests that were running when backend servers crashed.
     pub crashes: Vec<Crash>,
+    /// Suspected prompt parts on which answers have begun.
+    pub part_events: Vec<PartEvent>,
+    /// Requests refused for fatal prompt parts.
+    pub part_refusals: Vec<PartRefusals>,
+    /// Fatal prompt parts that the sender knows, for a replica that has started since.
+    pub fatal_parts: Vec<FatalParts>,
     /// Sessions that must stay on the versions before a rollout.
     pub retained_sessions: Vec<RetainedSessions>,
     /// How long rollouts have been running, for a replica that has started since.
@@ -176,6 +186,9 @@
             waits,
             work,
             crashes,
+            part_events,
+            part_refusals,
+            fatal_parts,
             retained_sessions,
             rollout_ages,
         } = self;
@@ -187,6 +200,9 @@
             && waits.is_empty()
             && work.is_empty()
             && crashes.is_empty()
+            && part_events.is_empty()
+            && part_refusals.is_empty()
+            && fatal_parts.is_empty()
             && retained_sessions.is_empty()
             && rollout_ages.is_empty()
     }
@@ -207,6 +223,9 @@
         self.waits.extend(other.waits);
         self.work.extend(other.work);
         self.crashes.extend(other.crashes);
+        self.part_events.extend(other.part_events);
+        self.part_refusals.extend(other.part_refusals);
+        self.fatal_parts.extend(other.fatal_parts);
         self.retained_sessions.extend(other.retained_sessions);
         self.rollout_ages.extend(other.rollout_ages);
     }
@@ -304,6 +323,15 @@
     Unreachable(Vec<UnreachableServer>),
     /// Requests that crash the backend servers running them.
     Quarantined(Vec<Digest>),
+    /// All prompt parts that are held to be fatal, and those that are suspected.
+    FatalParts {
+        /// Parts that no request may have together.
+        fatal: Vec<FatalParts>,
+        /// Parts on which the sender wants to know of any answer.
+        suspected: Vec<PartSuspicion>,
+    },
+    /// The receiver may send one request with these fatal parts.
+    ProbeAllowed(Vec<PartId>),
     /// Sessions reported by entries that must stay on the versions before a rollout, and
     /// whether all sessions active at its start have been reported.
     RetainedSessions(RetainedSessions, bool),
@@ -327,6 +355,8 @@
             Self::Limits(_) => "limits",
             Self::Unreachable(_) => "unreached",
             Self::Quarantined(_) => "quarantined",
+            Self::FatalParts { .. } => "fatal_parts",
+            Self::ProbeAllowed(_) => "probe_allowed",
             Self::RetainedSessions(..) => "kept",
             Self::Heartbeat(_) => "alive",
             Self::ForwardingOffers(_) => "offers",
@@ -410,6 +440,55 @@
     pub fingerprint: Digest,
     /// The incarnation that crashed.
     pub server: ServerIncarnation,
+    /// Parts of its prompt that it shares with others; none if its answer was past its
+    /// beginning.
+    pub parts: Vec<PartId>,
+    /// Whether the head of its answer had come.
+    pub has_begun: bool,
+    /// Time since the request was sent to it.
+    pub sent: Duration,
+    /// Time since the crash.
+    pub age: Duration,
+}
+
+/// An answer on a suspected prompt part went beyond its beginning.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartEvent {
+    /// The part.
+    pub part: PartId,
+    /// Time since then.
+    pub age: Duration,
+}
+
+/// Requests that an entry refused for fatal prompt parts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRefusals {
+    /// The parts.
+    pub parts: Vec<PartId>,
+    /// Number of requests.
+    pub count: u32,
+}
+
+/// Prompt parts that are held to crash backend servers if a request has all of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FatalParts {
+    /// The parts, in ascending order.
+    pub parts: Vec<PartId>,
+    /// Number of crashes that this rests on.
+    pub crashes: u32,
+    /// Time since it was found out.
+    pub age: Duration,
+}
+
+/// A prompt part that may crash backend servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartSuspicion {
+    /// The part.
+    pub part: PartId,
+    /// Number of crashes that count against it.
+    pub crashes: u32,
+    /// Time since the latest of these.
+    pub age: Duration,
 }
 
 /// Request from a process outside the group about its membership.
--- a/sesamebeam_core/src/gateway/quarantine.rs
+++ b/sesamebeam_core/src/gateway/quarantine.rs
@@ -1,28 +1,139 @@
-//! Requests that crash backend servers, as seen by one entry.
+//! Requests that crash backend servers, as seen by one entry: whole requests, and those with
+//! fatal parts in their prompts.
 
-use std::collections::HashSet;
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap,
+        HashSet, //
+    },
+    time::Duration,
+};
 
 use indexmap::IndexSet;
 
 use super::{
     directory::ServerIncarnation,
-    messages::Crash, //
+    messages::{
+        Crash,
+        FatalParts,
+        PartEvent,
+        PartRefusals,
+        PartSuspicion, //
+    },
+    request::{
+        AnswerStage,
+        PartId, //
+    },
+};
+use crate::ids::{
+    Digest,
+    MonoTime, //
 };
-use crate::ids::Digest;
 
 /// Number of recently completed requests to remember: a few minutes of an entry's
 /// traffic, in 100 KB.
 const MAX_COMPLETED: usize = 2048;
 
+/// Number of parts whose latest event is remembered: at least as many, and at most twice.
+const MAX_EVENTS: usize = 2048;
+
+/// Minimum interval between two questions whether a request with fatal parts may be sent.
+const PROBE_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a request may be quarantined for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Subject {
+    /// Hash of its path, caller and body, once the body is read.
+    pub(super) fingerprint: Option<Digest>,
+    /// Parts of its prompt that other requests may share.
+    pub(super) parts: Vec<PartId>,
+}
+
 /// What one entry knows about requests that crash backend servers.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     /// Requests that the control replicas have quarantined.
     quarantined: HashSet<Digest>,
-    /// Crashes to report.
-    crashes: Vec<Crash>,
     /// Recently completed requests, oldest first.
     completed: IndexSet<Digest>,
+    /// Parts that no request may have together.
+    fatal: Vec<KnownFatal>,
+    /// Parts suspected by the control replicas, and when each last crashed a backend server.
+    suspected: HashMap<PartId, MonoTime>,
+    events: RecentEvents,
+    /// Crashes to report.
+    crashes: Vec<NoticedCrash>,
+    /// Parts to report on which answers have begun.
+    unreported_events: BTreeMap<PartId, MonoTime>,
+}
+
+/// A send that ended with its backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedSend {
+    /// When the request was sent.
+    pub sent_at: MonoTime,
+    /// How far its answer had come.
+    pub stage: AnswerStage,
+}
+
+/// A crash that is to be reported.
+#[derive(Debug)]
+struct NoticedCrash {
+    fingerprint: Digest,
+    server: ServerIncarnation,
+    parts: Vec<PartId>,
+    failed: FailedSend,
+    at: MonoTime,
+}
+
+/// Fatal parts, as told by a control replica.
+#[derive(Debug)]
+struct KnownFatal {
+    parts: Vec<PartId>,
+    crashes: u32,
+    since: MonoTime,
+    /// Requests refused since the last report.
+    refused: u32,
+    /// Whether one request may be sent all the same.
+    may_probe: bool,
+    next_probe_request_at: MonoTime,
+}
+
+impl KnownFatal {
+    fn covers(&self, subject: &Subject) -> bool {
+        self.parts.iter().all(|p| subject.parts.contains(p))
+    }
+
+    fn message(&self, now: MonoTime) -> FatalParts {
+        FatalParts {
+            parts: self.parts.clone(),
+            crashes: self.crashes,
+            age: now.saturating_sub(self.since),
+        }
+    }
+}
+
+/// Latest events by part, in two generations: the older one is dropped when the newer one is
+/// full, so that callers who invent parts can neither fill the memory nor slow it down.
+#[derive(Debug, Default)]
+struct RecentEvents {
+    newer: HashMap<PartId, MonoTime>,
+    older: HashMap<PartId, MonoTime>,
+}
+
+impl RecentEvents {
+    fn record(&mut self, now: MonoTime, part: PartId) {
+        if self.newer.len() >= MAX_EVENTS {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert(part, now);
+    }
+
+    fn latest(&self, part: PartId) -> Option<MonoTime> {
+        let found = self.newer.get(&part).or_else(|| self.older.get(&part));
+        found.copied()
+    }
 }
 
 impl Quarantine {
@@ -31,9 +142,81 @@
         self.quarantined.extend(fingerprints);
     }
 
+    /// Sets the fatal and the suspected parts. Returns whether the fatal ones have changed.
+    pub(super) fn set_parts(
+        &mut self,
+        now: MonoTime,
+        fatal: Vec<FatalParts>,
+        suspected: Vec<PartSuspicion>,
+    ) -> bool {
+        let before = std::mem::take(&mut self.fatal);
+        let is_same = |f: &FatalParts| before.iter().any(|b| b.parts == f.parts);
+        let changed = before.len() != fatal.len() || !fatal.iter().all(is_same);
+        let mut before: HashMap<Vec<PartId>, KnownFatal> =
+            before.into_iter().map(|b| (b.parts.clone(), b)).collect();
+        for told in fatal {
+            let known = before.remove(&told.parts).unwrap_or(KnownFatal {
+                parts: told.parts,
+                crashes: 0,
+                since: now.saturating_sub(told.age),
+                refused: 0,
+                may_probe: false,
+                next_probe_request_at: now,
+            });
+            self.fatal.push(KnownFatal {
+                crashes: told.crashes,
+                ..known
+            });
+        }
+        let last_crash = |s: PartSuspicion| (s.part, now.saturating_sub(s.age));
+        self.suspected = suspected.into_iter().map(last_crash).collect();
+        self.report_earlier_events();
+        changed
+    }
+
+    /// Reports the events on suspected parts since their latest crashes.
+    fn report_earlier_events(&mut self) {
+        for (&part, &last_crash_at) in &self.suspected {
+            let latest = self.events.latest(part);
+            if let Some(at) = latest.filter(|at| *at > last_crash_at) {
+                self.unreported_events.insert(part, at);
+            }
+        }
+    }
+
+    /// Allows one request with fatal parts.
+    pub(super) fn allow_probe(&mut self, parts: &[PartId]) {
+        if let Some(known) = self.fatal.iter_mut().find(|f| f.parts == parts) {
+            known.may_probe = true;
+        }
+    }
+
     /// Returns whether a request may be executed.
-    pub(super) fn may_run(&self, fingerprint: Digest) -> bool {
-        !self.quarantined.contains(&fingerprint) || self.completed.contains(&fingerprint)
+    pub(super) fn may_run(&self, subject: &Subject) -> bool {
+        let allows = |f: &KnownFatal| f.may_probe || !f.covers(subject);
+        let is_quarantined = subject.fingerprint.is_some_and(|fingerprint| {
+            self.quarantined.contains(&fingerprint) && !self.completed.contains(&fingerprint)
+        });
+        !is_quarantined && self.fatal.iter().all(allows)
+    }
+
+    /// Returns whether a request may be sent now. One that is allowed in spite of its fatal
+    /// parts is allowed once.
+    pub(super) fn take_permission(&mut self, subject: &Subject) -> bool {
+        if !self.may_run(subject) {
+            return false;
+        }
+        for known in self.fatal.iter_mut().filter(|f| f.covers(subject)) {
+            known.may_probe = false;
+        }
+        true
+    }
+
+    /// Counts a request that is refused for its fatal parts.
+    pub(super) fn record_refusal(&mut self, subject: &Subject) {
+        for known in self.fatal.iter_mut().filter(|f| f.covers(subject)) {
+            known.refused += 1;
+        }
     }
 
     /// Records that a request completed.
@@ -48,19 +231,95 @@
         self.completed.insert(fingerprint);
     }
 
+    /// Records that an answer went beyond its beginning.
+    pub(super) fn record_event(&mut self, now: MonoTime, subject: &Subject) {
+        for &part in &subject.parts {
+            self.events.record(now, part);
+            let is_fatal = self.fatal.iter().any(|f| f.parts.contains(&part));
+            if is_fatal || self.suspected.contains_key(&part) {
+                self.unreported_events.insert(part, now);
+            }
+        }
+    }
+
     /// Records that a request was running when a backend server crashed.
-    pub(super) fn record_crash(&mut self, fingerprint: Digest, server: ServerIncarnation) {
-        if self.completed.contains(&fingerprint) {
+    pub(super) fn record_crash(
+        &mut self,
+        now: MonoTime,
+        subject: &Subject,
+        server: ServerIncarnation,
+        failed: FailedSend,
+    ) {
+        let Some(fingerprint) = subject.fingerprint else {
+            return;
+        };
+        // What crashes a backend server does so before the body of its answer.
+        if failed.stage == AnswerStage::UnderWay || self.completed.contains(&fingerprint) {
             return;
         }
-        self.crashes.push(Crash {
+        self.crashes.push(NoticedCrash {
             fingerprint,
             server,
+            parts: subject.parts.clone(),
+            failed,
+            at: now,
         });
     }
 
+    /// Returns whether there is anything to report that other entries wait for.
+    pub(super) fn has_urgent(&self) -> bool {
+        !self.crashes.is_empty() || !self.unreported_events.is_empty()
+    }
+
     /// Takes the crashes since the last call.
-    pub(super) fn take_crashes(&mut self) -> Vec<Crash> {
-        std::mem::take(&mut self.crashes)
+    pub(super) fn take_crashes(&mut self, now: MonoTime) -> Vec<Crash> {
+        let crashes = std::mem::take(&mut self.crashes).into_iter();
+        let crash = |noticed: NoticedCrash| Crash {
+            fingerprint: noticed.fingerprint,
+            server: noticed.server,
+            parts: noticed.parts,
+            has_begun: noticed.failed.stage == AnswerStage::Begun,
+            sent: now.saturating_sub(noticed.failed.sent_at),
+            age: now.saturating_sub(noticed.at),
+        };
+        crashes.map(crash).collect()
+    }
+
+    /// Takes the events on suspected and fatal parts since the last call.
+    pub(super) fn take_events(&mut self, now: MonoTime) -> Vec<PartEvent> {
+        let events = std::mem::take(&mut self.unreported_events).into_iter();
+        let event = |(part, at)| PartEvent {
+            part,
+            age: now.saturating_sub(at),
+        };
+        events.map(event).collect()
+    }
+
+    /// Takes the numbers of requests refused since the last call.
+    pub(super) fn take_refusals(&mut self) -> Vec<PartRefusals> {
+        let refused = self.fatal.iter_mut().filter(|f| f.refused > 0);
+        let refusals = |f: &mut KnownFatal| PartRefusals {
+            parts: f.parts.clone(),
+            count: std::mem::take(&mut f.refused),
+        };
+        refused.map(refusals).collect()
+    }
+
+    /// Takes the fatal parts that requests were refused for and that the leader may want to
+    /// see probed.
+    pub(super) fn take_probe_requests(&mut self, now: MonoTime) -> Vec<FatalParts> {
+        let mut requests = Vec::new();
+        for known in &mut self.fatal {
+            if known.refused > 0 && !known.may_probe && now >= known.next_probe_request_at {
+                known.next_probe_request_at = now + PROBE_REQUEST_INTERVAL;
+                requests.push(known.message(now));
+            }
+        }
+        requests
+    }
+
+    /// Returns all known fatal parts.
+    pub(super) fn fatal_parts(&self, now: MonoTime) -> Vec<FatalParts> {
+        self.fatal.iter().map(|f| f.message(now)).collect()
     }
 }
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -18,14 +18,20 @@
 const REQUEST_TIMEOUT: u16 = 408;
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Maximum number of shared parts of a prompt that are told apart. Prompts have a few.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// Id of a request, set by its caller.
 pub type CallId = SmolStr;
 
+/// Identifies the content of a part of a prompt, whatever parts are before it.
+pub type PartId = u64;
+
 /// A part of a prompt that an engine may have cached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
-    /// Identifies the content of this part and of all parts before it.
-    pub id: u64,
+    /// Identifies its content.
+    pub id: PartId,
     /// Length in tokens.
     pub tokens: u32,
 }
@@ -64,6 +70,13 @@
         self.prompt.iter().rev().nth(1)
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> Vec<PartId> {
+        let shared = self.prompt.split_last().map(|(_, shared)| shared);
+        let ids = shared.unwrap_or_default().iter().map(|part| part.id);
+        ids.take(MAX_SHARED_PARTS).collect()
+    }
+
     /// Returns the number of prompt tokens that are not shared with other requests.
     pub fn unshared_tokens(&self) -> u32 {
         let last = self.prompt.last().map(|part| part.tokens);
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod isolated;
 mod moving;
+mod quarantined;
 mod retry_after;
 
 use std::{
@@ -67,7 +68,10 @@
     },
     prefill::PrefillTimes,
     prompt_lengths::PromptLengths,
-    quarantine::Quarantine,
+    quarantine::{
+        Quarantine,
+        Subject, //
+    },
     request::{
         Head,
         Load,
@@ -93,7 +97,6 @@
 };
 use crate::{
     ids::{
-        Digest,
         DomainId,
         LogIndex,
         ModelId,
@@ -137,7 +140,7 @@
     /// The API key is not in the configuration.
     #[error("unknown key")]
     UnknownKey,
-    /// Requests with this fingerprint crash backend servers.
+    /// Requests with this fingerprint or with parts of this prompt crash backend servers.
     #[error("request crashes backend servers")]
     Quarantined,
     /// The service has too little capacity for its load, and this request was not
@@ -169,6 +172,9 @@
     /// back off.
     #[error("all backend servers are at their limits or asked for a pause")]
     Limited,
+    /// The request crashes backend servers.
+    #[error("request crashes backend servers")]
+    Quarantined,
     /// No eligible backend server remains.
     #[error("no backend server is left")]
     NoneLeft,
@@ -206,6 +212,8 @@
     session: Option<SmolStr>,
     /// Whether the request goes to the new version during a canary phase.
     in_canary: bool,
+    /// What the request may be quarantined for.
+    subject: Subject,
     /// Pseudo-random tie breaker, derived from the request id.
     seed: u64,
 }
@@ -489,6 +497,10 @@
                     .map_or(route.timeout, |d| d.min(route.timeout)),
             session: head.session.clone(),
             in_canary,
+            subject: Subject {
+                fingerprint: None,
+                parts: head.shared_parts(),
+            },
             seed,
             service,
             table,
@@ -735,35 +747,6 @@
         self.sessions.ages(now)
     }
 
-    /// Sets the fingerprints that the control replicas have quarantined for crashing
-    /// backend servers.
-    pub fn set_quarantined(&mut self, fingerprints: impl IntoIterator<Item = Digest>) {
-        self.quarantine.add(fingerprints);
-    }
-
-    /// Checks whether a request may run.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the fingerprint is quarantined.
-    pub fn check_fingerprint(&self, fingerprint: Digest) -> Result<(), Refusal> {
-        match self.quarantine.may_run(fingerprint) {
-            true => Ok(()),
-            false => Err(Refusal::Quarantined),
-        }
-    }
-
-    /// Records that a request completed.
-    pub fn record_completion(&mut self, fingerprint: Digest) {
-        self.quarantine.record_completion(fingerprint);
-    }
-
-    /// Records that a request was running when its backend server crashed.
-    pub fn record_crash(&mut self, fingerprint: Digest, choice: &Choice) {
-        self.quarantine
-            .record_crash(fingerprint, choice.incarnation());
-    }
-
     fn record_session(&mut self, now: MonoTime, plan: &Plan, choice: &Choice) {
         if let Some(session) = &plan.session {
             self.sessions.record_version(now, session, &choice.version);
--- a/sesamebeam_core/src/gateway/router/choosing.rs
+++ b/sesamebeam_core/src/gateway/router/choosing.rs
@@ -81,7 +81,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if no backend server is available.
+    /// Fails if no backend server is available, or if the request crashes backend servers.
     pub fn choose(
         &mut self,
         now: MonoTime,
@@ -90,6 +90,9 @@
         tried: &[ServerId],
     ) -> Result<Choice, ChooseError> {
         let choice = self.pick(now, plan, model, tried)?.choice();
+        if !self.quarantine.take_permission(&plan.subject) {
+            return Err(ChooseError::Quarantined);
+        }
         self.record_choice(now, plan, model, &choice);
         self.record_session(now, plan, &choice);
         Ok(choice)
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -100,9 +100,10 @@
         }
     }
 
-    /// Returns whether there are unreported failures or unreachable backend servers.
+    /// Returns whether there are unreported failures, unreachable backend servers, or news of
+    /// requests that crash them.
     pub fn has_failures(&self) -> bool {
-        self.balancer.has_failures()
+        self.balancer.has_failures() || self.quarantine.has_urgent()
     }
 
     /// Takes all observations since the last call for the next report.
@@ -115,7 +116,10 @@
             unreachable: self.take_unreached(),
             waits: self.cascade.take_unreported(),
             work: self.admission.take_unreported(),
-            crashes: self.quarantine.take_crashes(),
+            crashes: self.quarantine.take_crashes(now),
+            part_events: self.quarantine.take_events(now),
+            part_refusals: self.quarantine.take_refusals(),
+            fatal_parts: Vec::new(),
             retained_sessions: self.sessions.take_unreported(),
             rollout_ages: Vec::new(),
         }
--- a/sesamebeam_core/tests/gateway/crashes.rs
+++ b/sesamebeam_core/tests/gateway/crashes.rs
@@ -1,5 +1,7 @@
 //! Detection of requests that crash backend servers.
 
+use std::time::Duration;
+
 use sesamebeam_core::gateway::{
     crashes::CrashTracker,
     directory::ServerIncarnation,
@@ -13,6 +15,10 @@
             id: server.into(),
             started_at: 1,
         },
+        parts: Vec::new(),
+        has_begun: false,
+        sent: Duration::ZERO,
+        age: Duration::ZERO,
     }
 }
 
@@ -22,10 +28,10 @@
     // was running on two of them and completed on a fourth.
     let mut crashes = CrashTracker::default();
     for (n, server) in ["a", "b", "c"].into_iter().enumerate() {
-        assert_eq!(crashes.record(crash(1, server)), n == 2);
+        assert_eq!(crashes.record(&crash(1, server)), n == 2);
     }
     for server in ["a", "b"] {
-        assert!(!crashes.record(crash(2, server)));
+        assert!(!crashes.record(&crash(2, server)));
     }
     assert_eq!(crashes.quarantined(), [1]);
 }
@@ -34,7 +40,7 @@
 fn repeated_reports_of_one_crash() {
     let mut crashes = CrashTracker::default();
     for _ in 0..9 {
-        assert!(!crashes.record(crash(1, "a")));
+        assert!(!crashes.record(&crash(1, "a")));
     }
     assert!(crashes.quarantined().is_empty());
 }
@@ -43,10 +49,10 @@
 fn bounded() {
     let mut crashes = CrashTracker::default();
     for n in 0..10_000 {
-        crashes.record(crash(n, "a"));
+        crashes.record(&crash(n, "a"));
     }
     for server in ["b", "c"] {
-        crashes.record(crash(0, server));
+        crashes.record(&crash(0, server));
     }
     assert!(
         crashes.quarantined().is_empty(),
--- /dev/null
+++ b/sesamebeam_core/tests/gateway/fatal_parts.rs
@@ -0,0 +1,285 @@
+//! Detection of prompt parts that crash backend servers.
+
+use std::time::Duration;
+
+use proptest::{
+    collection::vec,
+    prelude::any,
+    proptest, //
+};
+use sesamebeam_core::{
+    gateway::{
+        directory::ServerIncarnation,
+        fatal_parts::CrashesByPart,
+        messages::{
+            Crash,
+            FatalParts,
+            PartEvent, //
+        },
+        request::PartId,
+    },
+    ids::MonoTime,
+};
+
+use crate::fixtures::ms;
+
+/// Parts of the tests: the first is in all prompts.
+const SHARED: PartId = 1;
+const BESIDE: PartId = 2;
+const FATAL: PartId = 3;
+
+/// Time from a send to the crash that it causes.
+const TO_CRASH: Duration = Duration::from_millis(50);
+
+/// Number of crashes, each after the one before, from which a part is held to be fatal if
+/// answers had begun, and otherwise.
+const BEGUN: u64 = 3;
+const WAITING: u64 = 5;
+
+/// Reports that a request with some parts was in flight at a backend server that crashed.
+fn crash(fingerprint: u64, server: u64, parts: &[PartId], has_begun: bool) -> Crash {
+    Crash {
+        fingerprint: fingerprint.into(),
+        server: ServerIncarnation {
+            id: format!("server-{server}").into(),
+            started_at: 0,
+        },
+        parts: parts.to_vec(),
+        has_begun,
+        sent: TO_CRASH,
+        age: Duration::ZERO,
+    }
+}
+
+fn event(part: PartId) -> PartEvent {
+    PartEvent {
+        part,
+        age: Duration::ZERO,
+    }
+}
+
+fn record(crashes: &mut CrashesByPart, now: MonoTime, reports: &[Crash]) -> bool {
+    for report in reports {
+        crashes.record(now, report);
+    }
+    crashes.judge(now)
+}
+
+fn verdicts(crashes: &CrashesByPart) -> Vec<Vec<PartId>> {
+    crashes.verdicts().iter().map(|v| v.parts.clone()).collect()
+}
+
+/// Crashes servers one after the other by requests with these parts, from a time on.
+fn crash_series(crashes: &mut CrashesByPart, from: u64, count: u64, parts: &[PartId]) -> MonoTime {
+    for n in 0..count {
+        let now = ms(from + n * 100);
+        record(crashes, now, &[crash(from + n, from + n, parts, true)]);
+    }
+    ms(from + (count - 1) * 100)
+}
+
+#[test]
+fn begun_answers() {
+    // Guards against a fatal part that goes on because no two requests with it are alike.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..BEGUN {
+        assert!(verdicts(&crashes).is_empty(), "{n} crashes");
+        let waiting = (0..100).map(|w| crash(100 + w, n, &[SHARED, 50], false));
+        let begun = crash(n, n, &[SHARED, FATAL], true);
+        let reports: Vec<Crash> = waiting.chain([begun]).collect();
+        record(&mut crashes, ms(n * 100), &reports);
+        crashes.record_event(ms(n * 100 + 40), &event(SHARED));
+    }
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
+#[test]
+fn waiting_answers() {
+    // Guards against a fatal part that goes on because backend servers go down before the
+    // heads of their answers.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..WAITING {
+        assert!(verdicts(&crashes).is_empty(), "{n} crashes");
+        let bystander = crash(100 + n, n, &[SHARED, 50 + n], false);
+        let report = crash(n, n, &[SHARED, FATAL], false);
+        record(&mut crashes, ms(n * 100), &[bystander, report]);
+        crashes.record_event(ms(n * 100 + 40), &event(SHARED));
+    }
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
+#[test]
+fn one_request() {
+    // Guards against a verdict on shared parts for one request that is sent again.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..20 {
+        record(&mut crashes, ms(n * 100), &[crash(7, n, &[SHARED], true)]);
+    }
+    assert!(verdicts(&crashes).is_empty());
+}
+
+#[test]
+fn power_failure() {
+    // Guards against a verdict on the parts of sound requests that were in flight, hundreds
+    // at a time, at backend servers that ended together.
+    let mut crashes = CrashesByPart::default();
+    for failure in 0..4 {
+        let at = failure * 3000;
+        for server in 0..300 {
+            let suspects: Vec<Crash> = (0..40)
+                .map(|n| {
+                    let parts = [SHARED, BESIDE + n % 5];
+                    crash(server * 100 + n, at + server, &parts, n % 4 == 0)
+                })
+                .collect();
+            record(&mut crashes, ms(at + server / 10), &suspects);
+        }
+        assert!(verdicts(&crashes).is_empty(), "failure {failure}");
+        for part in [SHARED].into_iter().chain(BESIDE..BESIDE + 5) {
+            crashes.record_event(ms(at + 400), &event(part));
+        }
+    }
+}
+
+#[test]
+fn tied_parts() {
+    // Guards against refusing sound requests for a part that occurs beside a fatal one.
+    let mut crashes = CrashesByPart::default();
+    let last = crash_series(&mut crashes, 0, BEGUN, &[SHARED, BESIDE, FATAL]);
+    assert_eq!(verdicts(&crashes), [[SHARED, BESIDE, FATAL]]);
+    let later = last + ms(10);
+    assert!(crashes.record_event(later, &event(SHARED)));
+    assert!(crashes.record_event(later, &event(BESIDE)));
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
+#[test]
+fn other_company() {
+    // Guards against a fatal part that goes on in prompts without the parts that it was found
+    // beside.
+    let mut crashes = CrashesByPart::default();
+    crash_series(&mut crashes, 0, BEGUN, &[BESIDE, FATAL]);
+    crash_series(&mut crashes, 1000, 2, &[SHARED, FATAL]);
+    assert!(crashes.record_event(ms(1150), &event(SHARED)));
+    assert_eq!(verdicts(&crashes), [vec![BESIDE, FATAL], vec![FATAL]]);
+}
+
+#[test]
+fn coincidence() {
+    // Guards against blaming a sound part that was at each of the first crashes by chance.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..BEGUN {
+        let fatal = crash(n, n, &[FATAL], true);
+        let sound = crash(100 + n, n, &[BESIDE], true);
+        record(&mut crashes, ms(n * 100), &[fatal, sound]);
+    }
+    assert!(verdicts(&crashes).is_empty());
+    crash_series(&mut crashes, 1000, 1, &[FATAL]);
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
+#[test]
+fn several_reports() {
+    // Guards against counting a crash once for each entry that tells of it.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..20 {
+        record(&mut crashes, ms(n * 300), &[crash(n, 1, &[FATAL], true)]);
+    }
+    assert!(verdicts(&crashes).is_empty());
+}
+
+#[test]
+fn wrong_verdict_ends() {
+    // Guards against refusing requests for a part on which answers begin.
+    let mut crashes = CrashesByPart::default();
+    let last = crash_series(&mut crashes, 0, BEGUN, &[FATAL]);
+    let earlier = PartEvent {
+        part: FATAL,
+        age: ms(200),
+    };
+    assert!(!crashes.record_event(last + ms(100), &earlier));
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+    assert!(crashes.record_event(last + ms(100), &event(FATAL)));
+    assert!(verdicts(&crashes).is_empty());
+    assert!(!crashes.judge(last + ms(200)), "its crashes count no more");
+}
+
+#[test]
+fn few_probes() {
+    // Guards against a verdict without an end, and against more than three requests that may
+    // each cost a backend server.
+    let mut crashes = CrashesByPart::default();
+    let last = crash_series(&mut crashes, 0, BEGUN, &[FATAL]);
+    let is_probed = |at: &u64| crashes.take_probe(last + ms(*at), &[FATAL]);
+    let probes: Vec<u64> = (0..600).map(|s| s * 1000).filter(is_probed).collect();
+    assert_eq!(probes, [20_000, 100_000, 420_000]);
+}
+
+#[test]
+fn ends_unused() {
+    // Guards against refusals of requests that nobody has sent for long.
+    let mut crashes = CrashesByPart::default();
+    let last = crash_series(&mut crashes, 0, BEGUN, &[FATAL]);
+    crashes.record_refusals(last + ms(500_000), &[FATAL], 2);
+    crashes.expire(last + ms(700_000));
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+    crashes.expire(last + ms(1_200_000));
+    assert!(verdicts(&crashes).is_empty());
+}
+
+#[test]
+fn adopted_after_restart() {
+    // Guards against a replica that has forgotten the verdicts that its entries keep.
+    let known = FatalParts {
+        parts: vec![FATAL],
+        crashes: 5,
+        age: ms(1000),
+    };
+    let mut crashes = CrashesByPart::default();
+    crashes.adopt(ms(5000), &known);
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+    let mut cleared = CrashesByPart::default();
+    cleared.record_event(ms(4500), &event(FATAL));
+    cleared.adopt(ms(5000), &known);
+    assert!(verdicts(&cleared).is_empty());
+}
+
+#[test]
+fn invented_parts() {
+    // Guards against callers who invent parts to have verdicts forgotten or memory filled.
+    let mut crashes = CrashesByPart::default();
+    crash_series(&mut crashes, 0, BEGUN, &[FATAL]);
+    for n in 0..600 {
+        let parts: Vec<PartId> = (0..32).map(|p| 1000 + n * 32 + p).collect();
+        record(
+            &mut crashes,
+            ms(1000 + n * 20),
+            &[crash(n, 1000 + n, &parts, true)],
+        );
+        crashes.record_event(ms(1000 + n * 20), &event(1000 + n * 32));
+        crashes.expire(ms(1000 + n * 20));
+    }
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+    assert!(crashes.suspicions(ms(200_000)).len() <= 256);
+}
+
+proptest! {
+    /// Guards against verdicts on a part on which answers begin, whatever crashes beside it.
+    #[test]
+    fn events_clear(suspects in vec((0..6u64, any::<bool>(), 0..400u64), 1..60)) {
+        let mut crashes = CrashesByPart::default();
+        let mut now = MonoTime::ZERO;
+        for (n, (part, has_begun, pause)) in suspects.into_iter().enumerate() {
+            let n = n as u64;
+            now += ms(pause);
+            let reports = [
+                crash(n, n, &[SHARED, 10 + part], has_begun),
+                crash(1000 + n, n, &[SHARED, FATAL], true),
+            ];
+            record(&mut crashes, now, &reports);
+            now += ms(1);
+            crashes.record_event(now, &event(SHARED));
+            assert!(verdicts(&crashes).iter().all(|v| *v != [SHARED]));
+        }
+    }
+}
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod engine_rollouts;
 mod engine_selection;
 mod evacuations;
+mod fatal_parts;
 mod fixtures;
 mod forwarding;
 mod group;
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -7,7 +7,9 @@
     cascade::Decision,
     config::EngineConfig,
     engines::Slowdown,
+    quarantine::FailedSend,
     request::{
+        AnswerStage,
         Load,
         ResponseHead, //
     },
@@ -16,6 +18,7 @@
         Rollout, //
     },
     router::{
+        ChooseError,
         Refusal,
         Router, //
     },
@@ -232,9 +235,13 @@
 #[test]
 fn quarantined_request_is_refused() {
     let mut router = router(2);
-    assert!(router.check_fingerprint(5).is_ok());
+    let mut plan = router.admit(ms(0), &head("r")).expect("it is admitted");
+    plan.identify(5);
+    assert!(router.check_quarantine(&plan).is_ok());
     router.set_quarantined([5]);
-    assert_eq!(router.check_fingerprint(5), Err(Refusal::Quarantined));
+    assert_eq!(router.check_quarantine(&plan), Err(Refusal::Quarantined));
+    let chosen = router.choose(ms(0), &plan, None, &[]);
+    assert_eq!(chosen, Err(ChooseError::Quarantined));
 }
 
 #[test]
@@ -242,13 +249,19 @@
     // Guards against a quarantine of a frequent request that runs whenever a backend
     // server crashes, but also completes every time.
     let mut router = router(2);
-    router.record_completion(5);
-    let plan = router.admit(ms(0), &head("r")).expect("it is admitted");
+    let mut plan = router.admit(ms(0), &head("r")).expect("it is admitted");
+    plan.identify(5);
+    router.record_completion(&plan);
     let choice = router.choose(ms(0), &plan, None, &[]);
-    router.record_crash(5, &choice.expect("a backend server is available"));
+    let choice = choice.expect("a backend server is available");
+    let failed = FailedSend {
+        sent_at: ms(0),
+        stage: AnswerStage::Awaited,
+    };
+    router.record_crash(ms(0), &plan, &choice, failed);
     assert!(router.take_report(ms(0)).crashes.is_empty());
     router.set_quarantined([5]);
-    assert!(router.check_fingerprint(5).is_ok());
+    assert!(router.check_quarantine(&plan).is_ok());
 }
 
 #[test]
