--- a/sesamebeam_core/src/gateway/directory.rs
+++ b/sesamebeam_core/src/gateway/directory.rs
@@ -319,6 +319,16 @@
         self.examined_records
     }
 
+    /// Returns whether another backend server has announced itself at the address of one.
+    pub fn is_replaced(&self, id: &ServerId, addr: SocketAddr) -> bool {
+        let is_gone = |id: &ServerId| {
+            let record = self.servers.get(id);
+            record.is_none_or(|k| k.announcement.state == ServerState::Gone)
+        };
+        let others = self.index.by_address(addr).iter().filter(|o| *o != id);
+        is_gone(id) && others.into_iter().any(|other| !is_gone(other))
+    }
+
     /// Returns whether an incarnation that started later is at the same address.
     fn is_superseded(&mut self, announcement: &Announcement) -> bool {
         let at_address = self.index.by_address(announcement.addr);
--- a/sesamebeam_core/src/gateway/router/quarantined.rs
+++ b/sesamebeam_core/src/gateway/router/quarantined.rs
@@ -92,6 +92,12 @@
         self.quarantine.record_event(now, &plan.subject);
     }
 
+    /// Returns whether another backend server has announced itself at the address of the
+    /// chosen one.
+    pub fn is_replaced(&self, choice: &Choice) -> bool {
+        self.directory.is_replaced(&choice.id, choice.addr)
+    }
+
     /// Records that a request was running when its backend server crashed.
     pub fn record_crash(
         &mut self,
