--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -44,6 +44,14 @@
 /// Number of crashes from which one part of a verdict is held to be fatal by itself.
 const MIN_CRASHES_APART: usize = 2;
 
+/// Time after the first crash of a part in which all entries hear of the suspicion and tell
+/// of answers on it: two reports and two updates.
+const ANSWERS_TOLD_IN: Duration = Duration::from_millis(600);
+
+/// Minimum time from a send to the crash that it causes. A send to a backend server that has
+/// already ended fails within a round trip.
+const MIN_TIME_TO_CRASH: Duration = Duration::from_millis(10);
+
 /// Time within which crashes are likely to have one cause, such as a power failure.
 const BURST: Duration = Duration::from_millis(500);
 
@@ -90,10 +98,10 @@
     /// Iterates over the suspects that can have caused the crash: those whose answer had
     /// begun, if any had.
     fn culprits(&self) -> impl Iterator<Item = &Suspect> {
-        let any_begun = self.suspects.iter().any(|s| s.has_begun);
-        self.suspects
-            .iter()
-            .filter(move |s| s.has_begun || !any_begun)
+        let any_begun = self.has_begun();
+        let in_time = |s: &&Suspect| s.sent_at + MIN_TIME_TO_CRASH <= self.at;
+        let waiting = self.suspects.iter().filter(in_time);
+        waiting.filter(move |s| s.has_begun || !any_begun)
     }
 
     fn has_begun(&self) -> bool {
@@ -112,6 +120,8 @@
     verdicts: Vec<Verdict>,
     /// Whether anything has changed that entries are told.
     is_changed: bool,
+    /// Whether there is a part that may be held to be fatal once answers would be heard of.
+    is_pending: bool,
 }
 
 impl CrashesByPart {
@@ -133,7 +143,10 @@
         let Some(at) = known.or_else(|| self.add_crash(now, crash)) else {
             return;
         };
-        let suspects = &mut self.crashes[at].suspects;
+        let known = &mut self.crashes[at];
+        // A later report is of a connection that was only used again later.
+        known.at = known.at.min(now.saturating_sub(crash.age));
+        let suspects = &mut known.suspects;
         if suspects.len() >= MAX_SUSPECTS {
             // One that had begun says more than one that was waiting.
             let waiting = suspects.iter().position(|s| !s.has_begun);
@@ -196,7 +209,9 @@
         let began_at = now.saturating_sub(parts.age);
         let is_cleared = parts.parts.iter().any(|p| latest(p) > began_at);
         if !self.verdicts.iter().any(is_known) && !is_cleared {
-            self.add_verdict(Verdict::new(now, parts.parts.clone(), parts.crashes));
+            let mut verdict = Verdict::new(now, parts.parts.clone(), parts.crashes);
+            verdict.last_crash_at = began_at;
+            self.add_verdict(verdict);
         }
     }
 
@@ -238,7 +253,8 @@
     /// one.
     pub fn judge(&mut self, now: MonoTime) -> bool {
         let mut found = false;
-        while let Some((parts, crashes)) = self.find_fatal() {
+        self.is_pending = false;
+        while let Some((parts, crashes)) = self.find_fatal(now) {
             self.verdicts
                 .retain(|v| !parts.iter().all(|p| v.parts.contains(p)));
             self.add_verdict(Verdict::new(now, parts, crashes as u32));
@@ -254,6 +270,11 @@
         found
     }
 
+    /// Does the same if a verdict only waited for answers that other entries may tell of.
+    pub fn judge_pending(&mut self, now: MonoTime) -> bool {
+        self.is_pending && self.judge(now)
+    }
+
     /// Returns the parts that are suspected but not held to be fatal, those with the most
     /// crashes first.
     pub fn suspicions(&self, now: MonoTime) -> Vec<PartSuspicion> {
@@ -285,7 +306,7 @@
     /// A part that occurs in all suspects with another one is as often a suspect as that
     /// one, and more often by coincidence. So the rarer of them decides, and the verdict is
     /// about both. Between parts that don't occur together, more crashes decide.
-    fn find_fatal(&self) -> Option<(Vec<PartId>, usize)> {
+    fn find_fatal(&mut self, now: MonoTime) -> Option<(Vec<PartId>, usize)> {
         let is_apart = |p: &PartId| self.verdicts.iter().any(|v| v.parts.contains(p));
         let proven: Vec<Proven> = self
             .cases()
@@ -294,9 +315,15 @@
             .map(|(part, case)| Proven {
                 part,
                 crashes: case.crashes,
+                first_at: case.first_at,
                 company: self.company(part),
             })
             .collect();
+        let is_told = |p: &Proven| now >= p.first_at + ANSWERS_TOLD_IN;
+        if !proven.iter().all(is_told) {
+            self.is_pending = true;
+            return None;
+        }
         let is_implied = |p: &Proven| proven.iter().any(|other| other.implies(p));
         let rarest: Vec<&Proven> = proven.iter().filter(|p| !is_implied(p)).collect();
         let most = rarest.iter().map(|p| p.crashes).max()?;
@@ -357,6 +384,7 @@
 struct Proven {
     part: PartId,
     crashes: usize,
+    first_at: MonoTime,
     /// The part and the others that all suspects with it have.
     company: Vec<PartId>,
 }
@@ -376,7 +404,8 @@
     begun: usize,
     /// When the first crash of this round was, and how many were counted of it.
     round: (MonoTime, usize),
-    /// Latest counted crash.
+    /// First and latest counted crash.
+    first_at: MonoTime,
     last_at: MonoTime,
     /// First request, and whether there was another one.
     first: Digest,
@@ -388,6 +417,7 @@
     fn add(&mut self, crash: &PartCrash, suspect: &Suspect) {
         if self.crashes == 0 {
             self.first = suspect.fingerprint;
+            self.first_at = crash.at;
         }
         self.is_repeated |= self.first != suspect.fingerprint;
         let (began_at, _) = self.round;
--- a/sesamebeam_core/src/gateway/fatal_parts/verdict.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts/verdict.rs
@@ -37,6 +37,7 @@
 }
 
 impl Verdict {
+    /// Creates a verdict that nothing has been refused for yet.
     pub(super) fn new(now: MonoTime, mut parts: Vec<PartId>, crashes: u32) -> Self {
         parts.sort_unstable();
         parts.dedup();
@@ -45,7 +46,7 @@
             crashes,
             since: now,
             refused: 0,
-            last_crash_at: now,
+            last_crash_at: MonoTime::ZERO,
             last_refused_at: now,
             probes: 0,
             next_probe_at: now + FIRST_PROBE_AFTER,
