Keep failures of several backend servers apart from fatal prompt parts (LOST)

Cause: what waits at a backend server that ends together with others was counted as if each had ended by itself, up to two at a time; and a replica that passed crashes on made them younger by the time that its report had waited, so that the order of sends and crashes was lost at the other replicas.

Requests whose answers had not begun are no suspects any more where a twentieth of the backend servers, three at least, end within 20 ms. One crash counts until a request with the part is sent again, or half a second has passed. Ages grow while a report waits.

--- a/sesamebeam_core/src/gateway/coordinator/crash_reports.rs
+++ b/sesamebeam_core/src/gateway/coordinator/crash_reports.rs
@@ -53,6 +53,7 @@
     /// Drops what no longer counts, and publishes the suspected parts if they have changed.
     pub(super) fn publish_suspected_parts(&mut self) {
         self.part_crashes.expire(self.now);
+        self.part_crashes.set_server_count(self.directory.count());
         let is_found = self.part_crashes.judge_pending(self.now);
         if self.part_crashes.take_changed() || is_found {
             self.publish_fatal_parts();
--- a/sesamebeam_core/src/gateway/coordinator/publisher.rs
+++ b/sesamebeam_core/src/gateway/coordinator/publisher.rs
@@ -203,6 +203,7 @@
         self.process_report(&report);
         let unreachable = std::mem::take(&mut report.unreachable);
         self.publisher.unreachable.extend(unreachable);
+        report.convert_ages(self.now);
         self.publisher.report.add(report);
     }
 
@@ -258,8 +259,9 @@
             let fleet = self.fleet_message();
             self.push(self.publisher.followers(), fleet);
         }
-        let report = self.publisher.report.take();
+        let mut report = self.publisher.report.take();
         if !report.is_empty() {
+            report.convert_ages(self.now);
             self.broadcast(&CoordinatorMessage::Report(Box::new(report)));
         }
         let unreachable = std::mem::take(&mut self.publisher.unreachable);
--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -55,9 +55,11 @@
 /// Time within which crashes are likely to have one cause, such as a power failure.
 const BURST: Duration = Duration::from_millis(500);
 
-/// Number of crashes that count against a part before a request with it is sent again. All
-/// requests that were in flight at a power failure had been sent before it.
-const MAX_COUNTED_PER_ROUND: usize = 2;
+/// Time within which backend servers that end with a failure domain are noticed, and the
+/// number of them, as a share of all, that makes such a failure of several crashes.
+const TOGETHER: Duration = Duration::from_millis(20);
+const TOGETHER_SHARE: f64 = 0.05;
+const TOGETHER_COUNT: std::ops::RangeInclusive<usize> = 3..=16;
 
 /// Maximum number of crashes to keep in all, of one burst, and of suspects of one crash.
 /// The failure of a failure domain must not displace what is known of other crashes.
@@ -92,13 +94,16 @@
     at: MonoTime,
     server: ServerIncarnation,
     suspects: Vec<Suspect>,
+    /// Whether it is one of several crashes at the same time.
+    is_shared: bool,
 }
 
 impl PartCrash {
     /// Iterates over the suspects that can have caused the crash: those whose answer had
-    /// begun, if any had.
+    /// begun, if any had. Several backend servers that end together are not ended by what was
+    /// waiting.
     fn culprits(&self) -> impl Iterator<Item = &Suspect> {
-        let any_begun = self.has_begun();
+        let any_begun = self.has_begun() || self.is_shared;
         let in_time = |s: &&Suspect| s.sent_at + MIN_TIME_TO_CRASH <= self.at;
         let waiting = self.suspects.iter().filter(in_time);
         waiting.filter(move |s| s.has_begun || !any_begun)
@@ -118,6 +123,8 @@
     /// Latest time of an event of an answer, by suspected part.
     events: HashMap<PartId, MonoTime>,
     verdicts: Vec<Verdict>,
+    /// Number of known backend servers.
+    servers: usize,
     /// Whether anything has changed that entries are told.
     is_changed: bool,
     /// Whether there is a part that may be held to be fatal once answers would be heard of.
@@ -176,6 +183,7 @@
             at: now.saturating_sub(crash.age),
             server: crash.server.clone(),
             suspects: Vec::new(),
+            is_shared: false,
         });
         Some(self.crashes.len() - 1)
     }
@@ -253,6 +261,7 @@
     /// one.
     pub fn judge(&mut self, now: MonoTime) -> bool {
         let mut found = false;
+        self.mark_shared();
         self.is_pending = false;
         while let Some((parts, crashes)) = self.find_fatal(now) {
             self.verdicts
@@ -270,6 +279,22 @@
         found
     }
 
+    /// Sets the number of known backend servers.
+    pub fn set_server_count(&mut self, count: usize) {
+        self.servers = count;
+    }
+
+    /// Marks the crashes of backend servers that ended together.
+    fn mark_shared(&mut self) {
+        let share = (self.servers as f64 * TOGETHER_SHARE) as usize;
+        let needed = share.clamp(*TOGETHER_COUNT.start(), *TOGETHER_COUNT.end());
+        let times: Vec<MonoTime> = self.crashes.iter().map(|c| c.at).collect();
+        for crash in &mut self.crashes {
+            let is_near = |at: &&MonoTime| crash.at.abs_diff(**at) <= TOGETHER;
+            crash.is_shared = times.iter().filter(is_near).count() >= needed;
+        }
+    }
+
     /// Does the same if a verdict only waited for answers that other entries may tell of.
     pub fn judge_pending(&mut self, now: MonoTime) -> bool {
         self.is_pending && self.judge(now)
@@ -402,8 +427,6 @@
     /// Counted crashes, and those of them whose suspects' answers had begun.
     crashes: usize,
     begun: usize,
-    /// When the first crash of this round was, and how many were counted of it.
-    round: (MonoTime, usize),
     /// First and latest counted crash.
     first_at: MonoTime,
     last_at: MonoTime,
@@ -420,15 +443,11 @@
             self.first_at = crash.at;
         }
         self.is_repeated |= self.first != suspect.fingerprint;
-        let (began_at, _) = self.round;
-        let is_new = self.crashes == 0
+        // All requests that were in flight at a power failure had been sent before it.
+        let is_another = self.crashes == 0
             || suspect.sent_at >= self.last_at
-            || crash.at.saturating_sub(began_at) >= BURST;
-        if is_new {
-            self.round = (crash.at, 0);
-        }
-        if self.round.1 < MAX_COUNTED_PER_ROUND {
-            self.round.1 += 1;
+            || crash.at.saturating_sub(self.last_at) >= BURST;
+        if is_another {
             self.crashes += 1;
             self.begun += usize::from(crash.has_begun());
             self.last_at = crash.at;
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -64,6 +64,7 @@
         Digest,
         DomainId,
         LogIndex,
+        MonoTime,
         NodeId,
         ProcessAddr, //
     },
@@ -207,6 +208,19 @@
             && rollout_ages.is_empty()
     }
 
+    /// Turns the ages of crashes and answers into times of the local clock, or such times
+    /// into ages. A report that waits to be passed on must not make them younger.
+    pub fn convert_ages(&mut self, now: MonoTime) {
+        let convert = |age: &mut Duration| *age = now.saturating_sub(*age);
+        for crash in &mut self.crashes {
+            convert(&mut crash.sent);
+            convert(&mut crash.age);
+        }
+        for event in &mut self.part_events {
+            convert(&mut event.age);
+        }
+    }
+
     /// Adds the report of another entry.
     pub fn add(&mut self, other: Self) {
         for evidence in other.evidence {
--- a/sesamebeam_core/tests/gateway/fatal_parts.rs
+++ b/sesamebeam_core/tests/gateway/fatal_parts.rs
@@ -186,6 +186,23 @@
     }
 }
 
+#[test]
+fn domains_end_in_turn() {
+    // Guards against a verdict on a part whose requests were waiting each time that several
+    // backend servers ended together, and got no answer in between.
+    let mut crashes = CrashesByPart::default();
+    for round in 0..20 {
+        let at = START + round * 1200;
+        for server in 0..4 {
+            let n = round * 10 + server;
+            let waiting = crash(n, n, &[SHARED, BESIDE], false);
+            record(&mut crashes, ms(at + server * 3), &[waiting]);
+        }
+        assert!(!crashes.judge(ms(at + 1000)), "round {round}");
+    }
+    assert!(verdicts(&crashes).is_empty());
+}
+
 #[test]
 fn answers_on_their_way() {
     // Guards against a verdict that is reached before other entries can tell of answers.
