--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -17,6 +17,8 @@
     },
 };
 
+use tokio_util::sync::CancellationToken;
+
 use crate::{
     schedule::{
         CONTACT_MS,
@@ -61,6 +63,11 @@
 const FAILED_SLACK: u32 = 10;
 const FAILED_ONE_IN: u32 = 50;
 
+/// Number of crashes after which a fatal part must be known, and of requests with it that may
+/// reach backend servers once it is.
+const FATAL_CRASHES: usize = 5;
+const MAX_LATE_FATAL: usize = 3;
+
 /// Everything that was seen in one run.
 #[derive(Debug)]
 pub struct Books {
@@ -126,8 +133,13 @@
     tries: Vec<Try>,
     /// Times at which an entry was cut from all backend servers.
     cuts: Vec<CutSpan>,
-    /// Faults of daemons that go on.
+    /// Faults of daemons that go on, and when one last ended, in milliseconds of the run.
     daemon_faults: usize,
+    daemon_fault_ended_ms: u64,
+    /// When backend servers went down for a fatal part, in milliseconds of the run.
+    crashes: Vec<u64>,
+    /// Entries that sent requests with it later than that is allowed.
+    late_fatal: Vec<Option<usize>>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
@@ -359,12 +371,35 @@
             inner.daemon_faults += 1;
         } else {
             inner.daemon_faults -= 1;
+            inner.daemon_fault_ended_ms = now_ms;
         }
         for cut in &mut inner.cuts {
             cut.is_overlapped |= cut.to_ms.is_none_or(|to| now_ms < to);
         }
     }
 
+    /// Records that a backend server goes down for a fatal part, and ends its life.
+    pub fn crashed(&self, life: &CancellationToken) {
+        if !life.is_cancelled() {
+            let now_ms = self.now_ms();
+            self.lock().crashes.push(now_ms);
+            life.cancel();
+        }
+    }
+
+    /// Records that a request with a fatal part has reached a backend server. It counts once
+    /// five have gone down and every daemon has had time to hear of it.
+    pub fn reached_fatal(&self, sender: Option<usize>) {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let calm_from = inner.daemon_fault_ended_ms + CONTACT_MS;
+        let is_calm = inner.daemon_faults == 0 && now_ms > calm_from;
+        let fifth = inner.crashes.get(FATAL_CRASHES - 1).copied();
+        if is_calm && fifth.is_some_and(|at| now_ms > at + CONTACT_MS) {
+            inner.late_fatal.push(sender);
+        }
+    }
+
     /// Returns the milliseconds since the run began.
     pub fn now_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
@@ -472,6 +507,13 @@
             }
         }
         broken.extend(inner.starved());
+        if inner.late_fatal.len() > MAX_LATE_FATAL {
+            broken.push(format!(
+                "requests with a fatal part reached backend servers late, sent by {:?}; crashes \
+                 at {:?}",
+                inner.late_fatal, inner.crashes
+            ));
+        }
         let neglected = inner
             .cuts
             .iter()
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -4,7 +4,8 @@
 //! scripted backend servers behind proxies. A seeded schedule delays, resets,
 //! cuts and silences connections, and stops, pauses, kills and restarts
 //! processes, in series that overlap. In half of the schedules there are engines
-//! of uneven speed besides, with callers of their own. What callers, operators and backend
+//! of uneven speed besides, with callers of their own. Some backend servers go down under
+//! requests with one part in their prompts. What callers, operators and backend
 //! servers see is written into [`books`], which hold it against the promises.
 
 pub mod books;
@@ -12,6 +13,7 @@
 pub mod engines;
 pub mod entry_links;
 pub mod fleet;
+pub mod fragile;
 pub mod lives;
 pub mod operator;
 pub mod proxy;
--- a/sesamebeam_soak/src/operator.rs
+++ b/sesamebeam_soak/src/operator.rs
@@ -58,6 +58,9 @@
 /// Service of engines.
 pub const MODELS_POOL: &str = "models";
 
+/// Service of backend servers that a prompt part takes down.
+pub const FRAGILE_POOL: &str = "fragile";
+
 /// Returns a configuration, with routes to engines or without.
 pub fn config(version: u64, has_engines: bool) -> String {
     let (mut routes, mut services, mut tenants) = Default::default();
@@ -65,18 +68,21 @@
         (routes, services, tenants) = engine_parts();
     }
     let route = |name: &str, kind: &str, more: &str| {
+        let service = if name == FRAGILE_POOL { name } else { POOL };
         format!(
             r#"{{"name":"{name}","host":"desk.example","path_prefix":"/{name}/","kind":"{kind}",
-            "timeout_ms":4000,"service":"pool","max_attempts":3{more}}}"#
+            "timeout_ms":4000,"service":"{service}","max_attempts":3{more}}}"#
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{}{routes}],
-        "services":[{{"name":"pool","health_path":"/health","max_connections":500}}{services}],
+        r#"{{"version":{version},"routes":[{},{},{},{}{routes}],
+        "services":[{{"name":"pool","health_path":"/health","max_connections":500}},
+        {{"name":"{FRAGILE_POOL}","health_path":"/health","max_connections":500}}{services}],
         "tenants":[{{"name":"quay","api_keys":["k1"]}}{tenants}]}}"#,
         route("book", "non_idempotent", ""),
         route("read", "idempotent", ""),
         route("notes", "streaming", r#","stream_resume":true"#),
+        route(FRAGILE_POOL, "streaming", r#","stream_resume":true"#),
     )
 }
 
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -44,7 +44,7 @@
         Fleet,
         targets, //
     },
-    lives, operator,
+    fragile, lives, operator,
     proxy::{
         self,
         Mode, //
@@ -167,6 +167,15 @@
             b.broke(format!("a backend server cannot be started: {e}"));
         }
     });
+    for number in 0..fragile::SERVERS {
+        let (c, b) = (controls.clone(), Arc::clone(&books));
+        let lives = fragile::succeed(number, DOMAIN, c, Arc::clone(&b), cancel.clone());
+        tasks.spawn(async move {
+            if let Err(e) = lives.await {
+                b.broke(format!("a fragile backend server cannot be started: {e}"));
+            }
+        });
+    }
     let next = Arc::new(AtomicU64::new(1));
     for _ in 0..2 {
         let (next, books) = (Arc::clone(&next), Arc::clone(&books));
@@ -195,6 +204,12 @@
             ));
         }
     }
+    for &front in &fronts {
+        for name in ["fatal", "kin", "sound"] {
+            let b = Arc::clone(&books);
+            tasks.spawn(fragile::call(name, front, b, cancel.clone()));
+        }
+    }
     for caller in stream_callers(&fronts).filter(|_| has_engines) {
         let books = Arc::clone(&books);
         tasks.spawn(caller.call(schedule.seed, books, cancel.clone()));
