--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -103,10 +103,10 @@
     /// begun, if any had. Several backend servers that end together are not ended by what was
     /// waiting.
     fn culprits(&self) -> impl Iterator<Item = &Suspect> {
-        let any_begun = self.has_begun() || self.is_shared;
+        let only_begun = self.has_begun() || self.is_shared;
         let in_time = |s: &&Suspect| s.sent_at + MIN_TIME_TO_CRASH <= self.at;
-        let waiting = self.suspects.iter().filter(in_time);
-        waiting.filter(move |s| s.has_begun || !any_begun)
+        let in_flight = self.suspects.iter().filter(in_time);
+        in_flight.filter(move |s| s.has_begun || !only_begun)
     }
 
     fn has_begun(&self) -> bool {
@@ -154,16 +154,16 @@
         // A later report is of a connection that was only used again later.
         known.at = known.at.min(now.saturating_sub(crash.age));
         let suspects = &mut known.suspects;
-        if suspects.len() >= MAX_SUSPECTS {
+        if suspects.len() < MAX_SUSPECTS {
+            suspects.push(suspect);
+        } else if suspect.has_begun
+            && let Some(waiting) = suspects.iter_mut().find(|s| !s.has_begun)
+        {
             // One that had begun says more than one that was waiting.
-            let waiting = suspects.iter().position(|s| !s.has_begun);
-            match waiting.filter(|_| suspect.has_begun) {
-                Some(waiting) => suspects[waiting] = suspect,
-                None => return,
-            }
+            *waiting = suspect;
+        } else {
             return;
         }
-        suspects.push(suspect);
         self.is_changed = true;
     }
 
@@ -333,22 +333,19 @@
     /// about both. Between parts that don't occur together, more crashes decide.
     fn find_fatal(&mut self, now: MonoTime) -> Option<(Vec<PartId>, usize)> {
         let is_apart = |p: &PartId| self.verdicts.iter().any(|v| v.parts.contains(p));
-        let proven: Vec<Proven> = self
-            .cases()
+        let is_told = |case: &Case| now >= case.first_at + ANSWERS_TOLD_IN;
+        let mut cases = self.cases();
+        cases.retain(|part, case| case.is_proven(is_apart(part)));
+        self.is_pending |= !cases.values().all(is_told);
+        cases.retain(|_, case| is_told(case));
+        let proven: Vec<Proven> = cases
             .into_iter()
-            .filter(|(part, case)| case.is_proven(is_apart(part)))
             .map(|(part, case)| Proven {
                 part,
                 crashes: case.crashes,
-                first_at: case.first_at,
                 company: self.company(part),
             })
             .collect();
-        let is_told = |p: &Proven| now >= p.first_at + ANSWERS_TOLD_IN;
-        if !proven.iter().all(is_told) {
-            self.is_pending = true;
-            return None;
-        }
         let is_implied = |p: &Proven| proven.iter().any(|other| other.implies(p));
         let rarest: Vec<&Proven> = proven.iter().filter(|p| !is_implied(p)).collect();
         let most = rarest.iter().map(|p| p.crashes).max()?;
@@ -409,7 +406,6 @@
 struct Proven {
     part: PartId,
     crashes: usize,
-    first_at: MonoTime,
     /// The part and the others that all suspects with it have.
     company: Vec<PartId>,
 }
--- a/sesamebeam_core/tests/gateway/fatal_parts.rs
+++ b/sesamebeam_core/tests/gateway/fatal_parts.rs
@@ -219,6 +219,24 @@
     assert!(!crashes.judge(ms(START + 2000)));
 }
 
+#[test]
+fn others_suspected_later() {
+    // Guards against a verdict that is put off by parts that are suspected after it.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..BEGUN {
+        let now = ms(START + n * 100);
+        record(&mut crashes, now, &[crash(n, n, &[FATAL], true)]);
+    }
+    for n in 0..BEGUN {
+        let now = ms(START + 400 + n * 60);
+        record(&mut crashes, now, &[crash(50 + n, 50 + n, &[BESIDE], true)]);
+    }
+    assert!(crashes.judge_pending(ms(START) + ANSWERS_TOLD_IN));
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+    assert!(crashes.judge_pending(ms(START + 400) + ANSWERS_TOLD_IN));
+    assert_eq!(verdicts(&crashes), [[FATAL], [BESIDE]]);
+}
+
 #[test]
 fn tied_parts() {
     // Guards against refusing sound requests for a part that occurs beside a fatal one.
