Refuse connections for backend servers that have ended in the soak's network

Cause: the network that the soak gives each entry accepted connections to backend servers that had ended, and closed them, so that no crash was seen. An address of a backend server that is gone now refuses connections before the broken one is closed, as without that network.

A real address that goes on accepting for what is gone is listed as open.

--- a/sesamebeam_soak/src/entry_links.rs
+++ b/sesamebeam_soak/src/entry_links.rs
@@ -54,7 +54,10 @@
         },
     },
     sync::watch,
-    time::timeout,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 use tokio_util::sync::CancellationToken;
 
@@ -208,7 +211,10 @@
     }
 }
 
-/// Passes connections to a backend server, except while the entry is cut.
+/// Time in which a listener that is told to is closed.
+const CLOSED_IN: Duration = Duration::from_millis(5);
+
+/// Passes connections to a backend server until it is gone, except while the entry is cut.
 async fn serve(
     listener: TcpListener,
     near: SocketAddr,
@@ -216,14 +222,16 @@
     mut cut: watch::Receiver<Option<Cut>>,
 ) -> io::Result<()> {
     let mut listener = listener;
+    let gone = CancellationToken::new();
     loop {
         let passed = async {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(pass(stream, far, cut.clone()));
+                tokio::spawn(pass_until_gone(stream, far, cut.clone(), gone.clone()));
             }
         };
         let mut began = cut.clone();
         tokio::select! {
+            () = gone.cancelled() => return Ok(()),
             () = passed => return Ok(()),
             began = began.wait_for(Option::is_some) => {
                 if began.is_err() {
@@ -269,16 +277,37 @@
     socket.connect(to).await
 }
 
+/// Does the same as [`pass`]. If the backend server is gone after that, its address refuses
+/// connections before this one is closed, as without a network in between.
+async fn pass_until_gone(
+    near: TcpStream,
+    far: SocketAddr,
+    cut: watch::Receiver<Option<Cut>>,
+    gone: CancellationToken,
+) {
+    let near = pass(near, far, cut).await;
+    let refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+    if TcpStream::connect(far).await.is_err_and(refused) {
+        gone.cancel();
+        sleep(CLOSED_IN).await;
+    }
+    drop(near);
+}
+
 /// Passes bytes until either end closes or the connection is reset.
-async fn pass(near: TcpStream, far: SocketAddr, cut: watch::Receiver<Option<Cut>>) {
+/// Returns the entry's end, still open.
+async fn pass(
+    mut near: TcpStream,
+    far: SocketAddr,
+    cut: watch::Receiver<Option<Cut>>,
+) -> TcpStream {
     // The address of the network tells a backend server which entry sends.
     let Ok(from) = near.local_addr() else {
-        return;
+        return near;
     };
     let Ok(mut far) = connect_from(from.ip(), far).await else {
-        return;
+        return near;
     };
-    let mut near = near;
     let mut reset = cut.clone();
     let (near_rx, near_tx) = near.split();
     let (far_rx, far_tx) = far.split();
@@ -291,6 +320,7 @@
         // A connection without this option is closed in order.
         let _ = sockopt::set_socket_linger(&near, Some(Duration::ZERO));
     }
+    near
 }
 
 /// Copies bytes, and holds them back while the entry is cut and its connections hang.
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -78,6 +78,18 @@
     play(slot, &schedule);
 }
 
+/// Guards against requests with a fatal part of their prompts that go on to reach backend
+/// servers, and sound ones refused for it, where nothing disturbs the daemons.
+#[test]
+fn fatal_part() {
+    let file = format!(
+        "{}/tests/seeds/9530-fatal-part.toml",
+        env!("CARGO_MANIFEST_DIR")
+    );
+    let schedule = Schedule::read(file).expect("it can be read");
+    play(212, &schedule);
+}
+
 #[test]
 fn short_run() {
     play(203, &Schedule::draw(7, SHORT_MS));
