--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod control_connections;
+mod crash_check;
 mod dispatch;
 mod event_splitter;
 mod forwarding;
--- /dev/null
+++ b/sesamebeam/src/gateway/crash_check.rs
@@ -0,0 +1,83 @@
+//! Detection of backend servers that crashed while they ran a request.
+
+use std::{
+    io::ErrorKind,
+    sync::Arc,
+    time::Duration, //
+};
+
+use sesamebeam_core::gateway::{
+    quarantine::FailedSend,
+    request::AnswerStage,
+    router::Choice, //
+};
+use tokio::{
+    net::TcpStream,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use super::{
+    Gateway,
+    dispatch::Dispatch,
+    in_flight::InFlightSend, //
+};
+
+/// Timeout of each connection attempt, and the number of attempts.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_ATTEMPTS: usize = 3;
+
+/// Interval and number of checks whether another incarnation has announced itself at the
+/// address of a backend server that accepts connections.
+const REPLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const REPLACEMENT_CHECKS: usize = 20;
+
+impl Dispatch {
+    /// Checks whether a backend server whose connection has just ended crashed, and records
+    /// the request as a suspect if so.
+    pub(super) fn check_for_crash(&self, choice: &InFlightSend, stage: AnswerStage) {
+        let gateway = Arc::clone(&self.gateway);
+        let noticed_at = gateway.now();
+        let sent_at = noticed_at.saturating_sub(choice.elapsed());
+        let failed = FailedSend { sent_at, stage };
+        let (plan, choice) = (Arc::clone(&self.plan), Choice::clone(choice));
+        let (id, prompt) = (self.req.head.id.clone(), self.req.head.prompt.clone());
+        tokio::spawn(async move {
+            if !gateway.has_crashed(&choice).await {
+                return;
+            }
+            log::info!(
+                id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt;
+                "backend server went down"
+            );
+            gateway
+                .router()
+                .record_crash(noticed_at, &plan, &choice, failed);
+        });
+    }
+}
+
+impl Gateway {
+    /// Returns whether a backend server whose connection has just ended crashed.
+    ///
+    /// A terminated process refuses connections, while one that only closed the connection
+    /// accepts them. One that is back so soon announces itself as another incarnation.
+    async fn has_crashed(&self, choice: &Choice) -> bool {
+        for _ in 0..CONNECT_ATTEMPTS {
+            match timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.addr)).await {
+                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return true,
+                Ok(Ok(_)) => break,
+                Ok(Err(_)) | Err(_) => {}
+            }
+        }
+        for _ in 0..REPLACEMENT_CHECKS {
+            if self.router().is_replaced(choice) {
+                return true;
+            }
+            sleep(REPLACEMENT_CHECK_INTERVAL).await;
+        }
+        false
+    }
+}
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -26,7 +26,6 @@
         escalation::Judgement,
         progress::Progress, //
     },
-    quarantine::FailedSend,
     request::{
         AnswerStage,
         ResponseHead, //
@@ -426,14 +425,6 @@
         self.handle_possible_run(&choice)
     }
 
-    /// Checks whether a backend server crashed while it ran the request.
-    pub(super) fn check_for_crash(&self, choice: &InFlightSend, stage: AnswerStage) {
-        let sent_at = self.gateway.now().saturating_sub(choice.elapsed());
-        let failed = FailedSend { sent_at, stage };
-        self.gateway
-            .check_for_crash(&self.req, &self.plan, choice, failed);
-    }
-
     /// Records that nothing could be sent to a backend server.
     pub(super) fn record_unsent(&mut self, choice: &mut InFlightSend, error: &ClientError) {
         log::info!(id:% = self.req.head.id, server:% = choice.id, error:% = error; "not sent");
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -1,9 +1,7 @@
 //! Sending a request to one backend server.
 
 use std::{
-    io::ErrorKind,
     pin::pin,
-    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -22,7 +20,6 @@
 use sesamebeam_core::{
     gateway::{
         backoff::Backoff,
-        quarantine::FailedSend,
         request::{
             Head,
             Outgoing,
@@ -35,12 +32,9 @@
     },
     ids::Digest,
 };
-use tokio::{
-    net::TcpStream,
-    time::{
-        sleep,
-        timeout, //
-    },
+use tokio::time::{
+    sleep,
+    timeout, //
 };
 use xxhash_rust::xxh3::Xxh3;
 
@@ -62,16 +56,6 @@
 /// that has exceeded its own timeout is abandoned.
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Timeout of each connection attempt that checks whether a backend server crashed, and the
-/// number of attempts.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-const CRASH_CHECK_ATTEMPTS: usize = 3;
-
-/// Interval and number of checks whether another incarnation has announced itself at the
-/// address of a backend server that crashed without being seen to.
-const REPLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-const REPLACEMENT_CHECKS: usize = 20;
-
 /// Share of a request's remaining time after which a response that is not a stream is
 /// overdue, and the upper bound of that time. Plain services respond within a tenth of it
 /// on average. A broken network path or a hung process accepts a request on a kept-alive
@@ -268,51 +252,4 @@
         *request.headers_mut() = headers;
         Some(request)
     }
-
-    /// Checks whether a backend server crashed while it ran a request.
-    pub(super) fn check_for_crash(
-        self: &Arc<Self>,
-        req: &BufferedRequest,
-        plan: &Arc<Plan>,
-        choice: &Choice,
-        failed: FailedSend,
-    ) {
-        let gateway = Arc::clone(self);
-        let noticed_at = self.now();
-        let (plan, choice) = (Arc::clone(plan), choice.clone());
-        let (id, prompt) = (req.head.id.clone(), req.head.prompt.clone());
-        tokio::spawn(async move {
-            if !gateway.has_crashed(&choice).await {
-                return;
-            }
-            log::info!(
-                id:% = id, server:% = choice.id, answer:? = failed.stage, prompt:? = prompt;
-                "backend server went down"
-            );
-            gateway
-                .router()
-                .record_crash(noticed_at, &plan, &choice, failed);
-        });
-    }
-
-    /// Returns whether a backend server whose connection has just ended crashed.
-    ///
-    /// A terminated process refuses connections, while one that only closed the connection
-    /// accepts them. One that is back so soon announces itself as another incarnation.
-    async fn has_crashed(&self, choice: &Choice) -> bool {
-        for _ in 0..CRASH_CHECK_ATTEMPTS {
-            match timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(choice.addr)).await {
-                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return true,
-                Ok(Ok(_)) => break,
-                Ok(Err(_)) | Err(_) => {}
-            }
-        }
-        for _ in 0..REPLACEMENT_CHECKS {
-            if self.router().is_replaced(choice) {
-                return true;
-            }
-            sleep(REPLACEMENT_CHECK_INTERVAL).await;
-        }
-        false
-    }
 }
--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -114,6 +114,63 @@
     }
 }
 
+/// A part that is held to be fatal, alone or with others.
+#[derive(Debug)]
+struct Proven {
+    part: PartId,
+    crashes: usize,
+    /// The part and the others that all suspects with it have.
+    company: Vec<PartId>,
+}
+
+impl Proven {
+    /// Returns whether another part occurs wherever this one does, but not the reverse.
+    fn implies(&self, other: &Self) -> bool {
+        self.company.contains(&other.part) && !other.company.contains(&self.part)
+    }
+}
+
+/// The crashes that count against a part.
+#[derive(Clone, Debug, Default)]
+struct Case {
+    /// Counted crashes, and those of them whose suspects' answers had begun.
+    crashes: usize,
+    begun: usize,
+    /// First and latest counted crash.
+    first_at: MonoTime,
+    last_at: MonoTime,
+    /// First request, and whether there was another one.
+    first: Digest,
+    is_repeated: bool,
+}
+
+impl Case {
+    /// Counts a crash. `suspect` is the first that was sent of those with the part.
+    fn add(&mut self, crash: &PartCrash, suspect: &Suspect) {
+        if self.crashes == 0 {
+            self.first = suspect.fingerprint;
+            self.first_at = crash.at;
+        }
+        self.is_repeated |= self.first != suspect.fingerprint;
+        // All requests that were in flight at a power failure had been sent before it.
+        let is_another = self.crashes == 0
+            || suspect.sent_at >= self.last_at
+            || crash.at.saturating_sub(self.last_at) >= BURST;
+        if is_another {
+            self.crashes += 1;
+            self.begun += usize::from(crash.has_begun());
+            self.last_at = crash.at;
+        }
+    }
+
+    /// Returns whether the part is held to be fatal. `apart` lowers the bar for a part that
+    /// is known to be fatal beside others.
+    fn is_proven(&self, apart: bool) -> bool {
+        let enough = self.begun >= MIN_CRASHES_BEGUN || self.crashes >= MIN_CRASHES;
+        self.is_repeated && (enough || apart && self.crashes >= MIN_CRASHES_APART)
+    }
+}
+
 /// Crashes of backend servers by prompt part, and the parts held to be fatal.
 #[derive(Clone, Debug, Default)]
 pub struct CrashesByPart {
@@ -400,60 +457,3 @@
         company.unwrap_or_default()
     }
 }
-
-/// A part that is held to be fatal, alone or with others.
-#[derive(Debug)]
-struct Proven {
-    part: PartId,
-    crashes: usize,
-    /// The part and the others that all suspects with it have.
-    company: Vec<PartId>,
-}
-
-impl Proven {
-    /// Returns whether another part occurs wherever this one does, but not the reverse.
-    fn implies(&self, other: &Self) -> bool {
-        self.company.contains(&other.part) && !other.company.contains(&self.part)
-    }
-}
-
-/// The crashes that count against a part.
-#[derive(Clone, Debug, Default)]
-struct Case {
-    /// Counted crashes, and those of them whose suspects' answers had begun.
-    crashes: usize,
-    begun: usize,
-    /// First and latest counted crash.
-    first_at: MonoTime,
-    last_at: MonoTime,
-    /// First request, and whether there was another one.
-    first: Digest,
-    is_repeated: bool,
-}
-
-impl Case {
-    /// Counts a crash. `suspect` is the first that was sent of those with the part.
-    fn add(&mut self, crash: &PartCrash, suspect: &Suspect) {
-        if self.crashes == 0 {
-            self.first = suspect.fingerprint;
-            self.first_at = crash.at;
-        }
-        self.is_repeated |= self.first != suspect.fingerprint;
-        // All requests that were in flight at a power failure had been sent before it.
-        let is_another = self.crashes == 0
-            || suspect.sent_at >= self.last_at
-            || crash.at.saturating_sub(self.last_at) >= BURST;
-        if is_another {
-            self.crashes += 1;
-            self.begun += usize::from(crash.has_begun());
-            self.last_at = crash.at;
-        }
-    }
-
-    /// Returns whether the part is held to be fatal. `apart` lowers the bar for a part that
-    /// is known to be fatal beside others.
-    fn is_proven(&self, apart: bool) -> bool {
-        let enough = self.begun >= MIN_CRASHES_BEGUN || self.crashes >= MIN_CRASHES;
-        self.is_repeated && (enough || apart && self.crashes >= MIN_CRASHES_APART)
-    }
-}
