Count callers' connections and the time until their requests are read

To tell an overloaded event loop from a full accept queue and from late answers: a histogram of the time from accepting a connection to reading its first request.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -188,6 +188,8 @@
     messages: Family<MessageLabels, Counter>,
     message_bytes: Family<MessageLabels, Counter>,
     escalations: Family<EscalationLabels, Counter>,
+    connections: Counter,
+    connection_wait: Histogram,
     first_byte: Histogram,
     request_duration: Histogram,
     config: Gauge,
@@ -223,6 +225,8 @@
             messages: Family::default(),
             message_bytes: Family::default(),
             escalations: Family::default(),
+            connections: Counter::default(),
+            connection_wait: histogram(),
             first_byte: histogram(),
             request_duration: histogram(),
             config: Gauge::default(),
@@ -313,6 +317,12 @@
         self.escalations.get_or_create(&labels).inc();
     }
 
+    /// Records the time from accepting a caller's connection to reading its first request.
+    pub fn record_connection_wait(&self, waited: Duration) {
+        self.connections.inc();
+        self.connection_wait.observe(waited.as_secs_f64());
+    }
+
     /// Records the time from a send to the first byte of its response.
     pub fn record_first_byte(&self, took: Duration) {
         self.first_byte.observe(took.as_secs_f64());
@@ -416,6 +426,16 @@
             "Answers of small models by whether a larger model was asked",
             self.escalations.clone(),
         );
+        registry.register(
+            "connections",
+            "Callers' connections whose first request was read",
+            self.connections.clone(),
+        );
+        registry.register(
+            "connection_wait_seconds",
+            "Time from accepting a caller's connection to reading its first request",
+            self.connection_wait.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from a send to the first byte of its answer",
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -6,6 +6,7 @@
     sync::{
         Arc,
         atomic::{
+            AtomicBool,
             AtomicUsize,
             Ordering, //
         },
@@ -99,8 +100,15 @@
     let accepting = listen::accept(callers, halt, |stream| {
         let guard = OpenConnection::new(&open);
         let gateway = Arc::clone(&gateway);
+        let (accepted_at, is_first) = (Instant::now(), AtomicBool::new(true));
         async move {
-            let answer = |gateway, req| admission::handle(gateway, req, Origin::Caller);
+            let answer = move |gateway: Arc<Gateway>, req| {
+                if is_first.swap(false, Ordering::Relaxed) {
+                    let waited = accepted_at.elapsed();
+                    gateway.metrics.record_connection_wait(waited);
+                }
+                admission::handle(gateway, req, Origin::Caller)
+            };
             serve(gateway, stream, answer).await;
             drop(guard);
         }
