--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -68,6 +68,13 @@
         LinkError,
         PeerPool, //
     },
+    listen::{
+        self,
+        paced::{
+            PacedListener,
+            SharedPatience, //
+        },
+    },
     metrics::{
         Metrics,
         MetricsError, //
@@ -149,8 +156,8 @@
         secret: &[u8],
         stop: CancellationToken,
     ) -> Result<Self, EntryError> {
-        let callers_listener = listen(settings.listen.callers).await?;
-        let announce_listener = listen(settings.listen.announcements).await?;
+        let callers_listener = bind(settings.listen.callers)?;
+        let announce_listener = bind(settings.listen.announcements)?;
         let (hub, rx) = Hub::new(EntryCore::new(core_config(&settings)), Instant::now());
         let client = Client::new(settings.timings.connect_timeout)
             .with_max_idle(settings.limits.idle_per_server);
@@ -189,6 +196,8 @@
             settings.limits.clone(),
             halt.clone(),
         ));
+        let patience = SharedPatience::default();
+        let callers_listener = PacedListener::new(callers_listener, addrs.callers, patience);
         let stopped = tokio::spawn(serve_until_stopped(
             callers,
             callers_listener,
@@ -242,7 +251,7 @@
 /// listener, then waits for the requests in progress and for their records.
 async fn serve_until_stopped(
     callers: Arc<CallerServer>,
-    listener: TcpListener,
+    listener: PacedListener,
     hub: Arc<Hub>,
     notice: Duration,
     stops: StopSignals,
@@ -339,10 +348,8 @@
     cfg
 }
 
-async fn listen(addr: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|e| EntryError::Listen(addr, e))
+fn bind(addr: SocketAddr) -> Result<TcpListener, EntryError> {
+    listen::open(addr).map_err(|e| EntryError::Listen(addr, e))
 }
 
 fn bound_addr(listener: &TcpListener, wanted: SocketAddr) -> Result<SocketAddr, EntryError> {
--- a/sesamebeam/src/entry/callers.rs
+++ b/sesamebeam/src/entry/callers.rs
@@ -59,7 +59,6 @@
 };
 use smol_str::SmolStr;
 use tokio::{
-    net::TcpListener,
     sync::Semaphore,
     task::JoinSet,
     time::timeout, //
@@ -92,6 +91,8 @@
         sse, //
     },
     keys::sha256_hex,
+    limit::LogLimit,
+    listen::paced::PacedListener,
     settings::EntryLimits,
 };
 
@@ -134,25 +135,22 @@
 
     /// Accepts connections until `closing` is cancelled, then waits until every
     /// request on them has been answered.
-    pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener, closing: CancellationToken) {
+    pub(crate) async fn serve(
+        self: Arc<Self>,
+        mut listener: PacedListener,
+        closing: CancellationToken,
+    ) {
         let connections = Arc::new(Semaphore::new(self.limits.connections));
+        let refused = LogLimit::default();
         let mut tasks = JoinSet::new();
-        loop {
+        while let Some((stream, _)) = closing.run_until_cancelled(listener.accept()).await {
             while tasks.try_join_next().is_some() {}
-            let permit = tokio::select! {
-                () = closing.cancelled() => break,
-                permit = Arc::clone(&connections).acquire_owned() => permit,
-            };
-            let accepted = tokio::select! {
-                () = closing.cancelled() => break,
-                accepted = listener.accept() => accepted,
-            };
-            let Ok((stream, _)) = accepted else {
-                // Usually no file descriptor is left; one may be free soon.
-                tokio::time::sleep(Duration::from_millis(20)).await;
+            let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+                if let Some(suppressed) = refused.allow() {
+                    log::warn!(suppressed; "connection closed, too many are open");
+                }
                 continue;
             };
-            let _ = stream.set_nodelay(true);
             let (callers, closing) = (Arc::clone(&self), closing.clone());
             tasks.spawn(async move {
                 callers.serve_connection(stream, closing).await;
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -56,7 +56,10 @@
 use crate::{
     exposition::Exposition,
     http::client::Client,
-    listen::ListenError, //
+    listen::{
+        ListenError,
+        paced::SharedPatience, //
+    },
 };
 
 /// Timeout for connecting to a backend server: many round trips within a region. An
@@ -99,6 +102,8 @@
     /// Permits to serve requests of other entries.
     accepted: Arc<Semaphore>,
     metrics: Arc<Exposition>,
+    /// Time that callers leave for their requests to be read.
+    patience: SharedPatience,
     start: Instant,
     /// Notified when a configuration or announcements of backend servers are received.
     state_changed: Notify,
@@ -162,6 +167,7 @@
         forwarding_key: rand::rng().random(),
         forwarding_addr: OnceLock::new(),
         accepted: Arc::new(Semaphore::new(forwarding::MAX_ACCEPTED)),
+        patience: SharedPatience::default(),
         start: Instant::now(),
         settings,
         protocol,
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -144,6 +144,9 @@
         return reject(&gateway, &head.id, refusal);
     }
     let caller_timeout = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    if origin.is_caller() {
+        gateway.patience.record_deadline(caller_timeout);
+    }
     let deadline = received_at + caller_timeout.min(plan.route.timeout);
     let req = BufferedRequest {
         head,
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -49,7 +49,8 @@
 };
 use crate::listen::{
     self,
-    ListenError, //
+    ListenError,
+    paced::PacedListener, //
 };
 
 /// Time after the termination signal during which new connections may still arrive: the
@@ -90,34 +91,45 @@
 /// Serves callers until shutdown is requested and their requests have been answered.
 pub(super) async fn run(gateway: Arc<Gateway>, halt: CancellationToken) -> Result<(), ListenError> {
     let ready = listen::bind(gateway.settings.readiness_addr).await?;
-    let callers = listen::bind(gateway.settings.caller_addr).await?;
+    let callers =
+        PacedListener::bind(gateway.settings.caller_addr, gateway.patience.clone()).await?;
     let open = Arc::new(AtomicUsize::new(0));
     accept_from_peers(&gateway, &open, halt.clone()).await;
     let shared = Arc::clone(&gateway);
     tokio::spawn(listen::accept(ready, halt.clone(), move |stream| {
         serve_readiness(Arc::clone(&shared), stream)
     }));
-    let accepting = listen::accept(callers, halt, |stream| {
-        let guard = OpenConnection::new(&open);
-        let gateway = Arc::clone(&gateway);
-        let (accepted_at, is_first) = (Instant::now(), AtomicBool::new(true));
-        async move {
+    let accepting = accept_callers(&gateway, callers, &open, halt);
+    tokio::select! {
+        () = accepting => {}
+        () = drain(&gateway, &open) => {}
+    }
+    Ok(())
+}
+
+/// Accepts callers' connections until cancelled.
+async fn accept_callers(
+    gateway: &Arc<Gateway>,
+    mut listener: PacedListener,
+    open: &Arc<AtomicUsize>,
+    halt: CancellationToken,
+) {
+    while let Some((stream, came_at)) = halt.run_until_cancelled(listener.accept()).await {
+        let guard = OpenConnection::new(open);
+        let gateway = Arc::clone(gateway);
+        let is_first = AtomicBool::new(true);
+        tokio::spawn(async move {
             let answer = move |gateway: Arc<Gateway>, req| {
                 if is_first.swap(false, Ordering::Relaxed) {
-                    let waited = accepted_at.elapsed();
+                    let waited = came_at.elapsed();
                     gateway.metrics.record_connection_wait(waited);
                 }
                 admission::handle(gateway, req, Origin::Caller)
             };
             serve(gateway, stream, answer).await;
             drop(guard);
-        }
-    });
-    tokio::select! {
-        () = accepting => {}
-        () = drain(&gateway, &open) => {}
+        });
     }
-    Ok(())
 }
 
 /// Accepts connections of other entries, if this one has an address for them. Without it,
--- a/sesamebeam/src/listen.rs
+++ b/sesamebeam/src/listen.rs
@@ -1,5 +1,7 @@
 //! TCP listeners.
 
+pub(crate) mod paced;
+
 use std::{
     io,
     net::SocketAddr,
@@ -10,6 +12,7 @@
 use tokio::{
     net::{
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     time::sleep,
@@ -20,6 +23,10 @@
 /// descriptors, and some will be closed soon.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Connections that the system keeps until they are accepted. It drops the opening packets of
+/// others, and their callers try again only after a second.
+const BACKLOG: u32 = 1024;
+
 /// Error when listening on an address.
 #[derive(Debug, Error)]
 #[error("cannot listen on {addr}: {source}")]
@@ -36,8 +43,22 @@
 ///
 /// Fails if the address cannot be bound.
 pub(crate) async fn bind(addr: SocketAddr) -> Result<TcpListener, ListenError> {
-    let bound = TcpListener::bind(addr).await;
-    bound.map_err(|source| ListenError { addr, source })
+    open(addr).map_err(|source| ListenError { addr, source })
+}
+
+/// Listens on an address, with a queue for what arrives while the process does not run.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub(crate) fn open(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
 }
 
 /// Accepts connections until cancelled, and serves each one in its own task.
@@ -55,10 +76,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                // Without TCP_NODELAY responses are only slower.
-                if let Err(e) = stream.set_nodelay(true) {
-                    log::debug!(error:% = e; "failed to set TCP_NODELAY");
-                }
+                set_nodelay(&stream);
                 tokio::spawn(serve(stream));
             }
             Err(e) => {
@@ -68,3 +86,10 @@
         }
     }
 }
+
+/// Sets TCP_NODELAY, without which responses are only slower.
+fn set_nodelay(stream: &TcpStream) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(error:% = e; "failed to set TCP_NODELAY");
+    }
+}
--- /dev/null
+++ b/sesamebeam/src/listen/paced.rs
@@ -0,0 +1,259 @@
+//! Listener that takes connections at the pace at which the event loop serves them.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use futures::FutureExt;
+use sesamebeam_core::{
+    ids::MonoTime,
+    policy::connections::{
+        ConnectionQueue,
+        Patience, //
+    },
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::{
+        unconstrained,
+        yield_now, //
+    },
+    time::sleep,
+};
+
+use super::{
+    ACCEPT_RETRY_DELAY,
+    ListenError,
+    bind,
+    set_nodelay, //
+};
+use crate::limit::LogLimit;
+
+/// Minimum time between two log lines about overload.
+const OVERLOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
+
+/// Deadlines of recent requests, which the listener and those who read requests share.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedPatience(Arc<Mutex<Patience>>);
+
+impl SharedPatience {
+    /// Records the time that a caller leaves for its request.
+    pub(crate) fn record_deadline(&self, deadline: Duration) {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .record_deadline(deadline);
+    }
+
+    fn max_wait(&self) -> Duration {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .max_wait()
+    }
+}
+
+/// Listener for callers that refuses connections while the process is overloaded.
+///
+/// One connection is handed out in each turn of the event loop, so that work that has begun
+/// goes before new work. While more wait than will be served in time, nothing listens: the
+/// system resets connections that were not accepted and refuses new ones, which costs this
+/// process nothing, however many there are.
+#[derive(Debug)]
+pub(crate) struct PacedListener {
+    addr: SocketAddr,
+    /// None while connections are refused.
+    listener: Option<TcpListener>,
+    /// Whether the event loop has not turned since the listener was opened, so that it does
+    /// not know yet who waits there.
+    is_fresh: bool,
+    queue: ConnectionQueue<TcpStream>,
+    patience: SharedPatience,
+    start: Instant,
+    /// When no connection was left to accept, for the last time.
+    drained_at: MonoTime,
+    /// Until when nothing listens after an error, such as too few file descriptors.
+    paused_until: MonoTime,
+    overload: Overload,
+}
+
+/// What is logged of an overload.
+#[derive(Debug)]
+struct Overload {
+    /// Since when, and how many connections had expired then.
+    since: Option<(MonoTime, u64)>,
+    /// How often the listener was closed since then.
+    closings: u64,
+    log_limit: LogLimit,
+}
+
+impl PacedListener {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub(crate) async fn bind(
+        addr: SocketAddr,
+        patience: SharedPatience,
+    ) -> Result<Self, ListenError> {
+        Ok(Self::new(bind(addr).await?, addr, patience))
+    }
+
+    /// Wraps a listener on an address.
+    pub(crate) fn new(listener: TcpListener, addr: SocketAddr, patience: SharedPatience) -> Self {
+        Self {
+            addr,
+            listener: Some(listener),
+            is_fresh: false,
+            queue: ConnectionQueue::default(),
+            patience,
+            start: Instant::now(),
+            drained_at: MonoTime::ZERO,
+            paused_until: MonoTime::ZERO,
+            overload: Overload {
+                since: None,
+                closings: 0,
+                log_limit: LogLimit::new(OVERLOAD_LOG_PERIOD),
+            },
+        }
+    }
+
+    /// Returns the next connection that is to be served, and when it came at the earliest.
+    ///
+    /// No connection is lost if the future is dropped.
+    pub(crate) async fn accept(&mut self) -> (TcpStream, Instant) {
+        // Work that is ready goes before the next connection.
+        yield_now().await;
+        loop {
+            self.queue.set_max_wait(self.patience.max_wait());
+            self.accept_waiting().await;
+            let taken = self.queue.pop(self.now());
+            self.log_overload();
+            if let Some((came, stream)) = taken {
+                return (stream, self.start + came);
+            }
+            self.wait_for_connection().await;
+        }
+    }
+
+    /// Accepts connections as long as they will be served in time, and refuses others.
+    async fn accept_waiting(&mut self) {
+        let now = self.now();
+        while !self.queue.is_full(now) {
+            self.listen(now).await;
+            let Some(listener) = &self.listener else {
+                return;
+            };
+            let Some(accepted) = unconstrained(listener.accept()).now_or_never() else {
+                if self.is_fresh {
+                    self.is_fresh = false;
+                    return;
+                }
+                self.drained_at = now;
+                if self.queue.is_empty() {
+                    self.queue.record_idle();
+                }
+                return;
+            };
+            self.add(accepted, self.drained_at);
+        }
+        if self.listener.take().is_some() {
+            self.overload.closings += 1;
+        }
+    }
+
+    /// Waits until a connection comes, or until the listener may be opened again.
+    async fn wait_for_connection(&mut self) {
+        match &self.listener {
+            Some(listener) => {
+                let accepted = listener.accept().await;
+                self.drained_at = self.now();
+                self.add(accepted, self.drained_at);
+            }
+            None => sleep(self.paused_until.saturating_sub(self.now())).await,
+        }
+    }
+
+    fn add(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>, came: MonoTime) {
+        match accepted {
+            Ok((stream, _)) => {
+                set_nodelay(&stream);
+                self.queue.push(self.now(), came, stream);
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e) => {
+                log::warn!(error:% = e; "failed to accept a connection");
+                self.pause();
+            }
+        }
+    }
+
+    /// Listens, unless it is too early after an error.
+    async fn listen(&mut self, now: MonoTime) {
+        if self.listener.is_some() || now < self.paused_until {
+            return;
+        }
+        match bind(self.addr).await {
+            Ok(listener) => {
+                self.listener = Some(listener);
+                self.is_fresh = true;
+                self.drained_at = now;
+            }
+            Err(e) => {
+                log::warn!(error:% = e; "failed to listen again");
+                self.pause();
+            }
+        }
+    }
+
+    fn pause(&mut self) {
+        self.listener = None;
+        self.paused_until = self.now() + ACCEPT_RETRY_DELAY;
+    }
+
+    fn log_overload(&mut self) {
+        let now = self.now();
+        let is_standing = self.queue.is_standing(now);
+        let overload = &mut self.overload;
+        match overload.since {
+            None if is_standing => {
+                overload.since = Some((now, self.queue.expired()));
+                overload.closings = 0;
+                if let Some(suppressed) = overload.log_limit.allow() {
+                    log::warn!(
+                        waiting = self.queue.len(), suppressed = suppressed,
+                        max_wait_ms = self.patience.max_wait().as_millis() as u64;
+                        "overloaded"
+                    );
+                }
+            }
+            Some((since, expired)) if !is_standing => {
+                log::info!(
+                    for_ms = now.saturating_sub(since).as_millis() as u64,
+                    closings = overload.closings, expired = self.queue.expired() - expired;
+                    "no longer overloaded"
+                );
+                overload.since = None;
+            }
+            _ => {}
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        self.start.elapsed()
+    }
+}
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -11,6 +11,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod burn;
+pub mod connections;
 pub mod exposure;
 pub mod hash;
 pub mod plan;
--- a/sesamebeam_core/tests/policy/main.rs
+++ b/sesamebeam_core/tests/policy/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod balance;
 mod burn;
+mod connections;
 mod exposure;
 mod fixtures;
 mod plan;
