--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -190,6 +190,8 @@
     escalations: Family<EscalationLabels, Counter>,
     connections: Counter,
     connection_wait: Histogram,
+    listener_closings: Counter,
+    expired_connections: Counter,
     first_byte: Histogram,
     request_duration: Histogram,
     config: Gauge,
@@ -227,6 +229,8 @@
             escalations: Family::default(),
             connections: Counter::default(),
             connection_wait: histogram(),
+            listener_closings: Counter::default(),
+            expired_connections: Counter::default(),
             first_byte: histogram(),
             request_duration: histogram(),
             config: Gauge::default(),
@@ -323,6 +327,13 @@
         self.connection_wait.observe(waited.as_secs_f64());
     }
 
+    /// Counts times at which the callers' listener was closed, and connections that were closed
+    /// unread.
+    pub fn record_turned_away(&self, closings: u64, expired: u64) {
+        self.listener_closings.inc_by(closings);
+        self.expired_connections.inc_by(expired);
+    }
+
     /// Records the time from a send to the first byte of its response.
     pub fn record_first_byte(&self, took: Duration) {
         self.first_byte.observe(took.as_secs_f64());
@@ -436,6 +447,16 @@
             "Time from accepting a caller's connection to reading its first request",
             self.connection_wait.clone(),
         );
+        registry.register(
+            "listener_closings",
+            "Times at which the callers' listener was closed under overload",
+            self.listener_closings.clone(),
+        );
+        registry.register(
+            "expired_connections",
+            "Callers' connections closed unread after they had waited for too long",
+            self.expired_connections.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from a send to the first byte of its answer",
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -114,7 +114,14 @@
     open: &Arc<AtomicUsize>,
     halt: CancellationToken,
 ) {
+    let mut counted = listener.turned_away();
     while let Some((stream, came_at)) = halt.run_until_cancelled(listener.accept()).await {
+        let turned_away = listener.turned_away();
+        gateway.metrics.record_turned_away(
+            turned_away.closings - counted.closings,
+            turned_away.expired - counted.expired,
+        );
+        counted = turned_away;
         let guard = OpenConnection::new(open);
         let gateway = Arc::clone(gateway);
         let is_first = AtomicBool::new(true);
--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -87,16 +87,25 @@
     drained_at: MonoTime,
     /// Until when nothing listens after an error, such as too few file descriptors.
     paused_until: MonoTime,
+    /// How often the listener was closed.
+    closings: u64,
     overload: Overload,
 }
 
+/// How connections were turned away since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TurnedAway {
+    /// How often the listener was closed, which resets what was not accepted.
+    pub(crate) closings: u64,
+    /// Connections closed because they had waited for too long.
+    pub(crate) expired: u64,
+}
+
 /// What is logged of an overload.
 #[derive(Debug)]
 struct Overload {
-    /// Since when, and how many connections had expired then.
-    since: Option<(MonoTime, u64)>,
-    /// How often the listener was closed since then.
-    closings: u64,
+    /// Since when, and what had been turned away before.
+    since: Option<(MonoTime, TurnedAway)>,
     log_limit: LogLimit,
 }
 
@@ -124,9 +133,9 @@
             start: Instant::now(),
             drained_at: MonoTime::ZERO,
             paused_until: MonoTime::ZERO,
+            closings: 0,
             overload: Overload {
                 since: None,
-                closings: 0,
                 log_limit: LogLimit::new(OVERLOAD_LOG_PERIOD),
             },
         }
@@ -150,6 +159,14 @@
         }
     }
 
+    /// Returns how connections were turned away since the start.
+    pub(crate) fn turned_away(&self) -> TurnedAway {
+        TurnedAway {
+            closings: self.closings,
+            expired: self.queue.expired(),
+        }
+    }
+
     /// Accepts connections as long as they will be served in time, and refuses others.
     async fn accept_waiting(&mut self) {
         let now = self.now();
@@ -172,7 +189,7 @@
             self.add(accepted, self.drained_at);
         }
         if self.listener.take().is_some() {
-            self.overload.closings += 1;
+            self.closings += 1;
         }
     }
 
@@ -227,13 +244,11 @@
 
     fn log_overload(&mut self) {
         let now = self.now();
-        let is_standing = self.queue.is_standing(now);
-        let overload = &mut self.overload;
-        match overload.since {
-            None if is_standing => {
-                overload.since = Some((now, self.queue.expired()));
-                overload.closings = 0;
-                if let Some(suppressed) = overload.log_limit.allow() {
+        let turned_away = self.turned_away();
+        match self.overload.since {
+            None if self.queue.is_standing(now) => {
+                self.overload.since = Some((now, turned_away));
+                if let Some(suppressed) = self.overload.log_limit.allow() {
                     log::warn!(
                         waiting = self.queue.len(), suppressed = suppressed,
                         max_wait_ms = self.patience.max_wait().as_millis() as u64;
@@ -241,13 +256,14 @@
                     );
                 }
             }
-            Some((since, expired)) if !is_standing => {
+            Some((since, before)) if !self.queue.is_standing(now) => {
                 log::info!(
                     for_ms = now.saturating_sub(since).as_millis() as u64,
-                    closings = overload.closings, expired = self.queue.expired() - expired;
+                    closings = turned_away.closings - before.closings,
+                    expired = turned_away.expired - before.expired;
                     "no longer overloaded"
                 );
-                overload.since = None;
+                self.overload.since = None;
             }
             _ => {}
         }
