--- a/sesamebeam_core/src/policy/connections.rs
+++ b/sesamebeam_core/src/policy/connections.rs
@@ -104,8 +104,11 @@
     max_wait: Duration,
     /// Since when connections have been waiting without a break.
     busy_since: Option<MonoTime>,
-    /// When the last connection was taken, or the first one came to an empty queue.
-    paced_at: MonoTime,
+    /// When the last connection was taken.
+    taken_at: MonoTime,
+    /// Whether another one was waiting then, without which the time until the next one is
+    /// taken says nothing about the pace.
+    left_waiting: bool,
     pace: Pace,
     /// Whether the queue is full, until half of it has been served.
     is_full: bool,
@@ -119,7 +122,8 @@
             waiting: VecDeque::new(),
             max_wait: Patience::default().max_wait(),
             busy_since: None,
-            paced_at: MonoTime::ZERO,
+            taken_at: MonoTime::ZERO,
+            left_waiting: false,
             pace: Pace::default(),
             is_full: false,
             expired: 0,
@@ -135,12 +139,7 @@
 
     /// Adds a connection that came at `came` at the earliest.
     pub fn push(&mut self, now: MonoTime, came: MonoTime, connection: T) {
-        if self.busy_since.is_none() {
-            self.busy_since = Some(now);
-            self.pace
-                .decay(now.saturating_sub(self.paced_at), self.window());
-            self.paced_at = now;
-        }
+        self.busy_since.get_or_insert(now);
         self.waiting.push_back((came, connection));
     }
 
@@ -154,11 +153,14 @@
         }
         let taken = self.waiting.pop_front();
         if taken.is_some() {
-            let elapsed = now.saturating_sub(self.paced_at);
-            self.paced_at = now;
+            let elapsed = now.saturating_sub(self.taken_at);
+            self.taken_at = now;
             self.pace.decay(elapsed, self.window());
-            self.pace.taken += 1.0;
-            self.pace.time += elapsed.as_secs_f64();
+            if self.left_waiting {
+                self.pace.taken += 1.0;
+                self.pace.time += elapsed.as_secs_f64();
+            }
+            self.left_waiting = !self.waiting.is_empty();
         }
         taken
     }
--- a/sesamebeam_core/tests/policy/connections.rs
+++ b/sesamebeam_core/tests/policy/connections.rs
@@ -122,6 +122,25 @@
     assert_eq!(process.refused, refused);
 }
 
+// Turns of an idle process that took long for another reason counted as its pace.
+#[test]
+fn burst_after_stalls() {
+    let mut process = Process::new();
+    for _ in 0..20 {
+        process.come(process.now);
+        assert!(process.queue.pop(process.now).is_some());
+        process.now += MAX_WAIT / 4;
+        process.come(process.now);
+        assert!(process.queue.pop(process.now).is_some());
+        process.now += MS;
+        process.queue.record_idle();
+    }
+    for _ in 0..30 {
+        process.come(process.now);
+    }
+    assert_eq!(process.refused, 0);
+}
+
 // A process that became slow served callers who had left.
 #[test]
 fn becomes_slow() {
