--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -71,8 +71,8 @@
     listen::{
         self,
         paced::{
+            CallerLoad, //
             PacedListener,
-            SharedPatience, //
         },
     },
     metrics::{
@@ -196,8 +196,8 @@
             settings.limits.clone(),
             halt.clone(),
         ));
-        let patience = SharedPatience::default();
-        let callers_listener = PacedListener::new(callers_listener, addrs.callers, patience);
+        let load = CallerLoad::default();
+        let callers_listener = PacedListener::new(callers_listener, addrs.callers, load);
         let stopped = tokio::spawn(serve_until_stopped(
             callers,
             callers_listener,
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -58,7 +58,7 @@
     http::client::Client,
     listen::{
         ListenError,
-        paced::SharedPatience, //
+        paced::CallerLoad, //
     },
 };
 
@@ -102,8 +102,8 @@
     /// Permits to serve requests of other entries.
     accepted: Arc<Semaphore>,
     metrics: Arc<Exposition>,
-    /// Time that callers leave for their requests to be read.
-    patience: SharedPatience,
+    /// How callers load this entry.
+    caller_load: CallerLoad,
     start: Instant,
     /// Notified when a configuration or announcements of backend servers are received.
     state_changed: Notify,
@@ -167,7 +167,7 @@
         forwarding_key: rand::rng().random(),
         forwarding_addr: OnceLock::new(),
         accepted: Arc::new(Semaphore::new(forwarding::MAX_ACCEPTED)),
-        patience: SharedPatience::default(),
+        caller_load: CallerLoad::default(),
         start: Instant::now(),
         settings,
         protocol,
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -145,7 +145,7 @@
     }
     let caller_timeout = head.deadline.unwrap_or(DEFAULT_DEADLINE);
     if origin.is_caller() {
-        gateway.patience.record_deadline(caller_timeout);
+        gateway.caller_load.record_deadline(caller_timeout);
     }
     let deadline = received_at + caller_timeout.min(plan.route.timeout);
     let req = BufferedRequest {
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -313,6 +313,9 @@
     if gateway.stopping.is_cancelled() {
         return decline(&gateway, "stopping");
     }
+    if gateway.caller_load.is_overloaded() {
+        return decline(&gateway, "overloaded by callers");
+    }
     match Arc::clone(&gateway.accepted).try_acquire_owned() {
         Ok(permit) => {
             let origin = Origin::Peer {
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -92,7 +92,7 @@
 pub(super) async fn run(gateway: Arc<Gateway>, halt: CancellationToken) -> Result<(), ListenError> {
     let ready = listen::bind(gateway.settings.readiness_addr).await?;
     let callers =
-        PacedListener::bind(gateway.settings.caller_addr, gateway.patience.clone()).await?;
+        PacedListener::bind(gateway.settings.caller_addr, gateway.caller_load.clone()).await?;
     let open = Arc::new(AtomicUsize::new(0));
     accept_from_peers(&gateway, &open, halt.clone()).await;
     let shared = Arc::clone(&gateway);
--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -4,9 +4,11 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
     },
     time::{
         Duration,
@@ -45,24 +47,35 @@
 /// Minimum time between two log lines about overload.
 const OVERLOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
 
-/// Deadlines of recent requests, which the listener and those who read requests share.
+/// What a listener and those who read requests tell each other.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct SharedPatience(Arc<Mutex<Patience>>);
+pub(crate) struct CallerLoad(Arc<SharedLoad>);
 
-impl SharedPatience {
+#[derive(Debug, Default)]
+struct SharedLoad {
+    patience: Mutex<Patience>,
+    is_overloaded: AtomicBool,
+}
+
+impl CallerLoad {
     /// Records the time that a caller leaves for its request.
     pub(crate) fn record_deadline(&self, deadline: Duration) {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .record_deadline(deadline);
+        self.patience().record_deadline(deadline);
+    }
+
+    /// Returns whether callers wait without a break, so that no work should be taken on for
+    /// others.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.0.is_overloaded.load(Ordering::Relaxed)
     }
 
     fn max_wait(&self) -> Duration {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .max_wait()
+        self.patience().max_wait()
+    }
+
+    fn patience(&self) -> MutexGuard<'_, Patience> {
+        let patience = self.0.patience.lock();
+        patience.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -81,7 +94,7 @@
     /// not know yet who waits there.
     is_fresh: bool,
     queue: ConnectionQueue<TcpStream>,
-    patience: SharedPatience,
+    load: CallerLoad,
     start: Instant,
     /// When no connection was left to accept, for the last time.
     drained_at: MonoTime,
@@ -115,21 +128,18 @@
     /// # Errors
     ///
     /// Fails if the address cannot be bound.
-    pub(crate) async fn bind(
-        addr: SocketAddr,
-        patience: SharedPatience,
-    ) -> Result<Self, ListenError> {
-        Ok(Self::new(bind(addr).await?, addr, patience))
+    pub(crate) async fn bind(addr: SocketAddr, load: CallerLoad) -> Result<Self, ListenError> {
+        Ok(Self::new(bind(addr).await?, addr, load))
     }
 
     /// Wraps a listener on an address.
-    pub(crate) fn new(listener: TcpListener, addr: SocketAddr, patience: SharedPatience) -> Self {
+    pub(crate) fn new(listener: TcpListener, addr: SocketAddr, load: CallerLoad) -> Self {
         Self {
             addr,
             listener: Some(listener),
             is_fresh: false,
             queue: ConnectionQueue::default(),
-            patience,
+            load,
             start: Instant::now(),
             drained_at: MonoTime::ZERO,
             paused_until: MonoTime::ZERO,
@@ -148,10 +158,10 @@
         // Work that is ready goes before the next connection.
         yield_now().await;
         loop {
-            self.queue.set_max_wait(self.patience.max_wait());
+            self.queue.set_max_wait(self.load.max_wait());
             self.accept_waiting().await;
             let taken = self.queue.pop(self.now());
-            self.log_overload();
+            self.update_overload();
             if let Some((came, stream)) = taken {
                 return (stream, self.start + came);
             }
@@ -242,21 +252,24 @@
         self.paused_until = self.now() + ACCEPT_RETRY_DELAY;
     }
 
-    fn log_overload(&mut self) {
+    fn update_overload(&mut self) {
         let now = self.now();
+        let is_overloaded = self.queue.is_standing(now);
+        let shared = &self.load.0.is_overloaded;
+        shared.store(is_overloaded, Ordering::Relaxed);
         let turned_away = self.turned_away();
         match self.overload.since {
-            None if self.queue.is_standing(now) => {
+            None if is_overloaded => {
                 self.overload.since = Some((now, turned_away));
                 if let Some(suppressed) = self.overload.log_limit.allow() {
                     log::warn!(
                         waiting = self.queue.len(), suppressed = suppressed,
-                        max_wait_ms = self.patience.max_wait().as_millis() as u64;
+                        max_wait_ms = self.load.max_wait().as_millis() as u64;
                         "overloaded"
                     );
                 }
             }
-            Some((since, before)) if !self.queue.is_standing(now) => {
+            Some((since, before)) if !is_overloaded => {
                 log::info!(
                     for_ms = now.saturating_sub(since).as_millis() as u64,
                     closings = turned_away.closings - before.closings,
