--- a/review/standin/src/case_parts.rs
+++ b/review/standin/src/case_parts.rs
@@ -210,7 +210,7 @@
 }
 
 /// Reads what the runners wrote, into the record too, in order.
-fn collect(logs: &Path, record: &Record) -> Vec<(f64, String)> {
+pub fn collect(logs: &Path, record: &Record) -> Vec<(f64, String)> {
     let mut lines = Vec::new();
     for entry in fs::read_dir(logs).into_iter().flatten().flatten() {
         for line in fs::read_to_string(entry.path()).unwrap_or_default().lines() {
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -24,6 +24,8 @@
 
 struct Runner {
     id: String,
+    /// Its smallest model.
+    small: String,
     /// Part that crashes it.
     fatal: String,
     /// Time per 1,000 prompt tokens, and per step, in milliseconds.
@@ -69,6 +71,7 @@
     };
     let runner = Arc::new(Runner {
         id: get("id"),
+        small: get("small"),
         fatal: get("fatal"),
         prefill_ms_per_k: number("prefill", 1000.0 / 112.0),
         step_ms: number("step", 3.41),
@@ -113,7 +116,7 @@
 
 fn serve(runner: &Runner, mut stream: TcpStream) -> std::io::Result<()> {
     let _ = stream.set_nodelay(true);
-    while let Some((head, _body)) = http::read_request(&mut stream)? {
+    while let Some((head, body)) = http::read_request(&mut stream)? {
         let id = header(&head, "request-id").unwrap_or_default().to_owned();
         let path = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
         if path == "/health" {
@@ -147,7 +150,8 @@
             std::process::exit(1);
         }
         let run = runner.runs.fetch_add(1, Ordering::Relaxed);
-        runner.note(&format!("runs {id}"));
+        let model = header(&head, "model").unwrap_or_default();
+        runner.note(&format!("runs {id} {model}"));
         let from: u64 = header(&head, "last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
         let marks = format!("Request-Id: {id}\r\nResponse-Seal: {}.{run}\r\n", runner.id);
         if prefix.is_empty() {
@@ -156,8 +160,11 @@
             stream.write_all(text.as_bytes())?;
             continue;
         }
+        // A small model is not sure of its answer to a hard question.
+        let is_hard = body.starts_with(b"hard") && model == runner.small;
+        let confidence = if is_hard { 5 } else { 95 };
         let text = format!(
-            "HTTP/1.1 200 OK\r\n{marks}Confidence: 95\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{marks}Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(text.as_bytes())?;
         for event in from + 1..=runner.events {
