--- a/review/standin/src/case_parts.rs
+++ b/review/standin/src/case_parts.rs
@@ -132,7 +132,8 @@
             .arg(format!("address={address}"))
             .arg(format!("controls={controls}"))
             .arg(format!("fatal={FATAL}"))
-            .arg(format!("step={}", std::env::var("STEP_MS").unwrap_or_else(|_| "3.41".to_owned())))
+            .arg(format!("begins={}", std::env::var("BEGINS").unwrap_or_else(|_| "1".to_owned())))
+            .arg(format!("first={}", std::env::var("FIRST_MS").unwrap_or_else(|_| "31".to_owned())))
             .arg(format!("log={}", log.display()))
             .stdin(Stdio::null())
             .spawn();
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -28,6 +28,10 @@
     small: String,
     /// Part that crashes it.
     fatal: String,
+    /// Whether it sends the first event before it ends.
+    begins: bool,
+    /// Time until a first token, besides the prompt's.
+    first_ms: f64,
     /// Time per 1,000 prompt tokens, and per step, in milliseconds.
     prefill_ms_per_k: f64,
     step_ms: f64,
@@ -73,6 +77,8 @@
         id: get("id"),
         small: get("small"),
         fatal: get("fatal"),
+        begins: get("begins") == "1",
+        first_ms: number("first", 0.0),
         prefill_ms_per_k: number("prefill", 1000.0 / 112.0),
         step_ms: number("step", 3.41),
         stride: number("stride", 6.0),
@@ -143,9 +149,9 @@
         let is_fatal = !runner.fatal.is_empty() && parts.iter().any(|(p, _)| *p == runner.fatal);
         runner.note(&format!("reached {id}{}", if is_fatal { " fatal" } else { "" }));
         let tokens = runner.unkept_tokens(&parts);
-        let first = runner.step_ms + tokens / 1000.0 * runner.prefill_ms_per_k;
+        let first = runner.first_ms + runner.step_ms + tokens / 1000.0 * runner.prefill_ms_per_k;
         thread::sleep(Duration::from_secs_f64(first / 1e3));
-        if is_fatal {
+        if is_fatal && !runner.begins {
             runner.note(&format!("crash {id} after {first:.1} ms"));
             std::process::exit(1);
         }
@@ -173,6 +179,11 @@
             }
             let event = format!("id: {event}\ndata: piece {event}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            if is_fatal {
+                thread::sleep(Duration::from_secs_f64(runner.step_ms / 1e3));
+                runner.note(&format!("crash {id}, {first:.1} ms and a step after it was read"));
+                std::process::exit(1);
+            }
         }
         stream.write_all(b"0\r\n\r\n")?;
         runner.note(&format!("done {id}"));
