--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -53,19 +53,12 @@
             let _ = writeln!(file, "{:9.4} {text}", (ms - self.start_ms) / 1e3);
         }
     }
-
-    pub fn start_ms(&self) -> f64 {
-        self.start_ms
-    }
 }
 
 /// A process of the project.
 pub struct Process {
     pub name: String,
     pub ip: Ipv4Addr,
-    role: &'static str,
-    settings: PathBuf,
-    log: PathBuf,
     pub child: Child,
 }
 
@@ -74,20 +67,10 @@
         SocketAddr::from((self.ip, port))
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
-    }
-
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Starts it again, with the settings as they are now.
-    pub fn start_again(&mut self) -> std::io::Result<()> {
-        self.child = spawn(self.role, &self.settings, &self.log)?;
-        Ok(())
-    }
 }
 
 impl Drop for Process {
@@ -184,7 +167,7 @@
         fs::write(&settings, text).map_err(|e| e.to_string())?;
         let log = home.join("log.txt");
         let child = spawn(role, &settings, &log).map_err(|e| e.to_string())?;
-        Ok(Process { name, ip, role, settings, log, child })
+        Ok(Process { name, ip, child })
     }
 
     /// Calls the daemons that serve control until one says yes.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! around the project's own programs. Standard library only.
 
 mod case_parts;
+mod case_sizes;
 mod fleet;
 mod http;
 mod runner;
@@ -12,8 +13,9 @@
         ["runner", rest @ ..] => runner::main(rest),
         ["stay"] => stay(),
         ["parts", folder] => case_parts::main(folder),
+        ["sizes", folder] => case_sizes::main(folder),
         _ => {
-            eprintln!("usage: review_standin parts FOLDER");
+            eprintln!("usage: review_standin parts | sizes FOLDER");
             2
         }
     };
