--- a/review/standin/src/case_parts.rs
+++ b/review/standin/src/case_parts.rs
@@ -254,5 +254,6 @@
     let budget = late > 3 && crashes.len() >= 5;
     record.line(&format!("judged: LOST {lost}, BUDGET {budget}"));
     println!("{} crashes, {late} late, sound {calm_begun}/{calm} then {begun}/{all}: LOST {lost}, BUDGET {budget}", crashes.len());
-    lost || budget
+    // The claim names LOST; BUDGET is only reported.
+    lost
 }
