Log the replication to every member while the group lacks voters (CONFIG)

The log showed that the replacement of the first lost replica was begun at 16.9 s and never ended, but not why: whether its progress was put back, whether it was held not to have caught up, or whether a membership step was in flight.

The leader now logs, once a second for as long as fewer voters may be lost than intended, what it knows of each member: lag, silence, whether it keeps up, whether it is being probed. A gauge counts the voters that may still be lost.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -154,6 +154,8 @@
     Ready,
     /// Whether this replica is the leader.
     IsLeader,
+    /// Number of voters that the group of this leader can lose and still commit.
+    SpareVoters,
     /// Number of connected entries.
     ConnectedEntries,
     /// Number of evacuated failure domains.
@@ -197,6 +199,7 @@
     config: Gauge,
     ready: Gauge,
     leads: Gauge,
+    spare_voters: Gauge,
     entries: Gauge,
     evacuated: Gauge,
     limited: Gauge,
@@ -236,6 +239,7 @@
             config: Gauge::default(),
             ready: Gauge::default(),
             leads: Gauge::default(),
+            spare_voters: Gauge::default(),
             entries: Gauge::default(),
             evacuated: Gauge::default(),
             limited: Gauge::default(),
@@ -351,6 +355,7 @@
             GaugeKind::ConfigVersion => self.config.set(value),
             GaugeKind::Ready => self.ready.set(value),
             GaugeKind::IsLeader => self.leads.set(value),
+            GaugeKind::SpareVoters => self.spare_voters.set(value),
             GaugeKind::ConnectedEntries => self.entries.set(value),
             GaugeKind::EvacuatedDomains => self.evacuated.set(value),
             GaugeKind::LimitedServers => self.limited.set(value),
@@ -470,6 +475,11 @@
         registry.register("config_version", "Configuration known", self.config.clone());
         registry.register("ready", "Whether callers are taken", self.ready.clone());
         registry.register("leads", "Whether this replica leads", self.leads.clone());
+        registry.register(
+            "spare_voters",
+            "Voters that the group of this leader can lose and still commit",
+            self.spare_voters.clone(),
+        );
         registry.register("entries", "Entries connected", self.entries.clone());
         registry.register(
             "evacuated_domains",
--- a/sesamebeam/src/group/log_events.rs
+++ b/sesamebeam/src/group/log_events.rs
@@ -52,6 +52,12 @@
                 "membership changes"
             );
         }
+        LogEvent::FaultTolerance { spare, replicas } => {
+            log::info!(
+                spare = spare, replicas:? = replicas;
+                "fault tolerance of the control group"
+            );
+        }
         LogEvent::Doubts(doubts) => log::info!(doubts:? = doubts; "backend servers doubted"),
         LogEvent::FatalParts(fatal) => {
             log::warn!(fatal:? = fatal; "prompt parts that crash backend servers")
--- a/sesamebeam/src/group/membership.rs
+++ b/sesamebeam/src/group/membership.rs
@@ -129,8 +129,11 @@
         let config = self.coordinator.store().config();
         self.metrics
             .set_gauge(GaugeKind::ConfigVersion, config.map_or(0, |c| c.version));
+        let spare_voters = self.coordinator.spare_voters().unwrap_or(0);
         self.metrics
             .set_gauge(GaugeKind::IsLeader, u64::from(self.coordinator.leads()));
+        self.metrics
+            .set_gauge(GaugeKind::SpareVoters, spare_voters as u64);
         self.metrics
             .set_gauge(GaugeKind::ConnectedEntries, self.subscribers.count() as u64);
         let is_member = self.coordinator.is_member();
--- a/sesamebeam_core/src/gateway/coordinator.rs
+++ b/sesamebeam_core/src/gateway/coordinator.rs
@@ -103,6 +103,7 @@
         ReplicaAction,
         ReplicaConfig,
         ReplicaEvent,
+        Replication,
         Role,
         SavedState,
         Ticket,
@@ -291,6 +292,13 @@
         /// Known failure domains of the replicas.
         domains: BTreeMap<NodeId, DomainId>,
     },
+    /// The group tolerates fewer failures than intended, or again as many.
+    FaultTolerance {
+        /// Number of voters that may still be lost.
+        spare: usize,
+        /// Replication to the other members.
+        replicas: Vec<Replication>,
+    },
     /// Rate limits reported by backend servers that were added, changed or ended.
     Limits(Vec<LimitOf>),
     /// Services short of capacity, with the share of requests that is admitted.
@@ -347,6 +355,8 @@
     admission: AdmissionControl,
     leases: PublishedLeases,
     next_periodic_at: MonoTime,
+    /// When lacking voters are next reported, if any were lacking.
+    next_tolerance_report_at: Option<MonoTime>,
     /// Write that is not yet synced, and when it was issued.
     unsynced_write: Option<(WriteId, MonoTime)>,
     disk_full: bool,
@@ -383,6 +393,7 @@
             admission: AdmissionControl::default(),
             leases: PublishedLeases::default(),
             next_periodic_at: now,
+            next_tolerance_report_at: None,
             unsynced_write: None,
             disk_full: false,
             disk_stalled: false,
@@ -636,6 +647,7 @@
         }
         self.expire_requests();
         self.remove_surplus_voter();
+        self.report_fault_tolerance();
         self.update_seeds();
         self.advance_rollouts();
         self.update_leases();
--- a/sesamebeam_core/src/gateway/coordinator/group.rs
+++ b/sesamebeam_core/src/gateway/coordinator/group.rs
@@ -43,6 +43,9 @@
 /// round costs the leader one connection per such seed.
 const SEED_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between two reports of lacking voters.
+const TOLERANCE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time for which a standby process redirects callers to the last known leader: a few of
 /// its polling rounds, within which a lost leader has a successor.
 const LEADER_HINT_TTL: Duration = Duration::from_millis(1000);
@@ -221,6 +224,34 @@
         }
     }
 
+    /// Returns how many voters the group can lose and still commit, if this process leads it.
+    pub fn spare_voters(&self) -> Option<usize> {
+        self.replica.as_ref()?.spare_voters()
+    }
+
+    /// Reports the replication to all members for as long as the group tolerates fewer failures
+    /// than intended, and once when it tolerates them again.
+    pub(super) fn report_fault_tolerance(&mut self) {
+        let Some(spare) = self.spare_voters() else {
+            self.next_tolerance_report_at = None;
+            return;
+        };
+        let is_lacking = spare < self.cfg.tolerated_failures;
+        let is_due = match self.next_tolerance_report_at {
+            Some(at) => !is_lacking || self.now >= at,
+            None => is_lacking,
+        };
+        if !is_due {
+            return;
+        }
+        self.next_tolerance_report_at = is_lacking.then(|| self.now + TOLERANCE_REPORT_INTERVAL);
+        let replicas = self.replica.as_ref().map(Replica::replication);
+        self.log(LogEvent::FaultTolerance {
+            spare,
+            replicas: replicas.unwrap_or_default(),
+        });
+    }
+
     /// Admits a process to the group if there is a vacancy.
     fn join(
         &mut self,
--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -54,12 +54,17 @@
     WriteId, //
 };
 pub use payload::Payload;
+pub use progress::Replication;
 
 use self::{
     election::Votes,
     leading::Leader,
     log::Log,
     membership::MembershipHistory,
+    progress::{
+        Mode,
+        Progress, //
+    },
     snapshot::IncomingSnapshot,
     writer::Writer, //
 };
@@ -254,6 +259,37 @@
         self.members().members.iter().map(status).collect()
     }
 
+    /// Returns the leader's view of the replication to each other member, or an empty list if
+    /// this replica is not the leader.
+    pub fn replication(&self) -> Vec<Replication> {
+        let RoleState::Leader(leader) = &self.role_state else {
+            return Vec::new();
+        };
+        let end = self.log.end().index;
+        let of_member = |(&node, progress): (&NodeId, &Progress)| {
+            let member = self.members().get(node)?;
+            Some(Replication {
+                node,
+                voter: member.voter,
+                replaces: member.replaces,
+                lag: end.saturating_sub(progress.match_index),
+                silent: leader.time_since_contact(self.cfg.id, node, self.now),
+                caught_up: progress.caught_up,
+                probing: matches!(progress.mode, Mode::Probe { .. }),
+            })
+        };
+        leader.progress.iter().filter_map(of_member).collect()
+    }
+
+    /// Returns how many voters the group can lose and still commit, as known to the leader.
+    pub fn spare_voters(&self) -> Option<usize> {
+        let RoleState::Leader(_) = &self.role_state else {
+            return None;
+        };
+        let active = self.members().voters().filter(|&n| self.is_active(n));
+        Some(active.count().saturating_sub(self.members().quorum()))
+    }
+
     /// Returns when the replica next needs a [`ReplicaEvent::Tick`].
     pub fn next_wake(&self) -> MonoTime {
         match &self.role_state {
--- a/sesamebeam_core/src/replica/progress.rs
+++ b/sesamebeam_core/src/replica/progress.rs
@@ -1,6 +1,9 @@
 //! Replication progress of one replica, as tracked by the leader.
 
-use std::collections::VecDeque;
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 use super::{
     log::Log,
@@ -12,12 +15,32 @@
 };
 use crate::ids::{
     LogIndex,
-    MonoTime, //
+    MonoTime,
+    NodeId, //
 };
 
 /// Maximum number of unacknowledged batches per replica.
 const MAX_BATCHES_IN_FLIGHT: usize = 16;
 
+/// Replication to one replica, as known to the leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replication {
+    /// ID of the replica.
+    pub node: NodeId,
+    /// Whether it votes.
+    pub voter: bool,
+    /// Replica that it replaces.
+    pub replaces: Option<NodeId>,
+    /// Number of log entries that it has not synced yet.
+    pub lag: u64,
+    /// Time since its last message.
+    pub silent: Duration,
+    /// Whether it keeps up with the growth of the log.
+    pub caught_up: bool,
+    /// Whether the leader searches for the end of its log, and cannot send entries.
+    pub probing: bool,
+}
+
 /// How the leader replicates to one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Mode {
