--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -372,9 +372,9 @@
         }
     }
 
-    /// Handles a message from a sender that the group recognises.
+    /// Handles a message for this replica from a sender that the group recognises.
     fn receive(&mut self, from: NodeId, message: ReplicaMessage) {
-        if !self.is_valid_sender(from, &message) {
+        if !self.is_recipient(&message) || !self.is_valid_sender(from, &message) {
             return;
         }
         let ReplicaMessage { term, body, .. } = message;
@@ -444,6 +444,17 @@
         }
     }
 
+    /// Returns whether a message is meant for this replica and its data folder.
+    ///
+    /// A replica that lost its disk joins again under a new ID at its old address, where
+    /// messages for its old ID still arrive. If it responded to these, the leader would take
+    /// the responses for those to its own messages, and reset its progress time and again.
+    fn is_recipient(&self, message: &ReplicaMessage) -> bool {
+        let is_folder = |incarnation| incarnation == self.cfg.incarnation;
+        message.to == self.cfg.id
+            && (message.to_incarnation.is_none_or(is_folder) || self.cfg.faults.accept_swapped_disk)
+    }
+
     /// Returns whether a message belongs to this group and comes from the data
     /// folder recorded for the sender's ID.
     ///
@@ -515,6 +526,8 @@
                 group: self.cfg.group,
                 node: self.cfg.id,
                 incarnation: self.cfg.incarnation,
+                to,
+                to_incarnation: self.members().get(to).map(|m| m.incarnation),
                 term,
                 body,
             };
--- a/sesamebeam_core/src/replica/message.rs
+++ b/sesamebeam_core/src/replica/message.rs
@@ -166,7 +166,7 @@
     Change(ChangeError),
 }
 
-/// A message between replicas, with the sender's identity.
+/// A message between replicas, with the identities of sender and recipient.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReplicaMessage {
     /// Group of the sender.
@@ -175,6 +175,10 @@
     pub node: NodeId,
     /// Incarnation of the sender's data folder.
     pub incarnation: u128,
+    /// ID of the recipient. Another process may listen at its address by now.
+    pub to: NodeId,
+    /// Incarnation of the recipient's data folder, if the sender knows it.
+    pub to_incarnation: Option<u128>,
     /// Term of the sender.
     pub term: Term,
     /// Payload of the message.
--- a/sesamebeam_core/tests/gateway/group.rs
+++ b/sesamebeam_core/tests/gateway/group.rs
@@ -55,6 +55,8 @@
 /// A simulated process.
 pub(crate) struct Process {
     pub(crate) core: Coordinator,
+    /// Address at which it receives the messages of others.
+    addr: SocketAddr,
     pub(crate) disk: SavedState,
     /// Writes that are not synced yet.
     writes: VecDeque<(MonoTime, WriteId, Vec<DiskOp>)>,
@@ -158,6 +160,7 @@
     pub(crate) fn start_empty(&mut self, node: NodeId) {
         let process = Process {
             core: Coordinator::new(self.settings(node), self.now),
+            addr: listen_addr(node),
             disk: SavedState::default(),
             writes: VecDeque::new(),
             stalled: false,
@@ -177,6 +180,13 @@
         }
     }
 
+    /// Has a process listen at the address of another one.
+    pub(crate) fn listen_at(&mut self, node: NodeId, other: NodeId) {
+        if let Some(process) = self.processes.get_mut(&node) {
+            process.addr = listen_addr(other);
+        }
+    }
+
     /// Stops a process and returns its disk.
     pub(crate) fn kill(&mut self, node: NodeId) -> SavedState {
         let process = self
@@ -317,19 +327,22 @@
         }
     }
 
-    fn is_connected(&self, node: NodeId, to: NodeId) -> bool {
-        let process = self.processes.get(&node);
-        process.is_some_and(|p| p.core.peers().addr(to).is_some())
+    /// Returns the process that receives what another one sends to a member of the group.
+    fn recipient(&self, node: NodeId, to: NodeId) -> Option<NodeId> {
+        let addr = self.processes.get(&node)?.core.peers().addr(to)?;
+        let mut listeners = self.processes.iter().filter(|(_, p)| p.addr == addr);
+        listeners.next().map(|(&listener, _)| listener)
     }
 
     fn execute(&mut self, node: NodeId, actions: Vec<Action>) {
         for action in actions {
             match action {
                 // Processes are only connected to members of the group.
-                Action::Send { to, .. } if !self.is_connected(node, to) => {}
                 Action::Send { to, message } => {
-                    self.in_flight
-                        .push_back((self.now + DELIVERY_DELAY, node, to, message));
+                    if let Some(to) = self.recipient(node, to) {
+                        let at = self.now + DELIVERY_DELAY;
+                        self.in_flight.push_back((at, node, to, message));
+                    }
                 }
                 Action::Write { write, ops } => {
                     let at = self.now + DELIVERY_DELAY;
--- a/sesamebeam_core/tests/gateway/joining.rs
+++ b/sesamebeam_core/tests/gateway/joining.rs
@@ -57,6 +57,7 @@
 /// Makes a new process send join requests until it is a member.
 fn join(group: &mut Group, node: NodeId, at: NodeId) {
     group.boot(node, Members::default(), SavedState::default());
+    group.listen_at(node, at);
     for _ in 0..40 {
         let leader = group.new_leader(None);
         group.request_membership(
--- a/sesamebeam_core/tests/group/net.rs
+++ b/sesamebeam_core/tests/group/net.rs
@@ -130,6 +130,8 @@
     pub jitter: Duration,
     /// Duration of a disk sync.
     pub sync: Duration,
+    /// Time that a replica takes to receive a log entry.
+    pub receive: Duration,
 }
 
 impl Default for NetworkConditions {
@@ -140,6 +142,7 @@
             delay: Duration::from_millis(1),
             jitter: Duration::ZERO,
             sync: Duration::from_millis(2),
+            receive: Duration::ZERO,
         }
     }
 }
@@ -150,6 +153,12 @@
     pub now: Duration,
     pub conditions: NetworkConditions,
     pub cut_links: BTreeSet<(NodeId, NodeId)>,
+    /// Replicas whose address another one has taken over, which receives their messages.
+    pub taken_over: BTreeMap<NodeId, NodeId>,
+    /// Duration of a sync where it differs from that of other disks.
+    pub slow_disks: BTreeMap<NodeId, Duration>,
+    /// When each replica has received the entries sent to it so far.
+    pub received_at: BTreeMap<NodeId, Duration>,
     pub violations: Vec<Violation>,
     /// Index of each acknowledged proposal.
     pub acked: BTreeMap<Ticket, LogIndex>,
@@ -188,6 +197,9 @@
             now: Duration::ZERO,
             conditions: NetworkConditions::default(),
             cut_links: BTreeSet::new(),
+            taken_over: BTreeMap::new(),
+            slow_disks: BTreeMap::new(),
+            received_at: BTreeMap::new(),
             violations: Vec::new(),
             acked: BTreeMap::new(),
             rejected: BTreeMap::new(),
--- a/sesamebeam_core/tests/group/net/delivery.rs
+++ b/sesamebeam_core/tests/group/net/delivery.rs
@@ -7,6 +7,7 @@
     ids::NodeId,
     replica::{
         ReplicaAction,
+        ReplicaBody,
         ReplicaEvent,
         ReplicaMessage,
         Role, //
@@ -76,8 +77,9 @@
         };
         match queued {
             QueuedEvent::Message(from, to, message) => {
-                if !self.cut_links.contains(&(from, to)) {
-                    self.event(to, ReplicaEvent::Message { from, message });
+                let listener = self.listener(to);
+                if !self.cut_links.contains(&(from, listener)) {
+                    self.event(listener, ReplicaEvent::Message { from, message });
                 }
             }
             QueuedEvent::Synced(id, start_count, write) => {
@@ -103,7 +105,8 @@
                     assert!(node.unsynced.is_none(), "two writes in flight");
                     node.unsynced = Some((write, ops));
                     let start_count = node.start_count;
-                    let at = self.now + self.conditions.sync;
+                    let sync = self.slow_disks.get(&id).copied();
+                    let at = self.now + sync.unwrap_or(self.conditions.sync);
                     self.enqueue(at, QueuedEvent::Synced(id, start_count, write));
                 }
                 ReplicaAction::Apply {
@@ -145,11 +148,22 @@
                 continue;
             }
             let jitter = self.conditions.jitter.mul_f64(self.rng.random::<f64>());
-            let at = self.now + self.conditions.delay + jitter;
+            let mut at = self.now + self.conditions.delay + jitter;
+            let listener = self.listener(to);
+            if let ReplicaBody::AppendRequest { entries, .. } = &message.body {
+                let free_at = self.received_at.entry(listener).or_default();
+                at = at.max(*free_at) + self.conditions.receive * entries.len() as u32;
+                *free_at = at;
+            }
             self.enqueue(at, QueuedEvent::Message(from, to, message.clone()));
         }
     }
 
+    /// Returns the replica that listens at the address of another, or that itself.
+    fn listener(&self, to: NodeId) -> NodeId {
+        self.taken_over.get(&to).copied().unwrap_or(to)
+    }
+
     /// Adds an event to the queue.
     fn enqueue(&mut self, at: Duration, queued: QueuedEvent) {
         self.next_event += 1;
--- a/sesamebeam_core/tests/membership.rs
+++ b/sesamebeam_core/tests/membership.rs
@@ -15,7 +15,8 @@
     Faults,
     MemberChange,
     Members,
-    Rejection, //
+    Rejection,
+    ReplicaEvent, //
 };
 
 /// Ticket of the change under test.
@@ -148,6 +149,48 @@
     assert!(!in_time);
 }
 
+/// Has replica 4 replace one that has just lost its disk, while large entries are proposed all
+/// the time. Returns whether it became a voter within 10 s.
+fn replaced_under_load(change: impl Fn(&mut Net, u64)) -> (Net, bool) {
+    let mut net = Net::new(3, 20, Faults::default());
+    net.conditions.receive = Duration::from_millis(15);
+    net.commit(1);
+    let leader = net.wait_for_leader();
+    let old = if leader == 1 { 2 } else { 1 };
+    let mut ticket = 1_000;
+    let mut propose = |net: &mut Net| {
+        ticket += 1;
+        let data = vec![ticket as u8; 20 << 10];
+        net.event(leader, ReplicaEvent::Propose { ticket, data });
+        net.run(Duration::from_millis(40));
+    };
+    (0..100).for_each(|_| propose(&mut net));
+    net.lose_disk(old);
+    net.add(config(4, 400, 20, Faults::default()));
+    change(&mut net, old);
+    net.change(leader, CHANGE, replace(old, 4));
+    let is_replaced = |net: &Net| {
+        let members = net.replica(leader).members();
+        members.is_voter(4) && members.get(old).is_none()
+    };
+    let in_time = (0..250).any(|_| {
+        propose(&mut net);
+        is_replaced(&net)
+    });
+    net.assert_no_violations();
+    (net, in_time)
+}
+
+#[test]
+fn replacement_at_same_address() {
+    // Guards against a lost replica that keeps its vote because its replacement listens at its
+    // address, answers messages that are meant for it, and has its own progress reset by them.
+    let (_, in_time) = replaced_under_load(|net, old| {
+        net.taken_over.insert(old, 4);
+    });
+    assert!(in_time);
+}
+
 #[test]
 fn leader_lost_after_replacement() {
     // The old leader crashes after a replacement. The new replica and the remaining
