Take membership steps that keep the spare voters (CONFIG)

What callers would see: a control group that lost one disk under a quickly changing configuration stays with two voters of three for as long as changes come, and the next loss ends it for good; and a group in which one voter is replaced while it lives, and another one fails just then, never commits again.

Cause: one condition stood for two questions. A step of a replacement was taken once the new replica had reached what was the end of the log within an election timeout (350 ms), and then the old one was removed first if what counted as alive made a quorum. - A learner that is behind by a constant time (a slow disk, a long queue) never meets that while the log grows, so nothing bounded how long a lost id keeps its vote. - A voter that failed less than an election timeout ago still counts as alive. Removing a live old replica beside it leaves a group of three with a quorum of two that has one live voter.

Change: a step is taken if the group bears as many losses after it as before, by the voters that keep up. So a lost replica is removed as soon as its replacement has had one full transfer of the log, and the replacement is promoted where that raises no quorum; a live replica stays until its replacement keeps up, and goes second. A voter that is being replaced counts only if it has responded to a message sent since.

Both come from one rule, so they go in together.

--- a/sesamebeam_core/src/replica/leading.rs
+++ b/sesamebeam_core/src/replica/leading.rs
@@ -121,6 +121,12 @@
                 .entry(node)
                 .or_insert_with(|| Progress::new(next));
         }
+        let round = self.rounds.last();
+        for old in members.members.values().filter_map(|m| m.replaces) {
+            if let Some(progress) = self.progress.get_mut(&old) {
+                progress.replaced_in_round.get_or_insert(round);
+            }
+        }
     }
 
     /// Updates the last round acknowledged by a quorum.
@@ -340,26 +346,36 @@
         }
     }
 
-    /// Returns whether a learner has caught up and responded recently.
-    pub(super) fn has_caught_up(&self, node: NodeId) -> bool {
-        if self.cfg.faults.promote_early {
-            return true;
+    /// Returns whether a learner responds and has reached an index that was the end of the log
+    /// when it was first heard of, however long that took.
+    pub(super) fn has_initial_log(&self, node: NodeId) -> bool {
+        let progress = self.progress_of(node);
+        self.cfg.faults.promote_early
+            || self.is_active(node) && progress.is_some_and(|p| p.has_initial_log)
+    }
+
+    /// Returns whether commits can count on a replica: a voter that responds, or a learner that
+    /// has all but the newest entries.
+    pub(super) fn keeps_up(&self, node: NodeId) -> bool {
+        let caught_up = self.progress_of(node).is_some_and(|p| p.caught_up);
+        let is_voter = self.members().is_voter(node);
+        self.is_active(node) && (is_voter || caught_up)
+            || self.cfg.faults.promote_early && !is_voter
+    }
+
+    /// Returns the progress of another replica, if this one leads.
+    fn progress_of(&self, node: NodeId) -> Option<&Progress> {
+        match &self.role_state {
+            RoleState::Leader(leader) => leader.progress.get(&node),
+            _ => None,
         }
-        let RoleState::Leader(leader) = &self.role_state else {
-            return false;
-        };
-        self.is_active(node) && leader.progress.get(&node).is_some_and(|p| p.caught_up)
     }
 
     /// Returns whether a replica has responded to this leader within an election
     /// timeout.
     pub(super) fn is_active(&self, node: NodeId) -> bool {
-        let RoleState::Leader(leader) = &self.role_state else {
-            return false;
-        };
-        let last_contact = leader.progress.get(&node).and_then(|p| p.last_contact);
-        let recently = |at| self.now.saturating_sub(at) <= self.cfg.election_timeout;
-        node == self.cfg.id || last_contact.is_some_and(recently)
+        let is_active = |p: &Progress| p.is_active(self.now, self.cfg.election_timeout);
+        node == self.cfg.id || self.progress_of(node).is_some_and(is_active)
     }
 
     /// Returns when the leader's lease expires, or `None` in other roles.
--- a/sesamebeam_core/src/replica/member.rs
+++ b/sesamebeam_core/src/replica/member.rs
@@ -187,16 +187,16 @@
         Ok(next)
     }
 
-    /// Returns the membership after the next pending step for a learner that has
-    /// caught up: first the replica it replaces is removed, then the learner is
-    /// promoted.
+    /// Returns the membership after the next pending step for a learner: the replica that
+    /// it replaces is removed, or the learner is promoted.
     ///
-    /// The old replica is removed first, because counting both would require one
-    /// more live replica for each commit. A step that would leave the live voters
-    /// without a quorum is skipped: a replica that was unreachable when its
-    /// replacement began may have returned and be needed for the quorum after
-    /// others failed. Without a quorum, no later step could be committed.
-    pub fn next_step(&self, learner: NodeId, is_alive: impl Fn(NodeId) -> bool) -> Option<Members> {
+    /// Either step may come first. One is taken only if the group can commit after it, and
+    /// bears the loss of as many voters as before. So a live replica stays until its
+    /// replacement is a voter that keeps up, and may still be needed if others fail meanwhile.
+    /// A lost one is removed at once, and a learner that stays behind a growing log is
+    /// promoted if that raises no quorum: if the lost replica kept its vote until the log grows
+    /// more slowly, the next loss could leave no quorum for good.
+    pub fn next_step(&self, learner: NodeId, keeps_up: impl Fn(NodeId) -> bool) -> Option<Members> {
         let member = self.get(learner)?;
         let old = member.replaces.filter(|&old| self.get(old).is_some());
         let removed = old.filter(|&old| self.check_removable(old).is_ok());
@@ -210,8 +210,16 @@
             next.promote(learner);
             next
         });
+        let required = self.spare_voters(&keeps_up).max(0);
         let mut steps = [removed, promoted].into_iter().flatten();
-        steps.find(|next| next.voters().filter(|&n| is_alive(n)).count() >= next.quorum())
+        steps.find(|next| next.spare_voters(&keeps_up) >= required)
+    }
+
+    /// Returns how many of the voters that keep up can be lost before there is no quorum.
+    /// Negative if there is none already.
+    fn spare_voters(&self, keeps_up: impl Fn(NodeId) -> bool) -> isize {
+        let voters = self.voters().filter(|&n| keeps_up(n)).count();
+        voters as isize - self.quorum() as isize
     }
 
     /// Promotes a learner to voter.
--- a/sesamebeam_core/src/replica/membership.rs
+++ b/sesamebeam_core/src/replica/membership.rs
@@ -109,7 +109,7 @@
         idle || self.cfg.faults.overlapping_changes
     }
 
-    /// Appends the next pending step for a learner that has caught up. Pending
+    /// Appends the next pending step for a learner that has received the log. Pending
     /// steps are derived from the membership itself, so that a new leader resumes
     /// them.
     pub(super) fn append_pending_step(&mut self) {
@@ -118,10 +118,9 @@
         }
         let pending = self.members().members.iter().find_map(|(&node, member)| {
             let has_pending_step = member.promote || member.replaces.is_some();
-            let ready = has_pending_step && (member.voter || self.has_caught_up(node));
+            let ready = has_pending_step && (member.voter || self.has_initial_log(node));
             if ready {
-                self.members()
-                    .next_step(node, |voter| self.is_active(voter))
+                self.members().next_step(node, |n| self.keeps_up(n))
             } else {
                 None
             }
--- a/sesamebeam_core/src/replica/progress.rs
+++ b/sesamebeam_core/src/replica/progress.rs
@@ -96,6 +96,8 @@
     pub(super) round: u64,
     /// Time of the last message from the replica.
     pub(super) last_contact: Option<MonoTime>,
+    /// Message round in which its replacement began, if it is to be replaced.
+    pub(super) replaced_in_round: Option<u64>,
     /// Whether the replica's disk is full.
     pub(super) disk_full: bool,
     /// Index that a learner must reach to count as caught up, and the time it was
@@ -103,6 +105,8 @@
     catch_up_target: Option<(LogIndex, MonoTime)>,
     /// Whether a learner reached the last target within the time limit.
     pub(super) caught_up: bool,
+    /// Whether a learner has reached any target, however long it took.
+    pub(super) has_initial_log: bool,
 }
 
 impl Progress {
@@ -116,9 +120,11 @@
             match_index_at_heartbeat: 0,
             round: 0,
             last_contact: None,
+            replaced_in_round: None,
             disk_full: false,
             catch_up_target: None,
             caught_up: false,
+            has_initial_log: false,
         }
     }
 
@@ -128,6 +134,14 @@
         self.last_contact = Some(now);
     }
 
+    /// Returns whether the replica has responded within `limit`. One that is to be replaced is
+    /// probably lost, so that only responses to later messages count.
+    pub(super) fn is_active(&self, now: MonoTime, limit: Duration) -> bool {
+        let recently = |at| now.saturating_sub(at) <= limit;
+        let responds = self.replaced_in_round.is_none_or(|r| self.round > r);
+        responds && self.last_contact.is_some_and(recently)
+    }
+
     /// Records the last matching entry that the replica has synced.
     pub(super) fn advance(&mut self, synced: LogIndex) {
         self.match_index = self.match_index.max(synced);
@@ -177,6 +191,7 @@
         match self.catch_up_target {
             Some((catch_up_target, since)) if self.match_index >= catch_up_target => {
                 self.caught_up = now - since <= limit;
+                self.has_initial_log = true;
                 self.catch_up_target = Some((end, now));
             }
             Some(_) => {}
--- a/sesamebeam_core/tests/membership.rs
+++ b/sesamebeam_core/tests/membership.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use net::{
+    ELECTION,
     Net,
     Violation,
     config, //
@@ -15,8 +16,7 @@
     Faults,
     MemberChange,
     Members,
-    Rejection,
-    ReplicaEvent, //
+    Rejection, //
 };
 
 /// Ticket of the change under test.
@@ -149,8 +149,8 @@
     assert!(!in_time);
 }
 
-/// Has replica 4 replace one that has just lost its disk, while large entries are proposed all
-/// the time. Returns whether it became a voter within 10 s.
+/// Has replica 4 replace one that has just lost its disk, while entries are proposed all the
+/// time. Returns whether it became a voter within 10 s.
 fn replaced_under_load(change: impl Fn(&mut Net, u64)) -> (Net, bool) {
     let mut net = Net::new(3, 20, Faults::default());
     net.conditions.receive = Duration::from_millis(15);
@@ -160,8 +160,7 @@
     let mut ticket = 1_000;
     let mut propose = |net: &mut Net| {
         ticket += 1;
-        let data = vec![ticket as u8; 20 << 10];
-        net.event(leader, ReplicaEvent::Propose { ticket, data });
+        net.propose(leader, ticket);
         net.run(Duration::from_millis(40));
     };
     (0..100).for_each(|_| propose(&mut net));
@@ -191,6 +190,60 @@
     assert!(in_time);
 }
 
+/// Sync time of a disk with which a replica stays behind a growing log by more than an election
+/// timeout.
+const SLOW_SYNC: Duration = Duration::from_millis(1200);
+
+#[test]
+fn slow_replacement() {
+    // Guards against a lost replica that keeps its vote for as long as changes come, because its
+    // replacement stays behind the end of the log by a constant time.
+    let (mut net, in_time) = replaced_under_load(|net, _| {
+        net.slow_disks.insert(4, SLOW_SYNC);
+    });
+    assert!(in_time);
+    net.slow_disks.clear();
+    net.run(Duration::from_secs(3));
+    let leader = net.wait_for_leader();
+    let other = (1..=3).find(|id| *id != leader && net.replica(leader).members().is_voter(*id));
+    net.crash(other.expect("a second voter"));
+    net.commit(2);
+    net.assert_no_violations();
+}
+
+#[test]
+fn live_replica_kept() {
+    // Guards against a replacement that stays behind the log and costs the group a voter that
+    // keeps up: without it, the loss of another one would stop all changes.
+    let mut net = Net::new(3, 21, Faults::default());
+    net.commit(1);
+    let leader = net.wait_for_leader();
+    let others: Vec<u64> = net
+        .nodes
+        .keys()
+        .copied()
+        .filter(|&id| id != leader)
+        .collect();
+    let (old, other) = (others[0], others[1]);
+    net.add(config(4, 400, 21, Faults::default()));
+    net.slow_disks.insert(4, SLOW_SYNC);
+    net.change(leader, CHANGE, replace(old, 4));
+    for ticket in 1_000..1_250 {
+        net.propose(leader, ticket);
+        net.run(Duration::from_millis(40));
+        let members = net.replica(leader).members();
+        assert!(members.is_voter(old) && !members.is_voter(4));
+    }
+    net.crash(other);
+    net.propose(leader, 2_000);
+    assert!(net.runs_until(ELECTION, |net| net.acked.contains_key(&2_000)));
+    net.slow_disks.clear();
+    net.run_until("the replacement", Duration::from_secs(60), |net| {
+        net.replica(leader).members().is_voter(4)
+    });
+    net.assert_no_violations();
+}
+
 #[test]
 fn leader_lost_after_replacement() {
     // The old leader crashes after a replacement. The new replica and the remaining
