--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -612,8 +612,9 @@
         if !failed {
             let mut router = self.gateway.router();
             router.record_first_byte(&self.plan, &choice, None, choice.elapsed());
-            router.record_completion(&self.plan);
-            router.record_event(self.gateway.now(), &self.plan);
+            if head.is_success() {
+                router.record_completion(self.gateway.now(), &self.plan);
+            }
         }
         choice.record_outcome(outcome);
         log::info!(
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -73,6 +73,8 @@
     events: EventSplitter,
     /// When the first events of the current run were received.
     first_event_at: Option<Instant>,
+    /// Number of events before the current run.
+    events_before_run: u64,
     source: Option<Source>,
 }
 
@@ -156,6 +158,7 @@
             events: EventSplitter::starting_after(dispatch.req.head.resume_after),
             dispatch,
             first_event_at: None,
+            events_before_run: 0,
             source: Some(Source {
                 upstream,
                 body,
@@ -172,7 +175,7 @@
         loop {
             match self.step().await {
                 Step::Data(data) => {
-                    self.record_first_event();
+                    self.record_events();
                     return Ok(Some((Frame::data(data), self)));
                 }
                 Step::Complete => {
@@ -182,6 +185,7 @@
                 Step::Interrupted(outcome) => {
                     self.end_source(outcome);
                     self.first_event_at = None;
+                    self.events_before_run = self.events.count();
                     if !self.resume().await {
                         self.dispatch.record_end(RequestEnd::StreamBroken);
                         self.log("stream broke off");
@@ -198,13 +202,18 @@
         }
     }
 
-    /// Records the first events of the current run.
-    fn record_first_event(&mut self) {
-        if self.first_event_at.is_none() {
-            self.first_event_at = Some(Instant::now());
-            let (gateway, plan) = (&self.dispatch.gateway, &self.dispatch.plan);
-            gateway.router().record_event(gateway.now(), plan);
-        }
+    /// Records how far the current run has come.
+    fn record_events(&mut self) {
+        self.first_event_at.get_or_insert_with(Instant::now);
+        let (gateway, plan) = (&self.dispatch.gateway, &self.dispatch.plan);
+        let events = self.events_of_run();
+        gateway.router().record_events(gateway.now(), plan, events);
+    }
+
+    /// Returns the number of events that the current run has sent.
+    fn events_of_run(&self) -> u32 {
+        let events = self.events.count().saturating_sub(self.events_before_run);
+        u32::try_from(events).unwrap_or(u32::MAX)
     }
 
     async fn step(&mut self) -> Step {
@@ -269,7 +278,11 @@
             choice.record_outcome(Outcome::Good);
         }
         let dispatch = &self.dispatch;
-        dispatch.gateway.router().record_completion(&dispatch.plan);
+        let now = dispatch.gateway.now();
+        dispatch
+            .gateway
+            .router()
+            .record_completion(now, &dispatch.plan);
         self.dispatch.record_end(RequestEnd::StreamComplete);
         self.log("stream complete");
     }
@@ -307,9 +320,9 @@
             self.dispatch.gateway.client.retire(choice.addr);
         }
         if outcome == Outcome::Failed {
-            let stage = match self.first_event_at {
-                Some(_) => AnswerStage::UnderWay,
-                None => AnswerStage::Begun,
+            let stage = match self.events_of_run() {
+                0 => AnswerStage::Begun,
+                events => AnswerStage::UnderWay { events },
             };
             let dispatch = &self.dispatch;
             dispatch.check_for_crash(&choice, stage);
--- a/sesamebeam_core/src/gateway/coordinator/crash_reports.rs
+++ b/sesamebeam_core/src/gateway/coordinator/crash_reports.rs
@@ -23,8 +23,8 @@
             self.part_crashes.record(self.now, crash);
         }
         let mut changed = !report.fatal_parts.is_empty();
-        for event in &report.part_events {
-            changed |= self.part_crashes.record_event(self.now, event);
+        for answer in &report.part_answers {
+            changed |= self.part_crashes.record_answer(self.now, answer);
         }
         for refusals in &report.part_refusals {
             self.part_crashes
--- a/sesamebeam_core/src/gateway/crashes.rs
+++ b/sesamebeam_core/src/gateway/crashes.rs
@@ -12,7 +12,8 @@
 
 use super::{
     directory::ServerIncarnation,
-    messages::Crash, //
+    messages::Crash,
+    request::AnswerStage, //
 };
 use crate::ids::Digest;
 
@@ -32,7 +33,13 @@
 
 impl CrashTracker {
     /// Counts a crash and returns whether its request is now quarantined.
+    ///
+    /// A request whose answer was under way doesn't count: nothing tells it from the others that
+    /// were, often a hundred, and a quarantine has no end.
     pub fn record(&mut self, crash: &Crash) -> bool {
+        if let AnswerStage::UnderWay { .. } = crash.stage {
+            return false;
+        }
         let found = self
             .tracked
             .iter_mut()
--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -1,11 +1,12 @@
 //! Detection of prompt parts that crash the backend servers that answer them.
 //!
-//! Every request whose answer was about to begin at a crashed backend server is a suspect,
-//! and so are all parts that its prompt shares with others. An answer that goes beyond its
-//! beginning clears the parts of its prompt, at whichever backend server: a fatal part never
-//! gets that far. What remains are the parts that are fatal and those that occur only beside
-//! them; a request is refused if it has all of these.
+//! Every request that was in flight at a crashed backend server is a suspect, and so are all
+//! parts that its prompt shares with others. An answer that is complete, or comes clearly
+//! further than those at the crash, clears the parts of its prompt, at whichever backend
+//! server: a fatal part strikes each time before that. What remains are the parts that are
+//! fatal and those that occur only beside them; a request is refused if it has all of these.
 
+mod answers;
 mod verdict;
 
 use std::{
@@ -17,16 +18,20 @@
     time::Duration,
 };
 
+use self::answers::RecentAnswers;
 pub use self::verdict::Verdict;
 use super::{
     directory::ServerIncarnation,
     messages::{
         Crash,
         FatalParts,
-        PartEvent,
+        PartAnswer,
         PartSuspicion, //
     },
-    request::PartId,
+    request::{
+        AnswerStage,
+        PartId, //
+    },
 };
 use crate::ids::{
     Digest,
@@ -38,7 +43,7 @@
 const MIN_CRASHES_BEGUN: usize = 3;
 
 /// Number of crashes from which parts are held to be fatal otherwise. Every request that
-/// was waiting is a suspect of each.
+/// was waiting, and every answer under way, is a suspect of each.
 const MIN_CRASHES: usize = 5;
 
 /// Number of crashes from which one part of a verdict is held to be fatal by itself.
@@ -61,14 +66,15 @@
 const TOGETHER_SHARE: f64 = 0.05;
 const TOGETHER_COUNT: std::ops::RangeInclusive<usize> = 3..=16;
 
-/// Maximum number of crashes to keep in all, of one burst, and of suspects of one crash.
-/// The failure of a failure domain must not displace what is known of other crashes.
+/// Maximum number of crashes to keep in all, of one burst, and of sets of parts that were in
+/// flight at one crash. The failure of a failure domain must not displace what is known of
+/// other crashes. A large engine answers a hundred requests at once.
 const MAX_CRASHES: usize = 128;
 const MAX_CRASHES_PER_BURST: usize = 32;
-const MAX_SUSPECTS: usize = 16;
+const MAX_SUSPECTS: usize = 128;
 
-/// Number of parts with events from which those without a crash are forgotten.
-const MAX_EVENTS: usize = 4096;
+/// Number of parts with answers from which those without a crash are forgotten.
+const MAX_ANSWERED: usize = 4096;
 
 /// Maximum number of verdicts.
 const MAX_VERDICTS: usize = 64;
@@ -79,13 +85,38 @@
 /// Time after which a crash no longer counts, and a verdict ends for want of requests.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// A request that may have crashed a backend server.
+/// Requests that may have crashed a backend server: those with the same parts, whose answers
+/// were at the same stage.
 #[derive(Clone, Debug, PartialEq)]
 struct Suspect {
+    /// The request that was sent first.
     fingerprint: Digest,
-    parts: Vec<PartId>,
-    has_begun: bool,
     sent_at: MonoTime,
+    parts: Vec<PartId>,
+    /// With the highest number of events.
+    stage: AnswerStage,
+}
+
+impl Suspect {
+    fn has_begun(&self) -> bool {
+        self.stage == AnswerStage::Begun
+    }
+
+    fn is_alike(&self, other: &Self) -> bool {
+        std::mem::discriminant(&self.stage) == std::mem::discriminant(&other.stage)
+            && self.parts == other.parts
+    }
+
+    /// Adds a request that is alike.
+    fn add(&mut self, other: &Self) {
+        if other.sent_at < self.sent_at {
+            self.sent_at = other.sent_at;
+            self.fingerprint = other.fingerprint;
+        }
+        if other.stage.events() > self.stage.events() {
+            self.stage = other.stage;
+        }
+    }
 }
 
 /// A crashed backend server.
@@ -94,23 +125,51 @@
     at: MonoTime,
     server: ServerIncarnation,
     suspects: Vec<Suspect>,
+    /// Whether the answer of any request in flight had only begun.
+    has_begun: bool,
     /// Whether it is one of several crashes at the same time.
     is_shared: bool,
 }
 
 impl PartCrash {
-    /// Iterates over the suspects that can have caused the crash: those whose answer had
-    /// begun, if any had. Several backend servers that end together are not ended by what was
-    /// waiting.
+    /// Iterates over the suspects that can have caused the crash. What was waiting did not if
+    /// any answer had begun. Several backend servers that end together are not ended by what
+    /// was waiting or under way.
     fn culprits(&self) -> impl Iterator<Item = &Suspect> {
-        let only_begun = self.has_begun() || self.is_shared;
-        let in_time = |s: &&Suspect| s.sent_at + MIN_TIME_TO_CRASH <= self.at;
-        let in_flight = self.suspects.iter().filter(in_time);
-        in_flight.filter(move |s| s.has_begun || !only_begun)
+        let can_crash = move |s: &&Suspect| match s.stage {
+            AnswerStage::Begun => true,
+            AnswerStage::UnderWay { .. } => !self.is_shared,
+            AnswerStage::Awaited => {
+                !self.has_begun && !self.is_shared && s.sent_at + MIN_TIME_TO_CRASH <= self.at
+            }
+        };
+        self.suspects.iter().filter(can_crash)
     }
 
-    fn has_begun(&self) -> bool {
-        self.suspects.iter().any(|s| s.has_begun)
+    /// Iterates over the parts of all suspects.
+    fn parts(&self) -> impl Iterator<Item = PartId> {
+        self.suspects.iter().flat_map(|s| s.parts.iter().copied())
+    }
+
+    /// Returns the highest number of events that an answer on a part had.
+    fn events(&self, part: &PartId) -> u32 {
+        let with_part = self.culprits().filter(|s| s.parts.contains(part));
+        with_part.map(|s| s.stage.events()).max().unwrap_or(0)
+    }
+
+    /// Adds a suspect, unless there are too many.
+    fn add_suspect(&mut self, suspect: Suspect) {
+        self.has_begun |= suspect.has_begun();
+        if let Some(alike) = self.suspects.iter_mut().find(|s| s.is_alike(&suspect)) {
+            alike.add(&suspect);
+        } else if self.suspects.len() < MAX_SUSPECTS {
+            self.suspects.push(suspect);
+        } else if suspect.has_begun()
+            && let Some(other) = self.suspects.iter_mut().find(|s| !s.has_begun())
+        {
+            // An answer that has only begun says more than one that is awaited or under way.
+            *other = suspect;
+        }
     }
 }
 
@@ -130,12 +189,41 @@
     }
 }
 
+/// The suspects of one crash that have a part.
+struct Blamed<'a> {
+    earliest: &'a Suspect,
+    /// Whether the answer of any had only begun.
+    has_begun: bool,
+    /// Highest number of events of their answers.
+    events: u32,
+}
+
+impl<'a> Blamed<'a> {
+    fn new(suspect: &'a Suspect) -> Self {
+        Self {
+            earliest: suspect,
+            has_begun: suspect.has_begun(),
+            events: suspect.stage.events(),
+        }
+    }
+
+    fn add(&mut self, suspect: &'a Suspect) {
+        if suspect.sent_at < self.earliest.sent_at {
+            self.earliest = suspect;
+        }
+        self.has_begun |= suspect.has_begun();
+        self.events = self.events.max(suspect.stage.events());
+    }
+}
+
 /// The crashes that count against a part.
 #[derive(Clone, Debug, Default)]
 struct Case {
-    /// Counted crashes, and those of them whose suspects' answers had begun.
+    /// Counted crashes, and those of them at which an answer on the part had only begun.
     crashes: usize,
     begun: usize,
+    /// Lowest number of events of the answers on the part at one of the crashes.
+    events: u32,
     /// First and latest counted crash.
     first_at: MonoTime,
     last_at: MonoTime,
@@ -145,12 +233,15 @@
 }
 
 impl Case {
-    /// Counts a crash. `suspect` is the first that was sent of those with the part.
-    fn add(&mut self, crash: &PartCrash, suspect: &Suspect) {
+    /// Counts a crash.
+    fn add(&mut self, crash: &PartCrash, blamed: &Blamed<'_>) {
+        let suspect = blamed.earliest;
         if self.crashes == 0 {
             self.first = suspect.fingerprint;
             self.first_at = crash.at;
+            self.events = blamed.events;
         }
+        self.events = self.events.min(blamed.events);
         self.is_repeated |= self.first != suspect.fingerprint;
         // All requests that were in flight at a power failure had been sent before it.
         let is_another = self.crashes == 0
@@ -158,7 +249,7 @@
             || crash.at.saturating_sub(self.last_at) >= BURST;
         if is_another {
             self.crashes += 1;
-            self.begun += usize::from(crash.has_begun());
+            self.begun += usize::from(blamed.has_begun);
             self.last_at = crash.at;
         }
     }
@@ -177,8 +268,8 @@
     crashes: VecDeque<PartCrash>,
     /// Start of the latest burst, and the number of its crashes that are kept.
     burst: (MonoTime, usize),
-    /// Latest time of an event of an answer, by suspected part.
-    events: HashMap<PartId, MonoTime>,
+    /// How far answers have come, by suspected part.
+    answers: HashMap<PartId, RecentAnswers>,
     verdicts: Vec<Verdict>,
     /// Number of known backend servers.
     servers: usize,
@@ -199,9 +290,9 @@
         parts.dedup();
         let suspect = Suspect {
             fingerprint: crash.fingerprint,
-            parts,
-            has_begun: crash.has_begun,
             sent_at: now.saturating_sub(crash.sent),
+            parts,
+            stage: crash.stage,
         };
         let known = self.crashes.iter().rposition(|c| c.server == crash.server);
         let Some(at) = known.or_else(|| self.add_crash(now, crash)) else {
@@ -210,17 +301,7 @@
         let known = &mut self.crashes[at];
         // A later report is of a connection that was only used again later.
         known.at = known.at.min(now.saturating_sub(crash.age));
-        let suspects = &mut known.suspects;
-        if suspects.len() < MAX_SUSPECTS {
-            suspects.push(suspect);
-        } else if suspect.has_begun
-            && let Some(waiting) = suspects.iter_mut().find(|s| !s.has_begun)
-        {
-            // One that had begun says more than one that was waiting.
-            *waiting = suspect;
-        } else {
-            return;
-        }
+        known.add_suspect(suspect);
         self.is_changed = true;
     }
 
@@ -240,21 +321,22 @@
             at: now.saturating_sub(crash.age),
             server: crash.server.clone(),
             suspects: Vec::new(),
+            has_begun: false,
             is_shared: false,
         });
         Some(self.crashes.len() - 1)
     }
 
-    /// Records that an answer on a part went beyond its beginning. Returns whether that ends
-    /// or changes a verdict.
-    pub fn record_event(&mut self, now: MonoTime, event: &PartEvent) -> bool {
-        let at = now.saturating_sub(event.age);
-        let latest = self.events.entry(event.part).or_default();
-        *latest = at.max(*latest);
+    /// Records how far an answer on a part has come. Returns whether that ends or changes a
+    /// verdict.
+    pub fn record_answer(&mut self, now: MonoTime, answer: &PartAnswer) -> bool {
+        let at = now.saturating_sub(answer.age);
+        let answers = self.answers.entry(answer.part).or_default();
+        answers.record(at, answer.progress);
         self.is_changed = true;
         let mut changed = false;
         self.verdicts.retain_mut(|verdict| {
-            changed |= verdict.clear(event.part, at);
+            changed |= verdict.clear(answer.part, at, answer.progress);
             !verdict.parts.is_empty()
         });
         changed
@@ -270,12 +352,13 @@
     /// Adopts a verdict that an entry knows, which this process may have forgotten.
     pub fn adopt(&mut self, now: MonoTime, parts: &FatalParts) {
         let is_known = |v: &Verdict| parts.parts.iter().any(|p| v.parts.contains(p));
-        let latest = |p| self.events.get(p).copied().unwrap_or_default();
         let began_at = now.saturating_sub(parts.age);
-        let is_cleared = parts.parts.iter().any(|p| latest(p) > began_at);
-        if !self.verdicts.iter().any(is_known) && !is_cleared {
+        let clears = |a: &RecentAnswers| a.any_beyond(began_at, parts.events);
+        let is_cleared = |p| self.answers.get(p).is_some_and(clears);
+        if !self.verdicts.iter().any(is_known) && !parts.parts.iter().any(is_cleared) {
             let mut verdict = Verdict::new(now, parts.parts.clone(), parts.crashes);
             verdict.last_crash_at = began_at;
+            verdict.events = parts.events;
             self.add_verdict(verdict);
         }
     }
@@ -297,7 +380,7 @@
         std::mem::take(&mut self.is_changed)
     }
 
-    /// Removes crashes, events and verdicts that no longer count.
+    /// Removes crashes, answers and verdicts that no longer count.
     pub fn expire(&mut self, now: MonoTime) {
         let is_old = |at: MonoTime| now.saturating_sub(at) > RETENTION;
         let before = (self.crashes.len(), self.verdicts.len());
@@ -307,10 +390,10 @@
         self.verdicts.retain(|v| !is_old(v.last_used_at()));
         let is_expired = before != (self.crashes.len(), self.verdicts.len());
         self.is_changed |= is_expired;
-        if is_expired || self.events.len() > MAX_EVENTS {
+        if is_expired || self.answers.len() > MAX_ANSWERED {
             let suspects = self.crashes.iter().flat_map(|c| &c.suspects);
             let suspected: HashSet<PartId> = suspects.flat_map(|s| s.parts.clone()).collect();
-            self.events.retain(|p, _| suspected.contains(p));
+            self.answers.retain(|p, _| suspected.contains(p));
         }
     }
 
@@ -319,6 +402,7 @@
     pub fn judge(&mut self, now: MonoTime) -> bool {
         let mut found = false;
         self.mark_shared();
+        self.drop_cleared();
         self.is_pending = false;
         while let Some((parts, crashes)) = self.find_fatal(now) {
             self.verdicts
@@ -328,8 +412,10 @@
         }
         for crash in &self.crashes {
             for verdict in &mut self.verdicts {
-                if crash.culprits().any(|s| verdict.covers(&s.parts)) {
+                let covered = crash.culprits().filter(|s| verdict.covers(&s.parts));
+                if let Some(events) = covered.map(|s| s.stage.events()).max() {
                     verdict.last_crash_at = verdict.last_crash_at.max(crash.at);
+                    verdict.events = verdict.events.max(events);
                 }
             }
         }
@@ -352,6 +438,19 @@
         }
     }
 
+    /// Drops the parts that later answers have cleared from the crashes before these.
+    fn drop_cleared(&mut self) {
+        for crash in &mut self.crashes {
+            let parts: HashSet<PartId> = crash.parts().collect();
+            let is_cleared = |p: &PartId| is_cleared(&self.answers, p, crash);
+            let cleared: HashSet<PartId> = parts.into_iter().filter(is_cleared).collect();
+            for suspect in &mut crash.suspects {
+                suspect.parts.retain(|p| !cleared.contains(p));
+            }
+            crash.suspects.retain(|s| !s.parts.is_empty());
+        }
+    }
+
     /// Does the same if a verdict only waited for answers that other entries may tell of.
     pub fn judge_pending(&mut self, now: MonoTime) -> bool {
         self.is_pending && self.judge(now)
@@ -365,6 +464,7 @@
             .map(|(part, case)| PartSuspicion {
                 part,
                 crashes: case.crashes as u32,
+                events: case.events,
                 age: now.saturating_sub(case.last_at),
             })
             .collect();
@@ -420,26 +520,27 @@
         crashes.filter(move |c| !self.verdicts.iter().any(|v| explains(v, c)))
     }
 
-    /// Returns whether no answer on a part has begun since a crash.
     fn is_open(&self, part: &PartId, crash: &PartCrash) -> bool {
-        self.events.get(part).is_none_or(|at| *at <= crash.at)
+        !is_cleared(&self.answers, part, crash)
     }
 
     /// Returns what the crashes that no verdict explains say against each part.
     fn cases(&self) -> HashMap<PartId, Case> {
         let mut cases: HashMap<PartId, Case> = HashMap::new();
         for crash in self.unexplained() {
-            let mut blamed: HashMap<PartId, &Suspect> = HashMap::new();
+            let mut suspected: HashMap<PartId, Blamed<'_>> = HashMap::new();
             for suspect in crash.culprits() {
-                for part in suspect.parts.iter().filter(|p| self.is_open(p, crash)) {
-                    let earliest = blamed.entry(*part).or_insert(suspect);
-                    if suspect.sent_at < earliest.sent_at {
-                        *earliest = suspect;
-                    }
+                for &part in &suspect.parts {
+                    let blamed = suspected.entry(part);
+                    blamed
+                        .and_modify(|b| b.add(suspect))
+                        .or_insert_with(|| Blamed::new(suspect));
                 }
             }
-            for (part, suspect) in blamed {
-                cases.entry(part).or_default().add(crash, suspect);
+            for (part, blamed) in suspected {
+                if self.is_open(&part, crash) {
+                    cases.entry(part).or_default().add(crash, &blamed);
+                }
             }
         }
         cases
@@ -457,3 +558,9 @@
         company.unwrap_or_default()
     }
 }
+
+/// Returns whether an answer on a part has since come clearly further than those at a crash.
+fn is_cleared(answers: &HashMap<PartId, RecentAnswers>, part: &PartId, crash: &PartCrash) -> bool {
+    let answers = answers.get(part);
+    answers.is_some_and(|a| a.any_beyond(crash.at, crash.events(part)))
+}
--- a/sesamebeam_core/src/gateway/fatal_parts/verdict.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts/verdict.rs
@@ -5,7 +5,10 @@
 use crate::{
     gateway::{
         messages::FatalParts,
-        request::PartId, //
+        request::{
+            AnswerProgress,
+            PartId, //
+        },
     },
     ids::MonoTime,
 };
@@ -31,6 +34,8 @@
     pub refused: u64,
     /// When a backend server last crashed under these parts.
     pub(super) last_crash_at: MonoTime,
+    /// Number of events that answers on these parts had at most when they crashed theirs.
+    pub(super) events: u32,
     last_refused_at: MonoTime,
     probes: u32,
     next_probe_at: MonoTime,
@@ -47,6 +52,7 @@
             since: now,
             refused: 0,
             last_crash_at: MonoTime::ZERO,
+            events: 0,
             last_refused_at: now,
             probes: 0,
             next_probe_at: now + FIRST_PROBE_AFTER,
@@ -58,11 +64,11 @@
         self.parts.iter().all(|p| prompt.contains(p))
     }
 
-    /// Takes a part out on which an answer has begun since the last crash. Returns whether
-    /// it was in the verdict.
-    pub(super) fn clear(&mut self, part: PartId, at: MonoTime) -> bool {
+    /// Takes a part out on which an answer has come clearly further, since the last crash, than
+    /// those that ended in crashes. Returns whether it was in the verdict.
+    pub(super) fn clear(&mut self, part: PartId, at: MonoTime, progress: AnswerProgress) -> bool {
         let before = self.parts.len();
-        if at > self.last_crash_at {
+        if at > self.last_crash_at && progress.is_beyond(self.events) {
             self.parts.retain(|p| *p != part);
         }
         self.parts.len() != before
@@ -95,6 +101,7 @@
         FatalParts {
             parts: self.parts.clone(),
             crashes: self.crashes,
+            events: self.events,
             age: now.saturating_sub(self.since),
         }
     }
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -45,7 +45,11 @@
         AnswerCounts,
         Doubt, //
     },
-    request::PartId,
+    request::{
+        AnswerProgress,
+        AnswerStage,
+        PartId, //
+    },
     server_leases::{
         LeaseGrant,
         LeaseRequest, //
@@ -170,8 +174,8 @@
     pub work: Vec<ServiceLoad>,
     /// Requests that were running when backend servers crashed.
     pub crashes: Vec<Crash>,
-    /// Suspected prompt parts on which answers have begun.
-    pub part_events: Vec<PartEvent>,
+    /// Answers on suspected prompt parts that came further than those that ended in crashes.
+    pub part_answers: Vec<PartAnswer>,
     /// Requests refused for fatal prompt parts.
     pub part_refusals: Vec<PartRefusals>,
     /// Fatal prompt parts that the sender knows, for a replica that has started since.
@@ -194,7 +198,7 @@
             waits,
             work,
             crashes,
-            part_events,
+            part_answers,
             part_refusals,
             fatal_parts,
             retained_sessions,
@@ -208,7 +212,7 @@
             && waits.is_empty()
             && work.is_empty()
             && crashes.is_empty()
-            && part_events.is_empty()
+            && part_answers.is_empty()
             && part_refusals.is_empty()
             && fatal_parts.is_empty()
             && retained_sessions.is_empty()
@@ -223,8 +227,8 @@
             convert(&mut crash.sent);
             convert(&mut crash.age);
         }
-        for event in &mut self.part_events {
-            convert(&mut event.age);
+        for answer in &mut self.part_answers {
+            convert(&mut answer.age);
         }
     }
 
@@ -244,7 +248,7 @@
         self.waits.extend(other.waits);
         self.work.extend(other.work);
         self.crashes.extend(other.crashes);
-        self.part_events.extend(other.part_events);
+        self.part_answers.extend(other.part_answers);
         self.part_refusals.extend(other.part_refusals);
         self.fatal_parts.extend(other.fatal_parts);
         self.retained_sessions.extend(other.retained_sessions);
@@ -464,22 +468,23 @@
     pub fingerprint: Digest,
     /// The incarnation that crashed.
     pub server: ServerIncarnation,
-    /// Parts of its prompt that it shares with others; none if its answer was past its
-    /// beginning.
+    /// Parts of its prompt that it shares with others.
     pub parts: Vec<PartId>,
-    /// Whether the head of its answer had come.
-    pub has_begun: bool,
+    /// How far its answer had come.
+    pub stage: AnswerStage,
     /// Time since the request was sent to it.
     pub sent: Duration,
     /// Time since the crash.
     pub age: Duration,
 }
 
-/// An answer on a suspected prompt part went beyond its beginning.
+/// An answer on a suspected prompt part came further than those that ended in crashes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartEvent {
+pub struct PartAnswer {
     /// The part.
     pub part: PartId,
+    /// How far the answer came.
+    pub progress: AnswerProgress,
     /// Time since then.
     pub age: Duration,
 }
@@ -500,6 +505,8 @@
     pub parts: Vec<PartId>,
     /// Number of crashes that this rests on.
     pub crashes: u32,
+    /// Number of events that the answers had at most when their backend servers crashed.
+    pub events: u32,
     /// Time since it was found out.
     pub age: Duration,
 }
@@ -511,6 +518,8 @@
     pub part: PartId,
     /// Number of crashes that count against it.
     pub crashes: u32,
+    /// Number of events that the answers on it had at one of these crashes, the lowest.
+    pub events: u32,
     /// Time since the latest of these.
     pub age: Duration,
 }
--- a/sesamebeam_core/src/gateway/quarantine.rs
+++ b/sesamebeam_core/src/gateway/quarantine.rs
@@ -17,11 +17,12 @@
     messages::{
         Crash,
         FatalParts,
-        PartEvent,
+        PartAnswer,
         PartRefusals,
         PartSuspicion, //
     },
     request::{
+        AnswerProgress,
         AnswerStage,
         PartId, //
     },
@@ -35,8 +36,9 @@
 /// traffic, in 100 KB.
 const MAX_COMPLETED: usize = 2048;
 
-/// Number of parts whose latest event is remembered: at least as many, and at most twice.
-const MAX_EVENTS: usize = 2048;
+/// Number of parts whose latest complete answer is remembered: at least as many, and at most
+/// twice.
+const MAX_COMPLETE_PARTS: usize = 2048;
 
 /// Minimum interval between two questions whether a request with fatal parts may be sent.
 const PROBE_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,13 +61,30 @@
     completed: IndexSet<Digest>,
     /// Parts that no request may have together.
     fatal: Vec<KnownFatal>,
-    /// Parts suspected by the control replicas, and when each last crashed a backend server.
-    suspected: HashMap<PartId, MonoTime>,
-    events: RecentEvents,
+    /// Parts suspected by the control replicas.
+    suspected: HashMap<PartId, Suspicion>,
+    complete: RecentAnswers,
     /// Crashes to report.
     crashes: Vec<NoticedCrash>,
-    /// Parts to report on which answers have begun.
-    unreported_events: BTreeMap<PartId, MonoTime>,
+    /// Answers on suspected and fatal parts to report.
+    unreported: BTreeMap<PartId, Answer>,
+    /// The last answer reported on each of these parts.
+    reported: HashMap<PartId, Answer>,
+}
+
+/// A suspected part.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    last_crash_at: MonoTime,
+    /// Number of events of the answers at its crashes.
+    events: u32,
+}
+
+/// How far an answer came, and when.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: MonoTime,
+    progress: AnswerProgress,
 }
 
 /// A send that ended with its backend server.
@@ -92,6 +111,7 @@
 struct KnownFatal {
     parts: Vec<PartId>,
     crashes: u32,
+    events: u32,
     since: MonoTime,
     /// Requests refused since the last report.
     refused: u32,
@@ -109,22 +129,23 @@
         FatalParts {
             parts: self.parts.clone(),
             crashes: self.crashes,
+            events: self.events,
             age: now.saturating_sub(self.since),
         }
     }
 }
 
-/// Latest events by part, in two generations: the older one is dropped when the newer one is
-/// full, so that callers who invent parts can neither fill the memory nor slow it down.
+/// Latest complete answers by part, in two generations: the older one is dropped when the newer
+/// one is full, so that callers who invent parts can neither fill the memory nor slow it down.
 #[derive(Debug, Default)]
-struct RecentEvents {
+struct RecentAnswers {
     newer: HashMap<PartId, MonoTime>,
     older: HashMap<PartId, MonoTime>,
 }
 
-impl RecentEvents {
+impl RecentAnswers {
     fn record(&mut self, now: MonoTime, part: PartId) {
-        if self.newer.len() >= MAX_EVENTS {
+        if self.newer.len() >= MAX_COMPLETE_PARTS {
             self.older = std::mem::take(&mut self.newer);
         }
         self.newer.insert(part, now);
@@ -158,6 +179,7 @@
             let known = before.remove(&told.parts).unwrap_or(KnownFatal {
                 parts: told.parts,
                 crashes: 0,
+                events: 0,
                 since: now.saturating_sub(told.age),
                 refused: 0,
                 may_probe: false,
@@ -165,21 +187,37 @@
             });
             self.fatal.push(KnownFatal {
                 crashes: told.crashes,
+                events: told.events,
                 ..known
             });
         }
-        let last_crash = |s: PartSuspicion| (s.part, now.saturating_sub(s.age));
-        self.suspected = suspected.into_iter().map(last_crash).collect();
-        self.report_earlier_events();
+        let suspicion = |s: PartSuspicion| {
+            let last_crash_at = now.saturating_sub(s.age);
+            let events = s.events;
+            (
+                s.part,
+                Suspicion {
+                    last_crash_at,
+                    events,
+                },
+            )
+        };
+        self.suspected = suspected.into_iter().map(suspicion).collect();
+        let fatal = &self.fatal;
+        let is_fatal = |part: &PartId| fatal.iter().any(|f| f.parts.contains(part));
+        self.reported
+            .retain(|part, _| self.suspected.contains_key(part) || is_fatal(part));
+        self.report_earlier_answers();
         changed
     }
 
-    /// Reports the events on suspected parts since their latest crashes.
-    fn report_earlier_events(&mut self) {
-        for (&part, &last_crash_at) in &self.suspected {
-            let latest = self.events.latest(part);
-            if let Some(at) = latest.filter(|at| *at > last_crash_at) {
-                self.unreported_events.insert(part, at);
+    /// Reports the complete answers on suspected parts since their latest crashes.
+    fn report_earlier_answers(&mut self) {
+        for (&part, suspicion) in &self.suspected {
+            let latest = self.complete.latest(part);
+            if let Some(at) = latest.filter(|at| *at > suspicion.last_crash_at) {
+                let progress = AnswerProgress::Complete;
+                self.unreported.insert(part, Answer { at, progress });
             }
         }
     }
@@ -224,24 +262,56 @@
     /// A common request without a body has the same fingerprint every time and is in
     /// flight during many crashes by coincidence. Completed requests are therefore never
     /// blamed.
-    pub(super) fn record_completion(&mut self, fingerprint: Digest) {
-        if self.completed.len() >= MAX_COMPLETED {
-            self.completed.shift_remove_index(0);
+    pub(super) fn record_completion(&mut self, now: MonoTime, subject: &Subject) {
+        if let Some(fingerprint) = subject.fingerprint {
+            if self.completed.len() >= MAX_COMPLETED {
+                self.completed.shift_remove_index(0);
+            }
+            self.completed.insert(fingerprint);
         }
-        self.completed.insert(fingerprint);
+        for &part in &subject.parts {
+            self.complete.record(now, part);
+        }
+        self.record_progress(now, subject, AnswerProgress::Complete);
     }
 
-    /// Records that an answer went beyond its beginning.
-    pub(super) fn record_event(&mut self, now: MonoTime, subject: &Subject) {
+    /// Records how far the answer to a request has come, if that is news of a suspected or fatal
+    /// part.
+    pub(super) fn record_progress(
+        &mut self,
+        now: MonoTime,
+        subject: &Subject,
+        progress: AnswerProgress,
+    ) {
+        if self.suspected.is_empty() && self.fatal.is_empty() {
+            return;
+        }
         for &part in &subject.parts {
-            self.events.record(now, part);
-            let is_fatal = self.fatal.iter().any(|f| f.parts.contains(&part));
-            if is_fatal || self.suspected.contains_key(&part) {
-                self.unreported_events.insert(part, now);
+            if self.is_news(part, progress) {
+                let answer = Answer { at: now, progress };
+                let known = self.unreported.entry(part).or_insert(answer);
+                if progress >= known.progress {
+                    *known = answer;
+                }
             }
         }
     }
 
+    /// Returns whether an answer came further than those at the crashes of a part, and than
+    /// what was reported since the last one.
+    fn is_news(&self, part: PartId, progress: AnswerProgress) -> bool {
+        let fatal = self.fatal.iter().find(|f| f.parts.contains(&part));
+        if fatal.is_some_and(|f| progress.is_beyond(f.events)) {
+            return true;
+        }
+        let Some(suspicion) = self.suspected.get(&part) else {
+            return false;
+        };
+        let reported = self.reported.get(&part);
+        let is_known = |r: &Answer| r.at > suspicion.last_crash_at && r.progress >= progress;
+        progress.is_beyond(suspicion.events) && !reported.is_some_and(is_known)
+    }
+
     /// Records that a request was running when a backend server crashed.
     pub(super) fn record_crash(
         &mut self,
@@ -253,8 +323,7 @@
         let Some(fingerprint) = subject.fingerprint else {
             return;
         };
-        // What crashes a backend server does so before the body of its answer.
-        if failed.stage == AnswerStage::UnderWay || self.completed.contains(&fingerprint) {
+        if self.completed.contains(&fingerprint) {
             return;
         }
         self.crashes.push(NoticedCrash {
@@ -268,7 +337,7 @@
 
     /// Returns whether there is anything to report that other entries wait for.
     pub(super) fn has_urgent(&self) -> bool {
-        !self.crashes.is_empty() || !self.unreported_events.is_empty()
+        !self.crashes.is_empty() || !self.unreported.is_empty()
     }
 
     /// Takes the crashes since the last call.
@@ -278,21 +347,24 @@
             fingerprint: noticed.fingerprint,
             server: noticed.server,
             parts: noticed.parts,
-            has_begun: noticed.failed.stage == AnswerStage::Begun,
+            stage: noticed.failed.stage,
             sent: now.saturating_sub(noticed.failed.sent_at),
             age: now.saturating_sub(noticed.at),
         };
         crashes.map(crash).collect()
     }
 
-    /// Takes the events on suspected and fatal parts since the last call.
-    pub(super) fn take_events(&mut self, now: MonoTime) -> Vec<PartEvent> {
-        let events = std::mem::take(&mut self.unreported_events).into_iter();
-        let event = |(part, at)| PartEvent {
+    /// Takes the answers on suspected and fatal parts since the last call.
+    pub(super) fn take_answers(&mut self, now: MonoTime) -> Vec<PartAnswer> {
+        let unreported = std::mem::take(&mut self.unreported);
+        let answer = |(&part, a): (&PartId, &Answer)| PartAnswer {
             part,
-            age: now.saturating_sub(at),
+            progress: a.progress,
+            age: now.saturating_sub(a.at),
         };
-        events.map(event).collect()
+        let answers = unreported.iter().map(answer).collect();
+        self.reported.extend(unreported);
+        answers
     }
 
     /// Takes the numbers of requests refused since the last call.
--- a/sesamebeam_core/src/gateway/request.rs
+++ b/sesamebeam_core/src/gateway/request.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use smol_str::SmolStr;
 
 use super::{
@@ -123,15 +127,49 @@
     }
 }
 
-/// How far the answer to a request has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How far the answer to a request had come when its connection failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AnswerStage {
-    /// Nothing of it has come.
+    /// Nothing of it had come.
     Awaited,
-    /// Its head has come.
+    /// Its head had come.
     Begun,
-    /// A part of its body has come.
-    UnderWay,
+    /// Some of its events had come.
+    UnderWay {
+        /// Number of events since the request was sent to this backend server.
+        events: u32,
+    },
+}
+
+impl AnswerStage {
+    /// Returns the number of events that had come.
+    pub fn events(self) -> u32 {
+        match self {
+            Self::Awaited | Self::Begun => 0,
+            Self::UnderWay { events } => events,
+        }
+    }
+}
+
+/// How far a backend server has brought an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum AnswerProgress {
+    /// It has sent this many events.
+    Events(u32),
+    /// The answer is complete.
+    Complete,
+}
+
+impl AnswerProgress {
+    /// Returns whether this is clearly more than an answer that ended with its backend server
+    /// after `events`. Events on their way are lost in a crash, so that a few more or less of
+    /// them say nothing.
+    pub fn is_beyond(self, events: u32) -> bool {
+        match self {
+            Self::Events(count) => count >= events.saturating_mul(2).saturating_add(2),
+            Self::Complete => true,
+        }
+    }
 }
 
 /// Contents of a response head.
--- a/sesamebeam_core/src/gateway/router/exchange.rs
+++ b/sesamebeam_core/src/gateway/router/exchange.rs
@@ -117,7 +117,7 @@
             waits: self.cascade.take_unreported(),
             work: self.admission.take_unreported(),
             crashes: self.quarantine.take_crashes(now),
-            part_events: self.quarantine.take_events(now),
+            part_answers: self.quarantine.take_answers(now),
             part_refusals: self.quarantine.take_refusals(),
             fatal_parts: Vec::new(),
             retained_sessions: self.sessions.take_unreported(),
--- a/sesamebeam_core/src/gateway/router/quarantined.rs
+++ b/sesamebeam_core/src/gateway/router/quarantined.rs
@@ -14,7 +14,10 @@
             PartSuspicion, //
         },
         quarantine::FailedSend,
-        request::PartId,
+        request::{
+            AnswerProgress,
+            PartId, //
+        },
     },
     ids::{
         Digest,
@@ -81,15 +84,15 @@
     }
 
     /// Records that a request completed.
-    pub fn record_completion(&mut self, plan: &Plan) {
-        if let Some(fingerprint) = plan.subject.fingerprint {
-            self.quarantine.record_completion(fingerprint);
-        }
+    pub fn record_completion(&mut self, now: MonoTime, plan: &Plan) {
+        self.quarantine.record_completion(now, &plan.subject);
     }
 
-    /// Records that the answer to a request went beyond its beginning.
-    pub fn record_event(&mut self, now: MonoTime, plan: &Plan) {
-        self.quarantine.record_event(now, &plan.subject);
+    /// Records the number of events that one run of a request has sent so far.
+    pub fn record_events(&mut self, now: MonoTime, plan: &Plan, events: u32) {
+        let progress = AnswerProgress::Events(events);
+        self.quarantine
+            .record_progress(now, &plan.subject, progress);
     }
 
     /// Returns whether another backend server has announced itself at the address of the
