--- a/sesamebeam/src/gateway/crash_check.rs
+++ b/sesamebeam/src/gateway/crash_check.rs
@@ -3,7 +3,10 @@
 use std::{
     io::ErrorKind,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use sesamebeam_core::gateway::{
@@ -41,17 +44,23 @@
         let gateway = Arc::clone(&self.gateway);
         let noticed_at = gateway.now();
         let sent_at = noticed_at.saturating_sub(choice.elapsed());
-        let failed = FailedSend { sent_at, stage };
         let (plan, choice) = (Arc::clone(&self.plan), Choice::clone(choice));
         let (id, prompt) = (self.req.head.id.clone(), self.req.head.prompt.clone());
         tokio::spawn(async move {
-            if !gateway.has_crashed(&choice).await {
+            let Some(round_trip) = gateway.check_server(&choice).await else {
                 return;
-            }
+            };
             log::info!(
-                id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt;
+                id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt,
+                ran_ms = noticed_at.saturating_sub(sent_at).as_millis() as u64,
+                round_trip_us = round_trip.as_micros() as u64;
                 "backend server went down"
             );
+            let failed = FailedSend {
+                sent_at,
+                stage,
+                round_trip,
+            };
             gateway
                 .router()
                 .record_crash(noticed_at, &plan, &choice, failed);
@@ -60,24 +69,29 @@
 }
 
 impl Gateway {
-    /// Returns whether a backend server whose connection has just ended crashed.
+    /// Returns the round-trip time to a backend server whose connection has just ended, if it
+    /// crashed.
     ///
     /// A terminated process refuses connections, while one that only closed the connection
     /// accepts them. One that is back so soon announces itself as another incarnation.
-    async fn has_crashed(&self, choice: &Choice) -> bool {
+    async fn check_server(&self, choice: &Choice) -> Option<Duration> {
+        let mut round_trip = CONNECT_TIMEOUT;
         for _ in 0..CONNECT_ATTEMPTS {
-            match timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.addr)).await {
-                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return true,
+            let started = Instant::now();
+            let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.addr)).await;
+            round_trip = started.elapsed();
+            match connected {
+                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Some(round_trip),
                 Ok(Ok(_)) => break,
                 Ok(Err(_)) | Err(_) => {}
             }
         }
         for _ in 0..REPLACEMENT_CHECKS {
             if self.router().is_replaced(choice) {
-                return true;
+                return Some(round_trip);
             }
             sleep(REPLACEMENT_CHECK_INTERVAL).await;
         }
-        false
+        None
     }
 }
--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -53,9 +53,8 @@
 /// of answers on it: two reports and two updates.
 const ANSWERS_TOLD_IN: Duration = Duration::from_millis(600);
 
-/// Minimum time from a send to the crash that it causes. A send to a backend server that has
-/// already ended fails within a round trip.
-const MIN_TIME_TO_CRASH: Duration = Duration::from_millis(10);
+/// Minimum time that a backend server takes to begin an answer.
+const MIN_TIME_TO_BEGIN: Duration = Duration::from_millis(1);
 
 /// Time within which crashes are likely to have one cause, such as a power failure.
 const BURST: Duration = Duration::from_millis(500);
@@ -92,6 +91,8 @@
     /// The request that was sent first.
     fingerprint: Digest,
     sent_at: MonoTime,
+    /// Round-trip time to the backend server.
+    round_trip: Duration,
     parts: Vec<PartId>,
     /// With the highest number of events.
     stage: AnswerStage,
@@ -102,6 +103,13 @@
         self.stage == AnswerStage::Begun
     }
 
+    /// Returns whether the backend server can have begun the answer before it crashed. A send to
+    /// one that has already ended fails within a round trip; twice that leaves room for its
+    /// jitter.
+    fn can_have_begun(&self, crashed_at: MonoTime) -> bool {
+        self.sent_at + self.round_trip * 2 + MIN_TIME_TO_BEGIN <= crashed_at
+    }
+
     fn is_alike(&self, other: &Self) -> bool {
         std::mem::discriminant(&self.stage) == std::mem::discriminant(&other.stage)
             && self.parts == other.parts
@@ -111,6 +119,7 @@
     fn add(&mut self, other: &Self) {
         if other.sent_at < self.sent_at {
             self.sent_at = other.sent_at;
+            self.round_trip = other.round_trip;
             self.fingerprint = other.fingerprint;
         }
         if other.stage.events() > self.stage.events() {
@@ -127,21 +136,21 @@
     suspects: Vec<Suspect>,
     /// Whether the answer of any request in flight had only begun.
     has_begun: bool,
-    /// Whether it is one of several crashes at the same time.
-    is_shared: bool,
+    /// First of several crashes at the same time, if it is one of these.
+    shared_since: Option<MonoTime>,
 }
 
 impl PartCrash {
     /// Iterates over the suspects that can have caused the crash. What was waiting did not if
     /// any answer had begun. Several backend servers that end together are not ended by what
-    /// was waiting or under way.
+    /// was waiting or under way at the first of them, but perhaps by a request that was sent
+    /// again since.
     fn culprits(&self) -> impl Iterator<Item = &Suspect> {
+        let is_apart = |s: &Suspect| self.shared_since.is_none_or(|since| s.sent_at >= since);
         let can_crash = move |s: &&Suspect| match s.stage {
             AnswerStage::Begun => true,
-            AnswerStage::UnderWay { .. } => !self.is_shared,
-            AnswerStage::Awaited => {
-                !self.has_begun && !self.is_shared && s.sent_at + MIN_TIME_TO_CRASH <= self.at
-            }
+            AnswerStage::UnderWay { .. } => is_apart(s),
+            AnswerStage::Awaited => !self.has_begun && is_apart(s) && s.can_have_begun(self.at),
         };
         self.suspects.iter().filter(can_crash)
     }
@@ -291,6 +300,7 @@
         let suspect = Suspect {
             fingerprint: crash.fingerprint,
             sent_at: now.saturating_sub(crash.sent),
+            round_trip: crash.round_trip,
             parts,
             stage: crash.stage,
         };
@@ -322,7 +332,7 @@
             server: crash.server.clone(),
             suspects: Vec::new(),
             has_begun: false,
-            is_shared: false,
+            shared_since: None,
         });
         Some(self.crashes.len() - 1)
     }
@@ -433,8 +443,10 @@
         let needed = share.clamp(*TOGETHER_COUNT.start(), *TOGETHER_COUNT.end());
         let times: Vec<MonoTime> = self.crashes.iter().map(|c| c.at).collect();
         for crash in &mut self.crashes {
-            let is_near = |at: &&MonoTime| crash.at.abs_diff(**at) <= TOGETHER;
-            crash.is_shared = times.iter().filter(is_near).count() >= needed;
+            let is_near = |at: &MonoTime| crash.at.abs_diff(*at) <= TOGETHER;
+            let near = times.iter().copied().filter(is_near);
+            let is_shared = near.clone().count() >= needed;
+            crash.shared_since = near.min().filter(|_| is_shared);
         }
     }
 
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -474,6 +474,8 @@
     pub stage: AnswerStage,
     /// Time since the request was sent to it.
     pub sent: Duration,
+    /// Round-trip time to it.
+    pub round_trip: Duration,
     /// Time since the crash.
     pub age: Duration,
 }
--- a/sesamebeam_core/src/gateway/quarantine.rs
+++ b/sesamebeam_core/src/gateway/quarantine.rs
@@ -94,6 +94,8 @@
     pub sent_at: MonoTime,
     /// How far its answer had come.
     pub stage: AnswerStage,
+    /// Round-trip time to the backend server.
+    pub round_trip: Duration,
 }
 
 /// A crash that is to be reported.
@@ -349,6 +351,7 @@
             parts: noticed.parts,
             stage: noticed.failed.stage,
             sent: now.saturating_sub(noticed.failed.sent_at),
+            round_trip: noticed.failed.round_trip,
             age: now.saturating_sub(noticed.at),
         };
         crashes.map(crash).collect()
--- a/sesamebeam_core/tests/gateway/crash_reports.rs
+++ b/sesamebeam_core/tests/gateway/crash_reports.rs
@@ -47,6 +47,7 @@
         parts: vec![FATAL],
         stage: AnswerStage::Begun,
         sent: ms(50),
+        round_trip: ms(1),
         age: Duration::ZERO,
     };
     Report {
--- a/sesamebeam_core/tests/gateway/crashes.rs
+++ b/sesamebeam_core/tests/gateway/crashes.rs
@@ -19,6 +19,7 @@
         parts: Vec::new(),
         stage: AnswerStage::Awaited,
         sent: Duration::ZERO,
+        round_trip: Duration::ZERO,
         age: Duration::ZERO,
     }
 }
--- a/sesamebeam_core/tests/gateway/fatal_parts.rs
+++ b/sesamebeam_core/tests/gateway/fatal_parts.rs
@@ -40,6 +40,9 @@
 /// Time from a send to the crash that it causes.
 const TO_CRASH: Duration = Duration::from_millis(50);
 
+/// Round-trip time to a backend server.
+const ROUND_TRIP: Duration = Duration::from_millis(1);
+
 /// Time after a crash in which all entries have told of answers on its suspects.
 const ANSWERS_TOLD_IN: Duration = Duration::from_millis(600);
 
@@ -62,6 +65,7 @@
             false => AnswerStage::Awaited,
         },
         sent: TO_CRASH,
+        round_trip: ROUND_TRIP,
         age: Duration::ZERO,
     }
 }
@@ -220,6 +224,39 @@
     assert!(verdicts(&crashes).is_empty());
 }
 
+#[test]
+fn fast_engine() {
+    // Guards against a fatal part that goes on because its backend servers begin answers, and go
+    // down, sooner after a send than others would.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..WAITING {
+        let fast = Crash {
+            sent: ROUND_TRIP + ms(5),
+            ..crash(n, n, &[FATAL], false)
+        };
+        record(&mut crashes, ms(START + n * 200), &[fast]);
+    }
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
+#[test]
+fn retried_at_once() {
+    // Guards against a fatal part whose requests end one backend server after the other so
+    // quickly that these seem to fail together, as a failure domain does.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..4 {
+        let first = START + n * 300;
+        for attempt in 0..3 {
+            let retried = Crash {
+                sent: ROUND_TRIP + ms(5),
+                ..crash(n, n * 10 + attempt, &[FATAL], false)
+            };
+            record(&mut crashes, ms(first + attempt * 7), &[retried]);
+        }
+    }
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
 #[test]
 fn one_request() {
     // Guards against a verdict on shared parts for one request that is sent again.
--- a/sesamebeam_core/tests/gateway/quarantine.rs
+++ b/sesamebeam_core/tests/gateway/quarantine.rs
@@ -165,8 +165,12 @@
     let choice = router.choose(ms(0), &plan, None, &[]).expect("a choice");
     let under_way = AnswerStage::UnderWay { events: 7 };
     for stage in [under_way, AnswerStage::Begun, AnswerStage::Awaited] {
-        let sent_at = ms(0);
-        router.record_crash(ms(50), &plan, &choice, FailedSend { sent_at, stage });
+        let failed = FailedSend {
+            sent_at: ms(0),
+            stage,
+            round_trip: ms(1),
+        };
+        router.record_crash(ms(50), &plan, &choice, failed);
         let crashes = router.take_report(ms(50)).crashes;
         let stages: Vec<_> = crashes.iter().map(|c| c.stage).collect();
         assert_eq!(stages, [stage]);
--- a/sesamebeam_core/tests/gateway/router.rs
+++ b/sesamebeam_core/tests/gateway/router.rs
@@ -257,6 +257,7 @@
     let failed = FailedSend {
         sent_at: ms(0),
         stage: AnswerStage::Awaited,
+        round_trip: ms(0),
     };
     router.record_crash(ms(0), &plan, &choice, failed);
     assert!(router.take_report(ms(0)).crashes.is_empty());
