--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -591,6 +591,10 @@
     pub timed_streams: u32,
     /// Sum of the event intervals, divided in the same way.
     pub interval_ratio_sum: f64,
+    /// Number of measured event intervals and times of whole answers.
+    pub durations: u32,
+    /// Number of these that were a multiple of the mean.
+    pub slow_durations: u32,
 }
 
 impl Evidence {
@@ -607,5 +611,7 @@
         self.latency_ratio_sum += other.latency_ratio_sum;
         self.timed_streams += other.timed_streams;
         self.interval_ratio_sum += other.interval_ratio_sum;
+        self.durations += other.durations;
+        self.slow_durations += other.slow_durations;
     }
 }
--- a/sesamebeam_core/src/gateway/response_counts.rs
+++ b/sesamebeam_core/src/gateway/response_counts.rs
@@ -20,6 +20,9 @@
 /// Weight of the latest time in the moving average of its route.
 const MEAN_WEIGHT: f64 = 0.05;
 
+/// Multiple of the mean from which a time counts as slow by itself.
+const SLOW_DURATION_RATIO: f64 = 2.0;
+
 /// Key under which responses are counted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct CountKey {
@@ -58,7 +61,7 @@
         }
     }
 
-    /// Counts a time to first byte.
+    /// Counts a time to first byte: that of a whole answer, if no model is named.
     pub(super) fn record_first_byte(
         &mut self,
         key: &CountKey,
@@ -70,6 +73,9 @@
         let counts = self.counts_mut(key);
         counts.timed_responses += 1;
         counts.latency_ratio_sum += slowness;
+        if model.is_none() {
+            count_duration(counts, slowness);
+        }
     }
 
     /// Counts the mean time between the events of a stream.
@@ -90,6 +96,7 @@
         let counts = self.counts_mut(key);
         counts.timed_streams += 1;
         counts.interval_ratio_sum += slowness;
+        count_duration(counts, slowness);
     }
 
     /// Takes the counts since the last call.
@@ -107,6 +114,11 @@
     }
 }
 
+fn count_duration(counts: &mut Evidence, slowness: f64) {
+    counts.durations += 1;
+    counts.slow_durations += u32::from(slowness >= SLOW_DURATION_RATIO);
+}
+
 /// Returns a time relative to the moving average of its route and model. Canary versions
 /// don't contribute to the average.
 fn relative_to_mean(
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -78,6 +78,14 @@
     evidence: 2.0,
 };
 
+/// Criteria on slow answers for a rollback in place of a promotion or completion. Unlike
+/// failures, some answers of any version are slow, so that little evidence arises by chance:
+/// this much does once in a hundred rollouts.
+const BLOCKING_DURATION_CRITERIA: FailureCriteria = FailureCriteria {
+    evidence: 3.0,
+    ..ROLLBACK_CRITERIA
+};
+
 /// Criteria for a rollback by recent responses alone. This evidence arises by chance once
 /// in about ten thousand periods, of which a rollout has a few hundred.
 const RECENT_ROLLBACK_CRITERIA: FailureCriteria = FailureCriteria {
@@ -212,8 +220,10 @@
 impl Basis<'_> {
     /// Returns the next phase, or a rollback if the version may be faulty.
     fn next_unless_doubtful(&self, next: Phase) -> Phase {
+        let (new, old) = (total(&self.sides.new), total(&self.sides.old));
         let mut counts_by_route = self.counts_by_route();
-        let doubtful = BLOCKING_CRITERIA.are_met(total(&self.sides.new), total(&self.sides.old))
+        let doubtful = BLOCKING_CRITERIA.are_met(new, old)
+            || BLOCKING_DURATION_CRITERIA.are_met(new.by_duration(), old.by_duration())
             || counts_by_route.any(|(new, old)| BLOCKING_CRITERIA.are_met(new, old));
         if doubtful { Phase::RolledBack } else { next }
     }
@@ -243,7 +253,7 @@
         let (new, old) = (total(&self.sides.new), total(&self.sides.old));
         // Times are relative to the mean of their route, so they can be summed over all
         // routes, which reaches the minimum number earlier than each route alone.
-        if ROLLBACK_CRITERIA.are_met(new, old) || is_slower(new, old) {
+        if is_worse(new, old) {
             return true;
         }
         let mut old_by_route = self.sides.old.iter();
@@ -252,10 +262,19 @@
             return true;
         }
         let mut counts_by_route = self.counts_by_route();
-        counts_by_route.any(|(new, old)| ROLLBACK_CRITERIA.are_met(new, old) || is_slower(new, old))
+        counts_by_route.any(|(new, old)| is_worse(new, old))
     }
 }
 
+/// Returns whether a new version fails more often, is slower, or has slow answers more often.
+///
+/// A version that is slow in a part of its answers may not be much slower in the mean.
+fn is_worse(new: Counts, old: Counts) -> bool {
+    ROLLBACK_CRITERIA.are_met(new, old)
+        || is_slower(new, old)
+        || ROLLBACK_CRITERIA.are_met(new.by_duration(), old.by_duration())
+}
+
 fn summarize(new: Counts, old: Counts) -> ResponseSummary {
     ResponseSummary {
         new_good: new.good,
--- a/sesamebeam_core/src/gateway/rollout/comparison.rs
+++ b/sesamebeam_core/src/gateway/rollout/comparison.rs
@@ -35,6 +35,8 @@
     pub(super) slowness: f64,
     pub(super) paced: u32,
     pub(super) pace: f64,
+    pub(super) durations: u32,
+    pub(super) slow_durations: u32,
 }
 
 impl Counts {
@@ -46,6 +48,8 @@
         self.slowness += evidence.latency_ratio_sum;
         self.paced += evidence.timed_streams;
         self.pace += evidence.interval_ratio_sum;
+        self.durations += evidence.durations;
+        self.slow_durations += evidence.slow_durations;
     }
 
     /// Returns the number of good and bad responses.
@@ -58,6 +62,15 @@
         f64::from(self.bad) / f64::from(self.responses().max(1))
     }
 
+    /// Returns the answers of which the duration is known, with the slow ones as failures.
+    pub(super) fn by_duration(&self) -> Self {
+        Self {
+            good: self.durations - self.slow_durations,
+            bad: self.slow_durations,
+            ..Self::default()
+        }
+    }
+
     /// Returns the sum of two counters.
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
@@ -67,6 +80,8 @@
             slowness: self.slowness + other.slowness,
             paced: self.paced + other.paced,
             pace: self.pace + other.pace,
+            durations: self.durations + other.durations,
+            slow_durations: self.slow_durations + other.slow_durations,
         }
     }
 }
--- a/sesamebeam_core/tests/gateway/engine_rollouts.rs
+++ b/sesamebeam_core/tests/gateway/engine_rollouts.rs
@@ -134,6 +134,16 @@
     assert_eq!(phase_after(stable, new, slowness, true), Phase::RolledBack);
 }
 
+#[parameterized(
+    in_events = { [1.0, 2.4] },
+    in_both = { [2.4, 2.4] },
+)]
+fn version_of_twice_the_time(slowness: [f64; 2]) {
+    // Guards against a version that is completed because it is not quite three times as slow.
+    let phase = phase_after(100, 100, slowness, true);
+    assert_eq!(phase, Phase::RolledBack);
+}
+
 #[test]
 fn engines_that_state_nothing() {
     // Without engine time the times are compared as before.
--- a/sesamebeam_core/tests/gateway/rollouts.rs
+++ b/sesamebeam_core/tests/gateway/rollouts.rs
@@ -133,6 +133,47 @@
     assert_eq!(phase, Phase::RolledBack);
 }
 
+#[parameterized(
+    part_of_streams = { 14, 5, Phase::RolledBack },
+    few = { 40, 3, Phase::Canary },
+    as_before = { 40, 2, Phase::Canary },
+)]
+fn slow_in_part(durations: u32, slow: u32, phase: Phase) {
+    // Guards against a version that is completed although a part of its answers are several
+    // times as slow, which the mean of all hardly shows.
+    let mut monitor = RolloutMonitor::new(ms(0));
+    let timed = |version, durations, slow_durations| Evidence {
+        durations,
+        slow_durations,
+        ..evidence(version, durations, 0, 1.7)
+    };
+    monitor.add(ms(0), "v2", &timed("v1", 600, 20));
+    monitor.add(ms(0), "v2", &timed("v2", durations, slow));
+    let next = monitor.phase(ms(5000), &rollout(Phase::Canary), SHARE);
+    assert_eq!(next, phase);
+}
+
+#[parameterized(
+    some = { 5, Phase::RolledBack },
+    as_before = { 3, Phase::Promoted },
+)]
+fn slow_with_few_requests(slow: u32, phase: Phase) {
+    // Guards against a version of a service with little traffic that is promoted although more
+    // of its answers are slow than of the others, but too few to roll it back at once.
+    let mut monitor = RolloutMonitor::new(ms(0));
+    let timed = |version, durations, slow_durations| Evidence {
+        durations,
+        slow_durations,
+        ..evidence(version, durations, 0, 1.0)
+    };
+    monitor.add(ms(0), "v2", &timed("v1", 460, 30));
+    monitor.add(ms(0), "v2", &timed("v2", 20, slow));
+    let early = monitor.phase(ms(5000), &rollout(Phase::Canary), SHARE);
+    assert_eq!(early, Phase::Canary);
+    let next = monitor.phase(ms(18_200), &rollout(Phase::Canary), SHARE);
+    assert_eq!(next, phase);
+}
+
 #[test]
 fn exposure_without_evidence() {
     // The new version has a fault that shows only after the end of its rollout, for
