--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -245,6 +245,20 @@
         }
     }
 
+    /// Kills a control replica and removes its data.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data cannot be removed.
+    pub async fn lose_disk(&mut self, replica: usize) -> io::Result<()> {
+        self.kill(Target::Replica(replica)).await;
+        let data = self.folder.path().join(format!("replica-{replica}-data"));
+        match std::fs::remove_dir_all(data) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+            _ => Ok(()),
+        }
+    }
+
     /// Asks a daemon to stop and waits; kills it when its time is over. Returns
     /// whether it ended by itself. One that is paused goes on: it could not end.
     pub async fn stop(&mut self, target: Target) -> bool {
--- a/sesamebeam_soak/src/fragile.rs
+++ b/sesamebeam_soak/src/fragile.rs
@@ -1,5 +1,4 @@
-//! Backend servers that go down when they begin to answer a request with a fatal part in its
-//! prompt, callers who send such requests, and others who share all but that part.
+//! Backend servers that go down as they answer a request with a fatal part in its prompt, callers who send such requests, and others who share all but that part.
 
 use std::{
     convert::Infallible,
@@ -63,18 +62,23 @@
 /// Time that a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(2000);
 
+/// Number of events of an answer.
+const EVENTS: u64 = 12;
+
 /// Prompt parts: in all prompts, beside the fatal one, and that one.
 const SHARED: &str = "a1";
 const BESIDE: &str = "b2";
 const FATAL: &str = "fa7a1";
 
-/// Runs one life of a backend server after the other until cancelled.
+/// Runs one life of a backend server after the other until cancelled. Each ends once an answer
+/// with the fatal part has `fatal_after` events.
 ///
 /// # Errors
 ///
 /// Fails if no port can be had.
 pub async fn succeed(
     number: usize,
+    fatal_after: u64,
     domain: &'static str,
     controls: Vec<SocketAddr>,
     books: Arc<Books>,
@@ -94,7 +98,7 @@
         let (books, token) = (Arc::clone(&books), ended.clone());
         let answer = move |req: Request<Incoming>, from| {
             let (books, ended) = (Arc::clone(&books), token.clone());
-            async move { answer(&req, from, &books, &ended).await }
+            async move { answer(&req, from, fatal_after, &books, &ended).await }
         };
         accept(listener, answer, &ended).await;
         if cancel.is_cancelled() {
@@ -139,6 +143,7 @@
 async fn answer(
     req: &Request<Incoming>,
     from: SocketAddr,
+    fatal_after: u64,
     books: &Arc<Books>,
     ended: &CancellationToken,
 ) -> Response<Body> {
@@ -152,17 +157,18 @@
     }
     sleep(STEP).await;
     let (life, books) = (ended.clone(), Arc::clone(books));
-    let events = stream::unfold(1, move |number| {
+    let resume_after: u64 = text("last-event-id").parse().unwrap_or(0);
+    let events = stream::unfold(resume_after + 1, move |number| {
         let (life, books) = (life.clone(), Arc::clone(&books));
         async move {
             sleep(STEP).await;
-            if is_fatal {
+            if is_fatal && number > resume_after + fatal_after {
                 books.crashed(&life);
                 std::future::pending::<()>().await;
             }
             let event = format!("id: {number}\ndata: piece {number}\n\n");
             let frame = Frame::data(Bytes::from(event));
-            (number <= 3).then_some((Ok::<_, Infallible>(frame), number + 1))
+            (number <= EVENTS).then_some((Ok::<_, Infallible>(frame), number + 1))
         }
     });
     let response = Response::builder()
--- a/sesamebeam_soak/src/main.rs
+++ b/sesamebeam_soak/src/main.rs
@@ -19,6 +19,8 @@
   --count N       seeds to play, one after the other (default 1)
   --seconds N     length of the faults of each (default 6)
   --brittle       has backend servers that go down under rejections
+  --fatal         has backend servers that go down under a part of prompts, early or late
+  --lost-disks N  has replicas lose their disks N times under a large configuration
   --schedule FILE plays a schedule instead of seeds
   --print         prints the schedules and plays nothing
   --program FILE  the daemons (default: sesamebeam-platform beside this program)
@@ -121,6 +123,8 @@
     let logs: Option<PathBuf> = args.opt_value_from_str("--logs").map_err(text)?;
     let print = args.contains("--print");
     let brittle = args.contains("--brittle");
+    let fatal = args.contains("--fatal");
+    let lost_disks: Option<u64> = args.opt_value_from_str("--lost-disks").map_err(text)?;
     if !args.finish().is_empty() {
         return Err("unknown option".to_owned());
     }
@@ -136,7 +140,11 @@
             let seeds = first..first.saturating_add(count.unwrap_or(1));
             let draw = |seed| Schedule {
                 brittle,
-                ..Schedule::draw(seed, length_ms)
+                ..match lost_disks {
+                    Some(losses) => Schedule::draw_lost_disks(seed, losses),
+                    None if fatal => Schedule::draw_fatal(seed, length_ms),
+                    None => Schedule::draw(seed, length_ms),
+                }
             };
             seeds.map(draw).collect()
         }
--- a/sesamebeam_soak/src/operator.rs
+++ b/sesamebeam_soak/src/operator.rs
@@ -67,12 +67,27 @@
 /// Slots that each backend server announces.
 pub const SLOTS: usize = 8;
 
-/// Returns a configuration, with routes to engines or without.
-pub fn config(version: u64, has_engines: bool) -> String {
-    let (mut routes, mut services, mut tenants) = Default::default();
-    if has_engines {
+/// What configurations hold beside the plain routes.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigKind {
+    /// Whether there are routes to engines.
+    pub has_engines: bool,
+    /// Number of routes that nobody uses.
+    pub extra_routes: usize,
+}
+
+/// Returns a configuration.
+pub fn config(version: u64, kind: ConfigKind) -> String {
+    let (mut routes, mut services, mut tenants) = <(String, String, String)>::default();
+    if kind.has_engines {
         (routes, services, tenants) = engine_parts();
     }
+    for number in 0..kind.extra_routes {
+        routes += &format!(
+            r#",{{"name":"extra-{number}","host":"desk.example","path_prefix":"/extra-{number}/",
+            "kind":"idempotent","timeout_ms":4000,"service":"{POOL}","max_attempts":2}}"#
+        );
+    }
     let route = |name: &str, kind: &str, more: &str| {
         let service = match name {
             FRAGILE_POOL | BRITTLE_POOL => name,
@@ -167,13 +182,13 @@
     controls: Vec<SocketAddr>,
     next: Arc<AtomicU64>,
     books: Arc<Books>,
-    has_engines: bool,
+    kind: ConfigKind,
     cancel: CancellationToken,
 ) {
     let client = Client::new(Duration::from_millis(500));
     while !cancel.is_cancelled() {
         let version = next.fetch_add(1, Ordering::Relaxed);
-        let text = config(version, has_engines);
+        let text = config(version, kind);
         for addr in controls.iter().cycle().skip(version as usize % 3).take(9) {
             let answer = call(&client, *addr, &Method::PUT, "/config", &text).await;
             match answer {
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -45,7 +45,11 @@
         Fleet,
         targets, //
     },
-    fragile, lives, operator,
+    fragile, lives,
+    operator::{
+        self,
+        ConfigKind, //
+    },
     proxy::{
         self,
         Mode, //
@@ -170,7 +174,14 @@
     });
     for number in (0..fragile::SERVERS).filter(|_| schedule.fatal_part) {
         let (c, b) = (controls.clone(), Arc::clone(&books));
-        let lives = fragile::succeed(number, DOMAIN, c, Arc::clone(&b), cancel.clone());
+        let lives = fragile::succeed(
+            number,
+            schedule.fatal_after,
+            DOMAIN,
+            c,
+            Arc::clone(&b),
+            cancel.clone(),
+        );
         tasks.spawn(async move {
             if let Err(e) = lives.await {
                 b.broke(format!("a fragile backend server cannot be started: {e}"));
@@ -193,7 +204,10 @@
             controls.clone(),
             next,
             books,
-            has_engines,
+            ConfigKind {
+                has_engines,
+                extra_routes: schedule.extra_routes,
+            },
             cancel.clone(),
         ));
     }
@@ -385,6 +399,15 @@
                 boot(&stage, Target::Replica(number)).await;
             }
         }
+        Fault::LoseDisk(n) => {
+            if let Err(e) = stage.fleet.lock().await.lose_disk(n).await {
+                stage
+                    .books
+                    .broke(format!("the disk of replica {n} cannot be emptied: {e}"));
+            }
+            sleep(lasting).await;
+            boot(&stage, Target::Replica(n)).await;
+        }
         Fault::Delay(n) => spoil(&stage, n, Mode::Delay, lasting).await,
         Fault::Reset(n) => spoil(&stage, n, Mode::Reset, lasting).await,
         Fault::CutAnswers(n) => spoil(&stage, n, Mode::CutAnswers, lasting).await,
--- a/sesamebeam_soak/src/schedule.rs
+++ b/sesamebeam_soak/src/schedule.rs
@@ -48,6 +48,20 @@
 /// One in how many schedules cuts an entry.
 const CUT_ENTRY_ONE_IN: u32 = 3;
 
+/// Number of events of an answer before which a fatal part strikes at the latest.
+const MAX_FATAL_AFTER: u64 = 10;
+
+/// Interval between two lost disks, in milliseconds, and how much later one may come. A replica
+/// counts as lost for 4 s after it is back.
+const LOSS_EVERY_MS: u64 = 8000;
+const LOSS_JITTER_MS: u64 = 1500;
+
+/// Time for which a replica is away that has lost its disk, in milliseconds.
+const LOSS_MS: std::ops::Range<u64> = 100..2000;
+
+/// Number of routes that make a configuration large.
+const EXTRA_ROUTES: std::ops::Range<usize> = 200..800;
+
 /// Time after the beginning of a cut from which callers of the entry must be served, in
 /// milliseconds.
 pub const CONTACT_MS: u64 = 3000;
@@ -76,6 +90,8 @@
     Reload(Target),
     /// All control replicas are killed at once.
     KillAll,
+    /// A control replica is killed and loses its disk; it starts again after a pause.
+    LoseDisk(usize),
     /// Connections to a backend server are slow.
     Delay(usize),
     /// Connections to a backend server are reset, and new ones too.
@@ -100,7 +116,7 @@
     pub fn hits_daemons(self) -> bool {
         matches!(
             self,
-            Self::Kill(_) | Self::Stop(_) | Self::Pause(_) | Self::KillAll
+            Self::Kill(_) | Self::Stop(_) | Self::Pause(_) | Self::KillAll | Self::LoseDisk(_)
         )
     }
 }
@@ -139,6 +155,12 @@
     /// Whether there are backend servers that go down under a part of prompts.
     #[serde(default)]
     pub fatal_part: bool,
+    /// Number of events of an answer after which these go down.
+    #[serde(default)]
+    pub fatal_after: u64,
+    /// Number of routes of each configuration beside those of the callers.
+    #[serde(default)]
+    pub extra_routes: usize,
     /// Whether there are backend servers that go down under rejections.
     #[serde(default)]
     pub brittle: bool,
@@ -217,12 +239,69 @@
             seed,
             length_ms,
             fatal_part: false,
+            fatal_after: 0,
+            extra_routes: 0,
             brittle: false,
             events,
             engines,
         }
     }
 
+    /// Draws a schedule with a fatal part of prompts that strikes early or late in an answer,
+    /// beside faults of daemons.
+    pub fn draw_fatal(seed: u64, length_ms: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut schedule = Self::draw(seed, length_ms);
+        schedule
+            .events
+            .retain(|event| !matches!(event.fault, Fault::CutEntry { .. }));
+        Self {
+            fatal_part: true,
+            fatal_after: rng.random_range(0..MAX_FATAL_AFTER),
+            ..schedule
+        }
+    }
+
+    /// Draws a schedule in which control replicas lose their disks one after the other under a
+    /// large configuration, beside faults of entries.
+    pub fn draw_lost_disks(seed: u64, losses: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let length_ms = losses * LOSS_EVERY_MS;
+        let mut events: Vec<Event> = (0..losses)
+            .map(|n| Event {
+                at_ms: n * LOSS_EVERY_MS + rng.random_range(0..LOSS_JITTER_MS),
+                for_ms: rng.random_range(LOSS_MS),
+                fault: Fault::LoseDisk(rng.random_range(0..REPLICAS)),
+            })
+            .collect();
+        let entry_faults = (0..rng.random_range(0..4)).map(|_| {
+            let target = Target::Entry(rng.random_range(0..ENTRIES));
+            let faults = [
+                Fault::Kill(target),
+                Fault::Stop(target),
+                Fault::Pause(target),
+                Fault::Reload(target),
+            ];
+            Event {
+                at_ms: rng.random_range(0..length_ms.max(1)),
+                for_ms: rng.random_range(SHORTEST_MS..LONGEST_MS),
+                fault: faults[rng.random_range(0..faults.len())],
+            }
+        });
+        events.extend(entry_faults);
+        events.sort_by_key(|event| event.at_ms);
+        Self {
+            seed,
+            length_ms,
+            fatal_part: false,
+            fatal_after: 0,
+            extra_routes: rng.random_range(EXTRA_ROUTES),
+            brittle: false,
+            events,
+            engines: None,
+        }
+    }
+
     /// Reads a schedule.
     ///
     /// # Errors
@@ -311,6 +390,7 @@
             Target::Replica(n) => ("replica", n, REPLICAS),
             Target::Entry(n) => ("entry", n, ENTRIES),
         },
+        Fault::LoseDisk(n) => ("replica", n, REPLICAS),
         Fault::Delay(n) | Fault::Reset(n) | Fault::CutAnswers(n) | Fault::Silence(n) => {
             ("backend server", n, SERVERS + engines)
         }
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -90,6 +90,27 @@
     play(212, &schedule);
 }
 
+/// Guards against requests with a fatal part that go on because the answers on it begin, and
+/// their backend servers go down only some events later.
+#[test]
+fn fatal_under_way() {
+    let file = format!(
+        "{}/tests/seeds/fatal-under-way.toml",
+        env!("CARGO_MANIFEST_DIR")
+    );
+    let schedule = Schedule::read(file).expect("it can be read");
+    play(214, &schedule);
+}
+
+/// Guards against a group that does not commit again after two control replicas lost their disks
+/// one after the other under a large configuration that changes all the time.
+#[test]
+fn lost_disks() {
+    let file = format!("{}/tests/seeds/lost-disks.toml", env!("CARGO_MANIFEST_DIR"));
+    let schedule = Schedule::read(file).expect("it can be read");
+    play(215, &schedule);
+}
+
 /// Guards against backend servers that go down under rejections while a control replica that
 /// may lead and an entry that may hold leases are killed.
 #[test]
