Soak: a fatal part strikes before the end of a resumed answer too

The stand-in counted from the event after which an answer was resumed, so that an answer resumed after the 9th was complete with the 12th: the part was not fatal then, and its complete answers cleared it, as they should. A part that crashes whatever begins an answer on it never lets one end.

--- a/sesamebeam_soak/src/fragile.rs
+++ b/sesamebeam_soak/src/fragile.rs
@@ -162,7 +162,8 @@
         let (life, books) = (life.clone(), Arc::clone(&books));
         async move {
             sleep(STEP).await;
-            if is_fatal && number > resume_after + fatal_after {
+            // No answer with the part is ever complete, also if only its end is resumed.
+            if is_fatal && (number > resume_after + fatal_after || number >= EVENTS) {
                 books.crashed(&life);
                 std::future::pending::<()>().await;
             }
