--- a/sesamebeam/src/control.rs
+++ b/sesamebeam/src/control.rs
@@ -120,6 +120,9 @@
 /// Maximum size of the entries in one message or one disk write, in bytes.
 const MAX_BATCH_BYTES: usize = 1 << 20;
 
+/// Maximum size of log entries between snapshots, in bytes.
+const SNAPSHOT_INTERVAL_BYTES: usize = 16 << 20;
+
 /// Size of a snapshot chunk, in bytes.
 const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
 
@@ -514,6 +517,7 @@
         clock_drift: timings.clock_drift,
         max_batch_bytes: MAX_BATCH_BYTES,
         snapshot_every: timings.snapshot_every,
+        snapshot_every_bytes: SNAPSHOT_INTERVAL_BYTES,
         snapshot_chunk: SNAPSHOT_CHUNK_BYTES,
         fast_elections: false,
         seed: rand::random(),
--- a/sesamebeam/src/group/membership.rs
+++ b/sesamebeam/src/group/membership.rs
@@ -59,9 +59,10 @@
 /// Size of a snapshot chunk.
 const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
 
-/// Number of log entries between snapshots. Configurations have some kilobytes, so that
-/// the log takes a few megabytes of a disk of 128 MB.
+/// Maximum number and size of log entries between snapshots. A disk of 128 MB holds several
+/// times as much, and a process reads twice as much at its start.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 200;
+const SNAPSHOT_INTERVAL_BYTES: usize = 16 << 20;
 
 impl Runner {
     /// Opens the replica directory, or creates it if this process is one of the initial
@@ -202,6 +203,7 @@
         clock_drift: MAX_CLOCK_DRIFT,
         max_batch_bytes: MAX_BATCH_BYTES,
         snapshot_every: SNAPSHOT_INTERVAL_ENTRIES,
+        snapshot_every_bytes: SNAPSHOT_INTERVAL_BYTES,
         snapshot_chunk: SNAPSHOT_CHUNK_BYTES,
         fast_elections: true,
         seed: rand::random(),
--- a/sesamebeam_core/examples/drive.rs
+++ b/sesamebeam_core/examples/drive.rs
@@ -97,6 +97,7 @@
             clock_drift: 0.01,
             max_batch_bytes: 1 << 20,
             snapshot_every: 1000,
+            snapshot_every_bytes: 16 << 20,
             snapshot_chunk: 64 << 10,
             fast_elections: false,
             seed: 1,
--- a/sesamebeam_core/src/replica.rs
+++ b/sesamebeam_core/src/replica.rs
@@ -119,6 +119,8 @@
     current: bool,
     /// Last log position covered by the newest snapshot.
     snapshot_end: LogPosition,
+    /// Size of the committed entries after that, in bytes.
+    bytes_since_snapshot: usize,
     /// Role and the data specific to it.
     role_state: RoleState,
     /// Leader of the current term, if known.
@@ -334,6 +336,7 @@
             committed: end.index,
             current: false,
             snapshot_end: end,
+            bytes_since_snapshot: 0,
             role_state: RoleState::Follower,
             leader: None,
             election_deadline: now,
--- a/sesamebeam_core/src/replica/config.rs
+++ b/sesamebeam_core/src/replica/config.rs
@@ -28,8 +28,11 @@
     pub clock_drift: f64,
     /// Maximum size of the entries in one message or one write, in bytes.
     pub max_batch_bytes: usize,
-    /// Number of entries between snapshots.
+    /// Maximum number of entries between snapshots.
     pub snapshot_every: u64,
+    /// Maximum size of the entries between snapshots, in bytes. Disk and memory must hold
+    /// some multiple of it.
+    pub snapshot_every_bytes: usize,
     /// Size of a snapshot chunk in bytes.
     pub snapshot_chunk: usize,
     /// Whether a replica starts its first election as soon as it may vote after a
--- a/sesamebeam_core/src/replica/leading.rs
+++ b/sesamebeam_core/src/replica/leading.rs
@@ -322,6 +322,7 @@
                 break;
             };
             let body = entry.body.clone();
+            self.bytes_since_snapshot += entry_bytes(entry);
             self.committed = next;
             match body {
                 EntryBody::Noop => {}
--- a/sesamebeam_core/src/replica/log.rs
+++ b/sesamebeam_core/src/replica/log.rs
@@ -1,6 +1,9 @@
 //! The in-memory part of the log.
 
-use std::collections::VecDeque;
+use std::{
+    collections::VecDeque,
+    ops::RangeInclusive, //
+};
 
 use super::message::{
     Entry,
@@ -107,6 +110,25 @@
         }
     }
 
+    /// Returns the size of the entries in a range, in bytes.
+    pub(super) fn bytes(&self, range: RangeInclusive<LogIndex>) -> usize {
+        range.filter_map(|i| self.get(i)).map(entry_bytes).sum()
+    }
+
+    /// Returns the index after which the entries up to `end` have at most `max_bytes`.
+    pub(super) fn start_of_last(&self, max_bytes: usize, end: LogIndex) -> LogIndex {
+        let mut bytes = 0;
+        let mut start = end;
+        while let Some(entry) = self.get(start) {
+            bytes += entry_bytes(entry);
+            if bytes > max_bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
     /// Copies the entries from `from` to `to`: at least one, and no more than
     /// `max_bytes` unless the first alone exceeds it.
     pub(super) fn slice(&self, from: LogIndex, to: LogIndex, max_bytes: usize) -> Vec<Entry> {
--- a/sesamebeam_core/src/replica/snapshot.rs
+++ b/sesamebeam_core/src/replica/snapshot.rs
@@ -17,8 +17,9 @@
     NodeId, //
 };
 
-/// Fraction of `snapshot_every` entries kept in memory after a snapshot, as a
-/// divisor. They allow a replica that lags slightly to catch up without a snapshot.
+/// Fraction of the entries between snapshots that are kept in memory after one, by number
+/// and by size, as a divisor. They allow a replica that lags slightly to catch up without a
+/// snapshot.
 const RETAINED_DIVISOR: u64 = 4;
 
 /// A snapshot being received.
@@ -31,11 +32,16 @@
 }
 
 impl Replica {
-    /// Requests a snapshot when enough entries have been applied since the last
-    /// one.
+    /// Requests a snapshot when enough entries, by number or size, have been applied since
+    /// the last one.
+    ///
+    /// By number alone, large entries would fill the disk before the next snapshot, which then
+    /// could not be stored either.
     pub(super) fn snapshot_if_due(&mut self) {
         let since = self.committed - self.snapshot_end.index;
-        if since >= self.cfg.snapshot_every && !self.disk_full {
+        let is_due = since >= self.cfg.snapshot_every
+            || self.bytes_since_snapshot >= self.cfg.snapshot_every_bytes;
+        if is_due && !self.disk_full {
             self.request_snapshot();
         }
     }
@@ -61,6 +67,8 @@
         }
         if index > self.snapshot_end.index {
             self.snapshot_end = end;
+            let newer = (index + 1)..=self.committed;
+            self.bytes_since_snapshot = self.log.bytes(newer);
             self.writer.store_snapshot(snapshot);
             self.compact();
         }
@@ -149,6 +157,7 @@
         self.writer.reset_to(snapshot, self.committed);
         self.committed = end.index;
         self.snapshot_end = end;
+        self.bytes_since_snapshot = 0;
         self.requested_snapshot = None;
         let index = end.index;
         self.actions.push(ReplicaAction::Restore { index, data });
@@ -169,7 +178,10 @@
     /// lagging replica may still need.
     fn compact(&mut self) {
         let retained = self.cfg.snapshot_every / RETAINED_DIVISOR;
-        let mut to = self.snapshot_end.index.saturating_sub(retained);
+        let retained_bytes = self.cfg.snapshot_every_bytes / RETAINED_DIVISOR as usize;
+        let end = self.snapshot_end.index;
+        let mut to = end.saturating_sub(retained);
+        to = to.max(self.log.start_of_last(retained_bytes, end));
         if let RoleState::Leader(leader) = &self.role_state
             && let Some(sending) = &leader.snapshot
         {
--- a/sesamebeam_core/tests/control/group.rs
+++ b/sesamebeam_core/tests/control/group.rs
@@ -432,6 +432,7 @@
         clock_drift: 0.01,
         max_batch_bytes: 1 << 20,
         snapshot_every: 200,
+        snapshot_every_bytes: 1 << 20,
         snapshot_chunk: 1 << 16,
         fast_elections: false,
         seed: 11,
--- a/sesamebeam_core/tests/gateway/group.rs
+++ b/sesamebeam_core/tests/gateway/group.rs
@@ -110,6 +110,7 @@
         clock_drift: 0.01,
         max_batch_bytes: 1 << 20,
         snapshot_every: 20,
+        snapshot_every_bytes: 1 << 20,
         snapshot_chunk: 64 << 10,
         fast_elections: true,
         seed: node,
--- a/sesamebeam_core/tests/group/net.rs
+++ b/sesamebeam_core/tests/group/net.rs
@@ -443,6 +443,7 @@
         clock_drift: DRIFT,
         max_batch_bytes: 16 << 10,
         snapshot_every: 1_000,
+        snapshot_every_bytes: 1 << 20,
         snapshot_chunk: 4 << 10,
         fast_elections: true,
         seed,
--- a/sesamebeam_core/tests/proofs/world/group.rs
+++ b/sesamebeam_core/tests/proofs/world/group.rs
@@ -85,6 +85,7 @@
             clock_drift: 0.01,
             max_batch_bytes: 1 << 20,
             snapshot_every: 40,
+            snapshot_every_bytes: 1 << 20,
             snapshot_chunk: 1 << 12,
             fast_elections: false,
             seed,
--- a/sesamebeam_core/tests/snapshots.rs
+++ b/sesamebeam_core/tests/snapshots.rs
@@ -10,8 +10,11 @@
     config, //
 };
 use sesamebeam_core::replica::{
+    Entry,
+    EntryBody,
     Faults,
-    MemberChange, //
+    MemberChange,
+    ReplicaEvent, //
 };
 
 /// Proposes many entries at the leader and waits until all are acknowledged.
@@ -120,6 +123,36 @@
     net.assert_no_violations();
 }
 
+#[test]
+fn large_entries() {
+    // Guards against a disk that fills up with large entries because snapshots are taken by their
+    // number alone, and against a log in memory that keeps them.
+    const MAX_BYTES: usize = 64 << 10;
+    let mut net = Net::with(3, 26, Faults::default(), |cfg| {
+        cfg.snapshot_every_bytes = MAX_BYTES;
+    });
+    net.commit(1);
+    let leader = net.wait_for_leader();
+    for ticket in 2..120 {
+        let data = vec![0; 4 << 10];
+        net.event(leader, ReplicaEvent::Propose { ticket, data });
+        net.run(Duration::from_millis(20));
+    }
+    net.run(Duration::from_secs(1));
+    for node in net.nodes.values() {
+        let bytes: usize = node.disk.entries.iter().map(data_bytes).sum();
+        assert!(bytes <= 2 * MAX_BYTES, "{bytes} bytes on disk");
+    }
+    net.assert_no_violations();
+}
+
+fn data_bytes(entry: &Entry) -> usize {
+    match &entry.body {
+        EntryBody::Data(data) => data.len(),
+        EntryBody::Noop | EntryBody::Members(_) => 0,
+    }
+}
+
 #[test]
 fn bounded_log() {
     // Snapshots bound the size of the log on disk.
