--- a/sesamebeam/src/group/log_events.rs
+++ b/sesamebeam/src/group/log_events.rs
@@ -19,6 +19,7 @@
             service:% = service, target:% = target, phase:? = phase,
             new_good = counts.new_good, new_bad = counts.new_bad,
             old_good = counts.old_good, old_bad = counts.old_bad,
+            new_durations:? = counts.new_durations, old_durations:? = counts.old_durations,
             recent_new_good = recent.new_good, recent_new_bad = recent.new_bad,
             recent_old_good = recent.old_good, recent_old_bad = recent.old_bad;
             "roll-out moves"
--- a/sesamebeam_core/src/gateway/rollout.rs
+++ b/sesamebeam_core/src/gateway/rollout.rs
@@ -78,12 +78,18 @@
     evidence: 2.0,
 };
 
-/// Criteria on slow answers for a rollback in place of a promotion or completion. Unlike
-/// failures, some answers of any version are slow, so that little evidence arises by chance:
-/// this much does once in a hundred rollouts.
+/// Criteria on slow answers for an immediate rollback, and for one in place of a promotion or
+/// completion. They are stricter than those on failures: some answers of any version are slow,
+/// more of them in a burst, and not independently of each other.
+const DURATION_CRITERIA: FailureCriteria = FailureCriteria {
+    bad: 4,
+    excess: 0.2,
+    evidence: 9.0,
+};
 const BLOCKING_DURATION_CRITERIA: FailureCriteria = FailureCriteria {
-    evidence: 3.0,
-    ..ROLLBACK_CRITERIA
+    bad: 4,
+    excess: 0.12,
+    evidence: 5.0,
 };
 
 /// Criteria for a rollback by recent responses alone. This evidence arises by chance once
@@ -128,6 +134,10 @@
     pub old_good: u32,
     /// Bad responses of the previous versions.
     pub old_bad: u32,
+    /// Responses of the new version of which the duration is known, and the slow ones of these.
+    pub new_durations: (u32, u32),
+    /// The same of the previous versions.
+    pub old_durations: (u32, u32),
 }
 
 /// Evidence that the leader collects about a running rollout.
@@ -272,7 +282,7 @@
 fn is_worse(new: Counts, old: Counts) -> bool {
     ROLLBACK_CRITERIA.are_met(new, old)
         || is_slower(new, old)
-        || ROLLBACK_CRITERIA.are_met(new.by_duration(), old.by_duration())
+        || DURATION_CRITERIA.are_met(new.by_duration(), old.by_duration())
 }
 
 fn summarize(new: Counts, old: Counts) -> ResponseSummary {
@@ -281,6 +291,8 @@
         new_bad: new.bad,
         old_good: old.good,
         old_bad: old.bad,
+        new_durations: (new.durations, new.slow_durations),
+        old_durations: (old.durations, old.slow_durations),
     }
 }
 
