--- a/sesamebeam/src/entry/callers.rs
+++ b/sesamebeam/src/entry/callers.rs
@@ -92,7 +92,11 @@
     },
     keys::sha256_hex,
     limit::LogLimit,
-    listen::paced::PacedListener,
+    listen::paced::{
+        FirstRead,
+        PacedListener,
+        TakenConnection, //
+    },
     settings::EntryLimits,
 };
 
@@ -143,7 +147,7 @@
         let connections = Arc::new(Semaphore::new(self.limits.connections));
         let refused = LogLimit::default();
         let mut tasks = JoinSet::new();
-        while let Some((stream, _)) = closing.run_until_cancelled(listener.accept()).await {
+        while let Some(taken) = closing.run_until_cancelled(listener.accept()).await {
             while tasks.try_join_next().is_some() {}
             let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
                 if let Some(suppressed) = refused.allow() {
@@ -153,7 +157,7 @@
             };
             let (callers, closing) = (Arc::clone(&self), closing.clone());
             tasks.spawn(async move {
-                callers.serve_connection(stream, closing).await;
+                callers.serve_connection(taken, closing).await;
                 drop(permit);
             });
         }
@@ -161,14 +165,14 @@
         while tasks.join_next().await.is_some() {}
     }
 
-    async fn serve_connection(
-        self: Arc<Self>,
-        stream: tokio::net::TcpStream,
-        closing: CancellationToken,
-    ) {
+    async fn serve_connection(self: Arc<Self>, taken: TakenConnection, closing: CancellationToken) {
         let callers = Arc::clone(&self);
-        let service = service_fn(move |req| {
+        let TakenConnection {
+            stream, first_read, ..
+        } = taken;
+        let service = service_fn(move |mut req: Request<Incoming>| {
             let callers = Arc::clone(&callers);
+            first_read.attach(req.extensions_mut());
             async move { Ok::<_, std::convert::Infallible>(callers.answer(req).await) }
         });
         let conn = hyper::server::conn::http1::Builder::new()
@@ -210,11 +214,12 @@
             Ok(org) => org,
             Err(answer) => return *answer,
         };
-        let (parts, body) = req.into_parts();
+        let (mut parts, body) = req.into_parts();
         let body = match self.read_body(body).await {
             Ok(body) => body,
             Err(answer) => return *answer,
         };
+        FirstRead::finish(&mut parts.extensions);
         let chat = match ChatRequest::parse(&body) {
             Ok(chat) => chat,
             Err(e) => return problem::invalid_request(400, "bad-request", &e.to_string()),
@@ -252,7 +257,7 @@
             Ok(org) => org,
             Err(answer) => return *answer,
         };
-        let (parts, body) = req.into_parts();
+        let (mut parts, body) = req.into_parts();
         let Some((pool, path)) = parse::service_path(&parts.uri) else {
             return problem::invalid_request(
                 404,
@@ -264,6 +269,7 @@
             Ok(body) => body,
             Err(answer) => return *answer,
         };
+        FirstRead::finish(&mut parts.extensions);
         let meta = match self.parse_headers(&parts.headers, org) {
             Ok(meta) => meta,
             Err(answer) => return *answer,
--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -192,6 +192,8 @@
     escalations: Family<EscalationLabels, Counter>,
     connections: Counter,
     connection_wait: Histogram,
+    first_read: Histogram,
+    server_connect: Histogram,
     listener_closings: Counter,
     expired_connections: Counter,
     first_byte: Histogram,
@@ -232,6 +234,8 @@
             escalations: Family::default(),
             connections: Counter::default(),
             connection_wait: histogram(),
+            first_read: histogram(),
+            server_connect: histogram(),
             listener_closings: Counter::default(),
             expired_connections: Counter::default(),
             first_byte: histogram(),
@@ -331,6 +335,17 @@
         self.connection_wait.observe(waited.as_secs_f64());
     }
 
+    /// Records the time from taking a caller's connection to the end of its first request.
+    pub fn record_first_read(&self, took: Duration) {
+        self.first_read.observe(took.as_secs_f64());
+    }
+
+    /// Returns the histogram of the times in which connections to backend servers are
+    /// established, in seconds.
+    pub fn server_connect_times(&self) -> Histogram {
+        self.server_connect.clone()
+    }
+
     /// Counts times at which the callers' listener was closed, and connections that were closed
     /// unread.
     pub fn record_turned_away(&self, closings: u64, expired: u64) {
@@ -452,6 +467,16 @@
             "Time from accepting a caller's connection to reading its first request",
             self.connection_wait.clone(),
         );
+        registry.register(
+            "first_read_seconds",
+            "Time from taking a caller's connection to the end of its first request",
+            self.first_read.clone(),
+        );
+        registry.register(
+            "server_connect_seconds",
+            "Time in which a connection to a backend server was established",
+            self.server_connect.clone(),
+        );
         registry.register(
             "listener_closings",
             "Times at which the callers' listener was closed under overload",
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -163,7 +163,7 @@
 ) -> Result<(), ListenError> {
     let gateway = Arc::new(Gateway {
         router: Mutex::new(Router::new(settings.router.clone())),
-        client: Client::new(CONNECT_TIMEOUT),
+        client: Client::new(CONNECT_TIMEOUT).with_connect_times(metrics.server_connect_times()),
         forwarding_key: rand::rng().random(),
         forwarding_addr: OnceLock::new(),
         accepted: Arc::new(Semaphore::new(forwarding::MAX_ACCEPTED)),
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -51,7 +51,10 @@
         BufferedRequest, //
     },
 };
-use crate::exposition::RequestEnd;
+use crate::{
+    exposition::RequestEnd,
+    listen::paced::FirstRead, //
+};
 
 /// Deadline of requests that name none; browsers give up after about this time.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -102,7 +105,7 @@
 
 async fn process(gateway: Arc<Gateway>, req: Request<Incoming>, origin: Origin) -> CallerResponse {
     let received_at = Instant::now();
-    let (parts, body) = req.into_parts();
+    let (mut parts, body) = req.into_parts();
     let head = match gateway.protocol.parse_request_head(&parts) {
         Ok(head) => head,
         Err(error) => {
@@ -136,6 +139,9 @@
             return response::empty_and_close(status);
         }
     };
+    if let Some(took) = FirstRead::finish(&mut parts.extensions) {
+        gateway.metrics.record_first_read(took);
+    }
     plan.identify(send::fingerprint(&head, &body));
     // A guard in the condition of an `if let` lives until the end of its body, where
     // `reject` takes the same lock. Without this binding, the whole entry deadlocks.
--- a/sesamebeam/src/gateway/control_connections.rs
+++ b/sesamebeam/src/gateway/control_connections.rs
@@ -10,6 +10,7 @@
         BTreeSet, //
     },
     net::SocketAddr,
+    ops::Bound,
     sync::Arc,
     time::{
         Duration,
@@ -138,6 +139,7 @@
         reached: CancellationToken::new(),
         isolated: Vec::new(),
         offer: None,
+        probed: None,
         events: tx,
         halt: halt.clone(),
     };
@@ -157,6 +159,7 @@
         connections.update_offer();
         connections.report_failures();
         connections.request_leases();
+        connections.probe_link();
         }
         }
     }
@@ -186,6 +189,8 @@
     isolated: Vec<ServiceId>,
     /// What this entry offers to others.
     offer: Option<ForwardingOffer>,
+    /// Replica to which the round trip was measured last.
+    probed: Option<SocketAddr>,
     events: UnboundedSender<(SocketAddr, ConnectionEvent)>,
     halt: CancellationToken,
 }
@@ -361,6 +366,21 @@
         }
     }
 
+    /// Measures a round trip to one replica after the other, if callers load the link.
+    fn probe_link(&mut self) {
+        let load = &self.gateway.caller_load;
+        if self.queues.is_empty() || !load.take_probe() {
+            return;
+        }
+        let after = self.probed.map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self.queues.range((after, Bound::Unbounded)).next();
+        let next = next.or_else(|| self.queues.first_key_value());
+        if let Some((&addr, _)) = next {
+            self.probed = Some(addr);
+            self.send(addr, FromEntry::Ping(load.now()));
+        }
+    }
+
     /// Tells all replicas when what this entry offers to others has changed.
     fn update_offer(&mut self) {
         let gateway = &self.gateway;
@@ -497,6 +517,7 @@
                 gateway.router().pin_sessions(now, &sessions, all)
             }
             ToEntry::Leases(grant) => self.apply_leases(addr, *grant),
+            ToEntry::Pong(sent_at) => gateway.caller_load.record_round_trip(sent_at),
             ToEntry::ForwardingOffers(offers) => gateway.router().set_offers(offers),
         }
     }
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -6,7 +6,6 @@
     sync::{
         Arc,
         atomic::{
-            AtomicBool,
             AtomicUsize,
             Ordering, //
         },
@@ -48,9 +47,11 @@
     response::CallerResponse, //
 };
 use crate::listen::{
-    self,
-    ListenError,
-    paced::PacedListener, //
+    self, ListenError,
+    paced::{
+        PacedListener,
+        TakenConnection, //
+    },
 };
 
 /// Time after the termination signal during which new connections may still arrive: the
@@ -115,7 +116,7 @@
     halt: CancellationToken,
 ) {
     let mut counted = listener.turned_away();
-    while let Some((stream, came_at)) = halt.run_until_cancelled(listener.accept()).await {
+    while let Some(taken) = halt.run_until_cancelled(listener.accept()).await {
         let turned_away = listener.turned_away();
         gateway.metrics.record_turned_away(
             turned_away.closings - counted.closings,
@@ -124,12 +125,15 @@
         counted = turned_away;
         let guard = OpenConnection::new(open);
         let gateway = Arc::clone(gateway);
-        let is_first = AtomicBool::new(true);
+        let TakenConnection {
+            stream,
+            came_at,
+            first_read,
+        } = taken;
         tokio::spawn(async move {
-            let answer = move |gateway: Arc<Gateway>, req| {
-                if is_first.swap(false, Ordering::Relaxed) {
-                    let waited = came_at.elapsed();
-                    gateway.metrics.record_connection_wait(waited);
+            let answer = move |gateway: Arc<Gateway>, mut req: Request<Incoming>| {
+                if first_read.attach(req.extensions_mut()) {
+                    gateway.metrics.record_connection_wait(came_at.elapsed());
                 }
                 admission::handle(gateway, req, Origin::Caller)
             };
--- a/sesamebeam/src/group/internal_server.rs
+++ b/sesamebeam/src/group/internal_server.rs
@@ -10,6 +10,7 @@
         FromEntry,
         Hello,
         MembershipRequest, //
+        ToEntry,
     },
 };
 use smol_str::SmolStr;
@@ -136,6 +137,8 @@
     name: SmolStr,
 ) -> Result<(), FrameError> {
     let (push, queue) = channel(QUEUE_CAPACITY);
+    // Weak: the connection ends once the replica drops its sender.
+    let echo = push.downgrade();
     let connection = EntryConnection::new(push);
     let connection_id = connection.connection_id;
     log::info!(entry:% = name, life = entry_id; "entry connected");
@@ -155,6 +158,12 @@
                 FromEntry::RequestLeases(request) => Event::LeasesRequested(entry_id, request),
                 FromEntry::OfferForwarding(offer) => Event::ForwardingOffered(entry_id, offer),
                 FromEntry::Heartbeat => continue,
+                FromEntry::Ping(sent_at) => {
+                    let echo = echo.upgrade().ok_or(FrameError::Closed)?;
+                    // One that has to wait for room would tell a delay of the replica.
+                    let _ = echo.try_send(frames::encode(&ToEntry::Pong(sent_at))?);
+                    continue;
+                }
             };
             if inputs.send(Input::Event(event)).is_err() {
                 return Ok(());
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -31,6 +31,7 @@
     }, //
 };
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::histogram::Histogram;
 use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
@@ -126,6 +127,8 @@
     connect_timeout: Duration,
     /// Maximum number of idle connections for each address.
     max_idle: usize,
+    /// Times in which connections were established, if they are observed.
+    connect_times: Option<Histogram>,
 }
 
 #[derive(Debug, Default)]
@@ -181,6 +184,15 @@
             pool: Arc::default(),
             connect_timeout,
             max_idle: MAX_IDLE,
+            connect_times: None,
+        }
+    }
+
+    /// Observes the times in which connections are established, in seconds.
+    pub fn with_connect_times(self, connect_times: Histogram) -> Self {
+        Self {
+            connect_times: Some(connect_times),
+            ..self
         }
     }
 
@@ -270,8 +282,14 @@
         addr: SocketAddr,
     ) -> Result<(SendRequest<Full<Bytes>>, u64), ClientError> {
         let epoch = self.lock().hosts.entry(addr).or_default().epoch;
+        let began = Instant::now();
         let stream = match timeout(self.connect_timeout, TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => stream,
+            Ok(Ok(stream)) => {
+                if let Some(times) = &self.connect_times {
+                    times.observe(began.elapsed().as_secs_f64());
+                }
+                stream
+            }
             Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
                 return Err(ClientError::Refused(addr));
             }
--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -17,11 +17,17 @@
 };
 
 use futures::FutureExt;
+use hyper::http::Extensions;
 use sesamebeam_core::{
     ids::MonoTime,
-    policy::connections::{
-        ConnectionQueue,
-        Patience, //
+    policy::{
+        connections::{
+            ConnectionQueue,
+            Patience, //
+        },
+        link_load::LinkLoad,
+        queue_delay::Window,
+        reads::ReadId,
     },
 };
 use tokio::{
@@ -51,16 +57,32 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CallerLoad(Arc<SharedLoad>);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct SharedLoad {
+    start: Instant,
     patience: Mutex<Patience>,
+    link: Mutex<LinkLoad>,
     is_overloaded: AtomicBool,
+    /// Of lines about requests and round trips that are late.
+    log_limits: [LogLimit; 2],
+}
+
+impl Default for SharedLoad {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            patience: Mutex::default(),
+            link: Mutex::default(),
+            is_overloaded: AtomicBool::new(false),
+            log_limits: [const { LogLimit::new(OVERLOAD_LOG_PERIOD) }; 2],
+        }
+    }
 }
 
 impl CallerLoad {
     /// Records the time that a caller leaves for its request.
     pub(crate) fn record_deadline(&self, deadline: Duration) {
-        self.patience().record_deadline(deadline);
+        lock(&self.0.patience).record_deadline(deadline);
     }
 
     /// Returns whether callers wait without a break, so that no work should be taken on for
@@ -69,16 +91,128 @@
         self.0.is_overloaded.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the time of a round trip to another instance should be measured now.
+    pub(crate) fn take_probe(&self) -> bool {
+        self.link().take_probe(self.now())
+    }
+
+    /// Returns the time since the start, by which round trips are measured.
+    pub(crate) fn now(&self) -> MonoTime {
+        self.0.start.elapsed()
+    }
+
+    /// Records a round trip that began at a time of [`CallerLoad::now`].
+    pub(crate) fn record_round_trip(&self, began: MonoTime) {
+        let now = self.now();
+        let mut link = self.link();
+        let window = link.record_round_trip(now, began);
+        let is_late = |window: &Window| window.delay > link.max_delay();
+        if let Some(window) = window.filter(is_late)
+            && let Some(suppressed) = self.0.log_limits[1].allow()
+        {
+            log::info!(
+                delay_ms = window.delay.as_millis() as u64, suppressed = suppressed;
+                "round trips are late"
+            );
+        }
+    }
+
     fn max_wait(&self) -> Duration {
-        self.patience().max_wait()
+        lock(&self.0.patience).max_wait()
+    }
+
+    fn link(&self) -> MutexGuard<'_, LinkLoad> {
+        lock(&self.0.link)
+    }
+
+    fn record_whole(&self, now: MonoTime, id: ReadId, took: Duration) {
+        let mut link = self.link();
+        link.record_passed(took);
+        let window = link.reads.record_whole(now, id, took);
+        let is_late = |window: &Window| window.delay > link.reads.max_delay();
+        if let Some(window) = window.filter(is_late)
+            && let Some(suppressed) = self.0.log_limits[0].allow()
+        {
+            log::info!(
+                delay_ms = window.delay.as_millis() as u64, per_s = window.rate(),
+                reading = link.reads.len(), suppressed = suppressed;
+                "requests arrive late"
+            );
+        }
     }
 
-    fn patience(&self) -> MutexGuard<'_, Patience> {
-        let patience = self.0.patience.lock();
-        patience.unwrap_or_else(PoisonError::into_inner)
+    /// Records that the first request of a connection is going to be read.
+    fn begin_read(&self) -> FirstRead {
+        let taken_at = self.now();
+        FirstRead(Arc::new(BegunRead {
+            id: self.link().reads.begin(taken_at),
+            taken_at,
+            load: self.clone(),
+        }))
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The reading of the first request of a connection, until all copies are dropped.
+///
+/// It is an extension of that request.
+#[derive(Clone, Debug)]
+pub(crate) struct FirstRead(Arc<BegunRead>);
+
+#[derive(Debug)]
+struct BegunRead {
+    id: ReadId,
+    taken_at: MonoTime,
+    load: CallerLoad,
+}
+
+impl FirstRead {
+    /// Records that the request with these extensions was read whole. Returns how long it
+    /// took since its connection was taken, if it was the first there.
+    pub(crate) fn finish(extensions: &mut Extensions) -> Option<Duration> {
+        let read = extensions.remove::<Self>()?;
+        let BegunRead { id, taken_at, load } = &*read.0;
+        let now = load.now();
+        let took = now.saturating_sub(*taken_at);
+        load.record_whole(now, *id, took);
+        Some(took)
+    }
+}
+
+impl Drop for BegunRead {
+    fn drop(&mut self) {
+        self.load.link().reads.record_gone(self.id);
+    }
+}
+
+/// Hands the reading of the first request of a connection to that request.
+#[derive(Debug)]
+pub(crate) struct FirstReadOnce(Mutex<Option<FirstRead>>);
+
+impl FirstReadOnce {
+    /// Makes it an extension of a request, and returns whether that is the first one.
+    pub(crate) fn attach(&self, extensions: &mut Extensions) -> bool {
+        let first_read = lock(&self.0).take();
+        let is_first = first_read.is_some();
+        if let Some(first_read) = first_read {
+            extensions.insert(first_read);
+        }
+        is_first
+    }
+}
+
+/// A connection that is to be served.
+#[derive(Debug)]
+pub(crate) struct TakenConnection {
+    pub(crate) stream: TcpStream,
+    /// When it came at the earliest.
+    pub(crate) came_at: Instant,
+    pub(crate) first_read: FirstReadOnce,
+}
+
 /// Listener for callers that refuses connections while the process is overloaded.
 ///
 /// One connection is handed out in each turn of the event loop, so that work that has begun
@@ -95,7 +229,6 @@
     is_fresh: bool,
     queue: ConnectionQueue<TcpStream>,
     load: CallerLoad,
-    start: Instant,
     /// When no connection was left to accept, for the last time.
     drained_at: MonoTime,
     /// Until when nothing listens after an error, such as too few file descriptors.
@@ -140,7 +273,6 @@
             is_fresh: false,
             queue: ConnectionQueue::default(),
             load,
-            start: Instant::now(),
             drained_at: MonoTime::ZERO,
             paused_until: MonoTime::ZERO,
             closings: 0,
@@ -151,19 +283,25 @@
         }
     }
 
-    /// Returns the next connection that is to be served, and when it came at the earliest.
+    /// Returns the next connection that is to be served.
     ///
     /// No connection is lost if the future is dropped.
-    pub(crate) async fn accept(&mut self) -> (TcpStream, Instant) {
+    pub(crate) async fn accept(&mut self) -> TakenConnection {
         // Work that is ready goes before the next connection.
         yield_now().await;
         loop {
-            self.queue.set_max_wait(self.load.max_wait());
+            let max_wait = self.load.max_wait();
+            self.queue.set_max_wait(max_wait);
+            self.load.link().set_max_wait(max_wait);
             self.accept_waiting().await;
             let taken = self.queue.pop(self.now());
             self.update_overload();
             if let Some((came, stream)) = taken {
-                return (stream, self.start + came);
+                return TakenConnection {
+                    stream,
+                    came_at: self.load.0.start + came,
+                    first_read: FirstReadOnce(Mutex::new(Some(self.load.begin_read()))),
+                };
             }
             self.wait_for_connection().await;
         }
@@ -219,6 +357,7 @@
         match accepted {
             Ok((stream, _)) => {
                 set_nodelay(&stream);
+                self.load.link().record_accepted();
                 self.queue.push(self.now(), came, stream);
             }
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
@@ -283,6 +422,6 @@
     }
 
     fn now(&self) -> MonoTime {
-        self.start.elapsed()
+        self.load.now()
     }
 }
--- a/sesamebeam_core/src/gateway/messages.rs
+++ b/sesamebeam_core/src/gateway/messages.rs
@@ -122,6 +122,8 @@
     RequestProbe(FatalParts),
     /// Asks the leader for the sender's leases of backend servers.
     RequestLeases(Box<LeaseRequest>),
+    /// Asks for an echo, with the time at which the sender sent this.
+    Ping(MonoTime),
 }
 
 impl FromEntry {
@@ -138,6 +140,7 @@
             Self::OfferForwarding(_) => "offer",
             Self::RequestProbe(_) => "request_probe",
             Self::RequestLeases(_) => "request_leases",
+            Self::Ping(_) => "ping",
         }
     }
 }
@@ -366,6 +369,8 @@
     ForwardingOffers(Vec<ForwardingOffer>),
     /// Leases of backend servers, from the leader.
     Leases(Box<LeaseGrant>),
+    /// The time in a [`FromEntry::Ping`], at once.
+    Pong(MonoTime),
 }
 
 impl ToEntry {
@@ -388,6 +393,7 @@
             Self::Heartbeat(_) => "alive",
             Self::ForwardingOffers(_) => "offers",
             Self::Leases(_) => "leases",
+            Self::Pong(_) => "pong",
         }
     }
 }
--- /dev/null
+++ b/sesamebeam_core/src/policy/link_load.rs
@@ -0,0 +1,51 @@
+//! What passes the link of an instance, and how late.
+
+use std::time::Duration;
+
+use super::{
+    queue_delay::Window,
+    reads::Reads,
+    round_trips::RoundTrips, //
+};
+use crate::ids::MonoTime;
+
+/// Load of the link: what is read from callers now, and the delay of all that passes.
+#[derive(Debug, Default)]
+pub struct LinkLoad {
+    /// First requests of connections that are being read.
+    pub reads: Reads,
+    round_trips: RoundTrips,
+}
+
+impl LinkLoad {
+    /// Sets how long callers wait for their requests to be read.
+    pub fn set_max_wait(&mut self, max_wait: Duration) {
+        self.reads.set_max_wait(max_wait);
+        self.round_trips.set_max_wait(max_wait);
+    }
+
+    /// Records that a connection was accepted.
+    pub fn record_accepted(&mut self) {
+        self.round_trips.record_accepted();
+    }
+
+    /// Records how long something took that passes the link.
+    pub fn record_passed(&mut self, took: Duration) {
+        self.round_trips.record_passed(took);
+    }
+
+    /// Returns whether the time of a round trip to another instance should be measured now.
+    pub fn take_probe(&mut self, now: MonoTime) -> bool {
+        self.round_trips.take_probe(now)
+    }
+
+    /// Records a round trip. Returns what was seen in the window that ends with it.
+    pub fn record_round_trip(&mut self, now: MonoTime, began: MonoTime) -> Option<Window> {
+        self.round_trips.record(now, began)
+    }
+
+    /// Returns by how much round trips may be longer than without load.
+    pub fn max_delay(&self) -> Duration {
+        self.round_trips.max_delay()
+    }
+}
