--- a/sesamebeam_soak/src/entry_links.rs
+++ b/sesamebeam_soak/src/entry_links.rs
@@ -22,6 +22,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use rustix::net::sockopt;
 use serde::{
     Deserialize,
@@ -43,24 +44,41 @@
 };
 use tokio::{
     io::{
+        AsyncRead,
         AsyncReadExt,
-        AsyncWriteExt, //
+        AsyncWrite,
+        AsyncWriteExt,
+        duplex, //
     },
     net::{
-        TcpListener, TcpSocket, TcpStream,
-        tcp::{
-            ReadHalf,
-            WriteHalf, //
-        },
+        TcpListener,
+        TcpSocket,
+        TcpStream, //
+    },
+    sync::{
+        mpsc,
+        watch, //
     },
-    sync::watch,
     time::{
+        Instant,
         sleep,
+        sleep_until,
         timeout, //
     },
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::narrow_link::{
+    NarrowLink,
+    Way, //
+};
+
+/// Messages of a connection that are on their way at a time.
+const MESSAGES: usize = 256;
+
+/// Bytes read at a time.
+const BUFFER: usize = 16 << 10;
+
 /// How long a connection attempt waits until the queue of a listener counts as full.
 const QUEUE_FULL_AFTER: Duration = Duration::from_millis(50);
 
@@ -85,6 +103,8 @@
     known: Mutex<[BTreeMap<SocketAddr, SocketAddr>; 2]>,
     /// Addresses of control replicas as the entry knows them.
     replicas: BTreeSet<SocketAddr>,
+    /// Link that everything passes; none if its bandwidth does not matter.
+    link: Option<Arc<NarrowLink>>,
     /// Cancelled when nothing listens there any more.
     ended: CancellationToken,
 }
@@ -99,6 +119,7 @@
     pub async fn start(
         ip: IpAddr,
         replicas: impl IntoIterator<Item = (SocketAddr, SocketAddr)>,
+        link: Option<Arc<NarrowLink>>,
         ended: CancellationToken,
     ) -> io::Result<Arc<Self>> {
         let replicas: Vec<_> = replicas.into_iter().collect();
@@ -107,6 +128,7 @@
             cut: watch::Sender::new(None),
             known: Mutex::default(),
             replicas: replicas.iter().map(|(near, _)| *near).collect(),
+            link,
             ended,
         });
         for (near, far) in replicas {
@@ -148,35 +170,65 @@
     async fn pass_to_entry(
         self: &Arc<Self>,
         mut rx: Receiver,
-        mut tx: Sender,
+        tx: Sender,
     ) -> Result<(), FrameError> {
-        loop {
-            let mut message: ToEntry = rx.next().await?;
-            match &mut message {
-                ToEntry::Fleet { replicas, .. } => {
-                    *replicas = self.replicas.iter().copied().collect();
-                }
-                ToEntry::Servers(servers) => {
-                    for server in servers {
-                        server.addr = self.near_addr(server.addr).await?;
+        let (passing, passed) = mpsc::channel(MESSAGES);
+        let reading = async {
+            loop {
+                let mut message: ToEntry = rx.next().await?;
+                match &mut message {
+                    ToEntry::Fleet { replicas, .. } => {
+                        *replicas = self.replicas.iter().copied().collect();
+                    }
+                    ToEntry::Servers(servers) => {
+                        for server in servers {
+                            server.addr = self.near_addr(server.addr).await?;
+                        }
                     }
+                    _ => {}
                 }
-                _ => {}
+                self.pass_message(Way::In, &message, &passing).await?;
             }
-            tx.send(&message).await?;
+        };
+        tokio::select! {
+            ended = reading => ended,
+            ended = send_passed(passed, tx) => ended,
         }
     }
 
-    async fn pass_from_entry(&self, mut rx: Receiver, mut tx: Sender) -> Result<(), FrameError> {
-        loop {
-            let mut message: FromEntry = rx.next().await?;
-            if let FromEntry::Servers(servers) = &mut message {
-                self.restore_addrs(servers);
+    async fn pass_from_entry(&self, mut rx: Receiver, tx: Sender) -> Result<(), FrameError> {
+        let (passing, passed) = mpsc::channel(MESSAGES);
+        let reading = async {
+            loop {
+                let mut message: FromEntry = rx.next().await?;
+                if let FromEntry::Servers(servers) = &mut message {
+                    self.restore_addrs(servers);
+                }
+                self.pass_message(Way::Out, &message, &passing).await?;
             }
-            tx.send(&message).await?;
+        };
+        tokio::select! {
+            ended = reading => ended,
+            ended = send_passed(passed, tx) => ended,
         }
     }
 
+    /// Queues a message on the link, behind others of its connection.
+    async fn pass_message(
+        &self,
+        way: Way,
+        message: &impl Serialize,
+        passing: &mpsc::Sender<(Instant, Bytes)>,
+    ) -> Result<(), FrameError> {
+        let frame = frames::encode(message)?;
+        let passed_at = match &self.link {
+            Some(link) => link.enqueue(way, frame.len()),
+            None => Instant::now(),
+        };
+        let queued = passing.send((passed_at, frame)).await;
+        queued.map_err(|_| FrameError::Closed)
+    }
+
     fn restore_addrs(&self, servers: &mut [Announcement]) {
         let [_, far_addrs] = &*self.lock();
         for server in servers {
@@ -201,7 +253,12 @@
         known[0].insert(far, near);
         known[1].insert(near, far);
         drop(known);
-        let serving = serve(listener, near, far, self.cut.subscribe());
+        let passage = Passage {
+            far,
+            cut: self.cut.subscribe(),
+            link: self.link.clone(),
+        };
+        let serving = serve(listener, near, passage);
         tokio::spawn(self.ended.clone().run_until_cancelled_owned(serving));
         Ok(near)
     }
@@ -211,22 +268,38 @@
     }
 }
 
+/// Sends messages as they have passed the link.
+async fn send_passed(
+    mut passed: mpsc::Receiver<(Instant, Bytes)>,
+    mut tx: Sender,
+) -> Result<(), FrameError> {
+    while let Some((passed_at, frame)) = passed.recv().await {
+        sleep_until(passed_at).await;
+        tx.send_encoded(frame).await?;
+    }
+    Ok(())
+}
+
 /// Time in which a listener that is told to is closed.
 const CLOSED_IN: Duration = Duration::from_millis(5);
 
-/// Passes connections to a backend server until it is gone, except while the entry is cut.
-async fn serve(
-    listener: TcpListener,
-    near: SocketAddr,
+/// Way from an entry to a backend server.
+#[derive(Clone, Debug)]
+struct Passage {
     far: SocketAddr,
-    mut cut: watch::Receiver<Option<Cut>>,
-) -> io::Result<()> {
+    cut: watch::Receiver<Option<Cut>>,
+    link: Option<Arc<NarrowLink>>,
+}
+
+/// Passes connections to a backend server until it is gone, except while the entry is cut.
+async fn serve(listener: TcpListener, near: SocketAddr, passage: Passage) -> io::Result<()> {
     let mut listener = listener;
+    let mut cut = passage.cut.clone();
     let gone = CancellationToken::new();
     loop {
         let passed = async {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(pass_until_gone(stream, far, cut.clone(), gone.clone()));
+                tokio::spawn(pass_until_gone(stream, passage.clone(), gone.clone()));
             }
         };
         let mut began = cut.clone();
@@ -279,13 +352,9 @@
 
 /// Does the same as [`pass`]. If the backend server is gone after that, its address refuses
 /// connections before this one is closed, as without a network in between.
-async fn pass_until_gone(
-    near: TcpStream,
-    far: SocketAddr,
-    cut: watch::Receiver<Option<Cut>>,
-    gone: CancellationToken,
-) {
-    let near = pass(near, far, cut).await;
+async fn pass_until_gone(near: TcpStream, passage: Passage, gone: CancellationToken) {
+    let far = passage.far;
+    let near = pass(near, passage).await;
     let refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
     if TcpStream::connect(far).await.is_err_and(refused) {
         gone.cancel();
@@ -296,24 +365,24 @@
 
 /// Passes bytes until either end closes or the connection is reset.
 /// Returns the entry's end, still open.
-async fn pass(
-    mut near: TcpStream,
-    far: SocketAddr,
-    cut: watch::Receiver<Option<Cut>>,
-) -> TcpStream {
+async fn pass(mut near: TcpStream, passage: Passage) -> TcpStream {
     // The address of the network tells a backend server which entry sends.
     let Ok(from) = near.local_addr() else {
         return near;
     };
-    let Ok(mut far) = connect_from(from.ip(), far).await else {
+    let Ok(mut far) = connect_from(from.ip(), passage.far).await else {
         return near;
     };
-    let mut reset = cut.clone();
+    if let Some(link) = &passage.link {
+        link.pass(Way::Out, 0).await;
+        link.pass(Way::In, 0).await;
+    }
+    let mut reset = passage.cut.clone();
     let (near_rx, near_tx) = near.split();
     let (far_rx, far_tx) = far.split();
     let is_reset = tokio::select! {
-        () = copy(near_rx, far_tx, cut.clone()) => false,
-        () = copy(far_rx, near_tx, cut) => false,
+        () = passage.copy(Way::Out, near_rx, far_tx) => false,
+        () = passage.copy(Way::In, far_rx, near_tx) => false,
         reset = reset.wait_for(|cut| *cut == Some(Cut::Reset)) => reset.is_ok(),
     };
     if is_reset {
@@ -323,9 +392,24 @@
     near
 }
 
+impl Passage {
+    async fn copy(&self, way: Way, rx: impl AsyncRead + Unpin, tx: impl AsyncWrite + Unpin) {
+        let Some(link) = &self.link else {
+            return hold_while_cut(rx, tx, self.cut.clone()).await;
+        };
+        let (held_tx, held_rx) = duplex(BUFFER);
+        let holding = hold_while_cut(rx, held_tx, self.cut.clone());
+        tokio::join!(holding, link.copy(way, held_rx, tx));
+    }
+}
+
 /// Copies bytes, and holds them back while the entry is cut and its connections hang.
-async fn copy(mut rx: ReadHalf<'_>, mut tx: WriteHalf<'_>, mut cut: watch::Receiver<Option<Cut>>) {
-    let mut buf = vec![0; 16 << 10];
+async fn hold_while_cut(
+    mut rx: impl AsyncRead + Unpin,
+    mut tx: impl AsyncWrite + Unpin,
+    mut cut: watch::Receiver<Option<Cut>>,
+) {
+    let mut buf = vec![0; BUFFER];
     loop {
         let Ok(read @ 1..) = rx.read(&mut buf).await else {
             return;
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -136,7 +136,7 @@
             )
         });
         let ip = self.in_network(entry, SERVERS_HOST);
-        EntryLinks::start(ip, replicas, self.ended.child_token()).await
+        EntryLinks::start(ip, replicas, None, self.ended.child_token()).await
     }
 
     /// Returns an address in an entry's network.
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod fragile;
 pub mod lives;
+pub mod narrow_link;
 pub mod operator;
 pub mod proxy;
 pub mod run;
