--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -35,11 +35,15 @@
         TcpListener,
         TcpStream, //
     },
+    sync::Notify,
     task::{
         unconstrained,
         yield_now, //
     },
-    time::sleep,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
@@ -62,6 +66,9 @@
     start: Instant,
     patience: Mutex<Patience>,
     link: Mutex<LinkLoad>,
+    /// Notified when there may be room for connections: a request has been read, or will not
+    /// be.
+    room: Notify,
     is_overloaded: AtomicBool,
     /// Of lines about requests and round trips that are late.
     log_limits: [LogLimit; 2],
@@ -73,6 +80,7 @@
             start: Instant::now(),
             patience: Mutex::default(),
             link: Mutex::default(),
+            room: Notify::new(),
             is_overloaded: AtomicBool::new(false),
             log_limits: [const { LogLimit::new(OVERLOAD_LOG_PERIOD) }; 2],
         }
@@ -85,10 +93,10 @@
         lock(&self.0.patience).record_deadline(deadline);
     }
 
-    /// Returns whether callers wait without a break, so that no work should be taken on for
-    /// others.
+    /// Returns whether callers wait without a break, or the link is full, so that no work
+    /// should be taken on for others.
     pub(crate) fn is_overloaded(&self) -> bool {
-        self.0.is_overloaded.load(Ordering::Relaxed)
+        self.0.is_overloaded.load(Ordering::Relaxed) || self.link().is_full(self.now())
     }
 
     /// Returns whether the time of a round trip to another instance should be measured now.
@@ -128,14 +136,18 @@
     fn record_whole(&self, now: MonoTime, id: ReadId, took: Duration) {
         let mut link = self.link();
         link.record_passed(took);
-        let window = link.reads.record_whole(now, id, took);
-        let is_late = |window: &Window| window.delay > link.reads.max_delay();
-        if let Some(window) = window.filter(is_late)
+        let was_full = link.reads.is_link_full(now);
+        let Some(window) = link.reads.record_whole(now, id, took) else {
+            return;
+        };
+        let (limit, reading) = (link.reads.limit(), link.reads.len());
+        drop(link);
+        if (limit.is_some() || was_full)
             && let Some(suppressed) = self.0.log_limits[0].allow()
         {
             log::info!(
                 delay_ms = window.delay.as_millis() as u64, per_s = window.rate(),
-                reading = link.reads.len(), suppressed = suppressed;
+                reading = reading, limit:? = limit, suppressed = suppressed;
                 "requests arrive late"
             );
         }
@@ -185,6 +197,7 @@
 impl Drop for BegunRead {
     fn drop(&mut self) {
         self.load.link().reads.record_gone(self.id);
+        self.load.0.room.notify_one();
     }
 }
 
@@ -318,7 +331,7 @@
     /// Accepts connections as long as they will be served in time, and refuses others.
     async fn accept_waiting(&mut self) {
         let now = self.now();
-        while !self.queue.is_full(now) {
+        while !self.is_full(now) {
             self.listen(now).await;
             let Some(listener) = &self.listener else {
                 return;
@@ -341,6 +354,10 @@
         }
     }
 
+    fn is_full(&mut self, now: MonoTime) -> bool {
+        self.queue.is_full(now, &mut self.load.link())
+    }
+
     /// Waits until a connection comes, or until the listener may be opened again.
     async fn wait_for_connection(&mut self) {
         match &self.listener {
@@ -349,7 +366,15 @@
                 self.drained_at = self.now();
                 self.add(accepted, self.drained_at);
             }
-            None => sleep(self.paused_until.saturating_sub(self.now())).await,
+            None if self.now() < self.paused_until => {
+                sleep(self.paused_until.saturating_sub(self.now())).await;
+            }
+            None => {
+                // Requests that take longer than callers wait stop counting by then.
+                let max_wait = self.load.max_wait();
+                let room = self.load.0.room.notified();
+                let _ = timeout(max_wait, room).await;
+            }
         }
     }
 
--- a/sesamebeam_core/src/policy/connections.rs
+++ b/sesamebeam_core/src/policy/connections.rs
@@ -15,6 +15,7 @@
     time::Duration, //
 };
 
+use super::link_load::LinkLoad;
 use crate::ids::MonoTime;
 
 /// Most connections that wait, as long as the pace is not known.
@@ -171,12 +172,13 @@
         self.is_full = false;
     }
 
-    /// Returns whether no further connection would be served in time. Once that is so, half
-    /// of those that wait are served first.
-    pub fn is_full(&mut self, now: MonoTime) -> bool {
-        let most = self.limit(now);
+    /// Returns whether no further connection would be served in time, or the link bears none.
+    /// Once that is so, half of what is bounded is done first.
+    pub fn is_full(&mut self, now: MonoTime, link: &mut LinkLoad) -> bool {
         let len = self.waiting.len();
-        self.is_full = len >= most || self.is_full && len > most / 2;
+        let filled = len as f64 / self.limit(now) as f64;
+        let filled = filled.max(link.filled(now, len));
+        self.is_full = filled >= 1.0 || self.is_full && filled > 0.5;
         self.is_full
     }
 
--- a/sesamebeam_core/src/policy/link_load.rs
+++ b/sesamebeam_core/src/policy/link_load.rs
@@ -1,4 +1,4 @@
-//! What passes the link of an instance, and how late.
+//! What the link of an instance bears of new connections.
 
 use std::time::Duration;
 
@@ -44,6 +44,17 @@
         self.round_trips.record(now, began)
     }
 
+    /// Returns whether the link is full, so that connections are turned away.
+    pub fn is_full(&self, now: MonoTime) -> bool {
+        self.reads.is_link_full(now)
+    }
+
+    /// Returns which part of the connections that may be accepted have been, if this many of
+    /// them wait to be taken: from 1 on, no further one may.
+    pub fn filled(&mut self, now: MonoTime, waiting: usize) -> f64 {
+        self.reads.filled(now, waiting)
+    }
+
     /// Returns by how much round trips may be longer than without load.
     pub fn max_delay(&self) -> Duration {
         self.round_trips.max_delay()
--- a/sesamebeam_core/tests/policy/connections.rs
+++ b/sesamebeam_core/tests/policy/connections.rs
@@ -4,9 +4,12 @@
 
 use sesamebeam_core::{
     ids::MonoTime,
-    policy::connections::{
-        ConnectionQueue,
-        Patience, //
+    policy::{
+        connections::{
+            ConnectionQueue,
+            Patience, //
+        },
+        link_load::LinkLoad,
     },
 };
 use yare::parameterized;
@@ -19,6 +22,7 @@
 /// A process that serves one connection after the other.
 struct Process {
     queue: ConnectionQueue<MonoTime>,
+    link: LinkLoad,
     now: MonoTime,
     /// Connections that came, and those that were refused.
     came: u32,
@@ -34,6 +38,7 @@
         queue.set_max_wait(MAX_WAIT);
         Self {
             queue,
+            link: LinkLoad::default(),
             now: 10 * MAX_WAIT,
             came: 0,
             refused: 0,
@@ -70,7 +75,7 @@
 
     fn come(&mut self, at: MonoTime) {
         self.came += 1;
-        match self.queue.is_full(self.now) {
+        match self.queue.is_full(self.now, &mut self.link) {
             true => self.refused += 1,
             false => self.queue.push(self.now, at, at),
         }
--- /dev/null
+++ b/sesamebeam_core/tests/policy/link_load.rs
@@ -0,0 +1,204 @@
+//! Connections to an instance whose link is narrow.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use sesamebeam_core::{
+    ids::MonoTime,
+    policy::{
+        link_load::LinkLoad,
+        reads::ReadId, //
+    },
+};
+use yare::parameterized;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Time that callers wait for their requests to be read.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Requests that the link bears a second, each way.
+const CAPACITY: f64 = 200.0;
+
+/// An instance behind a link that passes one request after the other.
+struct Instance {
+    link: LinkLoad,
+    now: MonoTime,
+    /// When the last request that is on its way to or from the instance will have passed.
+    inbound_until: MonoTime,
+    outbound_until: MonoTime,
+    /// Probes that are on their way: when they are answered, and when they began.
+    probes: VecDeque<(MonoTime, MonoTime)>,
+    /// Requests that are being read: when they are whole, and when they were taken.
+    reading: VecDeque<(MonoTime, ReadId, MonoTime)>,
+    /// Time that control replicas need for a probe.
+    replica_time: Duration,
+    /// Times of the links that each request takes on its way out.
+    outbound_share: f64,
+    is_full: bool,
+    accepted: u32,
+    refused: u32,
+    longest_read: Duration,
+    longest_queue: Duration,
+}
+
+impl Instance {
+    fn new(outbound_share: f64) -> Self {
+        let mut link = LinkLoad::default();
+        link.set_max_wait(MAX_WAIT);
+        Self {
+            link,
+            now: 10 * MAX_WAIT,
+            inbound_until: MonoTime::ZERO,
+            outbound_until: MonoTime::ZERO,
+            probes: VecDeque::new(),
+            reading: VecDeque::new(),
+            replica_time: MS,
+            outbound_share,
+            is_full: false,
+            accepted: 0,
+            refused: 0,
+            longest_read: Duration::ZERO,
+            longest_queue: Duration::ZERO,
+        }
+    }
+
+    /// Has connections come at a rate, whose callers send their requests late by a time.
+    fn run(&mut self, time: Duration, rate: f64, late: impl Fn(u32) -> Duration) {
+        let until = self.now + time;
+        let mut due = 0.0;
+        let mut came = 0;
+        while self.now < until {
+            self.now += MS;
+            due += rate / 1000.0;
+            self.read();
+            self.probe();
+            while due >= 1.0 {
+                due -= 1.0;
+                came += 1;
+                self.come(late(came));
+            }
+            self.longest_queue = self.longest_queue.max(self.queue(self.outbound_until));
+        }
+    }
+
+    fn probe(&mut self) {
+        if self.link.take_probe(self.now) {
+            let delay = self.queue(self.inbound_until) + self.queue(self.outbound_until);
+            self.probes
+                .push_back((self.now + delay + self.replica_time, self.now));
+        }
+        while let Some((answered_at, began)) = self.probes.front().copied()
+            && answered_at <= self.now
+        {
+            self.probes.pop_front();
+            self.link.record_round_trip(self.now, began);
+        }
+    }
+
+    fn queue(&self, until: MonoTime) -> Duration {
+        until.saturating_sub(self.now)
+    }
+
+    fn come(&mut self, late: Duration) {
+        let filled = self.link.filled(self.now, 0);
+        self.is_full = filled >= 1.0 || self.is_full && filled > 0.5;
+        if self.is_full {
+            self.refused += 1;
+            return;
+        }
+        self.accepted += 1;
+        self.link.record_accepted();
+        let takes = Duration::from_secs_f64(1.0 / CAPACITY);
+        self.inbound_until = self.inbound_until.max(self.now) + takes;
+        let id = self.link.reads.begin(self.now);
+        let whole_at = self.inbound_until + late;
+        let place = self.reading.partition_point(|r| r.0 <= whole_at);
+        self.reading.insert(place, (whole_at, id, self.now));
+    }
+
+    fn read(&mut self) {
+        while let Some((whole_at, id, taken_at)) = self.reading.front().copied()
+            && whole_at <= self.now
+        {
+            self.reading.pop_front();
+            let took = self.now - taken_at;
+            self.longest_read = self.longest_read.max(took);
+            self.link.reads.record_whole(self.now, id, took);
+            let takes = Duration::from_secs_f64(self.outbound_share / CAPACITY);
+            self.outbound_until = self.outbound_until.max(self.now) + takes;
+        }
+    }
+}
+
+fn at_once(_: u32) -> Duration {
+    Duration::ZERO
+}
+
+// A full link took all connections, so that all requests were late together.
+#[parameterized(
+    inbound_twice = { 2.0, 0.5 },
+    inbound_tenfold = { 10.0, 0.5 },
+)]
+fn full_link(load: f64, outbound_share: f64) {
+    let mut instance = Instance::new(outbound_share);
+    instance.run(Duration::from_secs(4), load * CAPACITY, at_once);
+    (instance.longest_read, instance.longest_queue) = (Duration::ZERO, Duration::ZERO);
+    let accepted = instance.accepted;
+    instance.run(Duration::from_secs(10), load * CAPACITY, at_once);
+    let used = f64::from(instance.accepted - accepted) / 10.0 / CAPACITY;
+    let longest = instance.longest_read;
+    assert!(longest < MAX_WAIT / 2, "{longest:?}");
+    let longest = instance.longest_queue;
+    assert!(longest < MAX_WAIT, "{longest:?}");
+    assert!(used * outbound_share.max(1.0) > 0.6, "{used}");
+}
+
+// Connections were refused although the link had room.
+#[parameterized(
+    half = { 0.5, at_once },
+    most = { 0.9, at_once },
+    one_slow_caller = { 0.5, |n| if n % 100 == 0 { 5000 * MS } else { Duration::ZERO } },
+    slow_callers = { 0.5, |n| 300 * MS + (n * 37 % 400) * MS },
+    few_slow_callers = { 0.01, |n| 2000 * MS + (n * 37 % 400) * MS },
+)]
+fn nobody_refused(load: f64, late: fn(u32) -> Duration) {
+    let mut instance = Instance::new(0.5);
+    instance.run(Duration::from_secs(60), load * CAPACITY, late);
+    assert_eq!(instance.refused, 0);
+}
+
+// Callers were turned away after a full link had become free.
+#[test]
+fn after_overload() {
+    let mut instance = Instance::new(0.5);
+    instance.run(Duration::from_secs(5), 10.0 * CAPACITY, at_once);
+    instance.run(Duration::from_secs(2), 0.3 * CAPACITY, at_once);
+    let refused = instance.refused;
+    instance.run(Duration::from_secs(10), 0.5 * CAPACITY, at_once);
+    assert_eq!(instance.refused, refused);
+}
+
+// A burst was refused although the link had been free before.
+#[test]
+fn burst() {
+    let mut instance = Instance::new(0.5);
+    instance.run(Duration::from_secs(5), 0.3 * CAPACITY, at_once);
+    for _ in 0..100 {
+        instance.come(Duration::ZERO);
+    }
+    instance.run(Duration::from_secs(5), 0.3 * CAPACITY, at_once);
+    assert_eq!(instance.refused, 0);
+}
+
+// An entry declined requests of others for good, as nobody came after its link had been full.
+#[test]
+fn nobody_comes_any_more() {
+    let mut instance = Instance::new(0.5);
+    instance.run(Duration::from_secs(3), 5.0 * CAPACITY, at_once);
+    assert!(instance.link.is_full(instance.now));
+    instance.run(Duration::from_secs(20), 0.0, at_once);
+    assert!(!instance.link.is_full(instance.now));
+}
--- a/sesamebeam_core/tests/policy/main.rs
+++ b/sesamebeam_core/tests/policy/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod exposure;
 mod fixtures;
+mod link_load;
 mod plan;
 mod quality;
 mod retries;
