--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -26,7 +26,6 @@
             Patience, //
         },
         link_load::LinkLoad,
-        queue_delay::Window,
         reads::ReadId,
     },
 };
@@ -57,6 +56,9 @@
 /// Minimum time between two log lines about overload.
 const OVERLOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
 
+/// Least time for which nothing listens while the link is full.
+const MIN_CLOSED: Duration = Duration::from_millis(2);
+
 /// What a listener and those who read requests tell each other.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CallerLoad(Arc<SharedLoad>);
@@ -67,7 +69,7 @@
     patience: Mutex<Patience>,
     link: Mutex<LinkLoad>,
     /// Notified when there may be room for connections: a request has been read, or will not
-    /// be.
+    /// be, or a round trip has ended.
     room: Notify,
     is_overloaded: AtomicBool,
     /// Of lines about requests and round trips that are late.
@@ -113,13 +115,20 @@
     pub(crate) fn record_round_trip(&self, began: MonoTime) {
         let now = self.now();
         let mut link = self.link();
+        let was_limited = link.accept_limit().is_some();
         let window = link.record_round_trip(now, began);
-        let is_late = |window: &Window| window.delay > link.max_delay();
-        if let Some(window) = window.filter(is_late)
+        self.0.room.notify_one();
+        let Some(window) = window else {
+            return;
+        };
+        let limit = link.accept_limit();
+        drop(link);
+        if (limit.is_some() || was_limited)
             && let Some(suppressed) = self.0.log_limits[1].allow()
         {
             log::info!(
-                delay_ms = window.delay.as_millis() as u64, suppressed = suppressed;
+                delay_ms = window.delay.as_millis() as u64, limit_per_s:? = limit,
+                suppressed = suppressed;
                 "round trips are late"
             );
         }
@@ -372,8 +381,11 @@
             None => {
                 // Requests that take longer than callers wait stop counting by then.
                 let max_wait = self.load.max_wait();
+                let half_empty = self.load.link().half_empty_in(self.now());
                 let room = self.load.0.room.notified();
-                let _ = timeout(max_wait, room).await;
+                let wait = half_empty.map_or(max_wait, |wait| wait.min(max_wait));
+                // At least a tick of the timer.
+                let _ = timeout(wait.max(MIN_CLOSED), room).await;
             }
         }
     }
@@ -382,8 +394,9 @@
         match accepted {
             Ok((stream, _)) => {
                 set_nodelay(&stream);
-                self.load.link().record_accepted();
-                self.queue.push(self.now(), came, stream);
+                let now = self.now();
+                self.load.link().record_accepted(now);
+                self.queue.push(now, came, stream);
             }
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(e) => {
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -7,6 +7,7 @@
 //! [`suspects`]; [`burn`] tracks the service-level objectives. The current time
 //! is passed in as [`MonoTime`](crate::ids::MonoTime).
 
+pub mod accept_rate;
 pub mod admission;
 pub mod backoff;
 pub mod balance;
--- a/sesamebeam_core/src/policy/link_load.rs
+++ b/sesamebeam_core/src/policy/link_load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{
+    accept_rate::AcceptRate,
     queue_delay::Window,
     reads::Reads,
     round_trips::RoundTrips, //
@@ -15,6 +16,7 @@
     /// First requests of connections that are being read.
     pub reads: Reads,
     round_trips: RoundTrips,
+    accepts: AcceptRate,
 }
 
 impl LinkLoad {
@@ -25,8 +27,9 @@
     }
 
     /// Records that a connection was accepted.
-    pub fn record_accepted(&mut self) {
+    pub fn record_accepted(&mut self, now: MonoTime) {
         self.round_trips.record_accepted();
+        self.accepts.record_accepted(now);
     }
 
     /// Records how long something took that passes the link.
@@ -36,27 +39,46 @@
 
     /// Returns whether the time of a round trip to another instance should be measured now.
     pub fn take_probe(&mut self, now: MonoTime) -> bool {
-        self.round_trips.take_probe(now)
+        let is_limited = self.accepts.limit().is_some();
+        self.round_trips.take_probe(now, is_limited)
     }
 
     /// Records a round trip. Returns what was seen in the window that ends with it.
     pub fn record_round_trip(&mut self, now: MonoTime, began: MonoTime) -> Option<Window> {
-        self.round_trips.record(now, began)
+        let window = self.round_trips.record(now, began)?;
+        let max_delay = self.round_trips.max_delay();
+        self.accepts.adapt(now, window, max_delay);
+        Some(window)
+    }
+
+    /// Returns by how much round trips are longer than without load.
+    pub fn delay(&self, now: MonoTime) -> Duration {
+        self.round_trips.delay(now)
+    }
+
+    /// Returns the rate to which new connections are limited, a second.
+    pub fn accept_limit(&self) -> Option<f64> {
+        self.accepts.limit()
+    }
+
+    /// Returns after what time half of the connections that may be accepted at once may be.
+    pub fn half_empty_in(&mut self, now: MonoTime) -> Option<Duration> {
+        self.accepts.half_empty_in(now)
     }
 
     /// Returns whether the link is full, so that connections are turned away.
     pub fn is_full(&self, now: MonoTime) -> bool {
-        self.reads.is_link_full(now)
+        self.reads.is_link_full(now) || self.accepts.limit().is_some()
     }
 
     /// Returns which part of the connections that may be accepted have been, if this many of
     /// them wait to be taken: from 1 on, no further one may.
     pub fn filled(&mut self, now: MonoTime, waiting: usize) -> f64 {
-        self.reads.filled(now, waiting)
-    }
-
-    /// Returns by how much round trips may be longer than without load.
-    pub fn max_delay(&self) -> Duration {
-        self.round_trips.max_delay()
+        let filled = self.reads.filled(now, waiting);
+        let filled = filled.max(self.accepts.filled(now));
+        match self.round_trips.is_rising(now) {
+            true => filled.max(1.0),
+            false => filled,
+        }
     }
 }
--- a/sesamebeam_core/src/policy/round_trips.rs
+++ b/sesamebeam_core/src/policy/round_trips.rs
@@ -1,8 +1,13 @@
 //! Round trips to other instances.
 //!
 //! They pass the link of the instance in both directions, and tell its delay whatever fills it.
+//! Of a delay that rises they tell late, by that delay, so that those without an answer count
+//! too.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 use super::{
     connections::Patience,
@@ -23,11 +28,20 @@
 /// established, which pass the link too.
 const MAX_ALLOWED: Duration = Duration::from_millis(125);
 
+/// Probes that must be unanswered for the delay to count as too long before it is measured: one
+/// or two may have met an instance that does not answer.
+const MIN_UNANSWERED: usize = 3;
+
 /// Connections after which the round trip is measured again, and the time for which it is not
 /// measured more often than needed.
 const ACCEPTED_PER_PROBE: u32 = 16;
 const PROBE_INTERVAL: Duration = Duration::from_millis(90);
 
+/// Most probes that are remembered until they are answered, and the longest delay that is told
+/// where none are.
+const MAX_UNANSWERED: usize = 32;
+const MAX_DELAY: Duration = Duration::from_secs(2);
+
 /// Round trips to other instances, and the delay that they tell.
 #[derive(Debug)]
 pub struct RoundTrips {
@@ -36,6 +50,10 @@
     /// Connections accepted since the round trip was measured last, and when.
     unprobed: u32,
     probed_at: MonoTime,
+    /// When the probes began that are not answered, oldest first.
+    unanswered: VecDeque<MonoTime>,
+    /// When one was answered last.
+    answered_at: Option<MonoTime>,
     /// Whether anything was late since then.
     is_late: bool,
 }
@@ -47,6 +65,8 @@
             delay: QueueDelay::new(WINDOW),
             unprobed: 0,
             probed_at: MonoTime::ZERO,
+            unanswered: VecDeque::new(),
+            answered_at: None,
             is_late: false,
         }
     }
@@ -75,14 +95,18 @@
     }
 
     /// Returns whether the round trip should be measured now.
-    pub fn take_probe(&mut self, now: MonoTime) -> bool {
-        let is_due = self.unprobed >= ACCEPTED_PER_PROBE || self.is_late;
+    pub fn take_probe(&mut self, now: MonoTime, is_limited: bool) -> bool {
+        let is_due = self.unprobed >= ACCEPTED_PER_PROBE || self.is_late || is_limited;
         if !is_due || now.saturating_sub(self.probed_at) < PROBE_INTERVAL {
             return false;
         }
         self.unprobed = 0;
         self.is_late = false;
         self.probed_at = now;
+        if self.unanswered.len() == MAX_UNANSWERED {
+            self.unanswered.pop_front();
+        }
+        self.unanswered.push_back(now);
         true
     }
 
@@ -90,8 +114,39 @@
     pub fn record(&mut self, now: MonoTime, began: MonoTime) -> Option<Window> {
         let took = now.saturating_sub(began);
         self.record_passed(took);
+        self.answered_at = Some(now);
+        self.unanswered.retain(|probe| *probe > began);
         self.delay.record(now, took)
     }
+
+    /// Returns by how much round trips are longer than without load, as far as is known: those
+    /// that are under way tell when it rises.
+    pub fn delay(&self, now: MonoTime) -> Duration {
+        let so_far = self.unanswered_for(now).unwrap_or_default();
+        self.delay.delay(now).max(so_far).min(MAX_DELAY)
+    }
+
+    /// Returns whether the delay is already longer than allowed, although no round trip that
+    /// tells so has ended.
+    pub fn is_rising(&self, now: MonoTime) -> bool {
+        let unanswered_for = self.unanswered_for(now);
+        self.unanswered.len() >= MIN_UNANSWERED
+            && unanswered_for.is_some_and(|time| time > self.max_delay)
+    }
+
+    /// Returns whether a probe was answered of late.
+    pub fn has_recent_answer(&self, now: MonoTime) -> bool {
+        let is_recent = |at| now.saturating_sub(at) < MAX_DELAY;
+        self.answered_at.is_some_and(is_recent)
+    }
+
+    /// Returns for how long the oldest probe has been without an answer. If none was answered
+    /// for longer than a delay can be, it is the instances asked that do not answer.
+    fn unanswered_for(&self, now: MonoTime) -> Option<Duration> {
+        let oldest = self.unanswered.front()?;
+        let is_known = self.has_recent_answer(now);
+        is_known.then(|| now.saturating_sub(*oldest))
+    }
 }
 
 fn allowed_delay(max_wait: Duration) -> Duration {
--- a/sesamebeam_core/tests/policy/link_load.rs
+++ b/sesamebeam_core/tests/policy/link_load.rs
@@ -110,7 +110,7 @@
             return;
         }
         self.accepted += 1;
-        self.link.record_accepted();
+        self.link.record_accepted(self.now);
         let takes = Duration::from_secs_f64(1.0 / CAPACITY);
         self.inbound_until = self.inbound_until.max(self.now) + takes;
         let id = self.link.reads.begin(self.now);
@@ -141,6 +141,8 @@
 #[parameterized(
     inbound_twice = { 2.0, 0.5 },
     inbound_tenfold = { 10.0, 0.5 },
+    outbound_twice = { 2.0, 1.5 },
+    outbound_tenfold = { 10.0, 1.5 },
 )]
 fn full_link(load: f64, outbound_share: f64) {
     let mut instance = Instance::new(outbound_share);
@@ -171,9 +173,9 @@
 }
 
 // Callers were turned away after a full link had become free.
-#[test]
-fn after_overload() {
-    let mut instance = Instance::new(0.5);
+#[parameterized(inbound = { 0.5 }, outbound = { 1.5 })]
+fn after_overload(outbound_share: f64) {
+    let mut instance = Instance::new(outbound_share);
     instance.run(Duration::from_secs(5), 10.0 * CAPACITY, at_once);
     instance.run(Duration::from_secs(2), 0.3 * CAPACITY, at_once);
     let refused = instance.refused;
@@ -202,3 +204,34 @@
     instance.run(Duration::from_secs(20), 0.0, at_once);
     assert!(!instance.link.is_full(instance.now));
 }
+
+// Backend servers were taken for unreachable while a delay rose faster than it was measured.
+#[test]
+fn unanswered_probe() {
+    let mut link = LinkLoad::default();
+    let began = 10 * MAX_WAIT;
+    for _ in 0..20 {
+        link.record_accepted(began);
+    }
+    assert!(link.take_probe(began));
+    link.record_round_trip(began + MS, began);
+    let began = began + MAX_WAIT / 8;
+    for _ in 0..20 {
+        link.record_accepted(began);
+    }
+    assert!(link.take_probe(began));
+    let later = began + MAX_WAIT / 2;
+    assert_eq!(link.delay(later), MAX_WAIT / 2);
+    link.record_round_trip(later, began);
+    assert_eq!(link.delay(later), Duration::ZERO);
+}
+
+// Callers were accepted while the way out became full, until the first late round trip had ended.
+#[test]
+fn full_before_measured() {
+    let mut instance = Instance::new(1.5);
+    instance.run(Duration::from_secs(3), 0.1 * CAPACITY, at_once);
+    instance.run(Duration::from_secs(3), 2.5 * CAPACITY, at_once);
+    let longest = instance.longest_queue;
+    assert!(longest < MAX_WAIT, "{longest:?}");
+}
