--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -188,8 +188,9 @@
         self.record_max_rejections(choice, sent_at, &head);
         self.router()
             .record_response(self.now(), &choice.id, head.load);
-        self.metrics
-            .record_first_byte(self.now().saturating_sub(sent_at));
+        let took = self.now().saturating_sub(sent_at);
+        self.caller_load.record_answered(took);
+        self.metrics.record_first_byte(took);
         let response = Response::from_parts(parts, body);
         SendResult::Answered(Box::new(response), head, lease)
     }
--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -134,6 +134,13 @@
         }
     }
 
+    /// Records that what was sent this long ago has been answered.
+    pub(crate) fn record_answered(&self, took: Duration) {
+        let now = self.now();
+        let sent_at = now.saturating_sub(took);
+        self.link().record_answered(now, sent_at);
+    }
+
     fn max_wait(&self) -> Duration {
         lock(&self.0.patience).max_wait()
     }
--- a/sesamebeam_core/src/policy/link_load.rs
+++ b/sesamebeam_core/src/policy/link_load.rs
@@ -37,6 +37,16 @@
         self.round_trips.record_passed(took);
     }
 
+    /// Records that anything that was sent at a time has been answered. An answer within the
+    /// delay that is allowed ends a limit that no probe would, as none is answered.
+    pub fn record_answered(&mut self, now: MonoTime, sent_at: MonoTime) {
+        self.round_trips.record_answered(now, sent_at);
+        let is_in_time = now.saturating_sub(sent_at) < self.round_trips.max_delay();
+        if is_in_time && !self.round_trips.has_recent_answer(now) {
+            self.accepts.lift();
+        }
+    }
+
     /// Returns whether the time of a round trip to another instance should be measured now.
     pub fn take_probe(&mut self, now: MonoTime) -> bool {
         let is_limited = self.accepts.limit().is_some();
--- a/sesamebeam_core/src/policy/queue_delay.rs
+++ b/sesamebeam_core/src/policy/queue_delay.rs
@@ -43,6 +43,8 @@
     base: Option<Duration>,
     began: MonoTime,
     fastest: Option<Duration>,
+    /// Most that anything can have been delayed in this window.
+    bound: Duration,
     samples: usize,
     last: Option<(MonoTime, Window)>,
 }
@@ -55,6 +57,7 @@
             base: None,
             began: MonoTime::ZERO,
             fastest: None,
+            bound: Duration::MAX,
             samples: 0,
             last: None,
         }
@@ -73,6 +76,12 @@
         is_over.then(|| self.end_window(now, length))
     }
 
+    /// Records that something passed that took this long in all, as it waited for other reasons
+    /// too: the queue added no more.
+    pub fn record_bound(&mut self, took: Duration) {
+        self.bound = self.bound.min(took);
+    }
+
     fn end_window(&mut self, now: MonoTime, length: Duration) -> Window {
         let fastest = self.fastest.take().unwrap_or_default();
         let base = match self.base {
@@ -80,9 +89,10 @@
             _ => fastest,
         };
         self.base = Some(base);
+        let bound = std::mem::replace(&mut self.bound, Duration::MAX);
         let window = Window {
             delay: match self.samples {
-                MIN_SAMPLES.. => fastest.saturating_sub(base),
+                MIN_SAMPLES.. => fastest.min(bound).saturating_sub(base),
                 _ => Duration::ZERO,
             },
             samples: self.samples,
--- a/sesamebeam_core/src/policy/round_trips.rs
+++ b/sesamebeam_core/src/policy/round_trips.rs
@@ -94,6 +94,14 @@
         self.is_late |= took > self.max_delay;
     }
 
+    /// Records that anything that was sent at a time has been answered. The link delayed it by no
+    /// more, so that slow instances don't look like a full link. What was sent before has passed
+    /// the link too, so that a probe without an answer says nothing about it.
+    pub fn record_answered(&mut self, now: MonoTime, sent_at: MonoTime) {
+        self.delay.record_bound(now.saturating_sub(sent_at));
+        self.unanswered.retain(|probe| *probe > sent_at);
+    }
+
     /// Returns whether the round trip should be measured now.
     pub fn take_probe(&mut self, now: MonoTime, is_limited: bool) -> bool {
         let is_due = self.unprobed >= ACCEPTED_PER_PROBE || self.is_late || is_limited;
@@ -115,7 +123,7 @@
         let took = now.saturating_sub(began);
         self.record_passed(took);
         self.answered_at = Some(now);
-        self.unanswered.retain(|probe| *probe > began);
+        self.record_answered(now, began);
         self.delay.record(now, took)
     }
 
--- a/sesamebeam_core/tests/policy/link_load.rs
+++ b/sesamebeam_core/tests/policy/link_load.rs
@@ -22,6 +22,9 @@
 /// Requests that the link bears a second, each way.
 const CAPACITY: f64 = 200.0;
 
+/// Time that backend servers need for a request.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
 /// An instance behind a link that passes one request after the other.
 struct Instance {
     link: LinkLoad,
@@ -33,6 +36,8 @@
     probes: VecDeque<(MonoTime, MonoTime)>,
     /// Requests that are being read: when they are whole, and when they were taken.
     reading: VecDeque<(MonoTime, ReadId, MonoTime)>,
+    /// Requests at backend servers: when they are answered, and when they were sent.
+    answers: VecDeque<(MonoTime, MonoTime)>,
     /// Time that control replicas need for a probe.
     replica_time: Duration,
     /// Times of the links that each request takes on its way out.
@@ -55,6 +60,7 @@
             outbound_until: MonoTime::ZERO,
             probes: VecDeque::new(),
             reading: VecDeque::new(),
+            answers: VecDeque::new(),
             replica_time: MS,
             outbound_share,
             is_full: false,
@@ -74,6 +80,7 @@
             self.now += MS;
             due += rate / 1000.0;
             self.read();
+            self.answer();
             self.probe();
             while due >= 1.0 {
                 due -= 1.0;
@@ -98,6 +105,15 @@
         }
     }
 
+    fn answer(&mut self) {
+        while let Some((answered_at, sent_at)) = self.answers.front().copied()
+            && answered_at <= self.now
+        {
+            self.answers.pop_front();
+            self.link.record_answered(self.now, sent_at);
+        }
+    }
+
     fn queue(&self, until: MonoTime) -> Duration {
         until.saturating_sub(self.now)
     }
@@ -129,6 +145,9 @@
             self.link.reads.record_whole(self.now, id, took);
             let takes = Duration::from_secs_f64(self.outbound_share / CAPACITY);
             self.outbound_until = self.outbound_until.max(self.now) + takes;
+            let back = self.queue(self.inbound_until);
+            self.answers
+                .push_back((self.outbound_until + back + ANSWER_TIME, self.now));
         }
     }
 }
@@ -172,6 +191,16 @@
     assert_eq!(instance.refused, 0);
 }
 
+// Callers were turned away as control replicas were slow, which looked like a full link.
+#[parameterized(half = { 0.5 }, most = { 0.9 })]
+fn slow_replicas(load: f64) {
+    let mut instance = Instance::new(0.5);
+    instance.run(Duration::from_secs(5), load * CAPACITY, at_once);
+    instance.replica_time = 300 * MS;
+    instance.run(Duration::from_secs(20), load * CAPACITY, at_once);
+    assert_eq!(instance.refused, 0);
+}
+
 // Callers were turned away after a full link had become free.
 #[parameterized(inbound = { 0.5 }, outbound = { 1.5 })]
 fn after_overload(outbound_share: f64) {
@@ -235,3 +264,34 @@
     let longest = instance.longest_queue;
     assert!(longest < MAX_WAIT, "{longest:?}");
 }
+
+// Callers were turned away as no control replica answered, although backend servers did.
+#[test]
+fn nobody_echoes() {
+    let mut link = LinkLoad::default();
+    let mut now = 10 * MAX_WAIT;
+    for n in 0..1000 {
+        now += 10 * MS;
+        link.record_accepted(now);
+        if link.take_probe(now) && n < 100 {
+            link.record_round_trip(now, now);
+        }
+        link.record_answered(now, now - 20 * MS);
+        assert!(link.filled(now, 0) < 1.0);
+    }
+}
+
+// A rate stayed limited for as long as an entry was cut from all control replicas.
+#[test]
+fn nobody_echoes_any_more() {
+    let mut instance = Instance::new(1.5);
+    instance.run(Duration::from_secs(3), 5.0 * CAPACITY, at_once);
+    let link = &mut instance.link;
+    assert!(link.accept_limit().is_some());
+    let mut now = instance.now;
+    for _ in 0..300 {
+        now += 10 * MS;
+        link.record_answered(now, now - 20 * MS);
+    }
+    assert_eq!(link.accept_limit(), None);
+}
