--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -40,6 +40,7 @@
         Cut,
         EntryLinks, //
     },
+    narrow_link::NarrowLink,
     schedule::{
         ENTRIES,
         REPLICAS,
@@ -50,8 +51,10 @@
 /// Third part of the addresses of the first entry's network; the others follow.
 const FIRST_NETWORK: u8 = 1;
 
-/// Last part of the address of backend servers in an entry's network.
+/// Last part of the address of backend servers in an entry's network, and of the entry itself
+/// behind a narrow link.
 const SERVERS_HOST: u8 = 50;
+const FRONT_HOST: u8 = 60;
 
 /// Port at which callers connect.
 const FRONT: u16 = 8227;
@@ -93,6 +96,8 @@
     contention: [bool; ENTRIES],
     running: BTreeMap<Target, Child>,
     started: BTreeMap<Target, u32>,
+    /// Bits a second of each entry's link in each direction; 0 if nothing bounds them.
+    link_bits_per_s: u64,
     /// Network of each entry.
     links: Vec<Arc<EntryLinks>>,
     /// Cancelled when the daemons have ended.
@@ -105,7 +110,12 @@
     /// # Errors
     ///
     /// Fails if a folder or process cannot be made.
-    pub async fn start(program: &Path, slot: u8, contention: [bool; ENTRIES]) -> io::Result<Self> {
+    pub async fn start(
+        program: &Path,
+        slot: u8,
+        contention: [bool; ENTRIES],
+        link_bits_per_s: u64,
+    ) -> io::Result<Self> {
         let mut fleet = Self {
             program: program.to_path_buf(),
             folder: tempfile::tempdir()?,
@@ -113,6 +123,7 @@
             contention,
             running: BTreeMap::new(),
             started: BTreeMap::new(),
+            link_bits_per_s,
             links: Vec::new(),
             ended: CancellationToken::new(),
         };
@@ -136,7 +147,14 @@
             )
         });
         let ip = self.in_network(entry, SERVERS_HOST);
-        EntryLinks::start(ip, replicas, None, self.ended.child_token()).await
+        let bits_per_s = self.link_bits_per_s as f64;
+        let link = (self.link_bits_per_s > 0).then(|| NarrowLink::new(bits_per_s, bits_per_s));
+        if let Some(link) = &link {
+            let (near, far) = (self.front(entry), self.entry_front(entry));
+            link.pass_callers(near, far, self.ended.child_token())
+                .await?;
+        }
+        EntryLinks::start(ip, replicas, link, self.ended.child_token()).await
     }
 
     /// Returns an address in an entry's network.
@@ -156,8 +174,16 @@
         }
     }
 
-    /// Returns where callers connect to an entry.
+    /// Returns where callers connect to an entry, on the other side of its link if it has one.
     pub fn front(&self, entry: usize) -> SocketAddr {
+        match self.link_bits_per_s {
+            0 => self.entry_front(entry),
+            _ => SocketAddr::new(self.in_network(entry, FRONT_HOST), FRONT),
+        }
+    }
+
+    /// Returns where an entry listens for callers.
+    fn entry_front(&self, entry: usize) -> SocketAddr {
         SocketAddr::new(self.ip(Target::Entry(entry)), FRONT)
     }
 
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -5,12 +5,14 @@
 //! cuts and silences connections, and stops, pauses, kills and restarts
 //! processes, in series that overlap. In half of the schedules there are engines
 //! of uneven speed besides, with callers of their own. Some backend servers go down under
-//! requests with one part in their prompts. What callers, operators and backend
+//! requests with one part in their prompts. Crowds of new connections come to one entry after
+//! the other over narrow links. What callers, operators and backend
 //! servers see is written into [`books`], which hold it against the promises.
 
 pub mod books;
 pub mod brittle;
 pub mod callers;
+pub mod crowds;
 pub mod engines;
 pub mod entry_links;
 pub mod fleet;
--- a/sesamebeam_soak/src/main.rs
+++ b/sesamebeam_soak/src/main.rs
@@ -19,6 +19,7 @@
   --count N       seeds to play, one after the other (default 1)
   --seconds N     length of the faults of each (default 6)
   --brittle       has backend servers that go down under rejections
+  --crowds        has most new connections come to one entry, over narrow links
   --fatal         has backend servers that go down under a part of prompts, early or late
   --lost-disks N  has replicas lose their disks N times under a large configuration
   --schedule FILE plays a schedule instead of seeds
@@ -123,6 +124,7 @@
     let logs: Option<PathBuf> = args.opt_value_from_str("--logs").map_err(text)?;
     let print = args.contains("--print");
     let brittle = args.contains("--brittle");
+    let crowds = args.contains("--crowds");
     let fatal = args.contains("--fatal");
     let lost_disks: Option<u64> = args.opt_value_from_str("--lost-disks").map_err(text)?;
     if !args.finish().is_empty() {
@@ -142,6 +144,7 @@
                 brittle,
                 ..match lost_disks {
                     Some(losses) => Schedule::draw_lost_disks(seed, losses),
+                    None if crowds => Schedule::draw_crowds(seed),
                     None if fatal => Schedule::draw_fatal(seed, length_ms),
                     None => Schedule::draw(seed, length_ms),
                 }
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -37,6 +37,10 @@
         self,
         CALLERS, //
     },
+    crowds::{
+        self,
+        Crowds, //
+    },
     engines::{
         self,
         Engine, //
@@ -55,6 +59,7 @@
         Mode, //
     },
     schedule::{
+        CONTACT_MS,
         ENTRIES,
         Event,
         Fault,
@@ -97,6 +102,7 @@
     modes: Vec<watch::Sender<Mode>>,
     engines: Vec<Arc<Engine>>,
     books: Arc<Books>,
+    crowds: Arc<Crowds>,
 }
 
 /// Runs a schedule and returns what came of it. Logs of a run that broke a
@@ -115,7 +121,7 @@
     let engine_set = schedule.engines.as_ref();
     let has_engines = engine_set.is_some();
     let contention = engine_set.map_or([false; ENTRIES], |set| set.contention);
-    let fleet = Fleet::start(program, slot, contention).await?;
+    let fleet = Fleet::start(program, slot, contention, schedule.link_bits_per_s).await?;
     let controls: Vec<SocketAddr> = (0..REPLICAS).map(|n| fleet.control(n)).collect();
     let fronts: Vec<SocketAddr> = (0..ENTRIES).map(|n| fleet.front(n)).collect();
     let cancel = CancellationToken::new();
@@ -197,6 +203,22 @@
             }
         });
     }
+    let crowds = Arc::new(Crowds::default());
+    let has_crowds = schedule.link_bits_per_s > 0;
+    for number in (0..crowds::SERVERS).filter(|_| has_crowds) {
+        let id = format!("crowd-{number}");
+        let life = id.clone();
+        let answer = move |req| crowds::answer(req, life.clone());
+        let addr = server::listen(answer, cancel.child_token()).await?;
+        tasks.spawn(operator::announce(
+            id,
+            operator::CROWD_POOL,
+            DOMAIN,
+            addr,
+            controls.clone(),
+            cancel.clone(),
+        ));
+    }
     let next = Arc::new(AtomicU64::new(1));
     for _ in 0..2 {
         let (next, books) = (Arc::clone(&next), Arc::clone(&books));
@@ -253,9 +275,16 @@
         modes,
         engines,
         books: Arc::clone(&books),
+        crowds: Arc::clone(&crowds),
     });
     wait_for_answers(&stage, (0, 0), "at the start").await;
+    let crowd_halt = cancel.child_token();
+    if has_crowds {
+        sleep(Duration::from_millis(CONTACT_MS)).await;
+        tasks.spawn(Arc::clone(&crowds).call(fronts, crowd_halt.clone()));
+    }
     play(&stage, schedule).await;
+    crowd_halt.cancel();
     let before = (books.answers(), books.engine_answers());
     wait_for_answers(&stage, before, "after all faults").await;
     if has_engines {
@@ -264,6 +293,9 @@
     cancel.cancel();
     while tasks.join_next().await.is_some() {}
     read_back(&controls, &books).await;
+    for line in crowds.broken() {
+        books.broke(line);
+    }
     let verdict = books.verdict();
     let fleet = match Arc::into_inner(stage) {
         Some(stage) => stage.fleet.into_inner(),
@@ -357,6 +389,7 @@
 async fn cause(stage: Arc<Stage>, event: Event) {
     let lasting = Duration::from_millis(event.for_ms);
     let hits_daemons = event.fault.hits_daemons();
+    let from_ms = stage.crowds.now_ms();
     if hits_daemons {
         stage.books.daemons_hit(true);
     }
@@ -419,6 +452,7 @@
             stage.fleet.lock().await.set_cut(entry, None);
             stage.books.cut_ended(entry);
         }
+        Fault::Crowd(entry) => stage.crowds.crowd(entry, lasting).await,
         Fault::Slow(n) => {
             if let Some(engine) = stage.engines.get(n) {
                 engine.set_slower(true);
@@ -430,6 +464,9 @@
     if hits_daemons {
         stage.books.daemons_hit(false);
     }
+    if let Some(entry) = event.fault.entry() {
+        stage.crowds.record_fault(entry, from_ms);
+    }
 }
 
 async fn boot(stage: &Stage, target: Target) {
--- a/sesamebeam_soak/src/schedule.rs
+++ b/sesamebeam_soak/src/schedule.rs
@@ -59,6 +59,12 @@
 /// Time for which a replica is away that has lost its disk, in milliseconds.
 const LOSS_MS: std::ops::Range<u64> = 100..2000;
 
+/// Bits a second of a narrow link, and time for which most callers come to one entry and before
+/// that, in milliseconds: long enough to be checked after [`CONTACT_MS`], and after recovery.
+const CROWD_LINK_BITS_PER_S: u64 = 3_000_000;
+const CROWD_MS: std::ops::Range<u64> = 4500..7000;
+const CROWD_AFTER_MS: u64 = 3500;
+
 /// Number of routes that make a configuration large.
 const EXTRA_ROUTES: std::ops::Range<usize> = 200..800;
 
@@ -102,6 +108,8 @@
     Silence(usize),
     /// An engine is slower than usual.
     Slow(usize),
+    /// Most callers with new connections come to an entry.
+    Crowd(usize),
     /// An entry is cut from all backend servers.
     CutEntry {
         /// Which entry.
@@ -112,6 +120,17 @@
 }
 
 impl Fault {
+    /// Returns the entry that cannot serve callers by itself meanwhile.
+    pub fn entry(self) -> Option<usize> {
+        match self {
+            Self::Kill(Target::Entry(entry))
+            | Self::Stop(Target::Entry(entry))
+            | Self::Pause(Target::Entry(entry))
+            | Self::CutEntry { entry, .. } => Some(entry),
+            _ => None,
+        }
+    }
+
     /// Returns whether the fault hits daemons.
     pub fn hits_daemons(self) -> bool {
         matches!(
@@ -145,7 +164,7 @@
 }
 
 /// What happens in one run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Schedule {
     /// Seed of callers and operators.
@@ -164,6 +183,10 @@
     /// Whether there are backend servers that go down under rejections.
     #[serde(default)]
     pub brittle: bool,
+    /// Bits a second of the link of each entry in each direction; 0 if nothing bounds them.
+    /// There are callers with new connections if there are such links.
+    #[serde(default)]
+    pub link_bits_per_s: u64,
     /// Events by time.
     #[serde(default)]
     pub events: Vec<Event>,
@@ -238,12 +261,9 @@
         Self {
             seed,
             length_ms,
-            fatal_part: false,
-            fatal_after: 0,
-            extra_routes: 0,
-            brittle: false,
             events,
             engines,
+            ..Self::default()
         }
     }
 
@@ -293,12 +313,52 @@
         Self {
             seed,
             length_ms,
-            fatal_part: false,
-            fatal_after: 0,
             extra_routes: rng.random_range(EXTRA_ROUTES),
-            brittle: false,
             events,
-            engines: None,
+            ..Self::default()
+        }
+    }
+
+    /// Draws a schedule in which most new connections come to one entry and then to the other,
+    /// over narrow links and beside faults of other daemons.
+    pub fn draw_crowds(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let first = rng.random_range(0..ENTRIES);
+        let mut events = Vec::new();
+        let mut at_ms = 0;
+        for crowded in [first, (first + 1) % ENTRIES] {
+            at_ms += CROWD_AFTER_MS;
+            let for_ms = rng.random_range(CROWD_MS);
+            events.push(Event {
+                at_ms,
+                for_ms,
+                fault: Fault::Crowd(crowded),
+            });
+            let other = (crowded + 1) % ENTRIES;
+            let replica = Target::Replica(rng.random_range(0..REPLICAS));
+            let how = draw_cut_kind(&mut rng);
+            let faults = [
+                Fault::CutEntry { entry: other, how },
+                Fault::Kill(Target::Entry(other)),
+                Fault::Stop(Target::Entry(other)),
+                Fault::Kill(replica),
+                Fault::Stop(replica),
+                Fault::KillAll,
+            ];
+            events.push(Event {
+                at_ms: at_ms + rng.random_range(0..for_ms),
+                for_ms: rng.random_range(SHORTEST_MS..LONGEST_MS),
+                fault: faults[rng.random_range(0..faults.len())],
+            });
+            at_ms += for_ms;
+        }
+        events.sort_by_key(|event| event.at_ms);
+        Self {
+            seed,
+            length_ms: at_ms + CROWD_AFTER_MS,
+            link_bits_per_s: CROWD_LINK_BITS_PER_S,
+            events,
+            ..Self::default()
         }
     }
 
@@ -372,12 +432,16 @@
     }
 }
 
-fn draw_cut(rng: &mut StdRng) -> Fault {
-    let how = match rng.random_range(0..3) {
+fn draw_cut_kind(rng: &mut StdRng) -> Cut {
+    match rng.random_range(0..3) {
         0 => Cut::Hang,
         1 => Cut::Reset,
         _ => Cut::Live,
-    };
+    }
+}
+
+fn draw_cut(rng: &mut StdRng) -> Fault {
+    let how = draw_cut_kind(rng);
     Fault::CutEntry {
         entry: rng.random_range(0..ENTRIES),
         how,
@@ -395,7 +459,7 @@
             ("backend server", n, SERVERS + engines)
         }
         Fault::Slow(n) => ("engine", n, engines),
-        Fault::CutEntry { entry, .. } => ("entry", entry, ENTRIES),
+        Fault::Crowd(entry) | Fault::CutEntry { entry, .. } => ("entry", entry, ENTRIES),
         Fault::KillAll => return Ok(()),
     };
     if at < count {
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -114,12 +114,22 @@
 /// Guards against backend servers that go down under rejections while a control replica that
 /// may lead and an entry that may hold leases are killed.
 #[test]
-fn brittle() {
+fn rejections_and_kills() {
     let file = format!("{}/tests/seeds/brittle.toml", env!("CARGO_MANIFEST_DIR"));
     let schedule = Schedule::read(file).expect("it can be read");
     play(213, &schedule);
 }
 
+/// Guards against entries that fail, or turn away with room, callers who come to one of them in
+/// a crowd over a narrow link, and then to the other.
+#[parameterized(
+    beside_kills = { 3, 216 },
+    beside_cut = { 6, 217 },
+)]
+fn crowds(seed: u64, slot: u8) {
+    play(slot, &Schedule::draw_crowds(seed));
+}
+
 #[test]
 fn short_run() {
     play(203, &Schedule::draw(7, SHORT_MS));
