--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -49,12 +49,15 @@
     SendOptions, //
 };
 
+/// Factor for the delay of the link, which may rise while a send is under way.
+const LINK_DELAY_FACTOR: u32 = 2;
+
 /// Interval at which the time of a backend server's last response is checked.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time without a response from a backend server, on any connection, after which a send
-/// that has exceeded its own timeout is abandoned.
-pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time without a response from a backend server after which it counts as silent, on a link
+/// that is not full.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Share of a request's remaining time after which a response that is not a stream is
 /// overdue, and the upper bound of that time. Plain services respond within a tenth of it
@@ -148,6 +151,7 @@
             }
         } else {
             let overdue = remaining.mul_f64(OVERDUE_SHARE).min(OVERDUE_MAX);
+            let overdue = overdue + self.link_slack();
             loop {
                 match timeout(overdue, &mut sending).await {
                     Ok(sent) => break sent,
@@ -241,18 +245,30 @@
     }
 
     /// Waits for at least `min_wait`, and until the backend server has not responded for
-    /// [`SILENCE_TIMEOUT`].
+    /// [`Gateway::silence_timeout`].
     async fn wait_for_silence(&self, choice: &Choice, sent_at: Duration, min_wait: Duration) {
         sleep(min_wait).await;
         loop {
             sleep(SILENCE_CHECK_INTERVAL).await;
             let last_response = self.router().last_response_at(&choice.id).max(sent_at);
-            if self.now().saturating_sub(last_response) > SILENCE_TIMEOUT {
+            if self.now().saturating_sub(last_response) > self.silence_timeout() {
                 return;
             }
         }
     }
 
+    /// Returns how much later than usual all that passes the link of this instance may be. It
+    /// says nothing about backend servers.
+    pub(super) fn link_slack(&self) -> Duration {
+        self.caller_load.link_delay() * LINK_DELAY_FACTOR
+    }
+
+    /// Returns the time without a response from a backend server, on any connection, after
+    /// which a send that has exceeded its own timeout is abandoned.
+    pub(super) fn silence_timeout(&self) -> Duration {
+        SILENCE_TIMEOUT + self.link_slack()
+    }
+
     fn build_request(
         &self,
         req: &BufferedRequest,
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -53,10 +53,7 @@
         BodyError,
         CallerResponse, //
     },
-    send::{
-        SILENCE_TIMEOUT,
-        SendResult, //
-    },
+    send::SendResult,
 };
 use crate::{
     exposition::RequestEnd,
@@ -221,8 +218,9 @@
             return Step::Interrupted(Outcome::Dropped);
         };
         let deadline = self.dispatch.req.deadline;
-        let max_interval = self.dispatch.plan.route.gap.unwrap_or(SILENCE_TIMEOUT);
-        let max_silence = SILENCE_TIMEOUT.max(max_interval * MAX_EVENT_INTERVALS);
+        let silence_timeout = self.dispatch.gateway.silence_timeout();
+        let max_interval = self.dispatch.plan.route.gap.unwrap_or(silence_timeout);
+        let max_silence = silence_timeout.max(max_interval * MAX_EVENT_INTERVALS);
         loop {
             let check_at = Instant::now() + max_silence;
             let frame = timeout_at(deadline.min(check_at).into(), source.body.frame()).await;
@@ -235,7 +233,7 @@
                     };
                     let last_response = dispatch.gateway.router().last_response_at(&choice.id);
                     let is_silent =
-                        dispatch.gateway.now().saturating_sub(last_response) > SILENCE_TIMEOUT;
+                        dispatch.gateway.now().saturating_sub(last_response) > silence_timeout;
                     let resumable = dispatch.plan.route.resumable;
                     if is_silent
                         && resumable
--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -141,6 +141,11 @@
         self.link().record_answered(now, sent_at);
     }
 
+    /// Returns by how much round trips are longer than without load.
+    pub(crate) fn link_delay(&self) -> Duration {
+        self.link().delay(self.now())
+    }
+
     fn max_wait(&self) -> Duration {
         lock(&self.0.patience).max_wait()
     }
