Bound what a backend server sends before its head is complete

Callers: a backend server that sends informational responses without end holds a request until its deadline (504 after 6 s), and its connection and the link of the entry as long.

Cause: the HTTP library bounds each head, but not how many informational ones come before the final one.

Entries to other entries, the rating service and the own interface use the same client.

--- a/sesamebeam/src/http.rs
+++ b/sesamebeam/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP client, problem documents and server-sent events.
 
 pub mod client;
+mod head_limit;
 pub mod problem;
 pub mod sse;
 
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -39,6 +39,11 @@
     time::timeout, //
 };
 
+use super::head_limit::{
+    HeadLimited,
+    ReadBudget, //
+};
+
 /// Default maximum number of idle connections for each address.
 const MAX_IDLE: usize = 32;
 
@@ -145,10 +150,17 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    conn: Connection,
     until: Instant,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    budget: ReadBudget,
+}
+
 /// Connection in use by a request, which can be returned to the pool once the
 /// response has been read completely.
 #[derive(Debug)]
@@ -156,7 +168,7 @@
     client: Client,
     addr: SocketAddr,
     epoch: u64,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    conn: Option<Connection>,
 }
 
 impl ConnectionGuard {
@@ -170,9 +182,9 @@
     /// Returns the connection to the pool, unless it already holds `most_idle` connections.
     /// It stays idle for no longer than the server's keep-alive time allows.
     pub fn release_with_limits(mut self, keep_alive: Option<Duration>, most_idle: usize) {
-        if let Some(sender) = self.sender.take() {
+        if let Some(conn) = self.conn.take() {
             self.client
-                .put(self.addr, self.epoch, sender, keep_alive, most_idle);
+                .put(self.addr, self.epoch, conn, keep_alive, most_idle);
         }
     }
 }
@@ -215,8 +227,8 @@
     ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
         let mut req = req;
         if options.reuse == Reuse::Any {
-            while let Some((sender, epoch)) = self.take(addr) {
-                match self.send_on(addr, sender, epoch, req, options).await {
+            while let Some((conn, epoch)) = self.take(addr) {
+                match self.send_on(addr, conn, epoch, req, options).await {
                     Ok(answer) => return Ok(answer),
                     // The server closed the idle connection as it was taken from
                     // the pool. Nothing was sent, so a retry is safe.
@@ -225,8 +237,8 @@
                 }
             }
         }
-        let (sender, epoch) = self.connect(addr).await?;
-        self.send_on(addr, sender, epoch, req, options)
+        let (conn, epoch) = self.connect(addr).await?;
+        self.send_on(addr, conn, epoch, req, options)
             .await
             .map_err(|(e, _)| e)
     }
@@ -242,7 +254,7 @@
     async fn send_on(
         &self,
         addr: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut conn: Connection,
         epoch: u64,
         req: Request<Full<Bytes>>,
         options: SendOptions,
@@ -253,7 +265,9 @@
         if options.send_by.is_some_and(|by| Instant::now() >= by) {
             return Err((ClientError::Late(addr), None));
         }
-        match timeout(options.header_timeout, sender.try_send_request(req)).await {
+        conn.budget.expect_head();
+        let sent = conn.sender.try_send_request(req);
+        match timeout(options.header_timeout, sent).await {
             Err(_) => Err((ClientError::Timeout(addr), None)),
             Ok(Err(mut e)) => match e.take_message() {
                 Some(back) => Err((ClientError::Unsent(addr), Some(back))),
@@ -265,22 +279,20 @@
                     None,
                 )),
             },
-            Ok(Ok(answer)) => Ok((
-                answer,
-                ConnectionGuard {
+            Ok(Ok(answer)) => {
+                conn.budget.head_complete();
+                let guard = ConnectionGuard {
                     client: self.clone(),
                     addr,
                     epoch,
-                    sender: Some(sender),
-                },
-            )),
+                    conn: Some(conn),
+                };
+                Ok((answer, guard))
+            }
         }
     }
 
-    async fn connect(
-        &self,
-        addr: SocketAddr,
-    ) -> Result<(SendRequest<Full<Bytes>>, u64), ClientError> {
+    async fn connect(&self, addr: SocketAddr) -> Result<(Connection, u64), ClientError> {
         let epoch = self.lock().hosts.entry(addr).or_default().epoch;
         let began = Instant::now();
         let stream = match timeout(self.connect_timeout, TcpStream::connect(addr)).await {
@@ -296,22 +308,25 @@
             _ => return Err(ClientError::Connect(addr)),
         };
         set_socket_options(&stream).map_err(|_| ClientError::Connect(addr))?;
-        let (sender, conn) = handshake(TokioIo::new(stream))
+        let budget = ReadBudget::default();
+        let stream = HeadLimited::new(stream, budget.clone());
+        budget.expect_head();
+        let (sender, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ClientError::Connect(addr))?;
         tokio::spawn(async move {
             // Errors are reported to the request that uses the connection.
-            let _ = conn.await;
+            let _ = driver.await;
         });
-        Ok((sender, epoch))
+        Ok((Connection { sender, budget }, epoch))
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<(SendRequest<Full<Bytes>>, u64)> {
+    fn take(&self, addr: SocketAddr) -> Option<(Connection, u64)> {
         let mut pool = self.lock();
         let host = pool.hosts.get_mut(&addr)?;
         while let Some(idle) = host.idle.pop() {
-            if Instant::now() < idle.until && idle.sender.is_ready() {
-                return Some((idle.sender, host.epoch));
+            if Instant::now() < idle.until && idle.conn.sender.is_ready() {
+                return Some((idle.conn, host.epoch));
             }
         }
         None
@@ -321,7 +336,7 @@
         &self,
         addr: SocketAddr,
         epoch: u64,
-        sender: SendRequest<Full<Bytes>>,
+        conn: Connection,
         keep_alive: Option<Duration>,
         most_idle: usize,
     ) {
@@ -329,9 +344,9 @@
         let mut pool = self.lock();
         let host = pool.hosts.entry(addr).or_default();
         // INVARIANT: A retired connection never returns to the pool.
-        if host.epoch == epoch && host.idle.len() < most_idle && !sender.is_closed() {
+        if host.epoch == epoch && host.idle.len() < most_idle && !conn.sender.is_closed() {
             host.idle.push(IdleConnection {
-                sender,
+                conn,
                 until: Instant::now() + keep,
             });
         }
