Bound the pieces in which an answer or event comes

Callers: a backend server that sends a body or an event in tiny pieces holds a request until its deadline, and each piece takes processor time of the entry, however few bytes it has; a long event in pieces was searched for its end anew with each of them.

Cause: bodies and events were bounded in bytes alone.

Change: one reader of whole answers (http/received) and one of events (EventBuffer) bound bytes and pieces; both interfaces, answers of other entries and of the rating service use them.

--- a/sesamebeam/src/entry/rating.rs
+++ b/sesamebeam/src/entry/rating.rs
@@ -7,11 +7,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     Request,
     header, //
@@ -41,10 +37,13 @@
 use tokio_util::sync::CancellationToken;
 
 use super::hub::Hub;
-use crate::http::client::{
-    Client,
-    Reuse,
-    SendOptions, //
+use crate::http::{
+    client::{
+        Client,
+        Reuse,
+        SendOptions, //
+    },
+    received::read_whole,
 };
 
 /// Maximum number of samples waiting to be sent; further ones are dropped.
@@ -142,15 +141,12 @@
         };
         let (response, conn) = self.client.send(self.addr, req.ok()?, options).await.ok()?;
         let ok = response.status().is_success();
-        let body = Limited::new(response.into_body(), MAX_BODY)
-            .collect()
-            .await
-            .ok()?;
+        let body = read_whole(response.into_body(), MAX_BODY).await.ok()?;
         conn.release();
         if !ok {
             return None;
         }
-        serde_json::from_slice(&body.to_bytes()).ok()
+        serde_json::from_slice(&body).ok()
     }
 }
 
--- a/sesamebeam/src/entry/upstream.rs
+++ b/sesamebeam/src/entry/upstream.rs
@@ -20,11 +20,7 @@
     engine::general_purpose::STANDARD, //
 };
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     Method,
     Request,
@@ -67,6 +63,7 @@
         Reuse,
         SendOptions, //
     },
+    received::read_whole,
     sse::{
         EventSplitter,
         SplitResult, //
@@ -266,7 +263,7 @@
     fn drain(&mut self) {
         if let Stage::Reading(body, Some(conn)) = std::mem::replace(&mut self.stage, Stage::Ended) {
             tokio::spawn(async move {
-                let rest = Limited::new(body, MAX_ERROR_BODY).collect();
+                let rest = read_whole(body, MAX_ERROR_BODY);
                 if tokio::time::timeout(Duration::from_secs(1), rest)
                     .await
                     .is_ok_and(|rest| rest.is_ok())
@@ -387,14 +384,11 @@
         state: SmolStr,
     }
     let incarnation = incarnation(&response);
-    let Ok(body) = Limited::new(response.into_body(), MAX_ERROR_BODY)
-        .collect()
-        .await
-    else {
+    let Ok(body) = read_whole(response.into_body(), MAX_ERROR_BODY).await else {
         return ServerKnows::Unreachable;
     };
     conn.release();
-    let Ok(state) = serde_json::from_slice::<State>(&body.to_bytes()) else {
+    let Ok(state) = serde_json::from_slice::<State>(&body) else {
         return ServerKnows::Unreachable;
     };
     match (state.state.as_str(), incarnation) {
@@ -422,17 +416,14 @@
         .get(header::CONTENT_TYPE)
         .and_then(|v| v.to_str().ok())
         .map_or_else(|| "application/octet-stream".into(), SmolStr::new);
-    match Limited::new(response.into_body(), max_body_bytes)
-        .collect()
-        .await
-    {
+    match read_whole(response.into_body(), max_body_bytes).await {
         Ok(body) => {
             conn.release();
             OpenOutcome::Service(ServiceResponse {
                 status: status.as_u16(),
                 content_type,
                 retry_after,
-                body: body.to_bytes(),
+                body,
             })
         }
         Err(_) => OpenOutcome::Ended(AttemptReport::Broken { events: 0 }),
@@ -457,14 +448,11 @@
     }
     let incarnation = incarnation(&response);
     let unknown = OpenOutcome::Ended(AttemptReport::NotThere(ServerKnows::Unreachable));
-    let Ok(body) = Limited::new(response.into_body(), max_body_bytes * 2)
-        .collect()
-        .await
-    else {
+    let Ok(body) = read_whole(response.into_body(), max_body_bytes * 2).await else {
         return unknown;
     };
     conn.release();
-    let Ok(found) = serde_json::from_slice::<Found>(&body.to_bytes()) else {
+    let Ok(found) = serde_json::from_slice::<Found>(&body) else {
         return unknown;
     };
     match (
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -9,10 +9,6 @@
     },
 };
 
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::{
     Response,
     StatusCode,
@@ -60,9 +56,12 @@
 };
 use crate::{
     exposition::RequestEnd,
-    http::client::{
-        ClientError,
-        ConnectionGuard, //
+    http::{
+        client::{
+            ClientError,
+            ConnectionGuard, //
+        },
+        received::read_whole,
     },
 };
 
@@ -581,9 +580,9 @@
             lease,
         } = pending;
         let (mut parts, body) = response.into_parts();
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let reading = read_whole(body, MAX_RESPONSE_BYTES);
         let body = match timeout_at(self.req.deadline.into(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             read => {
                 let outcome = if read.is_err() {
                     Outcome::Dropped
--- a/sesamebeam/src/gateway/event_splitter.rs
+++ b/sesamebeam/src/gateway/event_splitter.rs
@@ -1,15 +1,12 @@
 //! Splitting of a server-sent event stream at event boundaries, and tracking of event
 //! ids.
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-
-use crate::http::sse::last_boundary;
+use bytes::Bytes;
 
-/// Maximum size of an incomplete event; engines send events of some hundred bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+use crate::http::{
+    received::ReadError,
+    sse::EventBuffer, //
+};
 
 /// Forwards complete events only.
 ///
@@ -17,18 +14,13 @@
 /// one. Forwarding part of an event would make the caller receive that part twice.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
-    /// Received bytes of an incomplete event.
-    partial: BytesMut,
+    buf: EventBuffer,
     /// Id of the last complete event.
     last_id: Option<u64>,
     /// Number of complete events forwarded.
     count: u64,
 }
 
-/// An event exceeds the maximum size.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct EventTooLong;
-
 impl EventSplitter {
     /// Creates a splitter for a stream that starts after the given event id.
     pub(super) fn starting_after(last_id: Option<u64>) -> Self {
@@ -39,19 +31,12 @@
     }
 
     /// Adds a chunk of the stream and returns the events that it completes.
-    pub(super) fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLong> {
-        let events = if self.partial.is_empty() {
-            let end = last_boundary(&chunk).unwrap_or(0);
-            self.partial.extend_from_slice(&chunk[end..]);
-            chunk.slice(..end)
-        } else {
-            self.partial.extend_from_slice(&chunk);
-            let end = last_boundary(&self.partial).unwrap_or(0);
-            self.partial.split_to(end).freeze()
-        };
-        if self.partial.len() > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
-        }
+    ///
+    /// # Errors
+    ///
+    /// Fails if too much was received since the last event.
+    pub(super) fn push(&mut self, chunk: Bytes) -> Result<Bytes, ReadError> {
+        let events = self.buf.push(chunk)?;
         self.track_ids(&events);
         Ok(events)
     }
@@ -68,13 +53,13 @@
 
     /// Returns whether no incomplete event is buffered.
     pub(super) fn is_at_boundary(&self) -> bool {
-        self.partial.is_empty()
+        self.buf.is_empty()
     }
 
     /// Discards a buffered incomplete event, which the next run sends again from its
     /// start.
     pub(super) fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.buf.clear();
     }
 
     fn track_ids(&mut self, events: &[u8]) {
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -9,17 +9,10 @@
     time::Instant, //
 };
 
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri,
-    body::{
-        Bytes,
-        Incoming, //
-    },
+    body::Incoming,
     header::{
         HeaderName,
         HeaderValue, //
@@ -61,11 +54,14 @@
         ForwardingEnd,
         RequestEnd, //
     },
-    http::client::{
-        ClientError,
-        ConnectionGuard,
-        Reuse,
-        SendOptions, //
+    http::{
+        client::{
+            ClientError,
+            ConnectionGuard,
+            Reuse,
+            SendOptions, //
+        },
+        received::read_whole,
     },
 };
 
@@ -278,9 +274,9 @@
             return self.reject_or_fail(None);
         }
         let (mut parts, body) = response.into_parts();
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let body: Bytes = match timeout_at(self.req.deadline.into(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let reading = read_whole(body, MAX_RESPONSE_BYTES);
+        let body = match timeout_at(self.req.deadline.into(), reading).await {
+            Ok(Ok(body)) => body,
             _ => {
                 log::info!(id:% = self.req.head.id, peer:% = send.addr; "forwarded answer broke off");
                 self.may_have_run = true;
--- a/sesamebeam/src/http.rs
+++ b/sesamebeam/src/http.rs
@@ -3,6 +3,7 @@
 pub mod client;
 mod head_limit;
 pub mod problem;
+pub(crate) mod received;
 pub mod sse;
 
 use std::time::Duration;
--- a/sesamebeam/src/http/sse.rs
+++ b/sesamebeam/src/http/sse.rs
@@ -7,20 +7,79 @@
 };
 use serde_json::Value;
 
-/// Maximum number of bytes buffered for an incomplete event.
-const MAX_EVENT: usize = 1 << 20;
+use super::received::{
+    Allowance,
+    ReadError, //
+};
+
+/// What may be received until an event is complete: engines send events of some hundred bytes.
+const EVENT_ALLOWANCE: Allowance = Allowance::new(1 << 20);
 
 /// Last event of a complete answer.
 const DONE: &[u8] = b"data: [DONE]";
 
+/// Holds back the start of an incomplete event.
+#[derive(Debug)]
+pub(crate) struct EventBuffer {
+    partial: BytesMut,
+    /// What may still be received before the next event.
+    allowance: Allowance,
+}
+
+impl Default for EventBuffer {
+    fn default() -> Self {
+        Self {
+            partial: BytesMut::new(),
+            allowance: EVENT_ALLOWANCE,
+        }
+    }
+}
+
+impl EventBuffer {
+    /// Adds a chunk of the stream and returns the events that it completes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too much was received since the last event.
+    pub(crate) fn push(&mut self, chunk: Bytes) -> Result<Bytes, ReadError> {
+        let events = if self.partial.is_empty() {
+            let end = last_boundary(&chunk).unwrap_or(0);
+            self.partial.extend_from_slice(&chunk[end..]);
+            chunk.slice(..end)
+        } else {
+            // A boundary is two bytes long, and none is in what was received before.
+            let from = self.partial.len() - 1;
+            self.partial.extend_from_slice(&chunk);
+            let end = last_boundary(&self.partial[from..]).map_or(0, |end| from + end);
+            self.partial.split_to(end).freeze()
+        };
+        if !events.is_empty() {
+            self.allowance = EVENT_ALLOWANCE;
+            self.allowance.take(&self.partial)?;
+        } else {
+            self.allowance.take(&chunk)?;
+        }
+        Ok(events)
+    }
+
+    /// Returns whether no incomplete event is held back.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.partial.is_empty()
+    }
+
+    /// Discards an incomplete event, before another run of the stream.
+    pub(crate) fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
 /// Splits a byte stream into complete events and counts them.
 ///
 /// A stream that breaks within an event is resumed after the last complete one.
 /// Forwarding the incomplete event would send its start to the caller twice.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
-    /// Start of an incomplete event.
-    rest: BytesMut,
+    buf: EventBuffer,
     /// Number of complete events.
     events: u64,
     /// Whether the last event of a complete answer was received.
@@ -36,7 +95,7 @@
     Done(Bytes),
     /// No complete event yet.
     Incomplete,
-    /// An event is longer than any engine sends.
+    /// More was received than any event of an engine has.
     TooLong,
 }
 
@@ -56,18 +115,10 @@
 
     /// Adds the next chunk of the stream.
     pub fn push(&mut self, chunk: Bytes) -> SplitResult {
-        let complete = if self.rest.is_empty() {
-            let Some(end) = last_boundary(&chunk) else {
-                return self.buffer(&chunk);
-            };
-            self.rest.extend_from_slice(&chunk[end..]);
-            chunk.slice(..end)
-        } else {
-            self.rest.extend_from_slice(&chunk);
-            let Some(end) = last_boundary(&self.rest) else {
-                return self.buffer(&[]);
-            };
-            self.rest.split_to(end).freeze()
+        let complete = match self.buf.push(chunk) {
+            Ok(complete) if complete.is_empty() => return SplitResult::Incomplete,
+            Ok(complete) => complete,
+            Err(_) => return SplitResult::TooLong,
         };
         self.count_events(&complete);
         if self.done {
@@ -77,14 +128,6 @@
         }
     }
 
-    fn buffer(&mut self, chunk: &[u8]) -> SplitResult {
-        if self.rest.len() + chunk.len() > MAX_EVENT {
-            return SplitResult::TooLong;
-        }
-        self.rest.extend_from_slice(chunk);
-        SplitResult::Incomplete
-    }
-
     fn count_events(&mut self, complete: &[u8]) {
         let mut from = 0;
         while let Some(end) = boundary(&complete[from..]) {
@@ -105,7 +148,7 @@
 }
 
 /// Finds the end of the last complete event.
-pub(crate) fn last_boundary(buf: &[u8]) -> Option<usize> {
+fn last_boundary(buf: &[u8]) -> Option<usize> {
     buf.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2)
 }
 
