Let only events with data or an id extend a stream

Callers: a backend server that sends comments alone is passed on until the caller's deadline (13.8 MB in 6 s).

Cause: each comment counted as an event, after which as much was allowed again.

Change: what may still be received starts anew with an event that has data or an id.

--- a/sesamebeam/src/http/sse.rs
+++ b/sesamebeam/src/http/sse.rs
@@ -12,7 +12,8 @@
     ReadError, //
 };
 
-/// What may be received until an event is complete: engines send events of some hundred bytes.
+/// What may be received until an event with data or an id is complete: engines send events of
+/// some hundred bytes.
 const EVENT_ALLOWANCE: Allowance = Allowance::new(1 << 20);
 
 /// Last event of a complete answer.
@@ -22,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct EventBuffer {
     partial: BytesMut,
-    /// What may still be received before the next event.
+    /// What may still be received before the next event. Comments are none.
     allowance: Allowance,
 }
 
@@ -53,7 +54,7 @@
             let end = last_boundary(&self.partial[from..]).map_or(0, |end| from + end);
             self.partial.split_to(end).freeze()
         };
-        if !events.is_empty() {
+        if has_event(&events) {
             self.allowance = EVENT_ALLOWANCE;
             self.allowance.take(&self.partial)?;
         } else {
@@ -73,6 +74,12 @@
     }
 }
 
+/// Returns whether any of these complete events has data or an id.
+fn has_event(events: &[u8]) -> bool {
+    let mut lines = events.split(|&b| b == b'\n');
+    lines.any(|line| line.starts_with(b"data:") || line.starts_with(b"id:"))
+}
+
 /// Splits a byte stream into complete events and counts them.
 ///
 /// A stream that breaks within an event is resumed after the last complete one.
