Read long answers two at a time

Callers: backend servers whose bodies do not end, of 60 requests at once, take 127 MB of an entry that has 160 MB.

Cause: each whole answer is bounded, at 8 MiB, all together are not.

Change: an answer of more than 256 KiB waits for one of two turns, unread, which stops its server. An event may have 256 KiB, so that those of all requests need no turns.

Not bounded together: whole answers that wait for slow callers.

--- a/sesamebeam/src/entry/rating.rs
+++ b/sesamebeam/src/entry/rating.rs
@@ -141,7 +141,9 @@
         };
         let (response, conn) = self.client.send(self.addr, req.ok()?, options).await.ok()?;
         let ok = response.status().is_success();
-        let body = read_whole(response.into_body(), MAX_BODY).await.ok()?;
+        let body = read_whole(response.into_body(), MAX_BODY, conn.long_answers())
+            .await
+            .ok()?;
         conn.release();
         if !ok {
             return None;
--- a/sesamebeam/src/entry/upstream.rs
+++ b/sesamebeam/src/entry/upstream.rs
@@ -263,7 +263,7 @@
     fn drain(&mut self) {
         if let Stage::Reading(body, Some(conn)) = std::mem::replace(&mut self.stage, Stage::Ended) {
             tokio::spawn(async move {
-                let rest = read_whole(body, MAX_ERROR_BODY);
+                let rest = read_whole(body, MAX_ERROR_BODY, conn.long_answers());
                 if tokio::time::timeout(Duration::from_secs(1), rest)
                     .await
                     .is_ok_and(|rest| rest.is_ok())
@@ -384,7 +384,8 @@
         state: SmolStr,
     }
     let incarnation = incarnation(&response);
-    let Ok(body) = read_whole(response.into_body(), MAX_ERROR_BODY).await else {
+    let Ok(body) = read_whole(response.into_body(), MAX_ERROR_BODY, conn.long_answers()).await
+    else {
         return ServerKnows::Unreachable;
     };
     conn.release();
@@ -416,7 +417,7 @@
         .get(header::CONTENT_TYPE)
         .and_then(|v| v.to_str().ok())
         .map_or_else(|| "application/octet-stream".into(), SmolStr::new);
-    match read_whole(response.into_body(), max_body_bytes).await {
+    match read_whole(response.into_body(), max_body_bytes, conn.long_answers()).await {
         Ok(body) => {
             conn.release();
             OpenOutcome::Service(ServiceResponse {
@@ -448,7 +449,13 @@
     }
     let incarnation = incarnation(&response);
     let unknown = OpenOutcome::Ended(AttemptReport::NotThere(ServerKnows::Unreachable));
-    let Ok(body) = read_whole(response.into_body(), max_body_bytes * 2).await else {
+    let Ok(body) = read_whole(
+        response.into_body(),
+        max_body_bytes * 2,
+        conn.long_answers(),
+    )
+    .await
+    else {
         return unknown;
     };
     conn.release();
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -580,7 +580,7 @@
             lease,
         } = pending;
         let (mut parts, body) = response.into_parts();
-        let reading = read_whole(body, MAX_RESPONSE_BYTES);
+        let reading = read_whole(body, MAX_RESPONSE_BYTES, lease.long_answers());
         let body = match timeout_at(self.req.deadline.into(), reading).await {
             Ok(Ok(body)) => body,
             read => {
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -274,7 +274,7 @@
             return self.reject_or_fail(None);
         }
         let (mut parts, body) = response.into_parts();
-        let reading = read_whole(body, MAX_RESPONSE_BYTES);
+        let reading = read_whole(body, MAX_RESPONSE_BYTES, lease.long_answers());
         let body = match timeout_at(self.req.deadline.into(), reading).await {
             Ok(Ok(body)) => body,
             _ => {
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -39,9 +39,12 @@
     time::timeout, //
 };
 
-use super::head_limit::{
-    HeadLimited,
-    ReadBudget, //
+use super::{
+    head_limit::{
+        HeadLimited,
+        ReadBudget, //
+    },
+    received::LongAnswers,
 };
 
 /// Default maximum number of idle connections for each address.
@@ -134,6 +137,7 @@
     max_idle: usize,
     /// Times in which connections were established, if they are observed.
     connect_times: Option<Histogram>,
+    long_answers: LongAnswers,
 }
 
 #[derive(Debug, Default)]
@@ -172,6 +176,11 @@
 }
 
 impl ConnectionGuard {
+    /// Returns the turns of long answers, which all connections of the client share.
+    pub(crate) fn long_answers(&self) -> &LongAnswers {
+        &self.client.long_answers
+    }
+
     /// Returns the connection to the pool. The response must have been read
     /// completely.
     pub fn release(self) {
@@ -197,6 +206,7 @@
             connect_timeout,
             max_idle: MAX_IDLE,
             connect_times: None,
+            long_answers: LongAnswers::default(),
         }
     }
 
--- a/sesamebeam/src/http/received.rs
+++ b/sesamebeam/src/http/received.rs
@@ -1,5 +1,7 @@
 //! Bounds on what is received of an answer, which may have no end.
 
+use std::sync::Arc;
+
 use bytes::{
     Bytes,
     BytesMut, //
@@ -7,6 +9,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use thiserror::Error;
+use tokio::sync::{
+    AcquireError,
+    Semaphore,
+    SemaphorePermit, //
+};
 
 /// Mean size below which pieces are too small: each takes processor time, however few bytes it
 /// has.
@@ -15,6 +22,12 @@
 /// Pieces that may be received in any case.
 const MIN_PIECES: usize = 1024;
 
+/// Most that is held of an answer or event at any number of requests at once, in bytes.
+pub(crate) const MAX_SHORT: usize = 256 << 10;
+
+/// Longer answers that are read at a time.
+const LONG_AT_ONCE: usize = 2;
+
 /// An answer could not be read whole.
 #[derive(Debug, Error)]
 pub(crate) enum ReadError {
@@ -24,6 +37,26 @@
     /// The connection failed.
     #[error("connection failed: {0}")]
     Connection(#[from] hyper::Error),
+    /// Long answers are not read any more.
+    #[error("no turn for a long answer: {0}")]
+    NoTurn(#[from] AcquireError),
+}
+
+/// Turns of answers longer than [`MAX_SHORT`], so that these don't take all memory together. One
+/// that waits for its turn is not read, which stops its server.
+#[derive(Clone, Debug)]
+pub(crate) struct LongAnswers(Arc<Semaphore>);
+
+impl Default for LongAnswers {
+    fn default() -> Self {
+        Self(Arc::new(Semaphore::new(LONG_AT_ONCE)))
+    }
+}
+
+impl LongAnswers {
+    async fn wait_for_turn(&self) -> Result<SemaphorePermit<'_>, AcquireError> {
+        self.0.acquire().await
+    }
 }
 
 /// What may still be received.
@@ -63,13 +96,21 @@
 /// # Errors
 ///
 /// Fails if too much is received, or the connection fails. The connection can't be used again.
-pub(crate) async fn read_whole(mut body: Incoming, most: usize) -> Result<Bytes, ReadError> {
+pub(crate) async fn read_whole(
+    mut body: Incoming,
+    most: usize,
+    long: &LongAnswers,
+) -> Result<Bytes, ReadError> {
+    let mut turn = None;
     let mut allowance = Allowance::new(most);
     // One buffer: a small piece would keep all that was received with it in memory.
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(piece) = frame?.into_data() {
             allowance.take(&piece)?;
+            if whole.len() + piece.len() > MAX_SHORT && turn.is_none() {
+                turn = Some(long.wait_for_turn().await?);
+            }
             whole.extend_from_slice(&piece);
         }
     }
--- a/sesamebeam/src/http/sse.rs
+++ b/sesamebeam/src/http/sse.rs
@@ -9,12 +9,13 @@
 
 use super::received::{
     Allowance,
+    MAX_SHORT,
     ReadError, //
 };
 
 /// What may be received until an event with data or an id is complete: engines send events of
 /// some hundred bytes.
-const EVENT_ALLOWANCE: Allowance = Allowance::new(1 << 20);
+const EVENT_ALLOWANCE: Allowance = Allowance::new(MAX_SHORT);
 
 /// Last event of a complete answer.
 const DONE: &[u8] = b"data: [DONE]";
