Hear all entries before a sound part is blamed (LOST)

Callers: sound requests are refused as fatal ones.

Cause: a part of sound requests that is in flight at every crash has as many crashes as the fatal one, which is left open until another crash tells them apart. But entries report a crash one after the other, and each report was judged at once: between that of an entry with a sound request and that of the entry with the fatal one, the sound part was one crash ahead and was convicted. A busy machine makes that time longer.

Change: crashes of the last 200 ms, an interval of reports, set a part apart from others only once those have been outdone without them. A part without rivals is convicted as before.

--- a/sesamebeam_core/src/gateway/fatal_parts.rs
+++ b/sesamebeam_core/src/gateway/fatal_parts.rs
@@ -53,6 +53,9 @@
 /// of answers on it: two reports and two updates.
 const ANSWERS_TOLD_IN: Duration = Duration::from_millis(600);
 
+/// Time after a crash in which all entries have told of their requests there.
+const SUSPECTS_TOLD_IN: Duration = Duration::from_millis(200);
+
 /// Minimum time that a backend server takes to begin an answer.
 const MIN_TIME_TO_BEGIN: Duration = Duration::from_millis(1);
 
@@ -186,7 +189,7 @@
 #[derive(Debug)]
 struct Proven {
     part: PartId,
-    crashes: usize,
+    case: Case,
     /// The part and the others that all suspects with it have.
     company: Vec<PartId>,
 }
@@ -196,6 +199,15 @@
     fn implies(&self, other: &Self) -> bool {
         self.company.contains(&other.part) && !other.company.contains(&self.part)
     }
+
+    /// Returns whether the crashes that set it apart from a part of other requests are so
+    /// recent that their entries may not have told of them.
+    fn is_contested(&self, cases: &HashMap<PartId, Case>) -> bool {
+        let is_rival = |(part, case): (&PartId, &Case)| {
+            !self.company.contains(part) && case.settled >= self.case.settled
+        };
+        self.case.settled < self.case.crashes && cases.iter().any(is_rival)
+    }
 }
 
 /// The suspects of one crash that have a part.
@@ -231,6 +243,8 @@
     /// Counted crashes, and those of them at which an answer on the part had only begun.
     crashes: usize,
     begun: usize,
+    /// Those of them of which all suspects are known.
+    settled: usize,
     /// Lowest number of events of the answers on the part at one of the crashes.
     events: u32,
     /// First and latest counted crash.
@@ -242,8 +256,8 @@
 }
 
 impl Case {
-    /// Counts a crash.
-    fn add(&mut self, crash: &PartCrash, blamed: &Blamed<'_>) {
+    /// Counts a crash, of which all suspects may be known.
+    fn add(&mut self, crash: &PartCrash, blamed: &Blamed<'_>, is_settled: bool) {
         let suspect = blamed.earliest;
         if self.crashes == 0 {
             self.first = suspect.fingerprint;
@@ -259,6 +273,7 @@
         if is_another {
             self.crashes += 1;
             self.begun += usize::from(blamed.has_begun);
+            self.settled += usize::from(is_settled);
             self.last_at = crash.at;
         }
     }
@@ -471,7 +486,7 @@
     /// Returns the parts that are suspected but not held to be fatal, those with the most
     /// crashes first.
     pub fn suspicions(&self, now: MonoTime) -> Vec<PartSuspicion> {
-        let cases = self.cases().into_iter();
+        let cases = self.cases(now).into_iter();
         let mut told: Vec<PartSuspicion> = cases
             .map(|(part, case)| PartSuspicion {
                 part,
@@ -499,11 +514,13 @@
     ///
     /// A part that occurs in all suspects with another one is as often a suspect as that
     /// one, and more often by coincidence. So the rarer of them decides, and the verdict is
-    /// about both. Between parts that don't occur together, more crashes decide.
+    /// about both. Between parts that don't occur together, more crashes decide, once all
+    /// entries have told of their requests there.
     fn find_fatal(&mut self, now: MonoTime) -> Option<(Vec<PartId>, usize)> {
         let is_apart = |p: &PartId| self.verdicts.iter().any(|v| v.parts.contains(p));
         let is_told = |case: &Case| now >= case.first_at + ANSWERS_TOLD_IN;
-        let mut cases = self.cases();
+        let all = self.cases(now);
+        let mut cases = all.clone();
         cases.retain(|part, case| case.is_proven(is_apart(part)));
         self.is_pending |= !cases.values().all(is_told);
         cases.retain(|_, case| is_told(case));
@@ -511,18 +528,24 @@
             .into_iter()
             .map(|(part, case)| Proven {
                 part,
-                crashes: case.crashes,
                 company: self.company(part),
+                case,
             })
             .collect();
         let is_implied = |p: &Proven| proven.iter().any(|other| other.implies(p));
         let rarest: Vec<&Proven> = proven.iter().filter(|p| !is_implied(p)).collect();
-        let most = rarest.iter().map(|p| p.crashes).max()?;
-        let mut likeliest = rarest.iter().filter(|p| p.crashes == most);
+        let most = rarest.iter().map(|p| p.case.crashes).max()?;
+        let mut likeliest = rarest.iter().filter(|p| p.case.crashes == most);
         let first = likeliest.next()?;
         // Another crash tells apart two parts that occur in different requests.
-        let is_clear = likeliest.all(|p| p.company == first.company);
-        is_clear.then(|| (first.company.clone(), most))
+        if !likeliest.all(|p| p.company == first.company) {
+            return None;
+        }
+        if first.is_contested(&all) {
+            self.is_pending = true;
+            return None;
+        }
+        Some((first.company.clone(), most))
     }
 
     /// Iterates over the crashes that no verdict explains.
@@ -537,9 +560,10 @@
     }
 
     /// Returns what the crashes that no verdict explains say against each part.
-    fn cases(&self) -> HashMap<PartId, Case> {
+    fn cases(&self, now: MonoTime) -> HashMap<PartId, Case> {
         let mut cases: HashMap<PartId, Case> = HashMap::new();
         for crash in self.unexplained() {
+            let is_settled = now >= crash.at + SUSPECTS_TOLD_IN;
             let mut suspected: HashMap<PartId, Blamed<'_>> = HashMap::new();
             for suspect in crash.culprits() {
                 for &part in &suspect.parts {
@@ -551,7 +575,8 @@
             }
             for (part, blamed) in suspected {
                 if self.is_open(&part, crash) {
-                    cases.entry(part).or_default().add(crash, &blamed);
+                    let case = cases.entry(part).or_default();
+                    case.add(crash, &blamed, is_settled);
                 }
             }
         }
--- a/sesamebeam_core/tests/gateway/fatal_parts.rs
+++ b/sesamebeam_core/tests/gateway/fatal_parts.rs
@@ -412,6 +412,25 @@
     assert_eq!(verdicts(&crashes), [[FATAL]]);
 }
 
+#[test]
+fn late_report() {
+    // Guards against blaming a sound part for a crash of which its entry tells before the entry
+    // of the fatal request does.
+    let mut crashes = CrashesByPart::default();
+    for n in 0..8 {
+        let now = ms(START + n * 300);
+        let sound = crash_under_way(100 + n, n, &[BESIDE], 6);
+        let fatal = crash_under_way(n, n, &[FATAL], 6);
+        record(&mut crashes, now, &[sound]);
+        record(&mut crashes, now + ms(80), &[fatal]);
+        assert!(!verdicts(&crashes).contains(&vec![BESIDE]), "{n} crashes");
+    }
+    let now = ms(START + 8 * 300);
+    record(&mut crashes, now, &[crash_under_way(8, 8, &[FATAL], 6)]);
+    crashes.judge_pending(now + ms(200));
+    assert_eq!(verdicts(&crashes), [[FATAL]]);
+}
+
 #[test]
 fn several_reports() {
     // Guards against counting a crash once for each entry that tells of it.
