--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -141,6 +141,8 @@
     };
     if let Some(took) = FirstRead::finish(&mut parts.extensions) {
         gateway.metrics.record_first_read(took);
+    } else if origin.is_caller() && !gateway.caller_load.take_further() {
+        return reject(&gateway, &head.id, Refusal::LinkFull);
     }
     plan.identify(send::fingerprint(&head, &body));
     // A guard in the condition of an `if let` lives until the end of its body, where
@@ -220,6 +222,12 @@
             response::quarantined()
         }
         Refusal::ShortOfCapacity => response::retry_later(StatusCode::SERVICE_UNAVAILABLE),
+        Refusal::LinkFull => {
+            let mut response = response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
+            // The next connection may go to an instance with room.
+            response::set_connection_close(response.headers_mut());
+            response
+        }
         Refusal::CannotComplete { after } => {
             gateway.metrics.record_engine_refusal();
             response::retry_after(StatusCode::SERVICE_UNAVAILABLE, after)
--- a/sesamebeam/src/listen/paced.rs
+++ b/sesamebeam/src/listen/paced.rs
@@ -101,6 +101,12 @@
         self.0.is_overloaded.load(Ordering::Relaxed) || self.link().is_full(self.now())
     }
 
+    /// Returns whether a further request on an open connection may be taken on: not if those
+    /// fill the link by themselves.
+    pub(crate) fn take_further(&self) -> bool {
+        self.link().take_further(self.now())
+    }
+
     /// Returns whether the time of a round trip to another instance should be measured now.
     pub(crate) fn take_probe(&self) -> bool {
         self.link().take_probe(self.now())
@@ -121,13 +127,14 @@
         let Some(window) = window else {
             return;
         };
-        let limit = link.accept_limit();
+        let (limit, further) = (link.accept_limit(), link.further_limit());
         drop(link);
         if (limit.is_some() || was_limited)
             && let Some(suppressed) = self.0.log_limits[1].allow()
         {
             log::info!(
                 delay_ms = window.delay.as_millis() as u64, limit_per_s:? = limit,
+                further_limit_per_s:? = further,
                 suppressed = suppressed;
                 "round trips are late"
             );
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -150,6 +150,9 @@
     /// admitted.
     #[error("service short of capacity")]
     ShortOfCapacity,
+    /// The link of the instance is full, and this request came on an open connection.
+    #[error("link full")]
+    LinkFull,
     /// No engine is expected to complete the request by its deadline.
     #[error("cannot be complete by its deadline")]
     CannotComplete {
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -7,7 +7,6 @@
 //! [`suspects`]; [`burn`] tracks the service-level objectives. The current time
 //! is passed in as [`MonoTime`](crate::ids::MonoTime).
 
-pub mod accept_rate;
 pub mod admission;
 pub mod backoff;
 pub mod balance;
@@ -16,6 +15,7 @@
 pub mod exposure;
 pub mod hash;
 pub mod link_load;
+pub mod link_rate;
 pub mod plan;
 pub mod quality;
 pub mod queue_delay;
--- a/sesamebeam_core/src/policy/round_trips.rs
+++ b/sesamebeam_core/src/policy/round_trips.rs
@@ -32,9 +32,9 @@
 /// or two may have met an instance that does not answer.
 const MIN_UNANSWERED: usize = 3;
 
-/// Connections after which the round trip is measured again, and the time for which it is not
+/// Requests after which the round trip is measured again, and the time for which it is not
 /// measured more often than needed.
-const ACCEPTED_PER_PROBE: u32 = 16;
+const TAKEN_PER_PROBE: u32 = 16;
 const PROBE_INTERVAL: Duration = Duration::from_millis(90);
 
 /// Most probes that are remembered until they are answered, and the longest delay that is told
@@ -47,7 +47,7 @@
 pub struct RoundTrips {
     max_delay: Duration,
     delay: QueueDelay,
-    /// Connections accepted since the round trip was measured last, and when.
+    /// Requests taken on since the round trip was measured last, and when.
     unprobed: u32,
     probed_at: MonoTime,
     /// When the probes began that are not answered, oldest first.
@@ -83,8 +83,8 @@
         self.max_delay
     }
 
-    /// Records that a connection was accepted.
-    pub fn record_accepted(&mut self) {
+    /// Records that a request was taken on, or the connection that it comes on.
+    pub fn record_taken(&mut self) {
         self.unprobed += 1;
     }
 
@@ -104,7 +104,7 @@
 
     /// Returns whether the round trip should be measured now.
     pub fn take_probe(&mut self, now: MonoTime, is_limited: bool) -> bool {
-        let is_due = self.unprobed >= ACCEPTED_PER_PROBE || self.is_late || is_limited;
+        let is_due = self.unprobed >= TAKEN_PER_PROBE || self.is_late || is_limited;
         if !is_due || now.saturating_sub(self.probed_at) < PROBE_INTERVAL {
             return false;
         }
@@ -137,9 +137,13 @@
     /// Returns whether the delay is already longer than allowed, although no round trip that
     /// tells so has ended.
     pub fn is_rising(&self, now: MonoTime) -> bool {
+        self.is_unanswered_for(now, self.max_delay)
+    }
+
+    /// Returns whether several round trips have had no answer for longer than a time.
+    pub fn is_unanswered_for(&self, now: MonoTime, time: Duration) -> bool {
         let unanswered_for = self.unanswered_for(now);
-        self.unanswered.len() >= MIN_UNANSWERED
-            && unanswered_for.is_some_and(|time| time > self.max_delay)
+        self.unanswered.len() >= MIN_UNANSWERED && unanswered_for.is_some_and(|t| t > time)
     }
 
     /// Returns whether a probe was answered of late.
--- a/sesamebeam_core/tests/policy/link_load.rs
+++ b/sesamebeam_core/tests/policy/link_load.rs
@@ -34,8 +34,9 @@
     outbound_until: MonoTime,
     /// Probes that are on their way: when they are answered, and when they began.
     probes: VecDeque<(MonoTime, MonoTime)>,
-    /// Requests that are being read: when they are whole, and when they were taken.
-    reading: VecDeque<(MonoTime, ReadId, MonoTime)>,
+    /// Requests that are being read: when they are whole, the first ones of their connections,
+    /// and when they were taken.
+    reading: VecDeque<(MonoTime, Option<ReadId>, MonoTime)>,
     /// Requests at backend servers: when they are answered, and when they were sent.
     answers: VecDeque<(MonoTime, MonoTime)>,
     /// Time that control replicas need for a probe.
@@ -45,6 +46,11 @@
     is_full: bool,
     accepted: u32,
     refused: u32,
+    /// Further requests on open connections: how many come a second, and how many were refused
+    /// and taken on.
+    further_per_s: f64,
+    further_refused: u32,
+    further_taken: u32,
     longest_read: Duration,
     longest_queue: Duration,
 }
@@ -66,6 +72,9 @@
             is_full: false,
             accepted: 0,
             refused: 0,
+            further_per_s: 0.0,
+            further_refused: 0,
+            further_taken: 0,
             longest_read: Duration::ZERO,
             longest_queue: Duration::ZERO,
         }
@@ -74,11 +83,12 @@
     /// Has connections come at a rate, whose callers send their requests late by a time.
     fn run(&mut self, time: Duration, rate: f64, late: impl Fn(u32) -> Duration) {
         let until = self.now + time;
-        let mut due = 0.0;
+        let (mut due, mut further_due) = (0.0, 0.0);
         let mut came = 0;
         while self.now < until {
             self.now += MS;
             due += rate / 1000.0;
+            further_due += self.further_per_s / 1000.0;
             self.read();
             self.answer();
             self.probe();
@@ -87,6 +97,10 @@
                 came += 1;
                 self.come(late(came));
             }
+            while further_due >= 1.0 {
+                further_due -= 1.0;
+                self.come_further();
+            }
             self.longest_queue = self.longest_queue.max(self.queue(self.outbound_until));
         }
     }
@@ -132,7 +146,16 @@
         let id = self.link.reads.begin(self.now);
         let whole_at = self.inbound_until + late;
         let place = self.reading.partition_point(|r| r.0 <= whole_at);
-        self.reading.insert(place, (whole_at, id, self.now));
+        self.reading.insert(place, (whole_at, Some(id), self.now));
+    }
+
+    /// Has a further request come on an open connection.
+    fn come_further(&mut self) {
+        let takes = Duration::from_secs_f64(1.0 / CAPACITY);
+        self.inbound_until = self.inbound_until.max(self.now) + takes;
+        let place = self.reading.partition_point(|r| r.0 <= self.inbound_until);
+        let read = (self.inbound_until, None, self.now);
+        self.reading.insert(place, read);
     }
 
     fn read(&mut self) {
@@ -141,8 +164,15 @@
         {
             self.reading.pop_front();
             let took = self.now - taken_at;
-            self.longest_read = self.longest_read.max(took);
-            self.link.reads.record_whole(self.now, id, took);
+            if let Some(id) = id {
+                self.longest_read = self.longest_read.max(took);
+                self.link.reads.record_whole(self.now, id, took);
+            } else if self.link.take_further(self.now) {
+                self.further_taken += 1;
+            } else {
+                self.further_refused += 1;
+                continue;
+            }
             let takes = Duration::from_secs_f64(self.outbound_share / CAPACITY);
             self.outbound_until = self.outbound_until.max(self.now) + takes;
             let back = self.queue(self.inbound_until);
@@ -201,6 +231,38 @@
     assert_eq!(instance.refused, 0);
 }
 
+// Requests on open connections filled the link by themselves, and all of them were late.
+#[parameterized(some_more = { 1.4 }, twice = { 2.0 })]
+fn further_requests(load: f64) {
+    let outbound_share = 3.0;
+    let mut instance = Instance::new(outbound_share);
+    instance.run(Duration::from_secs(3), 0.1 * CAPACITY, at_once);
+    instance.further_per_s = load * CAPACITY / outbound_share;
+    instance.run(Duration::from_secs(5), 0.1 * CAPACITY, at_once);
+    instance.longest_queue = Duration::ZERO;
+    let taken = instance.further_taken;
+    instance.run(Duration::from_secs(20), 0.1 * CAPACITY, at_once);
+    let used = f64::from(instance.further_taken - taken) * outbound_share / 20.0 / CAPACITY;
+    let longest = instance.longest_queue;
+    assert!(longest < MAX_WAIT, "{longest:?}");
+    assert!(used > 0.5, "{used}");
+}
+
+// Requests on open connections were refused for a link that new connections had filled.
+#[parameterized(
+    inbound_twice = { 2.0, 0.5 },
+    inbound_tenfold = { 10.0, 0.5 },
+    outbound_twice = { 2.0, 1.5 },
+    outbound_tenfold = { 10.0, 1.5 },
+)]
+fn open_connections_spared(load: f64, outbound_share: f64) {
+    let mut instance = Instance::new(outbound_share);
+    instance.further_per_s = 0.2 * CAPACITY;
+    instance.run(Duration::from_secs(20), load * CAPACITY, at_once);
+    assert_eq!(instance.further_refused, 0);
+    assert!(instance.further_taken > 0);
+}
+
 // Callers were turned away after a full link had become free.
 #[parameterized(inbound = { 0.5 }, outbound = { 1.5 })]
 fn after_overload(outbound_share: f64) {
