Name the allowance of heads as that of bodies; state the time to connect once

What may still be received had two names, and the longest allowed delay of round trips repeated half of the time to connect as a number. No change of behaviour.

--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -40,6 +40,7 @@
         RouterConfig, //
     },
     ids::MonoTime,
+    policy::round_trips::CONNECT_TIMEOUT, //
 };
 use smol_str::SmolStr;
 use tokio::sync::{
@@ -62,11 +63,6 @@
     },
 };
 
-/// Timeout for connecting to a backend server: many round trips within a region. An
-/// unreachable server doesn't answer at all, and a lost SYN packet is retransmitted only
-/// after a second, while booking requests have deadlines of 0.1 to 0.3 s.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// How long after the first configuration new requests are assumed to have waited for it.
 const STARTUP_WINDOW: Duration = Duration::from_millis(50);
 
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -41,8 +41,8 @@
 
 use super::{
     head_limit::{
+        HeadAllowance, //
         HeadLimited,
-        ReadBudget, //
     },
     received::LongAnswers,
 };
@@ -162,7 +162,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    budget: ReadBudget,
+    allowance: HeadAllowance,
 }
 
 /// Connection in use by a request, which can be returned to the pool once the
@@ -275,7 +275,7 @@
         if options.send_by.is_some_and(|by| Instant::now() >= by) {
             return Err((ClientError::Late(addr), None));
         }
-        conn.budget.expect_head();
+        conn.allowance.expect_head();
         let sent = conn.sender.try_send_request(req);
         match timeout(options.header_timeout, sent).await {
             Err(_) => Err((ClientError::Timeout(addr), None)),
@@ -290,7 +290,7 @@
                 )),
             },
             Ok(Ok(answer)) => {
-                conn.budget.head_complete();
+                conn.allowance.head_complete();
                 let guard = ConnectionGuard {
                     client: self.clone(),
                     addr,
@@ -318,9 +318,9 @@
             _ => return Err(ClientError::Connect(addr)),
         };
         set_socket_options(&stream).map_err(|_| ClientError::Connect(addr))?;
-        let budget = ReadBudget::default();
-        let stream = HeadLimited::new(stream, budget.clone());
-        budget.expect_head();
+        let allowance = HeadAllowance::default();
+        let stream = HeadLimited::new(stream, allowance.clone());
+        allowance.expect_head();
         let (sender, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ClientError::Connect(addr))?;
@@ -328,7 +328,7 @@
             // Errors are reported to the request that uses the connection.
             let _ = driver.await;
         });
-        Ok((Connection { sender, budget }, epoch))
+        Ok((Connection { sender, allowance }, epoch))
     }
 
     fn take(&self, addr: SocketAddr) -> Option<(Connection, u64)> {
--- a/sesamebeam/src/http/head_limit.rs
+++ b/sesamebeam/src/http/head_limit.rs
@@ -30,9 +30,9 @@
 
 /// Bytes that may still be read from a connection.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ReadBudget(Arc<AtomicUsize>);
+pub(super) struct HeadAllowance(Arc<AtomicUsize>);
 
-impl ReadBudget {
+impl HeadAllowance {
     /// Bounds what is read from here on, until the head of a response is complete.
     pub(super) fn expect_head(&self) {
         self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
@@ -44,18 +44,18 @@
     }
 }
 
-/// A connection from which no more is read than its budget allows.
+/// A connection from which no more is read than its allowance.
 ///
 /// The HTTP library bounds each head, but not how many informational ones come.
 #[derive(Debug)]
 pub(super) struct HeadLimited {
     stream: TcpStream,
-    budget: ReadBudget,
+    allowance: HeadAllowance,
 }
 
 impl HeadLimited {
-    pub(super) fn new(stream: TcpStream, budget: ReadBudget) -> Self {
-        Self { stream, budget }
+    pub(super) fn new(stream: TcpStream, allowance: HeadAllowance) -> Self {
+        Self { stream, allowance }
     }
 }
 
@@ -65,7 +65,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.budget.0.load(Ordering::Relaxed);
+        let left = self.allowance.0.load(Ordering::Relaxed);
         if left == 0 {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
@@ -74,7 +74,7 @@
         if left != usize::MAX {
             let bytes = buf.filled().len() - before;
             let left = left.saturating_sub(bytes);
-            self.budget.0.store(left, Ordering::Relaxed);
+            self.allowance.0.store(left, Ordering::Relaxed);
         }
         read
     }
--- a/sesamebeam_core/src/policy/round_trips.rs
+++ b/sesamebeam_core/src/policy/round_trips.rs
@@ -24,9 +24,13 @@
 /// Share of the longest wait of callers that a round trip may take longer than without load.
 const DELAY_SHARE: u32 = 4;
 
-/// Longest that it may in any case: half of the time in which connections to backend servers are
-/// established, which pass the link too.
-const MAX_ALLOWED: Duration = Duration::from_millis(125);
+/// Timeout for connecting to a backend server: many round trips within a region. An
+/// unreachable server doesn't answer at all, and a lost SYN packet is retransmitted only
+/// after a second, while booking requests have deadlines of 0.1 to 0.3 s.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Share of that time that it may take longer in any case: connections pass the link too.
+const CONNECT_SHARE: u32 = 2;
 
 /// Probes that must be unanswered for the delay to count as too long before it is measured: one
 /// or two may have met an instance that does not answer.
@@ -162,5 +166,5 @@
 }
 
 fn allowed_delay(max_wait: Duration) -> Duration {
-    (max_wait / DELAY_SHARE).min(MAX_ALLOWED)
+    (max_wait / DELAY_SHARE).min(CONNECT_TIMEOUT / CONNECT_SHARE)
 }
