--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -105,6 +105,35 @@
     Dropped,
 }
 
+/// Why a request is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RetryReason {
+    /// The backend server rejected the request without running it.
+    Refused,
+    /// It answered with a failure.
+    Failed,
+    /// The connection failed, or the answer was broken or another request's.
+    BrokenOff,
+    /// It did not answer in time.
+    Silent,
+    /// A larger model is asked.
+    LargerModel,
+    /// The request moves to another engine.
+    Moved,
+    /// The stream goes on after its last complete event.
+    Resumed,
+    /// It is forwarded to another entry after sends from this one.
+    Forwarded,
+    /// An entry that it was forwarded to did not answer.
+    LostAtPeer,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabels {
+    reason: RetryReason,
+    allowed: bool,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
     end: RequestEnd,
@@ -184,6 +213,8 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     sends: Family<SendLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
+    given_up: Histogram,
     moves: Counter,
     forwardings: Family<ForwardingLabels, Counter>,
     accepted: Family<AcceptedLabels, Counter>,
@@ -226,6 +257,8 @@
             registry: Registry::with_prefix("sesamebeam"),
             requests: Family::default(),
             sends: Family::default(),
+            retries: Family::default(),
+            given_up: histogram(),
             moves: Counter::default(),
             forwardings: Family::default(),
             accepted: Family::default(),
@@ -291,6 +324,17 @@
         self.sends.get_or_create(&SendLabels { end }).inc();
     }
 
+    /// Records whether the budget allowed another send of a request.
+    pub fn record_retry(&self, reason: RetryReason, allowed: bool) {
+        let labels = RetryLabels { reason, allowed };
+        self.retries.get_or_create(&labels).inc();
+    }
+
+    /// Records how long a send had no answer when it was given up.
+    pub fn record_given_up(&self, unanswered: Duration) {
+        self.given_up.observe(unanswered.as_secs_f64());
+    }
+
     /// Records a delayed request that is moved to another engine.
     pub fn record_move(&self) {
         self.moves.inc();
@@ -427,6 +471,16 @@
             self.requests.clone(),
         );
         registry.register("sends", "Sends by how they ended", self.sends.clone());
+        registry.register(
+            "retries",
+            "Sends of a request beyond its first by their reason, and whether the budget allowed them",
+            self.retries.clone(),
+        );
+        registry.register(
+            "given_up_seconds",
+            "Time that a send had no answer when it was given up",
+            self.given_up.clone(),
+        );
         registry.register(
             "moves",
             "Delayed requests moved to another engine",
--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -14,6 +14,7 @@
 mod probes;
 mod protocol;
 mod response;
+mod retries;
 mod send;
 mod slot_queue;
 mod stream;
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -55,7 +55,10 @@
     stream::Relay,
 };
 use crate::{
-    exposition::RequestEnd,
+    exposition::{
+        RequestEnd,
+        RetryReason, //
+    },
     http::{
         client::{
             ClientError,
@@ -111,8 +114,9 @@
 enum NextStep {
     /// Return this response to the caller.
     Respond(Box<CallerResponse>),
-    /// Try another backend server; if none is available, return this response.
-    TryNextServer(Option<Box<CallerResponse>>),
+    /// Try another backend server for this reason; if none is available, return this
+    /// response.
+    TryNextServer(Option<Box<CallerResponse>>, RetryReason),
     /// Ask a larger model; the retry budget was already charged.
     EscalateModel,
     /// Send the request to this engine; the retry budget was already charged.
@@ -170,6 +174,7 @@
     pub(super) async fn run(mut self) -> CallerResponse {
         let mut fallback = None;
         let mut is_prepaid = true;
+        let mut reason = RetryReason::Refused;
         let mut moved_to = None;
         let mut is_forwardable = true;
         loop {
@@ -180,7 +185,7 @@
                     ControlFlow::Continue(dispatch) => dispatch,
                 };
             }
-            if !self.has_attempts_left() || !is_prepaid && !self.try_spend_retry() {
+            if !self.has_attempts_left() || !is_prepaid && !self.try_spend_retry(reason) {
                 break;
             }
             let mut chosen = match moved_to.take() {
@@ -219,12 +224,17 @@
             match next_step {
                 NextStep::Respond(response) => return *response,
                 NextStep::Stream(pending) => return Relay::response(self, *pending),
-                NextStep::TryNextServer(response) => {
+                NextStep::TryNextServer(response, why) => {
+                    reason = why;
                     fallback = response.or(fallback);
                     is_prepaid = self.sends == 0;
                 }
-                NextStep::EscalateModel => is_prepaid = true,
+                NextStep::EscalateModel => {
+                    is_prepaid = true;
+                    self.record_charged_retry(RetryReason::LargerModel);
+                }
                 NextStep::Move(next) => {
+                    self.record_charged_retry(RetryReason::Moved);
                     is_prepaid = true;
                     moved_to = Some(*next);
                 }
@@ -385,13 +395,6 @@
             && router.has_alternative(self.gateway.now(), &self.plan, &self.tried, &current.id)
     }
 
-    /// Charges another send to the retry budget; returns `false` if the budget is
-    /// exhausted.
-    pub(super) fn try_spend_retry(&self) -> bool {
-        let now = self.gateway.now();
-        self.gateway.router().try_retry(now, &self.plan)
-    }
-
     /// Returns a connection to the pool, for as long as its backend server keeps it open.
     pub(super) fn return_connection(&self, lease: ConnectionGuard, head: &ResponseHead) {
         if !head.closing {
@@ -416,7 +419,7 @@
         let outcome = match sent {
             SendResult::Unsent(e) => {
                 self.record_unsent(&mut choice, &e);
-                return NextStep::TryNextServer(None);
+                return NextStep::TryNextServer(None, RetryReason::Refused);
             }
             SendResult::Answered(response, head, lease) => {
                 self.sends += 1;
@@ -452,7 +455,12 @@
         };
         self.sends += 1;
         choice.record_outcome(outcome);
-        self.handle_possible_run(&choice)
+        let reason = match outcome {
+            Outcome::Failed => RetryReason::BrokenOff,
+            _ => RetryReason::Silent,
+        };
+        self.gateway.metrics.record_given_up(choice.elapsed());
+        self.handle_possible_run(&choice, reason)
     }
 
     /// Records that nothing could be sent to a backend server.
@@ -468,11 +476,11 @@
     }
 
     /// Decides how to continue after a failed send whose request may have run.
-    fn handle_possible_run(&mut self, choice: &Choice) -> NextStep {
+    fn handle_possible_run(&mut self, choice: &Choice, reason: RetryReason) -> NextStep {
         self.may_have_run = true;
         self.tried.push(choice.id.clone());
         if self.is_repeatable() {
-            return NextStep::TryNextServer(None);
+            return NextStep::TryNextServer(None, reason);
         }
         NextStep::Respond(Box::new(self.reject_or_fail(None)))
     }
@@ -486,7 +494,7 @@
         if success && !head.sealed {
             let mut choice = pending.choice;
             choice.record_outcome(Outcome::Failed);
-            return self.handle_possible_run(&choice);
+            return self.handle_possible_run(&choice, RetryReason::BrokenOff);
         }
         if success && self.plan.route.streaming {
             return self.handle_stream(pending);
@@ -517,7 +525,7 @@
         self.return_connection(lease, &head);
         self.tried.push(choice.id.clone());
         choice.record_outcome(Outcome::Refused);
-        NextStep::TryNextServer(None)
+        NextStep::TryNextServer(None, RetryReason::Refused)
     }
 
     /// Accepts a stream, or drops it and escalates to a larger model.
@@ -594,7 +602,7 @@
                     self.check_for_crash(&choice, AnswerStage::Begun);
                 }
                 choice.record_outcome(outcome);
-                return self.handle_possible_run(&choice);
+                return self.handle_possible_run(&choice, RetryReason::BrokenOff);
             }
         };
         let elapsed = choice.elapsed();
@@ -630,7 +638,7 @@
         if failed && self.is_repeatable() {
             self.may_have_run = true;
             self.tried.push(choice.id.clone());
-            return NextStep::TryNextServer(Some(response));
+            return NextStep::TryNextServer(Some(response), RetryReason::Failed);
         }
         NextStep::Respond(response)
     }
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -52,7 +52,8 @@
 use crate::{
     exposition::{
         ForwardingEnd,
-        RequestEnd, //
+        RequestEnd,
+        RetryReason, //
     },
     http::{
         client::{
@@ -143,7 +144,7 @@
         if !self.needs_peer() {
             return ControlFlow::Continue(self);
         }
-        if self.sends > 0 && !is_charged && !self.try_spend_retry() {
+        if self.sends > 0 && !is_charged && !self.try_spend_retry(RetryReason::Forwarded) {
             return ControlFlow::Continue(self);
         }
         match self.offer_to_peers(self.req.head.resume_after).await {
@@ -227,7 +228,7 @@
             self.record_forwarding(&offer, ForwardingEnd::Lost, &why);
             self.may_have_run = true;
             self.sends += 1;
-            if !self.may_forward() || !self.try_spend_retry() {
+            if !self.may_forward() || !self.try_spend_retry(RetryReason::LostAtPeer) {
                 return Forwarded::Lost;
             }
         }
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -56,7 +56,10 @@
     send::SendResult,
 };
 use crate::{
-    exposition::RequestEnd,
+    exposition::{
+        RequestEnd,
+        RetryReason, //
+    },
     http::client::ConnectionGuard, //
 };
 
@@ -337,7 +340,7 @@
         }
         let mut is_charged = false;
         while self.dispatch.has_attempts_left() {
-            if !is_charged && !self.dispatch.try_spend_retry() {
+            if !is_charged && !self.dispatch.try_spend_retry(RetryReason::Resumed) {
                 return false;
             }
             is_charged = true;
--- a/sesamebeam/tests/exposition.rs
+++ b/sesamebeam/tests/exposition.rs
@@ -7,6 +7,7 @@
     GaugeKind,
     MessageDirection,
     RequestEnd,
+    RetryReason,
     SendEnd, //
 };
 use sesamebeam_core::gateway::engines::escalation::Step;
@@ -18,6 +19,8 @@
     exposition.record_request(RequestEnd::Answered, Duration::from_millis(3));
     exposition.record_request(RequestEnd::Refused, Duration::ZERO);
     exposition.record_send(SendEnd::Good);
+    exposition.record_retry(RetryReason::Silent, false);
+    exposition.record_given_up(Duration::from_millis(400));
     exposition.record_first_byte(Duration::from_millis(2));
     exposition.record_forecast_error(Duration::from_millis(15));
     exposition.record_message(MessageDirection::ToEntries, "loads", 30, 59);
@@ -31,6 +34,8 @@
         "sesamebeam_requests_total{end=\"Refused\"} 1",
         "sesamebeam_sends_total{end=\"Good\"} 1",
         "sesamebeam_request_seconds_bucket{le=\"0.004\"} 2",
+        "sesamebeam_retries_total{reason=\"Silent\",allowed=\"false\"} 1",
+        "sesamebeam_given_up_seconds_bucket{le=\"0.512\"} 1",
         "sesamebeam_first_byte_seconds_count 1",
         "sesamebeam_messages_total{way=\"ToEntries\",kind=\"loads\"} 59",
         "sesamebeam_message_bytes_total{way=\"ToEntries\",kind=\"loads\"} 1770",
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -39,6 +39,17 @@
     pub window: Duration,
 }
 
+/// State of the budget of a service at one entry, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryUsage {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub retries: u32,
+    /// Retries that the window allows.
+    pub allowed: f64,
+}
+
 /// Requests and retries in one bucket of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -89,6 +100,16 @@
 
     /// Spends one retry if the budget allows it.
     pub fn try_retry(&mut self, now: MonoTime, service: &ServiceId) -> bool {
+        let usage = self.usage(now, service);
+        if f64::from(usage.retries) + 1.0 > usage.allowed {
+            return false;
+        }
+        self.current_bucket(now, service).retries += 1;
+        true
+    }
+
+    /// Returns the state of the budget of a service.
+    pub fn usage(&mut self, now: MonoTime, service: &ServiceId) -> RetryUsage {
         self.current_bucket(now, service);
         let (requests, retries) = self.totals(service);
         let slack = match self.entries.max() {
@@ -96,11 +117,11 @@
             n => self.cfg.slack / f64::from(n),
         };
         let allowed = (self.cfg.ratio * f64::from(requests) + slack) * SPENDABLE_SHARE;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
+        RetryUsage {
+            requests,
+            retries,
+            allowed,
         }
-        self.current_bucket(now, service).retries += 1;
-        true
     }
 
     fn totals(&self, service: &ServiceId) -> (u32, u32) {
--- a/sesamebeam_core/src/gateway/router/capacity.rs
+++ b/sesamebeam_core/src/gateway/router/capacity.rs
@@ -11,7 +11,8 @@
         backoff::Backoff,
         connections,
         directory::ServerId,
-        request::ResponseHead, //
+        request::ResponseHead,
+        retry_budget::RetryUsage, //
     },
     ids::MonoTime,
 };
@@ -29,6 +30,16 @@
         self.budget.try_retry(now, &plan.service)
     }
 
+    /// Returns the highest known number of entries.
+    pub fn entry_count(&self) -> u32 {
+        self.budget.entries()
+    }
+
+    /// Returns the state of the retry budget of a plan's service.
+    pub fn retry_usage(&mut self, now: MonoTime, plan: &Plan) -> RetryUsage {
+        self.budget.usage(now, &plan.service)
+    }
+
     /// Records the rate limit stated in an answer, or its absence, and returns whether
     /// the limit changed.
     ///
