Count retries until no backend server can read them any more (BUDGET)

What callers saw: nothing; a service got more repeats than are allowed. Real entries before six backend servers that stop reading for a while and go on: 1,432 repeats in 10 s with 1.3 s of silence, 1,582 with 3.5 s, 1,510 with three silences, where 1,408 are allowed.

Cause: a retry was charged when it was sent and forgotten a window later, but it counts where it is read. A process that stands still reads it when it goes on; closing its connection takes back nothing of what lies in its queue. What was spent in a silence was spent anew before a window after its arrival. The margin of 0.85 covers 1.3 s of steady spending and nothing of a burst.

Evidence: the worst window begins as the silence ends and the excess grows with its length; without a silence the same play stays at 0.86. The line `retry` shows 127 repeats for `Silent` and `Forwarded` in 1.3 s and the rate of before again ten seconds after they were sent. Ruled out as this cause: requests that cost nothing (a send only counts as unsent while its bytes have not been handed to the connection).

Change: a retry is outstanding from its charge until its send can't be read any more, and counts in every window until then, and a window from then on. A send can't be read any more once its answer has begun, nothing was sent, or both ends of its connection are closed. A connection that is given up is still closed for writing at once, as before, which ends the run there; its descriptor is kept until the other end closes too, 256 of them at most. Which send of a request is its repeat shows only as they are read, so the first one of a request that settles is free, and each later one settles a retry. A charge that no send follows is given back; before, a connection that was refused cost one. Buckets no longer let a charge go early: half a second of spending stood in two windows.

Why it holds: all that arrives in a window was settled in it or later, so that the last of them to be allowed was allowed with all others counted, whatever lay between send and arrival.

The tests failed before: repeats::read_late in three of four cases; late_retries::* with retries settled as they are sent: 1.08, 1.50 and 2.02 of the bound. Now 1,291, 1,316 and 1,330 of 1,408, and 1,126 of 1,408 without a silence (0.80; 0.86 before, as a charge now lives its whole window).

--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -48,9 +48,11 @@
         self,
         CallerResponse, //
     },
+    retries::Retries,
     send::{
         BufferedRequest,
-        SendResult, //
+        SendResult,
+        SendTerms, //
     },
     stream::Relay,
 };
@@ -94,6 +96,8 @@
     pub(super) tried: Vec<ServerId>,
     /// Number of sends that reached a backend server.
     pub(super) sends: u32,
+    /// Retries among them that were made from here.
+    pub(super) retries: Retries,
     /// Who sent the request to this entry.
     pub(super) origin: Origin,
     /// Number of sends for which no connection was made.
@@ -153,9 +157,11 @@
         plan: Plan,
         origin: Origin,
     ) -> Self {
+        let plan = Arc::new(plan);
         Self {
             model: plan.model.clone(),
-            plan: Arc::new(plan),
+            retries: Retries::new(Arc::clone(&gateway), Arc::clone(&plan)),
+            plan,
             req,
             gateway,
             tried: Vec::new(),
@@ -173,19 +179,18 @@
     /// Sends the request until a backend server responds or no further send is possible.
     pub(super) async fn run(mut self) -> CallerResponse {
         let mut fallback = None;
-        let mut is_prepaid = true;
         let mut reason = RetryReason::Refused;
         let mut moved_to = None;
         let mut is_forwardable = true;
         loop {
             if is_forwardable && fallback.is_none() && self.prefers_peer() {
                 is_forwardable = false;
-                self = match self.forward(false).await {
+                self = match self.forward().await {
                     ControlFlow::Break(response) => return response,
                     ControlFlow::Continue(dispatch) => dispatch,
                 };
             }
-            if !self.has_attempts_left() || !is_prepaid && !self.try_spend_retry(reason) {
+            if !self.has_attempts_left() || !self.try_spend_retry(reason) {
                 break;
             }
             let mut chosen = match moved_to.take() {
@@ -200,7 +205,7 @@
                 chosen = self.wait_for_slot(Elsewhere::Peer).await;
                 if matches!(chosen, Err(ChooseError::NoFreeSlot)) {
                     is_forwardable = false;
-                    self = match self.forward(true).await {
+                    self = match self.forward().await {
                         ControlFlow::Break(response) => return response,
                         ControlFlow::Continue(dispatch) => dispatch,
                     };
@@ -227,21 +232,16 @@
                 NextStep::TryNextServer(response, why) => {
                     reason = why;
                     fallback = response.or(fallback);
-                    is_prepaid = self.sends == 0;
-                }
-                NextStep::EscalateModel => {
-                    is_prepaid = true;
-                    self.record_charged_retry(RetryReason::LargerModel);
                 }
+                NextStep::EscalateModel => self.record_charged_retry(RetryReason::LargerModel),
                 NextStep::Move(next) => {
                     self.record_charged_retry(RetryReason::Moved);
-                    is_prepaid = true;
                     moved_to = Some(*next);
                 }
             }
         }
         if is_forwardable && fallback.is_none() {
-            self = match self.forward(false).await {
+            self = match self.forward().await {
                 ControlFlow::Break(response) => return response,
                 ControlFlow::Continue(dispatch) => dispatch,
             };
@@ -256,10 +256,13 @@
         let sending = self.gateway.send(
             &self.req,
             &self.plan,
+            &self.retries,
             choice,
-            self.model.as_deref(),
-            self.req.head.resume_after,
-            detect_silence,
+            SendTerms {
+                model: self.model.as_deref(),
+                resume_after: self.req.head.resume_after,
+                detect_silence,
+            },
         );
         if !self.may_move_wait(choice) {
             return Sending::Ended(sending.await);
@@ -426,7 +429,7 @@
                 let pending = PendingResponse {
                     choice,
                     response: *response,
-                    head,
+                    head: *head,
                     lease,
                 };
                 return self.handle_response_head(pending).await;
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -63,6 +63,7 @@
             SendOptions, //
         },
         received::read_whole,
+        unread::UnreadGuard,
     },
 };
 
@@ -139,12 +140,12 @@
     }
 
     /// Has another entry serve the request, if this one has no backend server for it. Goes on
-    /// if none does. `is_charged` tells whether the retry budget was already charged.
-    pub(super) async fn forward(mut self, is_charged: bool) -> ControlFlow<CallerResponse, Self> {
+    /// if none does.
+    pub(super) async fn forward(mut self) -> ControlFlow<CallerResponse, Self> {
         if !self.needs_peer() {
             return ControlFlow::Continue(self);
         }
-        if self.sends > 0 && !is_charged && !self.try_spend_retry(RetryReason::Forwarded) {
+        if !self.try_spend_retry(RetryReason::Forwarded) {
             return ControlFlow::Continue(self);
         }
         match self.offer_to_peers(self.req.head.resume_after).await {
@@ -181,9 +182,12 @@
                 addr: offer.addr,
             };
             tried.push(offer.addr);
-            let sent = self.send_to_peer(&offer, resume_after).await;
+            let unsettled = self.retries.begin_send();
+            let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
+            let sent = self.send_to_peer(&offer, resume_after, guard).await;
             let why = match sent {
                 Ok((response, lease)) if response.headers().contains_key(DECLINED) => {
+                    unsettled.withdraw();
                     let is_busy = response.headers().get(DECLINED) == Some(&BUSY);
                     lease.release();
                     let why = if is_busy {
@@ -217,6 +221,7 @@
                     "answer to another request, or a success without a mark".to_owned()
                 }
                 Err(e) if e.is_unsent() => {
+                    unsettled.withdraw();
                     self.record_forwarding(&offer, ForwardingEnd::Unreachable, &e.to_string());
                     self.gateway
                         .router()
@@ -239,6 +244,7 @@
         &self,
         offer: &ForwardingOffer,
         resume_after: Option<u64>,
+        guard: UnreadGuard,
     ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
         let remaining = self.req.deadline.saturating_duration_since(Instant::now());
         let mut headers = self.req.parts.headers.clone();
@@ -256,7 +262,10 @@
             header_timeout: remaining,
             send_by: None,
         };
-        self.gateway.client.send(offer.addr, request, options).await
+        self.gateway
+            .client
+            .send_guarded(offer.addr, request, options, Some(guard))
+            .await
     }
 
     /// Passes the answer of another entry on to the caller.
--- a/sesamebeam/src/gateway/moving.rs
+++ b/sesamebeam/src/gateway/moving.rs
@@ -62,7 +62,10 @@
             self.gateway
                 .router()
                 .judge_waiting(now, &send, choice.elapsed(), &self.progress)?;
-        let next = self.choose_elsewhere(&send.excluded())?;
+        let Some(next) = self.choose_elsewhere(&send.excluded()) else {
+            self.gateway.router().refund_retry(&self.plan);
+            return None;
+        };
         self.record_move(choice, decision);
         Some(next)
     }
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::pin,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -40,13 +41,17 @@
 
 use super::{
     Gateway,
-    hop_by_hop::strip_hop_by_hop, //
+    hop_by_hop::strip_hop_by_hop,
+    retries::Retries, //
 };
-use crate::http::client::{
-    ClientError,
-    ConnectionGuard,
-    Reuse,
-    SendOptions, //
+use crate::http::{
+    client::{
+        ClientError,
+        ConnectionGuard,
+        Reuse,
+        SendOptions, //
+    },
+    unread::UnreadGuard,
 };
 
 /// Factor for the delay of the link, which may rise while a send is under way.
@@ -94,10 +99,21 @@
     hash.digest128()
 }
 
+/// What differs between the sends of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendTerms<'a> {
+    /// Model that is asked.
+    pub(super) model: Option<&'a str>,
+    /// Last event that the caller has.
+    pub(super) resume_after: Option<u64>,
+    /// Whether the send is abandoned when the backend server stops responding.
+    pub(super) detect_silence: bool,
+}
+
 /// Result of a send.
 pub(super) enum SendResult {
     /// The head of a response was received.
-    Answered(Box<Response<Incoming>>, ResponseHead, ConnectionGuard),
+    Answered(Box<Response<Incoming>>, Box<ResponseHead>, ConnectionGuard),
     /// Nothing was sent.
     Unsent(ClientError),
     /// The connection failed, or the response belongs to another request; the request may
@@ -112,16 +128,13 @@
 impl Gateway {
     /// Sends a request and waits for the head of its response.
     ///
-    /// With `detect_silence`, the send is abandoned when the backend server stops
-    /// responding.
     pub(super) async fn send(
         &self,
         req: &BufferedRequest,
         plan: &Plan,
+        retries: &Retries,
         choice: &Choice,
-        model: Option<&str>,
-        resume_after: Option<u64>,
-        detect_silence: bool,
+        terms: SendTerms<'_>,
     ) -> SendResult {
         let remaining = req.deadline.saturating_duration_since(Instant::now());
         let out = Outgoing {
@@ -129,19 +142,25 @@
             deadline: remaining,
             organisation: plan.organisation.as_deref(),
             rank: plan.engine_rank,
-            model,
-            resume_after,
+            model: terms.model,
+            resume_after: terms.resume_after,
         };
         let Some(request) = self.build_request(req, &out) else {
             return SendResult::ConnectionFailed("request has no path".to_owned());
         };
-        let terms = SendOptions {
+        let detect_silence = terms.detect_silence;
+        let options = SendOptions {
             reuse: Reuse::Any,
             header_timeout: remaining,
             send_by: None,
         };
         let sent_at = self.now();
-        let mut sending = pin!(self.client.send(choice.addr, request, terms));
+        let unsettled = retries.begin_send();
+        let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
+        let sending = self
+            .client
+            .send_guarded(choice.addr, request, options, Some(guard));
+        let mut sending = pin!(sending);
         let sent = if plan.route.streaming {
             tokio::select! {
                 sent = sending => sent,
@@ -165,7 +184,10 @@
                 self.handle_response_head(req, choice, sent_at, response, lease)
             }
             Err(ClientError::Timeout(_)) => SendResult::TimedOut,
-            Err(e) if e.is_unsent() => SendResult::Unsent(e),
+            Err(e) if e.is_unsent() => {
+                unsettled.withdraw();
+                SendResult::Unsent(e)
+            }
             Err(e) => SendResult::ConnectionFailed(e.to_string()),
         }
     }
@@ -196,7 +218,7 @@
         self.caller_load.record_answered(took);
         self.metrics.record_first_byte(took);
         let response = Response::from_parts(parts, body);
-        SendResult::Answered(Box::new(response), head, lease)
+        SendResult::Answered(Box::new(response), Box::new(head), lease)
     }
 
     /// Records the rate limit in a response, or its absence.
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -53,7 +53,10 @@
         BodyError,
         CallerResponse, //
     },
-    send::SendResult,
+    send::{
+        SendResult,
+        SendTerms, //
+    },
 };
 use crate::{
     exposition::{
@@ -338,12 +341,10 @@
         if !self.dispatch.plan.route.resumable {
             return false;
         }
-        let mut is_charged = false;
         while self.dispatch.has_attempts_left() {
-            if !is_charged && !self.dispatch.try_spend_retry(RetryReason::Resumed) {
+            if !self.dispatch.try_spend_retry(RetryReason::Resumed) {
                 return false;
             }
-            is_charged = true;
             if self.dispatch.prefers_peer() {
                 break;
             }
@@ -356,11 +357,10 @@
             };
             match self.resume_at(choice).await {
                 Resumption::Resumed => return true,
-                Resumption::Unsent => {}
-                Resumption::Failed => is_charged = false,
+                Resumption::Unsent | Resumption::Failed => {}
             }
         }
-        is_charged && self.dispatch.needs_peer() && self.resume_at_peer().await
+        self.dispatch.retries.is_paid() && self.dispatch.needs_peer() && self.resume_at_peer().await
     }
 
     /// Resumes the stream through another entry; the retry budget was already charged.
@@ -397,10 +397,13 @@
             .send(
                 &dispatch.req,
                 &dispatch.plan,
+                &dispatch.retries,
                 &choice,
-                model.as_deref(),
-                last_event,
-                detect_silence,
+                SendTerms {
+                    model: model.as_deref(),
+                    resume_after: last_event,
+                    detect_silence,
+                },
             )
             .await;
         let outcome = match sent {
@@ -416,7 +419,7 @@
                 self.source = Some(Source {
                     upstream: Upstream::Server(choice),
                     body: response.into_body(),
-                    head,
+                    head: *head,
                     lease: Some(lease),
                 });
                 return Resumption::Resumed;
--- a/sesamebeam/src/http.rs
+++ b/sesamebeam/src/http.rs
@@ -5,6 +5,7 @@
 pub mod problem;
 pub(crate) mod received;
 pub mod sse;
+pub(crate) mod unread;
 
 use std::time::Duration;
 
--- a/sesamebeam/src/http/client.rs
+++ b/sesamebeam/src/http/client.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    future::poll_fn,
     io::{
         self,
         ErrorKind, //
@@ -45,6 +46,11 @@
         HeadLimited,
     },
     received::LongAnswers,
+    unread::{
+        KeptConnections,
+        UnreadGuard,
+        UnreadSlot, //
+    },
 };
 
 /// Default maximum number of idle connections for each address.
@@ -138,6 +144,7 @@
     /// Times in which connections were established, if they are observed.
     connect_times: Option<Histogram>,
     long_answers: LongAnswers,
+    kept: KeptConnections,
 }
 
 #[derive(Debug, Default)]
@@ -163,8 +170,12 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     allowance: HeadAllowance,
+    unread: UnreadSlot,
 }
 
+/// A request of which nothing was sent, with its guard.
+type UnsentRequest = (Request<Full<Bytes>>, Option<UnreadGuard>);
+
 /// Connection in use by a request, which can be returned to the pool once the
 /// response has been read completely.
 #[derive(Debug)]
@@ -207,6 +218,7 @@
             max_idle: MAX_IDLE,
             connect_times: None,
             long_answers: LongAnswers::default(),
+            kept: KeptConnections::default(),
         }
     }
 
@@ -235,20 +247,37 @@
         req: Request<Full<Bytes>>,
         options: SendOptions,
     ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
-        let mut req = req;
+        self.send_guarded(addr, req, options, None).await
+    }
+
+    /// Does the same, and drops the guard once the server can't read the request any more: it
+    /// answers, nothing was sent, or both ends of the connection are closed. That may be long
+    /// after this returns or is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Client::send`].
+    pub(crate) async fn send_guarded(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        options: SendOptions,
+        guard: Option<UnreadGuard>,
+    ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
+        let (mut req, mut guard) = (req, guard);
         if options.reuse == Reuse::Any {
             while let Some((conn, epoch)) = self.take(addr) {
-                match self.send_on(addr, conn, epoch, req, options).await {
+                match self.send_on(addr, conn, epoch, req, options, guard).await {
                     Ok(answer) => return Ok(answer),
                     // The server closed the idle connection as it was taken from
                     // the pool. Nothing was sent, so a retry is safe.
-                    Err((ClientError::Unsent(_), Some(back))) => req = back,
+                    Err((ClientError::Unsent(_), Some(back))) => (req, guard) = back,
                     Err((e, _)) => return Err(e),
                 }
             }
         }
         let (conn, epoch) = self.connect(addr).await?;
-        self.send_on(addr, conn, epoch, req, options)
+        self.send_on(addr, conn, epoch, req, options, guard)
             .await
             .map_err(|(e, _)| e)
     }
@@ -268,19 +297,24 @@
         epoch: u64,
         req: Request<Full<Bytes>>,
         options: SendOptions,
-    ) -> Result<(Response<Incoming>, ConnectionGuard), (ClientError, Option<Request<Full<Bytes>>>)>
-    {
+        guard: Option<UnreadGuard>,
+    ) -> Result<(Response<Incoming>, ConnectionGuard), (ClientError, Option<UnsentRequest>)> {
         // The clock is read after the last wait. A process that was frozen while
         // it connected must not run a request whose claim others have taken over.
         if options.send_by.is_some_and(|by| Instant::now() >= by) {
             return Err((ClientError::Late(addr), None));
         }
         conn.allowance.expect_head();
+        conn.unread
+            .set(guard, Instant::now() + options.header_timeout);
         let sent = conn.sender.try_send_request(req);
         match timeout(options.header_timeout, sent).await {
             Err(_) => Err((ClientError::Timeout(addr), None)),
             Ok(Err(mut e)) => match e.take_message() {
-                Some(back) => Err((ClientError::Unsent(addr), Some(back))),
+                Some(back) => {
+                    let back = (back, conn.unread.take());
+                    Err((ClientError::Unsent(addr), Some(back)))
+                }
                 None => Err((
                     ClientError::Broken {
                         addr,
@@ -291,6 +325,7 @@
             },
             Ok(Ok(answer)) => {
                 conn.allowance.head_complete();
+                drop(conn.unread.take());
                 let guard = ConnectionGuard {
                     client: self.clone(),
                     addr,
@@ -321,14 +356,23 @@
         let allowance = HeadAllowance::default();
         let stream = HeadLimited::new(stream, allowance.clone());
         allowance.expect_head();
-        let (sender, driver) = handshake(TokioIo::new(stream))
+        let (sender, mut driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ClientError::Connect(addr))?;
+        let unread = UnreadSlot::default();
+        let (kept, slot) = (self.kept.clone(), unread.clone());
         tokio::spawn(async move {
-            // Errors are reported to the request that uses the connection.
-            let _ = driver.await;
+            // Errors are reported to the request that uses the connection as well.
+            let ended = poll_fn(|cx| driver.poll_without_shutdown(cx)).await;
+            let stream = driver.into_parts().io.into_inner();
+            kept.close(stream, ended, &slot).await;
         });
-        Ok((Connection { sender, allowance }, epoch))
+        let conn = Connection {
+            sender,
+            allowance,
+            unread,
+        };
+        Ok((conn, epoch))
     }
 
     fn take(&self, addr: SocketAddr) -> Option<(Connection, u64)> {
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod quarantine;
 mod reachability;
 pub mod request;
+pub mod request_sends;
 mod response_counts;
 pub mod retry_budget;
 mod retry_delay;
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -4,6 +4,12 @@
 //! the least capacity. Each entry may spend a share of the requests that it has received
 //! itself, and its part of a fixed slack. The total over all entries thereby stays within
 //! the bound without communication between them.
+//!
+//! The bound counts retries as backend servers read them, which may be any time after they
+//! were sent: a process that stands still reads later what its system has received. A retry
+//! is therefore outstanding, and counts in every window, until no send of its request can be
+//! read any more. Only then it is settled, and counts for a window from that moment on.
+//! [`RequestSends`](super::request_sends::RequestSends) tells which sends settle a retry.
 
 use std::{
     collections::{
@@ -19,13 +25,13 @@
 };
 use crate::ids::MonoTime;
 
-/// Number of buckets in the window. More buckets take more memory; fewer ones delay the
-/// expiry of old counts by up to a bucket's width.
-const BUCKETS: u32 = 20;
+/// Number of buckets in the window. More buckets take more memory; fewer ones change the
+/// time for which counts are kept by up to a bucket's width.
+const BUCKETS: u32 = 50;
 
-/// Share of the bound that is spent. Entries count a request when they read it and a
-/// retry when they send it, while its users are counted at arrival. The margin covers
-/// events that fall on different sides of a window's edge.
+/// Share of the bound that is spent. Entries count a request when they read it, while its
+/// caller is counted as it sends. The margin covers requests that fall on different sides of
+/// a window's edge.
 const SPENDABLE_SHARE: f64 = 0.85;
 
 /// Bound on retries.
@@ -44,18 +50,68 @@
 pub struct RetryUsage {
     /// Requests in the window.
     pub requests: u32,
-    /// Retries in the window.
-    pub retries: u32,
+    /// Retries that may have been read in the window.
+    pub settled: u32,
+    /// Retries that may be read at any later time.
+    pub outstanding: u32,
     /// Retries that the window allows.
     pub allowed: f64,
 }
 
-/// Requests and retries in one bucket of the window.
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    number: u64,
-    requests: u32,
-    retries: u32,
+/// Counts of the last buckets.
+#[derive(Clone, Debug)]
+struct BucketCounts {
+    /// Buckets that are kept, with the current one.
+    kept: u32,
+    /// Numbers and counts of buckets, in order.
+    buckets: VecDeque<(u64, u32)>,
+}
+
+impl BucketCounts {
+    fn new(kept: u32) -> Self {
+        Self {
+            kept,
+            buckets: VecDeque::new(),
+        }
+    }
+
+    /// Returns the count of the current bucket, after removing those that are not kept.
+    fn current(&mut self, number: u64) -> &mut u32 {
+        let kept = u64::from(self.kept);
+        while self.buckets.front().is_some_and(|b| b.0 + kept <= number) {
+            self.buckets.pop_front();
+        }
+        if self.buckets.back().is_none_or(|b| b.0 != number) {
+            self.buckets.push_back((number, 0));
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last].1
+    }
+
+    fn total(&mut self, number: u64) -> u32 {
+        self.current(number);
+        self.buckets.iter().map(|(_, count)| count).sum()
+    }
+}
+
+/// Requests to a service, and their retries.
+#[derive(Clone, Debug)]
+struct ServiceCounts {
+    requests: BucketCounts,
+    settled: BucketCounts,
+    outstanding: u32,
+}
+
+impl Default for ServiceCounts {
+    fn default() -> Self {
+        Self {
+            // A partial bucket is left out here and kept there, so that neither a request
+            // nor a settled retry counts in the buyer's favour.
+            requests: BucketCounts::new(BUCKETS),
+            settled: BucketCounts::new(BUCKETS + 1),
+            outstanding: 0,
+        }
+    }
 }
 
 /// Retry budget of one entry.
@@ -64,7 +120,7 @@
     cfg: RetryBudgetConfig,
     /// Number of entries that share the slack.
     entries: KnownEntryCount,
-    services: HashMap<ServiceId, VecDeque<Bucket>>,
+    services: HashMap<ServiceId, ServiceCounts>,
 }
 
 impl RetryBudget {
@@ -89,66 +145,67 @@
 
     /// Counts a request.
     pub fn record_request(&mut self, now: MonoTime, service: &ServiceId) {
-        self.current_bucket(now, service).requests += 1;
+        let number = self.bucket(now);
+        *self.counts(service).requests.current(number) += 1;
     }
 
     /// Withdraws a request that another entry counts.
     pub fn withdraw_request(&mut self, now: MonoTime, service: &ServiceId) {
-        let bucket = self.current_bucket(now, service);
-        bucket.requests = bucket.requests.saturating_sub(1);
+        let number = self.bucket(now);
+        let requests = self.counts(service).requests.current(number);
+        *requests = requests.saturating_sub(1);
     }
 
-    /// Spends one retry if the budget allows it.
+    /// Spends one retry if the budget allows it. It is outstanding until it is settled or
+    /// refunded.
     pub fn try_retry(&mut self, now: MonoTime, service: &ServiceId) -> bool {
         let usage = self.usage(now, service);
-        if f64::from(usage.retries) + 1.0 > usage.allowed {
+        let spent = usage.settled + usage.outstanding;
+        if f64::from(spent) + 1.0 > usage.allowed {
             return false;
         }
-        self.current_bucket(now, service).retries += 1;
+        self.counts(service).outstanding += 1;
         true
     }
 
+    /// Records that an outstanding retry can't be read any more.
+    pub fn settle_retry(&mut self, now: MonoTime, service: &ServiceId) {
+        let number = self.bucket(now);
+        let counts = self.counts(service);
+        counts.outstanding = counts.outstanding.saturating_sub(1);
+        *counts.settled.current(number) += 1;
+    }
+
+    /// Gives back an outstanding retry that was never sent.
+    pub fn refund_retry(&mut self, service: &ServiceId) {
+        let counts = self.counts(service);
+        counts.outstanding = counts.outstanding.saturating_sub(1);
+    }
+
     /// Returns the state of the budget of a service.
     pub fn usage(&mut self, now: MonoTime, service: &ServiceId) -> RetryUsage {
-        self.current_bucket(now, service);
-        let (requests, retries) = self.totals(service);
+        let number = self.bucket(now);
         let slack = match self.entries.max() {
             0 => 0.0,
             n => self.cfg.slack / f64::from(n),
         };
-        let allowed = (self.cfg.ratio * f64::from(requests) + slack) * SPENDABLE_SHARE;
+        let ratio = self.cfg.ratio;
+        let counts = self.counts(service);
+        let requests = counts.requests.total(number);
         RetryUsage {
             requests,
-            retries,
-            allowed,
+            settled: counts.settled.total(number),
+            outstanding: counts.outstanding,
+            allowed: (ratio * f64::from(requests) + slack) * SPENDABLE_SHARE,
         }
     }
 
-    fn totals(&self, service: &ServiceId) -> (u32, u32) {
-        let buckets = self.services.get(service).into_iter().flatten();
-        buckets.fold((0, 0), |(requests, retries), p| {
-            (requests + p.requests, retries + p.retries)
-        })
+    fn counts(&mut self, service: &ServiceId) -> &mut ServiceCounts {
+        self.services.entry(service.clone()).or_default()
     }
 
-    /// Returns the current bucket, after removing those outside the window.
-    fn current_bucket(&mut self, now: MonoTime, service: &ServiceId) -> &mut Bucket {
+    fn bucket(&self, now: MonoTime) -> u64 {
         let width = self.cfg.window / BUCKETS;
-        let number = (now.as_nanos() / width.as_nanos().max(1)) as u64;
-        let buckets = self.services.entry(service.clone()).or_default();
-        while buckets
-            .front()
-            .is_some_and(|p| p.number + u64::from(BUCKETS) <= number)
-        {
-            buckets.pop_front();
-        }
-        if buckets.back().is_none_or(|p| p.number != number) {
-            buckets.push_back(Bucket {
-                number,
-                ..Bucket::default()
-            });
-        }
-        let last = buckets.len() - 1;
-        &mut buckets[last]
+        (now.as_nanos() / width.as_nanos().max(1)) as u64
     }
 }
--- a/sesamebeam_core/src/gateway/router/capacity.rs
+++ b/sesamebeam_core/src/gateway/router/capacity.rs
@@ -30,6 +30,16 @@
         self.budget.try_retry(now, &plan.service)
     }
 
+    /// Records that a retry, which the budget allowed, can't be read any more.
+    pub fn settle_retry(&mut self, now: MonoTime, plan: &Plan) {
+        self.budget.settle_retry(now, &plan.service);
+    }
+
+    /// Gives back a retry, which the budget allowed, that was never sent.
+    pub fn refund_retry(&mut self, plan: &Plan) {
+        self.budget.refund_retry(&plan.service);
+    }
+
     /// Returns the highest known number of entries.
     pub fn entry_count(&self) -> u32 {
         self.budget.entries()
--- a/sesamebeam_core/tests/gateway/budget.rs
+++ b/sesamebeam_core/tests/gateway/budget.rs
@@ -32,6 +32,7 @@
             budget.record_request(now, &"pool".into());
             for _ in 0..2 {
                 if budget.try_retry(now, &"pool".into()) {
+                    budget.settle_retry(now, &"pool".into());
                     retries.push(step);
                 }
             }
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod group;
 mod isolation;
 mod joining;
+mod late_retries;
 mod limits;
 mod outliers;
 mod plays;
