Count a forwarded request for retries once (BUDGET)

What callers saw: nothing; each further count of a request allows 0.9 of a repeat more than the bound does.

The forwarder took its own count back only for an answer, not where the answer is lost, and only from the current twentieth of the window: an answer that took longer took nothing back.

Entries count as isolated after three silent backend servers, so that this comes with silences.

Change: a forwarded request counts at the accepting entry once that one makes its first send. The forwarder withdraws its count, from when the request was read, as it offers the request, and counts it again if that is declined. Once a send was made, or an answer of another entry is lost, the count stays where it is.

--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -113,7 +113,7 @@
             return response::empty_and_close(StatusCode::BAD_REQUEST);
         }
     };
-    let admitted = admit(&gateway, &head, received_at).await;
+    let admitted = admit(&gateway, &head, &origin, received_at).await;
     let mut plan = match admitted {
         Ok(plan) => plan,
         Err(refusal) => return reject(&gateway, &head.id, refusal),
@@ -173,10 +173,18 @@
 /// committed one, which takes half a second after all replicas were killed together.
 /// Rejecting requests in that time makes callers use up their retries; after this short
 /// wait they can be served.
-async fn admit(gateway: &Gateway, head: &Head, received_at: Instant) -> Result<Plan, Refusal> {
+async fn admit(
+    gateway: &Gateway,
+    head: &Head,
+    origin: &Origin,
+    received_at: Instant,
+) -> Result<Plan, Refusal> {
     loop {
         let changed = gateway.state_changed.notified();
-        let admitted = gateway.router().admit(gateway.now(), head);
+        let admitted = match origin {
+            Origin::Caller => gateway.router().admit(gateway.now(), head),
+            Origin::Peer { .. } => gateway.router().admit_forwarded(gateway.now(), head),
+        };
         if !matches!(admitted, Err(Refusal::NoConfig)) {
             return admitted;
         }
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -279,7 +279,7 @@
     /// Ends a send that is given up for one to another engine.
     fn handle_move(&mut self, mut choice: InFlightSend, next: InFlightSend) -> NextStep {
         self.progress.record_move();
-        self.sends += 1;
+        self.record_send();
         self.may_have_run = true;
         self.tried.push(choice.id.clone());
         choice.record_outcome(Outcome::Dropped);
@@ -417,6 +417,14 @@
         !self.plan.route.runs_at_most_once()
     }
 
+    /// Counts a send that was made.
+    pub(super) fn record_send(&mut self) {
+        self.sends += 1;
+        if self.sends == 1 && !self.origin.is_caller() {
+            self.gateway.router().record_accepted(&self.plan);
+        }
+    }
+
     /// Records the result of a send and decides how to continue.
     async fn handle_send_result(&mut self, mut choice: InFlightSend, sent: SendResult) -> NextStep {
         let outcome = match sent {
@@ -425,7 +433,7 @@
                 return NextStep::TryNextServer(None, RetryReason::Refused);
             }
             SendResult::Answered(response, head, lease) => {
-                self.sends += 1;
+                self.record_send();
                 let pending = PendingResponse {
                     choice,
                     response: *response,
@@ -456,7 +464,7 @@
                 Outcome::Dropped
             }
         };
-        self.sends += 1;
+        self.record_send();
         choice.record_outcome(outcome);
         let reason = match outcome {
             Outcome::Failed => RetryReason::BrokenOff,
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -182,6 +182,10 @@
                 addr: offer.addr,
             };
             tried.push(offer.addr);
+            let is_first_send = self.sends == 0;
+            if is_first_send {
+                self.gateway.router().record_offered(&self.plan);
+            }
             let unsettled = self.retries.begin_send();
             let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
             let sent = self.send_to_peer(&offer, resume_after, guard).await;
@@ -201,6 +205,9 @@
                         true => router.record_peer_busy(now, offer.addr),
                         false => router.record_peer_unavailable(now, offer.addr),
                     }
+                    if is_first_send {
+                        router.record_declined(&self.plan);
+                    }
                     continue;
                 }
                 Ok((response, lease)) => {
@@ -209,7 +216,6 @@
                     let is_ours = head.id.as_ref().is_none_or(|id| *id == self.req.head.id);
                     if is_ours && (head.sealed || !head.is_success()) {
                         self.record_forwarding(&offer, ForwardingEnd::Answered, "answered");
-                        self.gateway.router().record_forwarded(now, &self.plan);
                         let response = Response::from_parts(parts, body);
                         return Forwarded::Answered(Box::new(PeerAnswer {
                             send,
@@ -223,9 +229,11 @@
                 Err(e) if e.is_unsent() => {
                     unsettled.withdraw();
                     self.record_forwarding(&offer, ForwardingEnd::Unreachable, &e.to_string());
-                    self.gateway
-                        .router()
-                        .record_peer_unavailable(now, offer.addr);
+                    let mut router = self.gateway.router();
+                    router.record_peer_unavailable(now, offer.addr);
+                    if is_first_send {
+                        router.record_declined(&self.plan);
+                    }
                     continue;
                 }
                 Err(e) => e.to_string(),
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -408,7 +408,7 @@
             .await;
         let outcome = match sent {
             SendResult::Answered(response, head, lease) if head.is_success() && head.sealed => {
-                self.dispatch.sends += 1;
+                self.dispatch.record_send();
                 choice.record_first_event(model.as_deref());
                 log::info!(
                     id:% = self.dispatch.req.head.id, server:% = choice.id, after:? = last_event,
@@ -439,7 +439,7 @@
             SendResult::ServerSilent => Outcome::Silent,
             SendResult::TimedOut => Outcome::Dropped,
         };
-        self.dispatch.sends += 1;
+        self.dispatch.record_send();
         choice.record_outcome(outcome);
         self.dispatch.tried.push(choice.id.clone());
         Resumption::Failed
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -75,23 +75,30 @@
         }
     }
 
-    /// Returns the count of the current bucket, after removing those that are not kept.
-    fn current(&mut self, number: u64) -> &mut u32 {
-        let kept = u64::from(self.kept);
-        while self.buckets.front().is_some_and(|b| b.0 + kept <= number) {
-            self.buckets.pop_front();
-        }
-        if self.buckets.back().is_none_or(|b| b.0 != number) {
-            self.buckets.push_back((number, 0));
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last].1
+    /// Returns the count of a bucket.
+    fn count(&mut self, number: u64) -> &mut u32 {
+        let newest = self.buckets.back().map_or(number, |b| b.0.max(number));
+        self.expire(newest);
+        let found = self.buckets.binary_search_by_key(&number, |b| b.0);
+        let at = found.unwrap_or_else(|at| {
+            self.buckets.insert(at, (number, 0));
+            at
+        });
+        &mut self.buckets[at].1
     }
 
-    fn total(&mut self, number: u64) -> u32 {
-        self.current(number);
+    /// Returns the sum of the buckets that are kept, the current one included.
+    fn total(&mut self, current: u64) -> u32 {
+        self.expire(current);
         self.buckets.iter().map(|(_, count)| count).sum()
     }
+
+    fn expire(&mut self, current: u64) {
+        let kept = u64::from(self.kept);
+        while self.buckets.front().is_some_and(|b| b.0 + kept <= current) {
+            self.buckets.pop_front();
+        }
+    }
 }
 
 /// Requests to a service, and their retries.
@@ -143,16 +150,16 @@
         self.entries.max()
     }
 
-    /// Counts a request.
-    pub fn record_request(&mut self, now: MonoTime, service: &ServiceId) {
-        let number = self.bucket(now);
-        *self.counts(service).requests.current(number) += 1;
+    /// Counts a request that was read at a time.
+    pub fn record_request(&mut self, read_at: MonoTime, service: &ServiceId) {
+        let number = self.bucket(read_at);
+        *self.counts(service).requests.count(number) += 1;
     }
 
-    /// Withdraws a request that another entry counts.
-    pub fn withdraw_request(&mut self, now: MonoTime, service: &ServiceId) {
-        let number = self.bucket(now);
-        let requests = self.counts(service).requests.current(number);
+    /// Withdraws a request that was counted as read at a time.
+    pub fn withdraw_request(&mut self, read_at: MonoTime, service: &ServiceId) {
+        let number = self.bucket(read_at);
+        let requests = self.counts(service).requests.count(number);
         *requests = requests.saturating_sub(1);
     }
 
@@ -173,7 +180,7 @@
         let number = self.bucket(now);
         let counts = self.counts(service);
         counts.outstanding = counts.outstanding.saturating_sub(1);
-        *counts.settled.current(number) += 1;
+        *counts.settled.count(number) += 1;
     }
 
     /// Gives back an outstanding retry that was never sent.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -453,12 +453,26 @@
         self.sessions.expire(now);
     }
 
-    /// Plans a request.
+    /// Plans a request of a caller, which counts for the retry budget of this entry.
     ///
     /// # Errors
     ///
     /// Fails if the request is rejected.
     pub fn admit(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
+        self.plan(now, head, true)
+    }
+
+    /// Plans a request that another entry forwards. Until
+    /// [`Router::record_accepted`], it counts there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request is rejected.
+    pub fn admit_forwarded(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
+        self.plan(now, head, false)
+    }
+
+    fn plan(&mut self, now: MonoTime, head: &Head, is_counted: bool) -> Result<Plan, Refusal> {
         let table = self.table.clone().ok_or(Refusal::NoConfig)?;
         let path = head.path.split('?').next().unwrap_or_default();
         let route = table.route(&head.host, path);
@@ -473,7 +487,9 @@
         // of entries that start at the same time all went to the same backend server.
         let seed = hash::name(head.id.as_bytes());
         let service = table.service(route, seed).clone();
-        self.budget.record_request(now, &service);
+        if is_counted {
+            self.budget.record_request(now, &service);
+        }
         if !route.streaming && !self.admission.admits(now, &service, route, head) {
             return Err(Refusal::ShortOfCapacity);
         }
--- a/sesamebeam_core/src/gateway/router/isolated.rs
+++ b/sesamebeam_core/src/gateway/router/isolated.rs
@@ -175,9 +175,21 @@
         self.peers.record_busy(now, peer);
     }
 
-    /// Leaves the counting of a request to the entry to which it was forwarded. Counted at
-    /// both, it would allow twice the retries.
-    pub fn record_forwarded(&mut self, now: MonoTime, plan: &Plan) {
-        self.budget.withdraw_request(now, &plan.service);
+    /// Records that a request that was not sent yet is offered to another entry. If that one
+    /// sends it, the request counts for the retry budget there: counted at both, it would allow
+    /// twice the retries, also if the answer of the other entry is lost.
+    pub fn record_offered(&mut self, plan: &Plan) {
+        self.budget
+            .withdraw_request(plan.admitted_at, &plan.service);
+    }
+
+    /// Records that another entry declined such a request, which counts here again.
+    pub fn record_declined(&mut self, plan: &Plan) {
+        self.budget.record_request(plan.admitted_at, &plan.service);
+    }
+
+    /// Records that the first send of a forwarded request was made here, so that it counts here.
+    pub fn record_accepted(&mut self, plan: &Plan) {
+        self.budget.record_request(plan.admitted_at, &plan.service);
     }
 }
--- a/sesamebeam_core/tests/gateway/forwarding.rs
+++ b/sesamebeam_core/tests/gateway/forwarding.rs
@@ -185,22 +185,64 @@
     assert_eq!(chosen.len(), 1);
 }
 
+/// Returns the retries that a router allows at a time.
+fn allowed_retries(router: &mut Router, now: u64) -> usize {
+    let plan = plan(router, ms(now), "last");
+    (0..400)
+        .filter(|_| router.try_retry(ms(now), &plan))
+        .count()
+}
+
 #[test]
 fn counted_for_retries_once() {
-    // Guards against twice the retries for requests that two entries have read.
-    let allowed = |is_forwarded: bool| {
+    // Guards against twice the retries for requests that two entries have read, also where the
+    // answer of the second one is lost.
+    let allowed = |is_offered: bool| {
         let mut router = router_of_entry("cut", 10, 3);
         for number in 0..100 {
             let plan = plan(&mut router, ms(0), &format!("r{number}"));
-            if is_forwarded {
-                router.record_forwarded(ms(0), &plan);
+            if is_offered {
+                router.record_offered(&plan);
             }
         }
-        let plan = plan(&mut router, ms(0), "last");
-        (0..200).filter(|_| router.try_retry(ms(0), &plan)).count()
+        // The answer takes a while, and what was counted is withdrawn all the same.
+        allowed_retries(&mut router, 900)
     };
-    let (own, forwarded) = (allowed(false), allowed(true));
-    assert!(own > 40 && forwarded < own / 4, "{own}, {forwarded}");
+    let (own, offered) = (allowed(false), allowed(true));
+    assert!(own > 40 && offered < own / 4, "{own}, {offered}");
+}
+
+#[test]
+fn declined_counts_once() {
+    // Guards against retries for requests that several entries have read and declined.
+    let [mut first, mut second] = ["cut", "other"].map(|name| router_of_entry(name, 10, 3));
+    let [mut idle, mut own] = ["idle", "own"].map(|name| router_of_entry(name, 10, 3));
+    for number in 0..100 {
+        let id = format!("r{number}");
+        plan(&mut own, ms(0), &id);
+        let plan = plan(&mut first, ms(0), &id);
+        first.record_offered(&plan);
+        let declined = second.admit_forwarded(ms(0), &head(&id));
+        declined.expect("it is planned");
+        first.record_declined(&plan);
+    }
+    let [own, idle] = [&mut own, &mut idle].map(|router| allowed_retries(router, 900));
+    assert_eq!(allowed_retries(&mut first, 900), own);
+    assert_eq!(allowed_retries(&mut second, 900), idle);
+}
+
+#[test]
+fn accepted_counts_there() {
+    // Guards against forwarded requests that no entry counts, so that none may be sent again.
+    let [mut second, mut own] = ["other", "own"].map(|name| router_of_entry(name, 10, 3));
+    for number in 0..100 {
+        let id = format!("r{number}");
+        plan(&mut own, ms(0), &id);
+        let accepted = second.admit_forwarded(ms(0), &head(&id));
+        second.record_accepted(&accepted.expect("it is planned"));
+    }
+    let own = allowed_retries(&mut own, 900);
+    assert_eq!(allowed_retries(&mut second, 900), own);
 }
 
 /// Has a service of five backend servers count as isolated.
