--- a/sesamebeam/src/entry/rating.rs
+++ b/sesamebeam/src/entry/rating.rs
@@ -141,7 +141,7 @@
         };
         let (response, conn) = self.client.send(self.addr, req.ok()?, options).await.ok()?;
         let ok = response.status().is_success();
-        let body = read_whole(response.into_body(), MAX_BODY, conn.long_answers())
+        let body = read_whole(response, MAX_BODY, conn.long_answers())
             .await
             .ok()?;
         conn.release();
--- a/sesamebeam/src/entry/upstream.rs
+++ b/sesamebeam/src/entry/upstream.rs
@@ -63,7 +63,10 @@
         Reuse,
         SendOptions, //
     },
-    received::read_whole,
+    received::{
+        read_body,
+        read_whole, //
+    },
     sse::{
         EventSplitter,
         SplitResult, //
@@ -263,7 +266,7 @@
     fn drain(&mut self) {
         if let Stage::Reading(body, Some(conn)) = std::mem::replace(&mut self.stage, Stage::Ended) {
             tokio::spawn(async move {
-                let rest = read_whole(body, MAX_ERROR_BODY, conn.long_answers());
+                let rest = read_body(body, MAX_ERROR_BODY, conn.long_answers());
                 if tokio::time::timeout(Duration::from_secs(1), rest)
                     .await
                     .is_ok_and(|rest| rest.is_ok())
@@ -384,8 +387,7 @@
         state: SmolStr,
     }
     let incarnation = incarnation(&response);
-    let Ok(body) = read_whole(response.into_body(), MAX_ERROR_BODY, conn.long_answers()).await
-    else {
+    let Ok(body) = read_whole(response, MAX_ERROR_BODY, conn.long_answers()).await else {
         return ServerKnows::Unreachable;
     };
     conn.release();
@@ -417,7 +419,7 @@
         .get(header::CONTENT_TYPE)
         .and_then(|v| v.to_str().ok())
         .map_or_else(|| "application/octet-stream".into(), SmolStr::new);
-    match read_whole(response.into_body(), max_body_bytes, conn.long_answers()).await {
+    match read_whole(response, max_body_bytes, conn.long_answers()).await {
         Ok(body) => {
             conn.release();
             OpenOutcome::Service(ServiceResponse {
@@ -449,13 +451,7 @@
     }
     let incarnation = incarnation(&response);
     let unknown = OpenOutcome::Ended(AttemptReport::NotThere(ServerKnows::Unreachable));
-    let Ok(body) = read_whole(
-        response.into_body(),
-        max_body_bytes * 2,
-        conn.long_answers(),
-    )
-    .await
-    else {
+    let Ok(body) = read_whole(response, max_body_bytes * 2, conn.long_answers()).await else {
         return unknown;
     };
     conn.release();
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -598,8 +598,8 @@
             head,
             lease,
         } = pending;
-        let (mut parts, body) = response.into_parts();
-        let reading = read_whole(body, MAX_RESPONSE_BYTES, lease.long_answers());
+        let (status, mut headers) = (response.status(), response.headers().clone());
+        let reading = read_whole(response, MAX_RESPONSE_BYTES, lease.long_answers());
         let body = match timeout_at(self.req.deadline.into(), reading).await {
             Ok(Ok(body)) => body,
             read => {
@@ -644,8 +644,8 @@
             "answered"
         );
         self.record_end(RequestEnd::Answered);
-        strip_hop_by_hop(&mut parts.headers);
-        let response = Box::new(Response::from_parts(parts, response::full_body(body)));
+        strip_hop_by_hop(&mut headers);
+        let response = Box::new(response::whole(status, headers, body));
         if failed && self.is_repeatable() {
             self.may_have_run = true;
             self.tried.push(choice.id.clone());
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -291,8 +291,8 @@
         if self.may_have_run && head.promises_not_run() {
             return self.reject_or_fail(None);
         }
-        let (mut parts, body) = response.into_parts();
-        let reading = read_whole(body, MAX_RESPONSE_BYTES, lease.long_answers());
+        let (status, mut headers) = (response.status(), response.headers().clone());
+        let reading = read_whole(response, MAX_RESPONSE_BYTES, lease.long_answers());
         let body = match timeout_at(self.req.deadline.into(), reading).await {
             Ok(Ok(body)) => body,
             _ => {
@@ -303,8 +303,8 @@
         };
         lease.release();
         self.record_end(RequestEnd::Answered);
-        strip_hop_by_hop(&mut parts.headers);
-        Response::from_parts(parts, response::full_body(body))
+        strip_hop_by_hop(&mut headers);
+        response::whole(status, headers, body)
     }
 
     /// Records what became of a request that was offered to another entry.
--- a/sesamebeam/src/gateway/response.rs
+++ b/sesamebeam/src/gateway/response.rs
@@ -47,6 +47,14 @@
         .boxed_unsync()
 }
 
+/// Creates a response from a whole answer.
+pub(super) fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> CallerResponse {
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
 /// Creates a response with an empty body.
 pub(super) fn empty(status: StatusCode) -> CallerResponse {
     let mut response = Response::new(full_body(Bytes::new()));
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -63,7 +63,10 @@
         RequestEnd,
         RetryReason, //
     },
-    http::client::ConnectionGuard, //
+    http::{
+        client::ConnectionGuard,
+        received::is_success_until_closed, //
+    },
 };
 
 /// Number of event intervals, each of the route's maximum, without an event after which
@@ -95,6 +98,8 @@
     body: Incoming,
     head: ResponseHead,
     lease: Option<ConnectionGuard>,
+    /// Whether the end of the connection, which ends the stream, is no sound end yet.
+    awaits_event: bool,
 }
 
 /// Result of an attempt to resume a stream.
@@ -155,6 +160,7 @@
         head: ResponseHead,
         lease: ConnectionGuard,
     ) -> CallerResponse {
+        let awaits_event = is_success_until_closed(&response);
         let (mut parts, body) = response.into_parts();
         strip_hop_by_hop(&mut parts.headers);
         let relay = Self {
@@ -167,6 +173,7 @@
                 body,
                 head,
                 lease: Some(lease),
+                awaits_event,
             }),
         };
         let frames = try_unfold(relay, |relay| async move { relay.next().await });
@@ -248,7 +255,9 @@
                         return Step::Interrupted(Outcome::Silent);
                     }
                 }
-                Ok(None) if self.events.is_at_boundary() => return Step::Complete,
+                Ok(None) if self.events.is_at_boundary() && !source.awaits_event => {
+                    return Step::Complete;
+                }
                 Ok(None) | Ok(Some(Err(_))) => return Step::Interrupted(Outcome::Failed),
                 Ok(Some(Ok(frame))) => {
                     let Ok(chunk) = frame.into_data() else {
@@ -262,7 +271,10 @@
                     }
                     match self.events.push(chunk) {
                         Ok(data) if data.is_empty() => {}
-                        Ok(data) => return Step::Data(data),
+                        Ok(data) => {
+                            source.awaits_event = false;
+                            return Step::Data(data);
+                        }
                         Err(_) => return Step::Interrupted(Outcome::Failed),
                     }
                 }
@@ -380,6 +392,7 @@
         }
         self.source = Some(Source {
             upstream: Upstream::Peer { _send: send },
+            awaits_event: is_success_until_closed(&response),
             body: response.into_body(),
             head,
             lease: Some(lease),
@@ -418,6 +431,7 @@
                 );
                 self.source = Some(Source {
                     upstream: Upstream::Server(choice),
+                    awaits_event: is_success_until_closed(&response),
                     body: response.into_body(),
                     head: *head,
                     lease: Some(lease),
--- a/sesamebeam/src/http/received.rs
+++ b/sesamebeam/src/http/received.rs
@@ -7,7 +7,14 @@
     BytesMut, //
 };
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::{
+    Response,
+    body::{
+        Body,
+        Incoming, //
+    },
+    header,
+};
 use thiserror::Error;
 use tokio::sync::{
     AcquireError,
@@ -40,6 +47,19 @@
     /// Long answers are not read any more.
     #[error("no turn for a long answer: {0}")]
     NoTurn(#[from] AcquireError),
+    /// A success that its connection ends has ended before its body began.
+    #[error("connection closed after the head")]
+    NoBody,
+}
+
+/// Returns whether the body of a success ends with its connection. The end of such a body says
+/// nothing before it has begun: a server that goes down after the head closes its connection too.
+pub(crate) fn is_success_until_closed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    response.status().is_success()
+        && !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+        && !response.body().is_end_stream()
 }
 
 /// Turns of answers longer than [`MAX_SHORT`], so that these don't take all memory together. One
@@ -91,12 +111,31 @@
     }
 }
 
-/// Reads an answer of at most this many bytes to its end.
+/// Reads an answer, whose body has at most this many bytes, to its end.
 ///
 /// # Errors
 ///
-/// Fails if too much is received, or the connection fails. The connection can't be used again.
+/// Fails if too much is received, the connection fails, or it ends a success before its body
+/// began. The connection can't be used again.
 pub(crate) async fn read_whole(
+    response: Response<Incoming>,
+    most: usize,
+    long: &LongAnswers,
+) -> Result<Bytes, ReadError> {
+    let needs_body = is_success_until_closed(&response);
+    let body = read_body(response.into_body(), most, long).await?;
+    match needs_body && body.is_empty() {
+        true => Err(ReadError::NoBody),
+        false => Ok(body),
+    }
+}
+
+/// Reads what is left of a body, of at most this many bytes, to its end.
+///
+/// # Errors
+///
+/// Fails if too much is received, or the connection fails. The connection can't be used again.
+pub(crate) async fn read_body(
     mut body: Incoming,
     most: usize,
     long: &LongAnswers,
