Keep what may arrive at a limited backend server within its bound (LIMIT)

What callers saw: nothing; a backend server that names a rate limit and stands still for a while reads what all entries sent meanwhile at once, beside what follows.

Each entry spaces its sends, with half a second for differences in transit; the bound counts what is read. While the backend server reads nothing, sends go on at their pace.

Evidence: limits::read_late failed before in three of four cases: 18 of 17 in 4 s (three entries, 5 s of silence), 36 of 27 (nine entries, 6 s), 29 of 23 (one entry, 6 s).

Change: beside its pace an entry keeps its sends that may still be read, and those that were in the last 4 s, within its part of the bound, at least one. When a send can be read no more is known as for retries. Where nothing is late, the pace is the lower of the two, so that what the limit allows is used as before (limits::sum_of_entries, limits::read_late).

Why it holds: each entry has at most its part in any 4 s by when they are read, whatever lies between. With more entries than the bound has requests, one each is left, and the chances of turns as before.

--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -186,7 +186,7 @@
             if is_first_send {
                 self.gateway.router().record_offered(&self.plan);
             }
-            let unsettled = self.retries.begin_send();
+            let unsettled = self.retries.begin_peer_send();
             let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
             let sent = self.send_to_peer(&offer, resume_after, guard).await;
             let why = match sent {
--- a/sesamebeam/src/gateway/retries.rs
+++ b/sesamebeam/src/gateway/retries.rs
@@ -10,6 +10,7 @@
 };
 
 use sesamebeam_core::gateway::{
+    directory::ServerId,
     request_sends::RequestSends,
     retry_budget::RetryUsage,
     router::Plan, //
@@ -42,6 +43,8 @@
 pub(super) struct UnsettledSend {
     charges: Arc<Charges>,
     is_withdrawn: AtomicBool,
+    /// Backend server with a rate limit that the send counts for.
+    limited: Option<ServerId>,
 }
 
 impl Retries {
@@ -55,12 +58,23 @@
         }))
     }
 
-    /// Records that a send begins.
-    pub(super) fn begin_send(&self) -> Arc<UnsettledSend> {
+    /// Records that a send to a backend server begins.
+    pub(super) fn begin_send(&self, server: &ServerId) -> Arc<UnsettledSend> {
+        let is_limited = self.0.gateway.router().record_unread(server);
+        self.begin(is_limited.then(|| server.clone()))
+    }
+
+    /// Records that a send to another entry begins.
+    pub(super) fn begin_peer_send(&self) -> Arc<UnsettledSend> {
+        self.begin(None)
+    }
+
+    fn begin(&self, limited: Option<ServerId>) -> Arc<UnsettledSend> {
         self.0.sends().begin();
         Arc::new(UnsettledSend {
             charges: Arc::clone(&self.0),
             is_withdrawn: AtomicBool::new(false),
+            limited,
         })
     }
 
@@ -94,11 +108,14 @@
 
 impl Drop for UnsettledSend {
     fn drop(&mut self) {
+        let gateway = &self.charges.gateway;
+        let now = gateway.now();
         if !*self.is_withdrawn.get_mut() && self.charges.sends().settle() {
-            let gateway = &self.charges.gateway;
-            let now = gateway.now();
             gateway.router().settle_retry(now, &self.charges.plan);
         }
+        if let Some(server) = &self.limited {
+            gateway.router().record_read(now, server);
+        }
     }
 }
 
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -155,7 +155,7 @@
             send_by: None,
         };
         let sent_at = self.now();
-        let unsettled = retries.begin_send();
+        let unsettled = retries.begin_send(&choice.id);
         let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
         let sending = self
             .client
--- a/sesamebeam_core/src/gateway/limits.rs
+++ b/sesamebeam_core/src/gateway/limits.rs
@@ -11,7 +11,10 @@
 mod pace;
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
     time::Duration, //
 };
 
@@ -24,7 +27,8 @@
     },
     pace::{
         Pace,
-        max_arrivals, //
+        max_arrivals,
+        max_arrivals_of_entry, //
     },
 };
 use super::{
@@ -51,6 +55,7 @@
     name: SmolStr,
     entries: KnownEntryCount,
     servers: HashMap<ServerId, LimitedServer>,
+    arrivals: HashMap<ServerId, Arrivals>,
     /// Limits to report.
     unreported: HashMap<ServerKey, LimitOf>,
 }
@@ -69,6 +74,29 @@
     reserved_at: Option<MonoTime>,
 }
 
+/// Sends of this entry to a limited backend server, by what is known of their arrival.
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// Sends that the backend server may still read.
+    unread: usize,
+    /// When others were known to be read.
+    read_at: VecDeque<MonoTime>,
+}
+
+impl Arrivals {
+    /// Returns how many sends may arrive in a [`pace::SPAN`] that ends now or later.
+    fn count(&self, now: MonoTime) -> usize {
+        let recent = self.read_at.iter().filter(|at| **at + pace::SPAN > now);
+        self.unread + recent.count()
+    }
+
+    fn record_read(&mut self, now: MonoTime) {
+        self.unread = self.unread.saturating_sub(1);
+        self.read_at.retain(|at| *at + pace::SPAN > now);
+        self.read_at.push_back(now);
+    }
+}
+
 impl ServerLimits {
     /// Creates an empty set of limits.
     pub fn new(name: SmolStr) -> Self {
@@ -76,6 +104,7 @@
             name,
             entries: KnownEntryCount::default(),
             servers: HashMap::new(),
+            arrivals: HashMap::new(),
             unreported: HashMap::new(),
         }
     }
@@ -125,10 +154,33 @@
         let limited = self.servers.get(id);
         limited.is_none_or(|limited| {
             let allowed_at = self.allowed_at(now, id, limited, limited.sent_at);
-            allowed_at.is_some_and(|at| at <= now)
+            allowed_at.is_some_and(|at| at <= now) && self.may_arrive(now, id, limited)
         })
     }
 
+    /// Returns whether another send to a backend server may arrive at any time from now on.
+    fn may_arrive(&self, now: MonoTime, id: &ServerId, limited: &LimitedServer) -> bool {
+        let count = self.arrivals.get(id).map_or(0, |a| a.count(now));
+        count < max_arrivals_of_entry(limited.limit, self.entries.max())
+    }
+
+    /// Records that a send begins. Returns whether it counts, as the backend server is limited;
+    /// [`ServerLimits::record_read`] then has to follow.
+    pub fn record_unread(&mut self, id: &ServerId) -> bool {
+        let is_limited = self.servers.contains_key(id);
+        if is_limited {
+            self.arrivals.entry(id.clone()).or_default().unread += 1;
+        }
+        is_limited
+    }
+
+    /// Records that a send that counts was read, or can't be read any more.
+    pub fn record_read(&mut self, now: MonoTime, id: &ServerId) {
+        if let Some(arrivals) = self.arrivals.get_mut(id) {
+            arrivals.record_read(now);
+        }
+    }
+
     /// Records a send.
     pub fn record_send(&mut self, now: MonoTime, id: &ServerId) {
         if let Some(limited) = self.servers.get_mut(id) {
@@ -171,11 +223,14 @@
     /// Removes the limit of an earlier incarnation.
     pub fn forget(&mut self, id: &ServerId) {
         self.servers.remove(id);
+        self.arrivals.remove(id);
     }
 
     /// Removes backend servers that are gone.
     pub fn retain(&mut self, known: impl Fn(&ServerId) -> bool) {
         self.servers.retain(|id, _| known(id));
+        let servers = &self.servers;
+        self.arrivals.retain(|id, _| servers.contains_key(id));
     }
 
     fn set(&mut self, now: MonoTime, id: &ServerId, limit: Option<f64>) -> bool {
--- a/sesamebeam_core/src/gateway/limits/pace.rs
+++ b/sesamebeam_core/src/gateway/limits/pace.rs
@@ -7,7 +7,9 @@
 //!
 //! At most `a = 6 l + 5` requests may arrive in any [`SPAN`] under a limit of `l`.
 //! Requests that arrive in this time were sent within `SPAN + MAX_TRANSIT_DIFFERENCE`,
-//! written `d` below; `n` is the number of entries and `r` the sum of their rates.
+//! written `d` below, unless their backend server stands still and reads them later. Beside
+//! its schedule, each entry therefore keeps what may arrive in any [`SPAN`] within its part of
+//! `a` ([`max_arrivals_of_entry`]); `n` is the number of entries and `r` the sum of their rates.
 //!
 //! - *Few entries* ([`Pace::Spaced`]): each entry waits for a period of `n / r` after
 //!   each of its sends, so that it makes at most `d r / n + 1` in that time, and all
@@ -27,7 +29,7 @@
 use std::time::Duration;
 
 /// Time window in which arrivals are counted.
-const SPAN: Duration = Duration::from_secs(4);
+pub(super) const SPAN: Duration = Duration::from_secs(4);
 
 /// Arrivals allowed in that window: a multiple of what the limit allows, plus a constant.
 const OVERSHOOT: f64 = 1.5;
@@ -97,6 +99,13 @@
     OVERSHOOT * limit * SPAN.as_secs_f64() + SLACK
 }
 
+/// Returns the number of sends of one entry that may arrive in any [`SPAN`], however long each is
+/// under way: an equal part of the bound, and one at least.
+pub fn max_arrivals_of_entry(limit: f64, entries: u32) -> usize {
+    let part = max_arrivals(limit) / f64::from(entries.max(1));
+    (part as usize).max(1)
+}
+
 /// Returns the total rate of all entries with spaced sends.
 fn spaced_rate(limit: f64, entries: f64) -> f64 {
     let send_span = (SPAN + MAX_TRANSIT_DIFFERENCE).as_secs_f64();
--- a/sesamebeam_core/src/gateway/router/capacity.rs
+++ b/sesamebeam_core/src/gateway/router/capacity.rs
@@ -40,6 +40,17 @@
         self.budget.refund_retry(&plan.service);
     }
 
+    /// Records that a send to a backend server begins. Returns whether it counts for the rate
+    /// limit there; [`Router::record_read`] then has to follow.
+    pub fn record_unread(&mut self, id: &ServerId) -> bool {
+        self.limits.record_unread(id)
+    }
+
+    /// Records that a send that counts for a rate limit was read, or can't be read any more.
+    pub fn record_read(&mut self, now: MonoTime, id: &ServerId) {
+        self.limits.record_read(now, id);
+    }
+
     /// Returns the highest known number of entries.
     pub fn entry_count(&self) -> u32 {
         self.budget.entries()
--- a/sesamebeam_core/tests/gateway/limits.rs
+++ b/sesamebeam_core/tests/gateway/limits.rs
@@ -160,6 +160,50 @@
     }
 }
 
+/// Guards against requests that a limited backend server reads all at once, as it stood still
+/// while entries went on sending at the pace of its limit.
+#[parameterized(
+    few = { 3, 2.0, 5_000 },
+    small_site = { 9, 3.7, 1_300 },
+    small_site_long = { 9, 3.7, 6_000 },
+    one_entry = { 1, 3.0, 6_000 },
+)]
+fn read_late(entries: u64, limit: f64, silence_ms: u64) {
+    let mut fleet: Vec<Router> = (0..entries).map(|n| entry(n, entries as u32, 1)).collect();
+    for router in &mut fleet {
+        deliver_limit(router, ms(CLOCK_OFFSET), 0, Some(limit));
+    }
+    let silence = 30_000..30_000 + silence_ms;
+    let server = choice(0).id;
+    let mut unread: Vec<(u64, u64)> = Vec::new();
+    let mut arrivals = Vec::new();
+    for at in (0..60_000).step_by(20) {
+        let now = ms(CLOCK_OFFSET + at);
+        for (read_at, n) in unread.extract_if(.., |(read_at, _)| *read_at <= at) {
+            arrivals.push(read_at);
+            fleet[n as usize].record_read(now, &server);
+        }
+        for (n, router) in fleet.iter_mut().enumerate() {
+            if send(router, now, &format!("r{at}")).is_ok() {
+                assert!(router.record_unread(&server));
+                let read_at = if silence.contains(&at) {
+                    silence.end
+                } else {
+                    at
+                };
+                unread.push((read_at, n as u64));
+            }
+        }
+    }
+    arrivals.sort_unstable();
+    let most = most_in_span(&arrivals) as f64;
+    let allowed = max_arrivals(limit);
+    assert!(most <= allowed, "{most} of {allowed} in 4 s");
+    let before = arrivals.iter().filter(|at| **at < silence.start).count();
+    let rate = before as f64 / 30.0;
+    assert!(rate >= 0.7 * limit, "{rate} a second of {limit}");
+}
+
 #[test]
 fn whole_fleet_restarts() {
     // Guards against a restart of all entries that exceeds the limit. They lose their
