Soak backend servers that read retries late (BUDGET)

Nothing in the soak counted repeats of a service by when they are read. With `--held` it has four backend servers that fail 20, 70 or 100 in 100 requests, read nothing for 0.3 to 4 s at a time, one to five times, and count retries as they read them, against what callers sent; beside kills, stops and pauses of daemons, all replicas killed, entries cut from all backend servers, and configurations that change all the while.

No network ends a connection for its peer. It passes the end on now, and goes on passing what comes back.

--- a/sesamebeam_soak/src/entry_links.rs
+++ b/sesamebeam_soak/src/entry_links.rs
@@ -8,6 +8,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    future::pending,
     io,
     net::{
         IpAddr,
@@ -363,7 +364,7 @@
     drop(near);
 }
 
-/// Passes bytes until either end closes or the connection is reset.
+/// Passes bytes until the far end closes or the connection is reset.
 /// Returns the entry's end, still open.
 async fn pass(mut near: TcpStream, passage: Passage) -> TcpStream {
     // The address of the network tells a backend server which entry sends.
@@ -379,9 +380,16 @@
     }
     let mut reset = passage.cut.clone();
     let (near_rx, near_tx) = near.split();
-    let (far_rx, far_tx) = far.split();
+    let (far_rx, mut far_tx) = far.split();
+    let passing_out = async {
+        passage.copy(Way::Out, near_rx, &mut far_tx).await;
+        // The entry sends no more. As on a network, its end is closed for good only once the
+        // other one is too.
+        let _ = far_tx.shutdown().await;
+        pending::<()>().await
+    };
     let is_reset = tokio::select! {
-        () = passage.copy(Way::Out, near_rx, far_tx) => false,
+        () = passing_out => false,
         () = passage.copy(Way::In, far_rx, near_tx) => false,
         reset = reset.wait_for(|cut| *cut == Some(Cut::Reset)) => reset.is_ok(),
     };
--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -5,7 +5,7 @@
 //! cuts and silences connections, and stops, pauses, kills and restarts
 //! processes, in series that overlap. In half of the schedules there are engines
 //! of uneven speed besides, with callers of their own. Some backend servers go down under
-//! requests with one part in their prompts. Crowds of new connections come to one entry after
+//! requests with one part in their prompts; others fail requests, and read nothing at times. Crowds of new connections come to one entry after
 //! the other over narrow links. What callers, operators and backend
 //! servers see is written into [`books`], which hold it against the promises.
 
@@ -15,6 +15,7 @@
 pub mod crowds;
 pub mod engines;
 pub mod entry_links;
+pub mod failing;
 pub mod fleet;
 pub mod fragile;
 pub mod lives;
--- a/sesamebeam_soak/src/operator.rs
+++ b/sesamebeam_soak/src/operator.rs
@@ -67,6 +67,9 @@
 /// Service of callers with new connections.
 pub const CROWD_POOL: &str = "crowd";
 
+/// Service of backend servers that fail requests.
+pub const FAILING_POOL: &str = "failing";
+
 /// Slots that each backend server announces.
 pub const SLOTS: usize = 8;
 
@@ -93,7 +96,7 @@
     }
     let route = |name: &str, kind: &str, more: &str| {
         let service = match name {
-            FRAGILE_POOL | BRITTLE_POOL | CROWD_POOL => name,
+            FRAGILE_POOL | BRITTLE_POOL | CROWD_POOL | FAILING_POOL => name,
             _ => POOL,
         };
         format!(
@@ -102,11 +105,12 @@
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{},{},{},{}{routes}],
+        r#"{{"version":{version},"routes":[{},{},{},{},{},{},{}{routes}],
         "services":[{{"name":"pool","health_path":"/health","max_connections":500}},
         {{"name":"{FRAGILE_POOL}","health_path":"/health","max_connections":500}},
         {{"name":"{BRITTLE_POOL}","health_path":"/health","max_connections":500}},
-        {{"name":"{CROWD_POOL}","health_path":"/health","max_connections":500}}{services}],
+        {{"name":"{CROWD_POOL}","health_path":"/health","max_connections":500}},
+        {{"name":"{FAILING_POOL}","health_path":"/health","max_connections":500}}{services}],
         "tenants":[{{"name":"quay","api_keys":["k1"]}}{tenants}]}}"#,
         route("book", "non_idempotent", ""),
         route("read", "idempotent", ""),
@@ -114,6 +118,7 @@
         route(FRAGILE_POOL, "streaming", r#","stream_resume":true"#),
         route(BRITTLE_POOL, "idempotent", r#","target_latency_ms":800"#),
         route(CROWD_POOL, "idempotent", ""),
+        route(FAILING_POOL, "idempotent", ""),
     )
 }
 
--- a/sesamebeam_soak/src/proxy.rs
+++ b/sesamebeam_soak/src/proxy.rs
@@ -41,6 +41,8 @@
     CutAnswers,
     /// Nothing passes.
     Silence,
+    /// Bytes wait, as at a process that stands still.
+    Hold,
 }
 
 /// Which way bytes go.
@@ -97,11 +99,12 @@
 ) {
     let mut buf = vec![0; 16 << 10];
     let mut lost = false;
+    let mut held = mode.clone();
     loop {
         let Ok(read) = rx.read(&mut buf).await else {
             return;
         };
-        if read == 0 {
+        if held.wait_for(|mode| *mode != Mode::Hold).await.is_err() || read == 0 {
             return;
         }
         let now = *mode.borrow();
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -45,6 +45,10 @@
         self,
         Engine, //
     },
+    failing::{
+        self,
+        Counts, //
+    },
     fleet::{
         Fleet,
         targets, //
@@ -103,6 +107,8 @@
     engines: Vec<Arc<Engine>>,
     books: Arc<Books>,
     crowds: Arc<Crowds>,
+    /// How connections to the backend servers that fail requests are treated.
+    hold: watch::Sender<Mode>,
 }
 
 /// Runs a schedule and returns what came of it. Logs of a run that broke a
@@ -219,6 +225,25 @@
             cancel.clone(),
         ));
     }
+    let (hold, held) = watch::channel(Mode::Pass);
+    let counts = Arc::new(Counts::new(schedule.fails_percent.unwrap_or(0)));
+    if schedule.fails_percent.is_some() {
+        let addrs = failing::start(&counts, &held, cancel.child_token()).await?;
+        for (number, addr) in addrs.into_iter().enumerate() {
+            tasks.spawn(operator::announce(
+                format!("failing-{number}"),
+                operator::FAILING_POOL,
+                DOMAIN,
+                addr,
+                controls.clone(),
+                cancel.clone(),
+            ));
+        }
+        for (entry, &front) in fronts.iter().enumerate() {
+            let c = Arc::clone(&counts);
+            tasks.spawn(failing::call(entry, front, c, cancel.clone()));
+        }
+    }
     let next = Arc::new(AtomicU64::new(1));
     for _ in 0..2 {
         let (next, books) = (Arc::clone(&next), Arc::clone(&books));
@@ -276,6 +301,7 @@
         engines,
         books: Arc::clone(&books),
         crowds: Arc::clone(&crowds),
+        hold,
     });
     wait_for_answers(&stage, (0, 0), "at the start").await;
     let crowd_halt = cancel.child_token();
@@ -296,6 +322,9 @@
     for line in crowds.broken() {
         books.broke(line);
     }
+    if let Some(line) = counts.broken() {
+        books.broke(line);
+    }
     let verdict = books.verdict();
     let fleet = match Arc::into_inner(stage) {
         Some(stage) => stage.fleet.into_inner(),
@@ -444,6 +473,11 @@
         Fault::Delay(n) => spoil(&stage, n, Mode::Delay, lasting).await,
         Fault::Reset(n) => spoil(&stage, n, Mode::Reset, lasting).await,
         Fault::CutAnswers(n) => spoil(&stage, n, Mode::CutAnswers, lasting).await,
+        Fault::Hold => {
+            stage.hold.send_replace(Mode::Hold);
+            sleep(lasting).await;
+            stage.hold.send_replace(Mode::Pass);
+        }
         Fault::Silence(n) => spoil(&stage, n, Mode::Silence, lasting).await,
         Fault::CutEntry { entry, how } => {
             stage.books.cut_began(entry);
--- a/sesamebeam_soak/src/schedule.rs
+++ b/sesamebeam_soak/src/schedule.rs
@@ -65,6 +65,14 @@
 const CROWD_MS: std::ops::Range<u64> = 4500..7000;
 const CROWD_AFTER_MS: u64 = 3500;
 
+/// Shares of requests that backend servers fail which read nothing at times, how often and how
+/// long they do, faults of daemons beside that, and length of such a run, in milliseconds.
+const FAILS_PERCENT: [u64; 3] = [20, 70, 100];
+const HOLDS: std::ops::Range<usize> = 1..6;
+const HELD_MS: std::ops::Range<u64> = 300..4000;
+const HELD_FAULTS: usize = 5;
+const HELD_LENGTH_MS: u64 = 26_000;
+
 /// Number of routes that make a configuration large.
 const EXTRA_ROUTES: std::ops::Range<usize> = 200..800;
 
@@ -108,6 +116,8 @@
     Silence(usize),
     /// An engine is slower than usual.
     Slow(usize),
+    /// Backend servers that fail requests read nothing.
+    Hold,
     /// Most callers with new connections come to an entry.
     Crowd(usize),
     /// An entry is cut from all backend servers.
@@ -187,6 +197,10 @@
     /// There are callers with new connections if there are such links.
     #[serde(default)]
     pub link_bits_per_s: u64,
+    /// Share of requests that some backend servers fail, in percent; none if there are no such
+    /// backend servers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fails_percent: Option<u64>,
     /// Events by time.
     #[serde(default)]
     pub events: Vec<Event>,
@@ -362,6 +376,47 @@
         }
     }
 
+    /// Draws a schedule with backend servers that fail requests and read nothing at times, beside
+    /// faults of daemons.
+    pub fn draw_held(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let fails_percent = FAILS_PERCENT[rng.random_range(0..FAILS_PERCENT.len())];
+        let mut faults: Vec<_> = (0..rng.random_range(HOLDS))
+            .map(|_| (Fault::Hold, HELD_MS))
+            .collect();
+        for _ in 0..rng.random_range(0..=HELD_FAULTS) {
+            let entry = Target::Entry(rng.random_range(0..ENTRIES));
+            let replica = Target::Replica(rng.random_range(0..REPLICAS));
+            let of_daemons = [
+                Fault::Kill(entry),
+                Fault::Stop(entry),
+                Fault::Pause(entry),
+                Fault::Kill(replica),
+                Fault::Stop(replica),
+                Fault::KillAll,
+                draw_cut(&mut rng),
+            ];
+            let fault = of_daemons[rng.random_range(0..of_daemons.len())];
+            faults.push((fault, SHORTEST_MS..LONGEST_MS));
+        }
+        let mut events: Vec<Event> = faults
+            .into_iter()
+            .map(|(fault, lasts)| Event {
+                at_ms: rng.random_range(0..HELD_LENGTH_MS),
+                for_ms: rng.random_range(lasts),
+                fault,
+            })
+            .collect();
+        events.sort_by_key(|event| event.at_ms);
+        Self {
+            seed,
+            length_ms: HELD_LENGTH_MS,
+            fails_percent: Some(fails_percent),
+            events,
+            ..Self::default()
+        }
+    }
+
     /// Reads a schedule.
     ///
     /// # Errors
@@ -460,7 +515,7 @@
         }
         Fault::Slow(n) => ("engine", n, engines),
         Fault::Crowd(entry) | Fault::CutEntry { entry, .. } => ("entry", entry, ENTRIES),
-        Fault::KillAll => return Ok(()),
+        Fault::KillAll | Fault::Hold => return Ok(()),
     };
     if at < count {
         return Ok(());
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -130,6 +130,13 @@
     play(slot, &Schedule::draw_crowds(seed));
 }
 
+/// Guards against retries that are spent anew while backend servers that stood still read the
+/// first ones, beside restarts of daemons and cuts.
+#[test]
+fn retries_read_late() {
+    play(218, &Schedule::draw_held(12));
+}
+
 #[test]
 fn short_run() {
     play(203, &Schedule::draw(7, SHORT_MS));
