--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -120,7 +120,7 @@
     };
     if !origin.is_caller() {
         if gateway.router().is_isolated(&plan.service) {
-            return forwarding::decline(&gateway, "no backend server is reachable");
+            return forwarding::decline_isolated(&gateway);
         }
         gateway.metrics.record_accepted(true);
     }
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -324,7 +324,7 @@
                 return forwarding::decline_busy(&self.gateway);
             }
             if self.unsent + self.refused > 0 && !self.found_full_server {
-                return forwarding::decline(&self.gateway, "no backend server could be reached");
+                return forwarding::decline_isolated(&self.gateway);
             }
         }
         if self.found_full_server && !self.plan.route.streaming {
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -26,7 +26,10 @@
         },
         request::ResponseHead,
     },
-    ids::ProcessAddr,
+    ids::{
+        MonoTime,
+        ProcessAddr, //
+    },
 };
 use subtle::ConstantTimeEq;
 use tokio::time::timeout_at;
@@ -80,7 +83,10 @@
 /// Value of [`DECLINED`] of an entry without a free slot of a leased backend server.
 const BUSY: HeaderValue = HeaderValue::from_static("busy");
 
-/// Value of [`DECLINED`] for other reasons.
+/// Value of [`DECLINED`] of an entry that reaches no backend server of the service.
+const ISOLATED: HeaderValue = HeaderValue::from_static("isolated");
+
+/// Value of [`DECLINED`] for reasons that do not depend on the service.
 const UNAVAILABLE: HeaderValue = HeaderValue::from_static("1");
 
 /// Maximum number of requests of other entries that an entry serves at a time, so that its
@@ -192,21 +198,10 @@
             let why = match sent {
                 Ok((response, lease)) if response.headers().contains_key(DECLINED) => {
                     unsettled.withdraw();
-                    let is_busy = response.headers().get(DECLINED) == Some(&BUSY);
+                    self.handle_declined(now, &offer, response.headers().get(DECLINED));
                     lease.release();
-                    let why = if is_busy {
-                        "no free slot there"
-                    } else {
-                        "declined"
-                    };
-                    self.record_forwarding(&offer, ForwardingEnd::Declined, why);
-                    let mut router = self.gateway.router();
-                    match is_busy {
-                        true => router.record_peer_busy(now, offer.addr),
-                        false => router.record_peer_unavailable(now, offer.addr),
-                    }
                     if is_first_send {
-                        router.record_declined(&self.plan);
+                        self.gateway.router().record_declined(&self.plan);
                     }
                     continue;
                 }
@@ -248,6 +243,28 @@
         Forwarded::Declined
     }
 
+    /// Leaves another entry out for a while, for the service if it declined because of that.
+    fn handle_declined(
+        &self,
+        now: MonoTime,
+        offer: &ForwardingOffer,
+        reason: Option<&HeaderValue>,
+    ) {
+        let (is_busy, is_isolated) = (reason == Some(&BUSY), reason == Some(&ISOLATED));
+        let why = match (is_busy, is_isolated) {
+            (true, _) => "no free slot there",
+            (_, true) => "no backend server there",
+            _ => "declined",
+        };
+        self.record_forwarding(offer, ForwardingEnd::Declined, why);
+        let mut router = self.gateway.router();
+        match (is_busy, is_isolated) {
+            (true, _) => router.record_peer_busy(now, offer.addr, &self.plan),
+            (_, true) => router.record_peer_isolated(now, offer.addr, &self.plan),
+            _ => router.record_peer_unavailable(now, offer.addr),
+        }
+    }
+
     async fn send_to_peer(
         &self,
         offer: &ForwardingOffer,
@@ -354,8 +371,13 @@
     sends.to_str().ok()?.parse().ok()
 }
 
-/// Declines a request of another entry, which has not run.
-pub(super) fn decline(gateway: &Gateway, why: &str) -> CallerResponse {
+/// Declines a request of another entry to a service of which this one reaches no backend server.
+pub(super) fn decline_isolated(gateway: &Gateway) -> CallerResponse {
+    decline_as(gateway, "no backend server could be reached", ISOLATED)
+}
+
+/// Declines a request of another entry, which has not run, to whatever service.
+fn decline(gateway: &Gateway, why: &str) -> CallerResponse {
     decline_as(gateway, why, UNAVAILABLE)
 }
 
--- a/sesamebeam_core/src/gateway/forwarding.rs
+++ b/sesamebeam_core/src/gateway/forwarding.rs
@@ -57,15 +57,15 @@
     offers: Vec<ForwardingOffer>,
     /// Requests in flight at each.
     in_flight: HashMap<ProcessAddr, usize>,
-    /// Until when an entry that could not be reached is left out.
-    paused_until: HashMap<ProcessAddr, MonoTime>,
+    /// Until when an entry is left out, for one service or for all.
+    paused_until: HashMap<(ProcessAddr, Option<ServiceId>), MonoTime>,
 }
 
 impl ForwardingPeers {
     /// Sets the offers of other entries.
     pub(super) fn set_offers(&mut self, offers: Vec<ForwardingOffer>) {
         let is_offered = |addr: &ProcessAddr| offers.iter().any(|o| o.addr == *addr);
-        self.paused_until.retain(|addr, _| is_offered(addr));
+        self.paused_until.retain(|(addr, _), _| is_offered(addr));
         self.offers = offers;
     }
 
@@ -82,16 +82,20 @@
     pub(super) fn choose(
         &mut self,
         now: MonoTime,
-        service: &str,
+        service: &ServiceId,
         lease_holders: Option<&[ForwardingOffer]>,
         affinity: &[u8],
         tried: &[ProcessAddr],
     ) -> Option<ForwardingOffer> {
         let is_usable = |offer: &&ForwardingOffer| {
-            let until = self.paused_until.get(&offer.addr);
+            let is_paused = |service| {
+                let until = self.paused_until.get(&(offer.addr, service));
+                until.is_some_and(|until| *until > now)
+            };
             offer.reaches(service)
                 && !tried.contains(&offer.addr)
-                && until.is_none_or(|until| *until <= now)
+                && !is_paused(None)
+                && !is_paused(Some(service.clone()))
         };
         let offers = lease_holders.unwrap_or(&self.offers);
         let usable: Vec<&ForwardingOffer> = offers.iter().filter(is_usable).collect();
@@ -115,14 +119,28 @@
         }
     }
 
-    /// Records that an entry could not be reached, or declined a request.
+    /// Records that an entry could not be reached, or declined a request to any service.
     pub(super) fn record_unreachable(&mut self, now: MonoTime, addr: ProcessAddr) {
-        self.paused_until.insert(addr, now + UNREACHABLE_PAUSE);
+        self.paused_until
+            .insert((addr, None), now + UNREACHABLE_PAUSE);
     }
 
-    /// Records that an entry had no slot for a request.
-    pub(super) fn record_busy(&mut self, now: MonoTime, addr: ProcessAddr) {
-        self.paused_until.insert(addr, now + BUSY_PAUSE);
+    /// Records that an entry declined a request to a service, as it reaches none of its backend
+    /// servers. It may well serve requests to others.
+    pub(super) fn record_declined(
+        &mut self,
+        now: MonoTime,
+        addr: ProcessAddr,
+        service: &ServiceId,
+    ) {
+        self.paused_until
+            .insert((addr, Some(service.clone())), now + UNREACHABLE_PAUSE);
+    }
+
+    /// Records that an entry had no slot for a request to a service.
+    pub(super) fn record_busy(&mut self, now: MonoTime, addr: ProcessAddr, service: &ServiceId) {
+        self.paused_until
+            .insert((addr, Some(service.clone())), now + BUSY_PAUSE);
     }
 }
 
--- a/sesamebeam_core/src/gateway/router/isolated.rs
+++ b/sesamebeam_core/src/gateway/router/isolated.rs
@@ -165,14 +165,19 @@
         self.peers.record_end(peer);
     }
 
-    /// Records that another entry could not be reached, or declined a request.
+    /// Records that another entry could not be reached, or declined a request to any service.
     pub fn record_peer_unavailable(&mut self, now: MonoTime, peer: ProcessAddr) {
         self.peers.record_unreachable(now, peer);
     }
 
+    /// Records that another entry reaches no backend server of a plan's service either.
+    pub fn record_peer_isolated(&mut self, now: MonoTime, peer: ProcessAddr, plan: &Plan) {
+        self.peers.record_declined(now, peer, &plan.service);
+    }
+
     /// Records that another entry had no slot of a leased backend server for a request.
-    pub fn record_peer_busy(&mut self, now: MonoTime, peer: ProcessAddr) {
-        self.peers.record_busy(now, peer);
+    pub fn record_peer_busy(&mut self, now: MonoTime, peer: ProcessAddr, plan: &Plan) {
+        self.peers.record_busy(now, peer, &plan.service);
     }
 
     /// Records that a request that was not sent yet is offered to another entry. If that one
--- a/sesamebeam_core/tests/gateway/forwarding.rs
+++ b/sesamebeam_core/tests/gateway/forwarding.rs
@@ -153,6 +153,26 @@
     assert_eq!(choose(&mut router, "b", &[]), Some(peer(2)));
 }
 
+#[test]
+fn declined_for_a_service() {
+    // Guards against callers of all services left unserved, as another entry declined for one.
+    let mut router = router(3);
+    router.set_offers(vec![offer(2, &[])]);
+    let pool = plan(&mut router, ms(0), "a");
+    let mut other = pool.clone();
+    other.service = "other".into();
+    let choose = |router: &mut Router, plan| {
+        let chosen = router.choose_peer(ms(0), plan, &[]);
+        chosen.map(|offer| offer.addr)
+    };
+    router.record_peer_isolated(ms(0), peer(2), &other);
+    router.record_peer_busy(ms(0), peer(2), &other);
+    assert_eq!(choose(&mut router, &other), None);
+    assert_eq!(choose(&mut router, &pool), Some(peer(2)));
+    router.record_peer_unavailable(ms(0), peer(2));
+    assert_eq!(choose(&mut router, &pool), None);
+}
+
 #[test]
 fn spread_over_peers() {
     // Guards against one entry that serves all requests of another.
