Give back a send to a limited backend server that was not made (LIMIT)

What callers saw: nothing yet; up to four seconds in which an entry sends nothing to a backend server whose limit leaves it one send at a time.

--- a/sesamebeam/src/gateway/retries.rs
+++ b/sesamebeam/src/gateway/retries.rs
@@ -108,13 +108,21 @@
 
 impl Drop for UnsettledSend {
     fn drop(&mut self) {
+        let is_withdrawn = *self.is_withdrawn.get_mut();
+        let settles_retry = !is_withdrawn && self.charges.sends().settle();
+        if !settles_retry && self.limited.is_none() {
+            return;
+        }
         let gateway = &self.charges.gateway;
         let now = gateway.now();
-        if !*self.is_withdrawn.get_mut() && self.charges.sends().settle() {
-            gateway.router().settle_retry(now, &self.charges.plan);
+        let mut router = gateway.router();
+        if settles_retry {
+            router.settle_retry(now, &self.charges.plan);
         }
-        if let Some(server) = &self.limited {
-            gateway.router().record_read(now, server);
+        match &self.limited {
+            Some(server) if is_withdrawn => router.withdraw_unread(server),
+            Some(server) => router.record_read(now, server),
+            None => {}
         }
     }
 }
--- a/sesamebeam_core/src/gateway/limits.rs
+++ b/sesamebeam_core/src/gateway/limits.rs
@@ -165,7 +165,7 @@
     }
 
     /// Records that a send begins. Returns whether it counts, as the backend server is limited;
-    /// [`ServerLimits::record_read`] then has to follow.
+    /// [`ServerLimits::record_read`] or [`ServerLimits::withdraw_unread`] then has to follow.
     pub fn record_unread(&mut self, id: &ServerId) -> bool {
         let is_limited = self.servers.contains_key(id);
         if is_limited {
@@ -174,6 +174,13 @@
         is_limited
     }
 
+    /// Records that a send that counts was not made.
+    pub fn withdraw_unread(&mut self, id: &ServerId) {
+        if let Some(arrivals) = self.arrivals.get_mut(id) {
+            arrivals.unread = arrivals.unread.saturating_sub(1);
+        }
+    }
+
     /// Records that a send that counts was read, or can't be read any more.
     pub fn record_read(&mut self, now: MonoTime, id: &ServerId) {
         if let Some(arrivals) = self.arrivals.get_mut(id) {
--- a/sesamebeam_core/src/gateway/router/capacity.rs
+++ b/sesamebeam_core/src/gateway/router/capacity.rs
@@ -41,11 +41,16 @@
     }
 
     /// Records that a send to a backend server begins. Returns whether it counts for the rate
-    /// limit there; [`Router::record_read`] then has to follow.
+    /// limit there; [`Router::record_read`] or [`Router::withdraw_unread`] then has to follow.
     pub fn record_unread(&mut self, id: &ServerId) -> bool {
         self.limits.record_unread(id)
     }
 
+    /// Records that a send that counts for a rate limit was not made.
+    pub fn withdraw_unread(&mut self, id: &ServerId) {
+        self.limits.withdraw_unread(id);
+    }
+
     /// Records that a send that counts for a rate limit was read, or can't be read any more.
     pub fn record_read(&mut self, now: MonoTime, id: &ServerId) {
         self.limits.record_read(now, id);
--- a/sesamebeam_core/tests/gateway/limits.rs
+++ b/sesamebeam_core/tests/gateway/limits.rs
@@ -204,6 +204,23 @@
     assert!(rate >= 0.7 * limit, "{rate} a second of {limit}");
 }
 
+#[test]
+fn not_sent() {
+    // Guards against sends for which no connection was made that use up a limit.
+    let mut router = entry(0, 9, 1);
+    deliver_limit(&mut router, ms(CLOCK_OFFSET), 0, Some(0.5));
+    let server = choice(0).id;
+    let later = ms(CLOCK_OFFSET + 600_000);
+    assert!(router.record_unread(&server));
+    assert_eq!(
+        send(&mut router, later, "a").err(),
+        Some(ChooseError::Limited)
+    );
+    router.withdraw_unread(&server);
+    let sent = (0..60).any(|n| send(&mut router, later + ms(n * 1000), "b").is_ok());
+    assert!(sent);
+}
+
 #[test]
 fn whole_fleet_restarts() {
     // Guards against a restart of all entries that exceeds the limit. They lose their
