--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -25,8 +25,8 @@
 };
 use crate::ids::MonoTime;
 
-/// Number of buckets in the window. More buckets take more memory; fewer ones change the
-/// time for which counts are kept by up to a bucket's width.
+/// Number of buckets in the window. More buckets take more memory; fewer ones leave more of
+/// the bound unused, as requests expire early and retries late, each by up to a bucket's width.
 const BUCKETS: u32 = 50;
 
 /// Share of the bound that is spent. Entries count a request when they read it, while its
@@ -112,8 +112,8 @@
 impl Default for ServiceCounts {
     fn default() -> Self {
         Self {
-            // A partial bucket is left out here and kept there, so that neither a request
-            // nor a settled retry counts in the buyer's favour.
+            // Of the partial bucket at the start of the window, no request counts and every
+            // retry does, so that rounding allows fewer retries, never more.
             requests: BucketCounts::new(BUCKETS),
             settled: BucketCounts::new(BUCKETS + 1),
             outstanding: 0,
