Count retries against their bound in one place (BUDGET)

The test with real entries and the soak counted repeats and worked out the bound by themselves; RetryCounts does it for both, with the same step of 50 ms and the same windows.

--- a/sesamebeam_soak/src/lib.rs
+++ b/sesamebeam_soak/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod narrow_link;
 pub mod operator;
 pub mod proxy;
+pub mod retry_counts;
 pub mod run;
 pub mod schedule;
 pub mod server;
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -47,7 +47,7 @@
     },
     failing::{
         self,
-        Counts, //
+        Failing, //
     },
     fleet::{
         Fleet,
@@ -226,9 +226,9 @@
         ));
     }
     let (hold, held) = watch::channel(Mode::Pass);
-    let counts = Arc::new(Counts::new(schedule.fails_percent.unwrap_or(0)));
+    let failing_servers = Arc::new(Failing::new(schedule.fails_percent.unwrap_or(0)));
     if schedule.fails_percent.is_some() {
-        let addrs = failing::start(&counts, &held, cancel.child_token()).await?;
+        let addrs = failing::start(&failing_servers, &held, cancel.child_token()).await?;
         for (number, addr) in addrs.into_iter().enumerate() {
             tasks.spawn(operator::announce(
                 format!("failing-{number}"),
@@ -240,7 +240,7 @@
             ));
         }
         for (entry, &front) in fronts.iter().enumerate() {
-            let c = Arc::clone(&counts);
+            let c = Arc::clone(&failing_servers);
             tasks.spawn(failing::call(entry, front, c, cancel.clone()));
         }
     }
@@ -322,7 +322,7 @@
     for line in crowds.broken() {
         books.broke(line);
     }
-    if let Some(line) = counts.broken() {
+    if let Some(line) = failing_servers.broken() {
         books.broke(line);
     }
     let verdict = books.verdict();
