Log when requests came, the slack and the time since the start with each retry (BUDGET)

The line retry had the requests of the window as one number. It tells neither whether they came early in it, which tells a bound over the wrong window from others, nor what part of the allowance is slack and how long the process has run, which tells slack that is spent anew. Now it has recent, slack and up_ms.

No logic changed.

--- a/sesamebeam/src/gateway/retries.rs
+++ b/sesamebeam/src/gateway/retries.rs
@@ -158,9 +158,11 @@
         self.gateway.metrics.record_retry(reason, allowed);
         log::info!(
             id:% = self.req.head.id, service:% = self.plan.service, reason:? = reason,
-            sends = self.sends, requests = usage.requests, settled = usage.settled,
-            outstanding = usage.outstanding, most = usage.allowed as u64,
-            entries = self.gateway.router().entry_count(), allowed = allowed;
+            sends = self.sends, requests = usage.requests, recent = usage.recent,
+            settled = usage.settled, outstanding = usage.outstanding,
+            most = usage.allowed as u64, slack = usage.slack,
+            entries = self.gateway.router().entry_count(),
+            up_ms = self.gateway.now().as_millis() as u64, allowed = allowed;
             "retry"
         );
     }
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -50,12 +50,16 @@
 pub struct RetryUsage {
     /// Requests in the window.
     pub requests: u32,
+    /// Requests in its last half.
+    pub recent: u32,
     /// Retries that may have been read in the window.
     pub settled: u32,
     /// Retries that may be read at any later time.
     pub outstanding: u32,
-    /// Retries that the window allows.
+    /// Retries that the window allows, with the slack.
     pub allowed: f64,
+    /// This entry's part of the slack.
+    pub slack: f64,
 }
 
 /// Counts of the last buckets.
@@ -93,6 +97,12 @@
         self.buckets.iter().map(|(_, count)| count).sum()
     }
 
+    /// Returns the sum of the buckets from one on.
+    fn total_since(&self, first: u64) -> u32 {
+        let since = self.buckets.iter().filter(|(number, _)| *number >= first);
+        since.map(|(_, count)| count).sum()
+    }
+
     fn expire(&mut self, current: u64) {
         let kept = u64::from(self.kept);
         while self.buckets.front().is_some_and(|b| b.0 + kept <= current) {
@@ -201,9 +211,13 @@
         let requests = counts.requests.total(number);
         RetryUsage {
             requests,
+            recent: counts
+                .requests
+                .total_since((number + 1).saturating_sub(u64::from(BUCKETS / 2))),
             settled: counts.settled.total(number),
             outstanding: counts.outstanding,
             allowed: (ratio * f64::from(requests) + slack) * SPENDABLE_SHARE,
+            slack,
         }
     }
 
