Bound retries in every window, not the last one (BUDGET)

Callers saw: nothing; a service that fails got up to 1.5 times the retries that are allowed, where a failing burst follows another one after some seconds without callers. 204 of 166, 496 of 382 and 1,022 of 679 retries with real entries.

Cause: an entry allowed a retry by the requests of the 10 s before it. The rule takes every window that holds the retry, and counts the requests of that one, of the one before or of the one half a window before. None of these need hold what an entry counted. Evidence: repeats::burst_after_burst and the timeline in docs/incidents/uneven-load.md; in the core retry_windows::burst_after_burst gave 1.29, 1.36 and 1.50 of the bound on, any_arrivals failed too.

Now a retry is sent only if each window that it may be read in, wherever it begins, stays within the bound, with what is outstanding. For the requests all entries take the same mean of the three windows (half, a quarter, a quarter), which is never above the most of their sums, however the requests are divided; the best of the three at each entry would be. A request within half a second of an edge has the lower of its weights, which replaces the margin of 0.85 that stood for this; the whole bound is spent now.

With nobody before, half of what requests allow is usable in a burst.

The line retry has the window that allowed least.

--- a/sesamebeam/src/gateway/retries.rs
+++ b/sesamebeam/src/gateway/retries.rs
@@ -158,9 +158,9 @@
         self.gateway.metrics.record_retry(reason, allowed);
         log::info!(
             id:% = self.req.head.id, service:% = self.plan.service, reason:? = reason,
-            sends = self.sends, requests = usage.requests, recent = usage.recent,
-            settled = usage.settled, outstanding = usage.outstanding,
-            most = usage.allowed as u64, slack = usage.slack,
+            sends = self.sends, window_ms = usage.began.as_millis() as u64,
+            requests = usage.requests, settled = usage.settled,
+            outstanding = usage.outstanding, most = usage.allowed, slack = usage.slack,
             entries = self.gateway.router().entry_count(),
             up_ms = self.gateway.now().as_millis() as u64, allowed = allowed;
             "retry"
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -5,10 +5,17 @@
 //! itself, and its part of a fixed slack. The total over all entries thereby stays within
 //! the bound without communication between them.
 //!
+//! The bound holds in every window, wherever it begins. What it allows there follows from the
+//! requests of that window, of the one before it or of the one half a window before it,
+//! whichever has most. Entries can't take the most: one may take the first and another the
+//! second, and their sum exceeds both. All take the same mean of the three instead, which is
+//! never above the most of their sums. A retry is sent only if every window that it may be
+//! read in stays within what this mean allows.
+//!
 //! The bound counts retries as backend servers read them, which may be any time after they
 //! were sent: a process that stands still reads later what its system has received. A retry
 //! is therefore outstanding, and counts in every window, until no send of its request can be
-//! read any more. Only then it is settled, and counts for a window from that moment on.
+//! read any more. Only then it is settled, and counts in the windows that hold that moment.
 //! [`RequestSends`](super::request_sends::RequestSends) tells which sends settle a retry.
 
 use std::{
@@ -16,6 +23,7 @@
         HashMap,
         VecDeque, //
     },
+    ops::Range,
     time::Duration,
 };
 
@@ -25,14 +33,21 @@
 };
 use crate::ids::MonoTime;
 
-/// Number of buckets in the window. More buckets take more memory; fewer ones leave more of
-/// the bound unused, as requests expire early and retries late, each by up to a bucket's width.
-const BUCKETS: u32 = 50;
+/// Number of buckets in the window. More buckets take more time; fewer ones leave more of the
+/// bound unused, as requests expire early and retries late, each by up to a bucket's width.
+const BUCKETS: usize = 100;
+
+/// Buckets within which an entry reads a request after its caller has sent it. A request that
+/// is read soon after a window begins may have been sent before.
+const REQUEST_DELAY: usize = BUCKETS / 20;
+
+/// Buckets within which a retry is read after it was sent, for windows that begin after that.
+/// Retries that are read later still count in them, but against requests of which there may be
+/// fewer by then.
+const RETRY_DELAY: usize = BUCKETS / 5;
 
-/// Share of the bound that is spent. Entries count a request when they read it, while its
-/// caller is counted as it sends. The margin covers requests that fall on different sides of
-/// a window's edge.
-const SPENDABLE_SHARE: f64 = 0.85;
+/// Buckets of requests that are kept: those of the window and of the one before it.
+const KEPT_REQUESTS: usize = 2 * BUCKETS;
 
 /// Bound on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,13 +60,13 @@
     pub window: Duration,
 }
 
-/// State of the budget of a service at one entry, for logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// State of the budget of a service at one entry, for logs: the window that allows least.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
-    /// Requests in the window.
-    pub requests: u32,
-    /// Requests in its last half.
-    pub recent: u32,
+    /// How long ago the window began; zero for one that is yet to begin.
+    pub began: Duration,
+    /// Requests that count for the window.
+    pub requests: f64,
     /// Retries that may have been read in the window.
     pub settled: u32,
     /// Retries that may be read at any later time.
@@ -62,17 +77,24 @@
     pub slack: f64,
 }
 
+impl RetryUsage {
+    /// Returns how many more retries the window allows.
+    fn left(&self) -> f64 {
+        self.allowed - f64::from(self.settled + self.outstanding)
+    }
+}
+
 /// Counts of the last buckets.
 #[derive(Clone, Debug)]
 struct BucketCounts {
     /// Buckets that are kept, with the current one.
-    kept: u32,
+    kept: usize,
     /// Numbers and counts of buckets, in order.
     buckets: VecDeque<(u64, u32)>,
 }
 
 impl BucketCounts {
-    fn new(kept: u32) -> Self {
+    fn new(kept: usize) -> Self {
         Self {
             kept,
             buckets: VecDeque::new(),
@@ -91,26 +113,56 @@
         &mut self.buckets[at].1
     }
 
-    /// Returns the sum of the buckets that are kept, the current one included.
-    fn total(&mut self, current: u64) -> u32 {
+    /// Returns sums by age in buckets.
+    fn sums(&mut self, current: u64) -> AgeSums {
         self.expire(current);
-        self.buckets.iter().map(|(_, count)| count).sum()
-    }
-
-    /// Returns the sum of the buckets from one on.
-    fn total_since(&self, first: u64) -> u32 {
-        let since = self.buckets.iter().filter(|(number, _)| *number >= first);
-        since.map(|(_, count)| count).sum()
+        let mut counts = [0; KEPT_REQUESTS];
+        for (number, count) in &self.buckets {
+            let age = current.saturating_sub(*number) as usize;
+            counts[age.min(KEPT_REQUESTS - 1)] += count;
+        }
+        let mut sums = [0; KEPT_REQUESTS + 1];
+        for (age, count) in counts.into_iter().enumerate() {
+            sums[age + 1] = sums[age] + count;
+        }
+        AgeSums(sums)
     }
 
     fn expire(&mut self, current: u64) {
-        let kept = u64::from(self.kept);
+        let kept = self.kept as u64;
         while self.buckets.front().is_some_and(|b| b.0 + kept <= current) {
             self.buckets.pop_front();
         }
     }
 }
 
+/// Sums of the buckets younger than each age, the current one having age 0.
+struct AgeSums([u32; KEPT_REQUESTS + 1]);
+
+impl AgeSums {
+    /// Returns the sum of buckets of some ages. Those of negative age are yet to come.
+    fn of(&self, ages: Range<isize>) -> u32 {
+        let [start, end] = [ages.start, ages.end].map(|age| {
+            let age = usize::try_from(age).unwrap_or(0);
+            self.0[age.min(KEPT_REQUESTS)]
+        });
+        end.saturating_sub(start)
+    }
+
+    /// Returns the requests that count for a window which began in a bucket of an age: the
+    /// mean of those in it, which weigh twice, in the window before it and in the one half a
+    /// window before it. A request weighs a quarter since one window before the beginning, two
+    /// quarters since half a window before, and three in the first half of the window. One that
+    /// may have been sent on either side of an edge has the lower weight.
+    fn requests(&self, began: isize) -> f64 {
+        let [window, half, delay] = [BUCKETS, BUCKETS / 2, REQUEST_DELAY].map(|n| n as isize);
+        let quarters = self.of(0..began + window - delay)
+            + self.of(0..began + half - delay)
+            + self.of(began + 1 - half..began - delay);
+        f64::from(quarters) / 4.0
+    }
+}
+
 /// Requests to a service, and their retries.
 #[derive(Clone, Debug)]
 struct ServiceCounts {
@@ -122,9 +174,9 @@
 impl Default for ServiceCounts {
     fn default() -> Self {
         Self {
+            requests: BucketCounts::new(KEPT_REQUESTS),
             // Of the partial bucket at the start of the window, no request counts and every
             // retry does, so that rounding allows fewer retries, never more.
-            requests: BucketCounts::new(BUCKETS),
             settled: BucketCounts::new(BUCKETS + 1),
             outstanding: 0,
         }
@@ -176,9 +228,7 @@
     /// Spends one retry if the budget allows it. It is outstanding until it is settled or
     /// refunded.
     pub fn try_retry(&mut self, now: MonoTime, service: &ServiceId) -> bool {
-        let usage = self.usage(now, service);
-        let spent = usage.settled + usage.outstanding;
-        if f64::from(spent) + 1.0 > usage.allowed {
+        if self.usage(now, service).left() < 1.0 {
             return false;
         }
         self.counts(service).outstanding += 1;
@@ -201,23 +251,33 @@
 
     /// Returns the state of the budget of a service.
     pub fn usage(&mut self, now: MonoTime, service: &ServiceId) -> RetryUsage {
-        let number = self.bucket(now);
-        let slack = match self.entries.max() {
+        let current = self.bucket(now);
+        let slack = self.slack();
+        let RetryBudgetConfig { ratio, window, .. } = self.cfg;
+        let counts = self.counts(service);
+        let requests = counts.requests.sums(current);
+        let settled = counts.settled.sums(current);
+        let outstanding = counts.outstanding;
+        let windows = (-(RETRY_DELAY as isize)..=BUCKETS as isize).map(|began| {
+            let requests = requests.requests(began);
+            RetryUsage {
+                began: window * began.max(0) as u32 / BUCKETS as u32,
+                requests,
+                settled: settled.of(0..began + 1),
+                outstanding,
+                allowed: ratio * requests + slack,
+                slack,
+            }
+        });
+        let tightest = windows.min_by(|a, b| a.left().total_cmp(&b.left()));
+        tightest.expect("there are windows")
+    }
+
+    /// Returns this entry's part of the slack.
+    fn slack(&self) -> f64 {
+        match self.entries.max() {
             0 => 0.0,
             n => self.cfg.slack / f64::from(n),
-        };
-        let ratio = self.cfg.ratio;
-        let counts = self.counts(service);
-        let requests = counts.requests.total(number);
-        RetryUsage {
-            requests,
-            recent: counts
-                .requests
-                .total_since((number + 1).saturating_sub(u64::from(BUCKETS / 2))),
-            settled: counts.settled.total(number),
-            outstanding: counts.outstanding,
-            allowed: (ratio * f64::from(requests) + slack) * SPENDABLE_SHARE,
-            slack,
         }
     }
 
@@ -226,7 +286,7 @@
     }
 
     fn bucket(&self, now: MonoTime) -> u64 {
-        let width = self.cfg.window / BUCKETS;
+        let width = self.cfg.window / BUCKETS as u32;
         (now.as_nanos() / width.as_nanos().max(1)) as u64
     }
 }
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod publisher;
 mod quarantine;
 mod requests;
+mod retry_windows;
 mod rollouts;
 mod router;
 mod seeds;
