Withdraw a request from the retry budget only while it is unspent (BUDGET)

Callers saw: nothing; by reading and in the core only. An entry that offers a request to another one took it out of its count, also after retries were allowed by it, and the other one then allowed retries by it anew: each such request counted for 0.9 retries twice. The other one counted it from when it arrived there, after a wait of seconds at the first; an entry that waits for its first configuration counted requests up to 1.2 s late. Both move what is allowed to a later window.

Now a request leaves the count only if the retries that were spent hold without it. The other entry counts it only if it is told to, from when it was first read (`sesamebeam-read-before-ms`); entries of before send no such header and are not counted for, which allows fewer retries. A request that waits for the configuration counts from when it was read.

--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -21,13 +21,16 @@
     header, //
 };
 use rand::RngExt;
-use sesamebeam_core::gateway::{
-    config::Limits,
-    request::Head,
-    router::{
-        Plan,
-        Refusal, //
+use sesamebeam_core::{
+    gateway::{
+        config::Limits,
+        request::Head,
+        router::{
+            Plan,
+            Refusal, //
+        },
     },
+    ids::MonoTime,
 };
 use tokio::{
     sync::OwnedSemaphorePermit,
@@ -82,6 +85,8 @@
     Peer {
         /// Number of backend servers to which that entry has sent the request.
         sends: u32,
+        /// When that entry read it, if it counts for the retry budget of this one.
+        counted_from: Option<MonoTime>,
         /// Held until the request ends.
         _permit: OwnedSemaphorePermit,
     },
@@ -182,8 +187,18 @@
     loop {
         let changed = gateway.state_changed.notified();
         let admitted = match origin {
-            Origin::Caller => gateway.router().admit(gateway.now(), head),
-            Origin::Peer { .. } => gateway.router().admit_forwarded(gateway.now(), head),
+            Origin::Caller => {
+                let now = gateway.now();
+                let read_at = now.saturating_sub(received_at.elapsed());
+                gateway.router().admit_read_before(now, read_at, head)
+            }
+            Origin::Peer { counted_from, .. } => {
+                let planned = gateway.router().admit_forwarded(gateway.now(), head);
+                planned.map(|mut plan| {
+                    plan.read_at = counted_from.unwrap_or(plan.read_at);
+                    plan
+                })
+            }
         };
         if !matches!(admitted, Err(Refusal::NoConfig)) {
             return admitted;
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -233,9 +233,13 @@
                     reason = why;
                     fallback = response.or(fallback);
                 }
-                NextStep::EscalateModel => self.record_charged_retry(RetryReason::LargerModel),
+                NextStep::EscalateModel => {
+                    self.retries.record_charge();
+                    self.record_judged_retry(RetryReason::LargerModel, true);
+                }
                 NextStep::Move(next) => {
-                    self.record_charged_retry(RetryReason::Moved);
+                    self.retries.record_charge();
+                    self.record_judged_retry(RetryReason::Moved, true);
                     moved_to = Some(*next);
                 }
             }
@@ -420,7 +424,7 @@
     /// Counts a send that was made.
     pub(super) fn record_send(&mut self) {
         self.sends += 1;
-        if self.sends == 1 && !self.origin.is_caller() {
+        if self.sends == 1 && self.origin.counts_here() {
             self.gateway.router().record_accepted(&self.plan);
         }
     }
@@ -561,6 +565,9 @@
         if let Some(step) = judgement.step {
             self.gateway.metrics.record_escalation(step);
         }
+        if judgement.is_over_budget {
+            self.record_judged_retry(RetryReason::LargerModel, false);
+        }
         let forecast = choice.forecast;
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, model:% = model,
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -6,7 +6,10 @@
 use std::{
     ops::ControlFlow,
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use http_body_util::Full;
@@ -76,6 +79,10 @@
 /// Number of backend servers to which the request was already sent.
 const SENDS: HeaderName = HeaderName::from_static("sesamebeam-sends");
 
+/// Milliseconds since the forwarding entry read the request, if it counts for the retry budget
+/// of the accepting one.
+const READ_BEFORE: HeaderName = HeaderName::from_static("sesamebeam-read-before-ms");
+
 /// Marks a refusal of the accepting entry that says nothing about the request: another
 /// entry may serve it.
 const DECLINED: HeaderName = HeaderName::from_static("sesamebeam-declined");
@@ -188,19 +195,20 @@
                 addr: offer.addr,
             };
             tried.push(offer.addr);
-            let is_first_send = self.sends == 0;
-            if is_first_send {
-                self.gateway.router().record_offered(&self.plan);
-            }
+            let counts_there =
+                self.sends == 0 && self.gateway.router().record_offered(now, &self.plan);
             let unsettled = self.retries.begin_peer_send();
             let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
-            let sent = self.send_to_peer(&offer, resume_after, guard).await;
+            let read_before = counts_there.then(|| now.saturating_sub(self.plan.read_at));
+            let sent = self
+                .send_to_peer(&offer, resume_after, read_before, guard)
+                .await;
             let why = match sent {
                 Ok((response, lease)) if response.headers().contains_key(DECLINED) => {
                     unsettled.withdraw();
                     self.handle_declined(now, &offer, response.headers().get(DECLINED));
                     lease.release();
-                    if is_first_send {
+                    if counts_there {
                         self.gateway.router().record_declined(&self.plan);
                     }
                     continue;
@@ -226,7 +234,7 @@
                     self.record_forwarding(&offer, ForwardingEnd::Unreachable, &e.to_string());
                     let mut router = self.gateway.router();
                     router.record_peer_unavailable(now, offer.addr);
-                    if is_first_send {
+                    if counts_there {
                         router.record_declined(&self.plan);
                     }
                     continue;
@@ -269,6 +277,7 @@
         &self,
         offer: &ForwardingOffer,
         resume_after: Option<u64>,
+        read_before: Option<Duration>,
         guard: UnreadGuard,
     ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
         let remaining = self.req.deadline.saturating_duration_since(Instant::now());
@@ -278,6 +287,14 @@
         protocol.prepare_forwarded_headers(&mut headers, remaining, resume_after);
         set(&mut headers, KEY, &format!("{:032x}", offer.key));
         set(&mut headers, SENDS, &self.sends.to_string());
+        headers.remove(READ_BEFORE);
+        if let Some(read_before) = read_before {
+            set(
+                &mut headers,
+                READ_BEFORE,
+                &read_before.as_millis().to_string(),
+            );
+        }
         let mut request = Request::new(Full::new(self.req.body.clone()));
         *request.method_mut() = self.req.parts.method.clone();
         *request.uri_mut() = path_of(&self.req);
@@ -337,7 +354,7 @@
 
 /// Handles a request that another entry forwards.
 pub(super) async fn handle(gateway: Arc<Gateway>, mut req: Request<Incoming>) -> CallerResponse {
-    let Some(sends) = authorize(&gateway, req.headers_mut()) else {
+    let Some(forwarded) = authorize(&gateway, req.headers_mut()) else {
         log::warn!("forwarded request without the key of this entry");
         return response::empty_and_close(StatusCode::FORBIDDEN);
     };
@@ -349,8 +366,10 @@
     }
     match Arc::clone(&gateway.accepted).try_acquire_owned() {
         Ok(permit) => {
+            let now = gateway.now();
             let origin = Origin::Peer {
-                sends,
+                sends: forwarded.sends,
+                counted_from: forwarded.read_before.and_then(|age| now.checked_sub(age)),
                 _permit: permit,
             };
             admission::handle(gateway, req, origin).await
@@ -359,16 +378,31 @@
     }
 }
 
-/// Checks the key of a forwarded request and removes the headers that concern only entries.
-/// Returns the number of earlier sends.
-fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<u32> {
+/// What the headers of a forwarded request say that concern only entries.
+struct PeerHeaders {
+    /// Number of earlier sends.
+    sends: u32,
+    /// How long ago it was read, if it counts for the retry budget here.
+    read_before: Option<Duration>,
+}
+
+/// Checks the key of a forwarded request, and removes and returns what concerns only entries.
+fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<PeerHeaders> {
     let key = headers.remove(KEY)?;
     let sends = headers.remove(SENDS)?;
+    let read_before = headers.remove(READ_BEFORE);
     let own = format!("{:032x}", gateway.forwarding_key);
     if !bool::from(own.as_bytes().ct_eq(key.as_bytes())) {
         return None;
     }
-    sends.to_str().ok()?.parse().ok()
+    let number = |value: &HeaderValue| value.to_str().ok()?.parse().ok();
+    Some(PeerHeaders {
+        sends: u32::try_from(number(&sends)?).ok()?,
+        read_before: read_before
+            .as_ref()
+            .and_then(number)
+            .map(Duration::from_millis),
+    })
 }
 
 /// Declines a request of another entry to a service of which this one reaches no backend server.
@@ -403,6 +437,17 @@
         matches!(self, Self::Caller)
     }
 
+    /// Returns whether another entry sent the request, and left it to this one to count it.
+    pub(super) fn counts_here(&self) -> bool {
+        matches!(
+            self,
+            Self::Peer {
+                counted_from: Some(_),
+                ..
+            }
+        )
+    }
+
     /// Returns the number of backend servers to which another entry has sent the request.
     pub(super) fn sends(&self) -> u32 {
         match self {
--- a/sesamebeam/src/gateway/retries.rs
+++ b/sesamebeam/src/gateway/retries.rs
@@ -83,7 +83,8 @@
         self.0.sends().is_paid()
     }
 
-    fn record_charge(&self) {
+    /// Records that the next send was charged.
+    pub(super) fn record_charge(&self) {
         self.0.sends().record_charge();
     }
 }
@@ -146,12 +147,11 @@
         allowed
     }
 
-    /// Records a retry that was charged with the decision to make it.
-    pub(super) fn record_charged_retry(&self, reason: RetryReason) {
-        self.retries.record_charge();
+    /// Records a retry that was allowed or refused together with another decision.
+    pub(super) fn record_judged_retry(&self, reason: RetryReason, allowed: bool) {
         let now = self.gateway.now();
         let usage = self.gateway.router().retry_usage(now, &self.plan);
-        self.log_retry(reason, usage, true);
+        self.log_retry(reason, usage, allowed);
     }
 
     fn log_retry(&self, reason: RetryReason, usage: RetryUsage, allowed: bool) {
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -222,11 +222,25 @@
         *self.counts(service).requests.count(number) += 1;
     }
 
-    /// Withdraws a request that was counted as read at a time.
-    pub fn withdraw_request(&mut self, read_at: MonoTime, service: &ServiceId) {
+    /// Withdraws a request that was counted as read at a time, unless retries that were spent
+    /// need it. Returns whether it no longer counts.
+    pub fn withdraw_request(
+        &mut self,
+        now: MonoTime,
+        read_at: MonoTime,
+        service: &ServiceId,
+    ) -> bool {
         let number = self.bucket(read_at);
         let requests = self.counts(service).requests.count(number);
-        *requests = requests.saturating_sub(1);
+        if *requests == 0 {
+            return false;
+        }
+        *requests -= 1;
+        let is_unspent = self.usage(now, service).left() >= 0.0;
+        if !is_unspent {
+            self.record_request(read_at, service);
+        }
+        is_unspent
     }
 
     /// Spends one retry if the budget allows it. It is outstanding until it is settled or
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -215,6 +215,8 @@
     response_tokens: u32,
     /// When the request was admitted.
     pub admitted_at: MonoTime,
+    /// When the entry that its caller has reached read it.
+    pub read_at: MonoTime,
     /// When its caller stops waiting, or its route's timeout is reached.
     pub deadline: MonoTime,
     /// Session identifier.
@@ -459,7 +461,21 @@
     ///
     /// Fails if the request is rejected.
     pub fn admit(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
-        self.plan(now, head, true)
+        self.admit_read_before(now, now, head)
+    }
+
+    /// Plans a request of a caller that was read at an earlier time and has waited since then.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request is rejected.
+    pub fn admit_read_before(
+        &mut self,
+        now: MonoTime,
+        read_at: MonoTime,
+        head: &Head,
+    ) -> Result<Plan, Refusal> {
+        self.plan(now, read_at, head, true)
     }
 
     /// Plans a request that another entry forwards. Until
@@ -469,10 +485,16 @@
     ///
     /// Fails if the request is rejected.
     pub fn admit_forwarded(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
-        self.plan(now, head, false)
+        self.plan(now, now, head, false)
     }
 
-    fn plan(&mut self, now: MonoTime, head: &Head, is_counted: bool) -> Result<Plan, Refusal> {
+    fn plan(
+        &mut self,
+        now: MonoTime,
+        read_at: MonoTime,
+        head: &Head,
+        is_counted: bool,
+    ) -> Result<Plan, Refusal> {
         let table = self.table.clone().ok_or(Refusal::NoConfig)?;
         let path = head.path.split('?').next().unwrap_or_default();
         let route = table.route(&head.host, path);
@@ -488,7 +510,7 @@
         let seed = hash::name(head.id.as_bytes());
         let service = table.service(route, seed).clone();
         if is_counted {
-            self.budget.record_request(now, &service);
+            self.budget.record_request(read_at, &service);
         }
         if !route.streaming && !self.admission.admits(now, &service, route, head) {
             return Err(Refusal::ShortOfCapacity);
@@ -521,6 +543,7 @@
             unshared_tokens: head.unshared_tokens(),
             response_tokens: head.response_tokens.unwrap_or_default(),
             admitted_at: now,
+            read_at,
             deadline: now
                 + head
                     .deadline
--- a/sesamebeam_core/src/gateway/router/isolated.rs
+++ b/sesamebeam_core/src/gateway/router/isolated.rs
@@ -180,21 +180,22 @@
         self.peers.record_busy(now, peer, &plan.service);
     }
 
-    /// Records that a request that was not sent yet is offered to another entry. If that one
-    /// sends it, the request counts for the retry budget there: counted at both, it would allow
-    /// twice the retries, also if the answer of the other entry is lost.
-    pub fn record_offered(&mut self, plan: &Plan) {
+    /// Records that a request that was not sent yet is offered to another entry. Returns whether
+    /// it counts for the retry budget there, if that one sends it: counted at both, it would
+    /// allow twice the retries, also if the answer of the other entry is lost. It goes on to
+    /// count here if retries that were spent need it.
+    pub fn record_offered(&mut self, now: MonoTime, plan: &Plan) -> bool {
         self.budget
-            .withdraw_request(plan.admitted_at, &plan.service);
+            .withdraw_request(now, plan.read_at, &plan.service)
     }
 
     /// Records that another entry declined such a request, which counts here again.
     pub fn record_declined(&mut self, plan: &Plan) {
-        self.budget.record_request(plan.admitted_at, &plan.service);
+        self.budget.record_request(plan.read_at, &plan.service);
     }
 
     /// Records that the first send of a forwarded request was made here, so that it counts here.
     pub fn record_accepted(&mut self, plan: &Plan) {
-        self.budget.record_request(plan.admitted_at, &plan.service);
+        self.budget.record_request(plan.read_at, &plan.service);
     }
 }
--- a/sesamebeam_core/tests/gateway/forwarding.rs
+++ b/sesamebeam_core/tests/gateway/forwarding.rs
@@ -222,7 +222,7 @@
         for number in 0..100 {
             let plan = plan(&mut router, ms(0), &format!("r{number}"));
             if is_offered {
-                router.record_offered(&plan);
+                router.record_offered(ms(0), &plan);
             }
         }
         // The answer takes a while, and what was counted is withdrawn all the same.
@@ -233,6 +233,27 @@
     assert!(own > 22 && offered < own / 4, "{own}, {offered}");
 }
 
+#[test]
+fn spent_stays_counted() {
+    // Guards against requests by which an entry has spent retries, and which are then counted by
+    // another one too.
+    let offered = |spent: usize| {
+        let mut router = router_of_entry("cut", 10, 3);
+        let plans: Vec<_> = (0..100)
+            .map(|number| plan(&mut router, ms(0), &format!("r{number}")))
+            .collect();
+        for plan in &plans[..spent] {
+            assert!(router.try_retry(ms(900), plan));
+        }
+        let left = plans.iter();
+        left.filter(|plan| router.record_offered(ms(900), plan))
+            .count()
+    };
+    assert_eq!(offered(0), 100);
+    // A request allows a quarter of a retry at once.
+    assert_eq!(offered(10), 60);
+}
+
 #[test]
 fn declined_counts_once() {
     // Guards against retries for requests that several entries have read and declined.
@@ -242,7 +263,7 @@
         let id = format!("r{number}");
         plan(&mut own, ms(0), &id);
         let plan = plan(&mut first, ms(0), &id);
-        first.record_offered(&plan);
+        first.record_offered(ms(0), &plan);
         let declined = second.admit_forwarded(ms(0), &head(&id));
         declined.expect("it is planned");
         first.record_declined(&plan);
