--- a/sesamebeam_core/src/gateway/engines/escalation.rs
+++ b/sesamebeam_core/src/gateway/engines/escalation.rs
@@ -80,6 +80,8 @@
     pub keep_from: f64,
     /// What is counted; none if the answer was not judged by engine time.
     pub step: Option<Step>,
+    /// Whether a larger model would have been asked, but for the retry budget.
+    pub is_over_budget: bool,
 }
 
 impl Judgement {
@@ -89,6 +91,7 @@
             decision: Decision::Keep,
             keep_from,
             step,
+            is_over_budget: false,
         }
     }
 }
@@ -124,6 +127,7 @@
             decision: Decision::Ask(model),
             keep_from,
             step: Some(step),
+            is_over_budget: false,
         }
     }
 
--- a/sesamebeam_core/src/gateway/router/escalation.rs
+++ b/sesamebeam_core/src/gateway/router/escalation.rs
@@ -64,7 +64,10 @@
             return judgement;
         }
         let step = judgement.step.map(|_| Step::Kept);
-        Judgement::kept(judgement.keep_from, step)
+        Judgement {
+            is_over_budget: attempts_left,
+            ..Judgement::kept(judgement.keep_from, step)
+        }
     }
 
     /// Judges an answer by the waits of past requests.
@@ -87,6 +90,7 @@
             decision,
             keep_from: self.confidence_threshold(now, plan),
             step: None,
+            is_over_budget: false,
         }
     }
 
