Soak callers in bursts beside entries that restart in series (BUDGET)

Callers of the soak came evenly, so that every window held as many requests, and restarts were rare beside the rate. Retries are counted as backend servers read them.

`--held` plays its callers by the same code, as one burst.

--- a/sesamebeam_soak/src/failing.rs
+++ b/sesamebeam_soak/src/failing.rs
@@ -6,10 +6,11 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
     },
     time::{
         Duration,
@@ -37,8 +38,7 @@
     sync::watch,
     task::JoinSet,
     time::{
-        MissedTickBehavior,
-        interval,
+        sleep_until,
         timeout, //
     },
 };
@@ -51,6 +51,7 @@
         Mode, //
     },
     retry_counts::RetryCounts,
+    schedule::Burst,
     server::{
         self,
         Body, //
@@ -60,8 +61,7 @@
 /// Number of these backend servers.
 const SERVERS: usize = 4;
 
-/// Requests a second at each entry, and time that their callers wait.
-const PER_S: u32 = 50;
+/// Time that callers wait.
 const DEADLINE: Duration = Duration::from_secs(3);
 
 /// Retries of all entries together that are allowed beyond a share of the requests.
@@ -72,16 +72,22 @@
 pub struct Failing {
     began: Instant,
     /// Share of requests that fail, in percent.
-    fails_percent: u64,
+    fails_percent: AtomicU64,
     counts: Mutex<RetryCounts>,
 }
 
+impl Default for Failing {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Failing {
     /// Creates counts of nothing.
-    pub fn new(fails_percent: u64) -> Self {
+    pub fn new() -> Self {
         Self {
             began: Instant::now(),
-            fails_percent,
+            fails_percent: AtomicU64::new(0),
             counts: Mutex::new(RetryCounts::new(SLACK)),
         }
     }
@@ -95,7 +101,8 @@
         let id = id.unwrap_or_default();
         let number = self.counts().record_read(self.now_ms(), id);
         // A prime step spreads the failures over requests and backend servers.
-        let status = match number * 61 % 100 < self.fails_percent {
+        let fails_percent = self.fails_percent.load(Ordering::Relaxed);
+        let status = match number * 61 % 100 < fails_percent {
             true => StatusCode::INTERNAL_SERVER_ERROR,
             false => StatusCode::OK,
         };
@@ -149,36 +156,50 @@
     Ok(addrs)
 }
 
-/// Sends requests to an entry until cancelled, whether it answers or not.
+/// Sends the requests of bursts to two entries, whether they answer or not. Each caller opens a
+/// connection or uses an idle one.
 pub async fn call(
-    entry: usize,
-    front: SocketAddr,
+    fronts: Vec<SocketAddr>,
+    bursts: Vec<Burst>,
     failing: Arc<Failing>,
     cancel: CancellationToken,
 ) {
+    let began = Instant::now();
     let client = Client::new(Duration::from_millis(500));
-    let mut ticks = interval(Duration::from_secs(1) / PER_S);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut callers = JoinSet::new();
-    for number in 0.. {
-        tokio::select! {
-            () = cancel.cancelled() => break,
-            _ = ticks.tick() => {}
+    for (number, burst) in bursts.iter().enumerate() {
+        let from = began + Duration::from_millis(burst.at_ms);
+        for n in 0..burst.for_ms * burst.per_s / 1000 {
+            let due = from + Duration::from_secs(n) / burst.per_s as u32;
+            tokio::select! {
+                () = cancel.cancelled() => return,
+                () = sleep_until(due.into()) => {}
+            }
+            let percent = burst.fails_percent;
+            failing.fails_percent.store(percent, Ordering::Relaxed);
+            while callers.try_join_next().is_some() {}
+            // A prime step spreads the entries over the burst.
+            let is_first = n * 61 % 100 < burst.first_entry_percent;
+            let Some(req) = request(&format!("f{number}-{n}")) else {
+                return;
+            };
+            let now_ms = failing.now_ms();
+            failing.counts().record_sent(now_ms);
+            let front = fronts[usize::from(!is_first) % fronts.len()];
+            callers.spawn(ask(client.clone(), front, req));
         }
-        while callers.try_join_next().is_some() {}
-        let req = Request::post(format!("/{FAILING_POOL}/1"))
-            .header("Host", "desk.example")
-            .header("Request-Id", format!("f{entry}-{number}"))
-            .header("Credential", "k1")
-            .header("Deadline-Ms", DEADLINE.as_millis().to_string())
-            .body(Full::default());
-        let Ok(req) = req else {
-            return;
-        };
-        let now_ms = failing.now_ms();
-        failing.counts().record_sent(now_ms);
-        callers.spawn(ask(client.clone(), front, req));
     }
+    cancel.run_until_cancelled(callers.join_all()).await;
+}
+
+fn request(id: &str) -> Option<Request<Full<Bytes>>> {
+    let req = Request::post(format!("/{FAILING_POOL}/1"))
+        .header("Host", "desk.example")
+        .header("Request-Id", id)
+        .header("Credential", "k1")
+        .header("Deadline-Ms", DEADLINE.as_millis().to_string())
+        .body(Full::default());
+    req.ok()
 }
 
 /// Sends a request and reads the answer; what it is does not matter.
--- a/sesamebeam_soak/src/main.rs
+++ b/sesamebeam_soak/src/main.rs
@@ -21,6 +21,7 @@
   --brittle       has backend servers that go down under rejections
   --crowds        has most new connections come to one entry, over narrow links
   --held          has backend servers that fail requests and at times read nothing
+  --bursts        the same, with callers in bursts and entries that restart in series
   --fatal         has backend servers that go down under a part of prompts, early or late
   --lost-disks N  has replicas lose their disks N times under a large configuration
   --schedule FILE plays a schedule instead of seeds
@@ -127,6 +128,7 @@
     let brittle = args.contains("--brittle");
     let crowds = args.contains("--crowds");
     let held = args.contains("--held");
+    let bursts = args.contains("--bursts");
     let fatal = args.contains("--fatal");
     let lost_disks: Option<u64> = args.opt_value_from_str("--lost-disks").map_err(text)?;
     if !args.finish().is_empty() {
@@ -146,6 +148,7 @@
                 brittle,
                 ..match lost_disks {
                     Some(losses) => Schedule::draw_lost_disks(seed, losses),
+                    None if bursts => Schedule::draw_bursts(seed),
                     None if held => Schedule::draw_held(seed),
                     None if crowds => Schedule::draw_crowds(seed),
                     None if fatal => Schedule::draw_fatal(seed, length_ms),
--- a/sesamebeam_soak/src/run.rs
+++ b/sesamebeam_soak/src/run.rs
@@ -226,7 +226,7 @@
         ));
     }
     let (hold, held) = watch::channel(Mode::Pass);
-    let failing_servers = Arc::new(Failing::new(schedule.fails_percent.unwrap_or(0)));
+    let failing_servers = Arc::new(Failing::new());
     if schedule.fails_percent.is_some() {
         let addrs = failing::start(&failing_servers, &held, cancel.child_token()).await?;
         for (number, addr) in addrs.into_iter().enumerate() {
@@ -239,10 +239,6 @@
                 cancel.clone(),
             ));
         }
-        for (entry, &front) in fronts.iter().enumerate() {
-            let c = Arc::clone(&failing_servers);
-            tasks.spawn(failing::call(entry, front, c, cancel.clone()));
-        }
     }
     let next = Arc::new(AtomicU64::new(1));
     for _ in 0..2 {
@@ -305,10 +301,14 @@
     });
     wait_for_answers(&stage, (0, 0), "at the start").await;
     let crowd_halt = cancel.child_token();
+    let fronts_of_bursts = fronts.clone();
     if has_crowds {
         sleep(Duration::from_millis(CONTACT_MS)).await;
         tasks.spawn(Arc::clone(&crowds).call(fronts, crowd_halt.clone()));
     }
+    let bursts = schedule.all_bursts();
+    let c = Arc::clone(&failing_servers);
+    tasks.spawn(failing::call(fronts_of_bursts, bursts, c, cancel.clone()));
     play(&stage, schedule).await;
     crowd_halt.cancel();
     let before = (books.answers(), books.engine_answers());
--- a/sesamebeam_soak/tests/seeds.rs
+++ b/sesamebeam_soak/tests/seeds.rs
@@ -137,6 +137,13 @@
     play(218, &Schedule::draw_held(12));
 }
 
+/// Guards against retries that requests of an earlier burst allow, or that each process spends
+/// which replaces another one, where callers come in bursts beside entries that restart in series.
+#[test]
+fn bursts_and_restarts() {
+    play(219, &Schedule::draw_bursts(10));
+}
+
 #[test]
 fn short_run() {
     play(203, &Schedule::draw(7, SHORT_MS));
