--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -288,12 +288,8 @@
         set(&mut headers, KEY, &format!("{:032x}", offer.key));
         set(&mut headers, SENDS, &self.sends.to_string());
         headers.remove(READ_BEFORE);
-        if let Some(read_before) = read_before {
-            set(
-                &mut headers,
-                READ_BEFORE,
-                &read_before.as_millis().to_string(),
-            );
+        if let Some(age) = read_before {
+            set(&mut headers, READ_BEFORE, &age.as_millis().to_string());
         }
         let mut request = Request::new(Full::new(self.req.body.clone()));
         *request.method_mut() = self.req.parts.method.clone();
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -64,7 +64,7 @@
     pub window: Duration,
 }
 
-/// State of the budget of a service at one entry, for logs: the window that allows least.
+/// State of the budget of a service at one entry in one window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
     /// How long ago the window began; zero for one that is yet to begin.
@@ -268,7 +268,7 @@
         counts.outstanding = counts.outstanding.saturating_sub(1);
     }
 
-    /// Returns the state of the budget of a service.
+    /// Returns the state of the budget of a service in the window that allows least.
     pub fn usage(&mut self, now: MonoTime, service: &ServiceId) -> RetryUsage {
         let current = self.bucket(now);
         let slack = self.slack(now);
@@ -277,7 +277,7 @@
         let requests = counts.requests.sums(current);
         let settled = counts.settled.sums(current);
         let outstanding = counts.outstanding;
-        let windows = (-(RETRY_DELAY as isize)..=BUCKETS as isize).map(|began| {
+        let usage_since = |began: isize| {
             let requests = requests.requests(began);
             RetryUsage {
                 began: window * began.max(0) as u32 / BUCKETS as u32,
@@ -287,9 +287,15 @@
                 allowed: ratio * requests + slack,
                 slack,
             }
-        });
-        let tightest = windows.min_by(|a, b| a.left().total_cmp(&b.left()));
-        tightest.expect("there are windows")
+        };
+        let [oldest, newest] = [BUCKETS as isize, -(RETRY_DELAY as isize)];
+        let windows = (newest..oldest).map(usage_since);
+        windows.fold(usage_since(oldest), |least, usage| {
+            match usage.left() < least.left() {
+                true => usage,
+                false => least,
+            }
+        })
     }
 
     /// Returns this entry's part of the slack.
