Ask 0.8 of the bound at few requests again, of callers that want it (BUDGET)

The trace: with three sends a request, 40 requests in a window want 80 retries at most, 0.85 of the 94 that are allowed; 75 were sent. The check measured what callers wanted. With five sends a request they want more than the bound, in every case of the file, and 0.8 is met; it was not with the weights unchanged and three sends (0.7979), nor with buckets half as wide.

--- a/sesamebeam_core/tests/gateway/retry_windows.rs
+++ b/sesamebeam_core/tests/gateway/retry_windows.rs
@@ -36,7 +36,7 @@
 const RETRY_DELAY_MS: u64 = 2000;
 
 /// Sends of a request, and time after which one without an answer is given up, in milliseconds.
-const MAX_SENDS: u32 = 3;
+const MAX_SENDS: u32 = 5;
 const GIVEN_UP_MS: u64 = 400;
 
 /// Callers that come at an even rate.
@@ -325,7 +325,7 @@
     steady = { &[Burst::even(0, 30_000, 150, 100)], 14_000, 0.85 },
     from_the_start = { &[Burst::even(0, 30_000, 150, 100)], 3800, 0.75 },
     crowd = { &[Burst::even(0, 2400, 150, 100)], 0, 0.5 },
-    few = { &[Burst::even(0, 30_000, 4, 100)], 14_000, 0.75 },
+    few = { &[Burst::even(0, 30_000, 4, 100)], 14_000, 0.8 },
     burst_of_failures = { &[Burst::even(0, 14_000, 150, 0), Burst::even(14_000, 16_000, 150, 100)],
                           14_000, 0.85 },
 )]
