--- a/sesamebeam_soak/src/retry_counts.rs
+++ b/sesamebeam_soak/src/retry_counts.rs
@@ -68,6 +68,11 @@
         (self.reads.len() + self.retries.len()) as u64
     }
 
+    /// Returns how often the request that was read most often was read.
+    pub fn most_reads(&self) -> u32 {
+        self.reads.values().copied().max().unwrap_or(0)
+    }
+
     /// Returns the counts of a window.
     pub fn window(&self, from_ms: u64) -> WindowCount {
         // The requests in it count, those in the one before it, or those in the one half a
