--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -86,7 +86,7 @@
         /// Number of backend servers to which that entry has sent the request.
         sends: u32,
         /// When that entry read it, if it counts for the retry budget of this one.
-        counted_from: Option<MonoTime>,
+        counted_read_at: Option<MonoTime>,
         /// Held until the request ends.
         _permit: OwnedSemaphorePermit,
     },
@@ -190,12 +190,14 @@
             Origin::Caller => {
                 let now = gateway.now();
                 let read_at = now.saturating_sub(received_at.elapsed());
-                gateway.router().admit_read_before(now, read_at, head)
+                gateway.router().admit_read_at(now, read_at, head)
             }
-            Origin::Peer { counted_from, .. } => {
+            Origin::Peer {
+                counted_read_at, ..
+            } => {
                 let planned = gateway.router().admit_forwarded(gateway.now(), head);
                 planned.map(|mut plan| {
-                    plan.read_at = counted_from.unwrap_or(plan.read_at);
+                    plan.read_at = counted_read_at.unwrap_or(plan.read_at);
                     plan
                 })
             }
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -81,7 +81,7 @@
 
 /// Milliseconds since the forwarding entry read the request, if it counts for the retry budget
 /// of the accepting one.
-const READ_BEFORE: HeaderName = HeaderName::from_static("sesamebeam-read-before-ms");
+const READ_AGE: HeaderName = HeaderName::from_static("sesamebeam-read-age-ms");
 
 /// Marks a refusal of the accepting entry that says nothing about the request: another
 /// entry may serve it.
@@ -199,9 +199,9 @@
                 self.sends == 0 && self.gateway.router().record_offered(now, &self.plan);
             let unsettled = self.retries.begin_peer_send();
             let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
-            let read_before = counts_there.then(|| now.saturating_sub(self.plan.read_at));
+            let read_age = counts_there.then(|| now.saturating_sub(self.plan.read_at));
             let sent = self
-                .send_to_peer(&offer, resume_after, read_before, guard)
+                .send_to_peer(&offer, resume_after, read_age, guard)
                 .await;
             let why = match sent {
                 Ok((response, lease)) if response.headers().contains_key(DECLINED) => {
@@ -277,7 +277,7 @@
         &self,
         offer: &ForwardingOffer,
         resume_after: Option<u64>,
-        read_before: Option<Duration>,
+        read_age: Option<Duration>,
         guard: UnreadGuard,
     ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
         let remaining = self.req.deadline.saturating_duration_since(Instant::now());
@@ -287,9 +287,9 @@
         protocol.prepare_forwarded_headers(&mut headers, remaining, resume_after);
         set(&mut headers, KEY, &format!("{:032x}", offer.key));
         set(&mut headers, SENDS, &self.sends.to_string());
-        headers.remove(READ_BEFORE);
-        if let Some(age) = read_before {
-            set(&mut headers, READ_BEFORE, &age.as_millis().to_string());
+        headers.remove(READ_AGE);
+        if let Some(age) = read_age {
+            set(&mut headers, READ_AGE, &age.as_millis().to_string());
         }
         let mut request = Request::new(Full::new(self.req.body.clone()));
         *request.method_mut() = self.req.parts.method.clone();
@@ -365,7 +365,7 @@
             let now = gateway.now();
             let origin = Origin::Peer {
                 sends: forwarded.sends,
-                counted_from: forwarded.read_before.and_then(|age| now.checked_sub(age)),
+                counted_read_at: forwarded.read_age.and_then(|age| now.checked_sub(age)),
                 _permit: permit,
             };
             admission::handle(gateway, req, origin).await
@@ -379,14 +379,14 @@
     /// Number of earlier sends.
     sends: u32,
     /// How long ago it was read, if it counts for the retry budget here.
-    read_before: Option<Duration>,
+    read_age: Option<Duration>,
 }
 
 /// Checks the key of a forwarded request, and removes and returns what concerns only entries.
 fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<PeerHeaders> {
     let key = headers.remove(KEY)?;
     let sends = headers.remove(SENDS)?;
-    let read_before = headers.remove(READ_BEFORE);
+    let read_age = headers.remove(READ_AGE);
     let own = format!("{:032x}", gateway.forwarding_key);
     if !bool::from(own.as_bytes().ct_eq(key.as_bytes())) {
         return None;
@@ -394,7 +394,7 @@
     let number = |value: &HeaderValue| value.to_str().ok()?.parse().ok();
     Some(PeerHeaders {
         sends: u32::try_from(number(&sends)?).ok()?,
-        read_before: read_before
+        read_age: read_age
             .as_ref()
             .and_then(number)
             .map(Duration::from_millis),
@@ -438,7 +438,7 @@
         matches!(
             self,
             Self::Peer {
-                counted_from: Some(_),
+                counted_read_at: Some(_),
                 ..
             }
         )
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -461,7 +461,7 @@
     ///
     /// Fails if the request is rejected.
     pub fn admit(&mut self, now: MonoTime, head: &Head) -> Result<Plan, Refusal> {
-        self.admit_read_before(now, now, head)
+        self.admit_read_at(now, now, head)
     }
 
     /// Plans a request of a caller that was read at an earlier time and has waited since then.
@@ -469,7 +469,7 @@
     /// # Errors
     ///
     /// Fails if the request is rejected.
-    pub fn admit_read_before(
+    pub fn admit_read_at(
         &mut self,
         now: MonoTime,
         read_at: MonoTime,
