Log with a declined request its id and how often it was sent

The line named neither, so that the sends of a request that several entries decline could only be told from the logs of all of them together.

--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -44,7 +44,10 @@
 use super::{
     Gateway,
     dispatch::Dispatch,
-    forwarding,
+    forwarding::{
+        self,
+        Decline, //
+    },
     response::{
         self,
         CallerResponse, //
@@ -125,7 +128,12 @@
     };
     if !origin.is_caller() {
         if gateway.router().is_isolated(&plan.service) {
-            return forwarding::decline_isolated(&gateway);
+            return forwarding::decline(
+                &gateway,
+                Some(&head.id),
+                Decline::Isolated,
+                origin.sends(),
+            );
         }
         gateway.metrics.record_accepted(true);
     }
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -41,7 +41,10 @@
         Origin,
         startup_wait_deadline, //
     },
-    forwarding,
+    forwarding::{
+        self,
+        Decline, //
+    },
     hop_by_hop::strip_hop_by_hop,
     in_flight::InFlightSend,
     response::{
@@ -325,10 +328,10 @@
         if !self.origin.is_caller() {
             // Leased backend servers that were down are leased anew once they are back.
             if self.lacks_slot || self.gateway.router().is_leased(&self.plan.service) {
-                return forwarding::decline_busy(&self.gateway);
+                return self.decline(Decline::Busy);
             }
             if self.unsent + self.refused > 0 && !self.found_full_server {
-                return forwarding::decline_isolated(&self.gateway);
+                return self.decline(Decline::Isolated);
             }
         }
         if self.found_full_server && !self.plan.route.streaming {
@@ -341,6 +344,11 @@
         }
     }
 
+    /// Declines the request, which another entry has sent.
+    fn decline(&self, why: Decline) -> CallerResponse {
+        forwarding::decline(&self.gateway, Some(&self.req.head.id), why, self.sends)
+    }
+
     /// Returns after what time a backend server is expected to accept the request, if all
     /// have announced such a time.
     fn retry_after(&self) -> Option<Duration> {
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -87,14 +87,42 @@
 /// entry may serve it.
 const DECLINED: HeaderName = HeaderName::from_static("sesamebeam-declined");
 
-/// Value of [`DECLINED`] of an entry without a free slot of a leased backend server.
-const BUSY: HeaderValue = HeaderValue::from_static("busy");
+/// Why an entry declines a request of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Decline {
+    /// It has no free slot of a leased backend server.
+    Busy,
+    /// It reaches no backend server of the service.
+    Isolated,
+    /// It is shutting down.
+    Stopping,
+    /// Its own callers overload it.
+    Overloaded,
+    /// It serves as many requests of other entries as it may.
+    Full,
+}
 
-/// Value of [`DECLINED`] of an entry that reaches no backend server of the service.
-const ISOLATED: HeaderValue = HeaderValue::from_static("isolated");
+impl Decline {
+    /// Returns the value of [`DECLINED`].
+    fn value(self) -> HeaderValue {
+        HeaderValue::from_static(match self {
+            Self::Busy => "busy",
+            Self::Isolated => "isolated",
+            Self::Stopping | Self::Overloaded | Self::Full => "1",
+        })
+    }
 
-/// Value of [`DECLINED`] for reasons that do not depend on the service.
-const UNAVAILABLE: HeaderValue = HeaderValue::from_static("1");
+    /// Returns the reason for the log.
+    fn why(self) -> &'static str {
+        match self {
+            Self::Busy => "no free slot of a leased backend server",
+            Self::Isolated => "no backend server could be reached",
+            Self::Stopping => "stopping",
+            Self::Overloaded => "overloaded by callers",
+            Self::Full => "serving too many requests of other entries",
+        }
+    }
+}
 
 /// Maximum number of requests of other entries that an entry serves at a time, so that its
 /// own callers are served too.
@@ -258,7 +286,8 @@
         offer: &ForwardingOffer,
         reason: Option<&HeaderValue>,
     ) {
-        let (is_busy, is_isolated) = (reason == Some(&BUSY), reason == Some(&ISOLATED));
+        let [is_busy, is_isolated] =
+            [Decline::Busy, Decline::Isolated].map(|why| reason == Some(&why.value()));
         let why = match (is_busy, is_isolated) {
             (true, _) => "no free slot there",
             (_, true) => "no backend server there",
@@ -354,11 +383,12 @@
         log::warn!("forwarded request without the key of this entry");
         return response::empty_and_close(StatusCode::FORBIDDEN);
     };
+    let decline = |why| decline(&gateway, None, why, forwarded.sends);
     if gateway.stopping.is_cancelled() {
-        return decline(&gateway, "stopping");
+        return decline(Decline::Stopping);
     }
     if gateway.caller_load.is_overloaded() {
-        return decline(&gateway, "overloaded by callers");
+        return decline(Decline::Overloaded);
     }
     match Arc::clone(&gateway.accepted).try_acquire_owned() {
         Ok(permit) => {
@@ -370,7 +400,7 @@
             };
             admission::handle(gateway, req, origin).await
         }
-        Err(_) => decline(&gateway, "serving too many requests of other entries"),
+        Err(_) => decline(Decline::Full),
     }
 }
 
@@ -401,26 +431,17 @@
     })
 }
 
-/// Declines a request of another entry to a service of which this one reaches no backend server.
-pub(super) fn decline_isolated(gateway: &Gateway) -> CallerResponse {
-    decline_as(gateway, "no backend server could be reached", ISOLATED)
-}
-
-/// Declines a request of another entry, which has not run, to whatever service.
-fn decline(gateway: &Gateway, why: &str) -> CallerResponse {
-    decline_as(gateway, why, UNAVAILABLE)
-}
-
-/// Declines a request of another entry for want of a slot of a leased backend server.
-pub(super) fn decline_busy(gateway: &Gateway) -> CallerResponse {
-    decline_as(gateway, "no free slot of a leased backend server", BUSY)
-}
-
-fn decline_as(gateway: &Gateway, why: &str, reason: HeaderValue) -> CallerResponse {
-    log::info!(why = why; "forwarded request declined");
+/// Declines a request of another entry, which may name its id, after a number of sends.
+pub(super) fn decline(
+    gateway: &Gateway,
+    id: Option<&str>,
+    why: Decline,
+    sends: u32,
+) -> CallerResponse {
+    log::info!(id = id.unwrap_or_default(), why = why.why(), sends = sends; "forwarded request declined");
     gateway.metrics.record_accepted(false);
     let mut response = response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
-    response.headers_mut().insert(DECLINED, reason);
+    response.headers_mut().insert(DECLINED, why.value());
     if gateway.stopping.is_cancelled() {
         response::set_connection_close(response.headers_mut());
     }
