--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -122,10 +122,8 @@
     Moved,
     /// The stream goes on after its last complete event.
     Resumed,
-    /// It is forwarded to another entry after sends from this one.
+    /// It is sent by more than one entry.
     Forwarded,
-    /// An entry that it was forwarded to did not answer.
-    LostAtPeer,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -25,6 +25,10 @@
     gateway::{
         config::Limits,
         request::Head,
+        request_sends::{
+            Declined,
+            Handover, //
+        },
         router::{
             Plan,
             Refusal, //
@@ -86,8 +90,8 @@
     Caller,
     /// Another entry, to which a caller sent it.
     Peer {
-        /// Number of backend servers to which that entry has sent the request.
-        sends: u32,
+        /// What that entry has handed over.
+        handover: Handover,
         /// When that entry read it, if it counts for the retry budget of this one.
         counted_read_at: Option<MonoTime>,
         /// Held until the request ends.
@@ -128,12 +132,11 @@
     };
     if !origin.is_caller() {
         if gateway.router().is_isolated(&plan.service) {
-            return forwarding::decline(
-                &gateway,
-                Some(&head.id),
-                Decline::Isolated,
-                origin.sends(),
-            );
+            let declined = Declined {
+                sends: origin.sends(),
+                is_counted: false,
+            };
+            return forwarding::decline(&gateway, Some(&head.id), Decline::Isolated, declined);
         }
         gateway.metrics.record_accepted(true);
     }
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -26,6 +26,7 @@
         AnswerStage,
         ResponseHead, //
     },
+    request_sends::Declined,
     router::{
         Choice,
         ChooseError,
@@ -163,7 +164,11 @@
         let plan = Arc::new(plan);
         Self {
             model: plan.model.clone(),
-            retries: Retries::new(Arc::clone(&gateway), Arc::clone(&plan)),
+            retries: Retries::new(
+                Arc::clone(&gateway),
+                Arc::clone(&plan),
+                origin.request_sends(),
+            ),
             plan,
             req,
             gateway,
@@ -182,7 +187,7 @@
     /// Sends the request until a backend server responds or no further send is possible.
     pub(super) async fn run(mut self) -> CallerResponse {
         let mut fallback = None;
-        let mut reason = RetryReason::Refused;
+        let mut reason = RetryReason::Forwarded;
         let mut moved_to = None;
         let mut is_forwardable = true;
         loop {
@@ -208,10 +213,13 @@
                 chosen = self.wait_for_slot(Elsewhere::Peer).await;
                 if matches!(chosen, Err(ChooseError::NoFreeSlot)) {
                     is_forwardable = false;
+                    self.lacks_slot = true;
                     self = match self.forward().await {
                         ControlFlow::Break(response) => return response,
                         ControlFlow::Continue(dispatch) => dispatch,
                     };
+                    // Other entries may have used up its sends, or the one that was paid for.
+                    continue;
                 }
             }
             if matches!(chosen, Err(ChooseError::NoFreeSlot)) {
@@ -231,7 +239,7 @@
             };
             match next_step {
                 NextStep::Respond(response) => return *response,
-                NextStep::Stream(pending) => return Relay::response(self, *pending),
+                NextStep::Stream(pending) => return self.relay(*pending),
                 NextStep::TryNextServer(response, why) => {
                     reason = why;
                     fallback = response.or(fallback);
@@ -256,6 +264,16 @@
         self.reject_or_fail(fallback)
     }
 
+    /// Returns the response that relays a stream.
+    fn relay(self, pending: PendingResponse) -> CallerResponse {
+        let (sends, is_caller) = (self.sends, self.origin.is_caller());
+        let mut response = Relay::response(self, pending);
+        if !is_caller {
+            forwarding::set_sends(&mut response, sends);
+        }
+        response
+    }
+
     /// Sends the request, and gives the send up if it moves to another engine.
     async fn send_or_move(&self, choice: &InFlightSend) -> Sending {
         let detect_silence =
@@ -333,6 +351,9 @@
             if self.unsent + self.refused > 0 && !self.found_full_server {
                 return self.decline(Decline::Isolated);
             }
+            if self.sends == self.origin.sends() && !self.retries.is_paid() {
+                return self.decline(Decline::OverBudget);
+            }
         }
         if self.found_full_server && !self.plan.route.streaming {
             self.gateway.router().record_rejected(&self.plan);
@@ -346,7 +367,11 @@
 
     /// Declines the request, which another entry has sent.
     fn decline(&self, why: Decline) -> CallerResponse {
-        forwarding::decline(&self.gateway, Some(&self.req.head.id), why, self.sends)
+        let declined = Declined {
+            sends: self.sends,
+            is_counted: self.retries.is_counted(),
+        };
+        forwarding::decline(&self.gateway, Some(&self.req.head.id), why, declined)
     }
 
     /// Returns after what time a backend server is expected to accept the request, if all
@@ -432,9 +457,7 @@
     /// Counts a send that was made.
     pub(super) fn record_send(&mut self) {
         self.sends += 1;
-        if self.sends == 1 && self.origin.counts_here() {
-            self.gateway.router().record_accepted(&self.plan);
-        }
+        self.retries.count_request();
     }
 
     /// Records the result of a send and decides how to continue.
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -28,6 +28,11 @@
             MAX_PEERS_TRIED, //
         },
         request::ResponseHead,
+        request_sends::{
+            Declined,
+            Handover,
+            RequestSends, //
+        },
     },
     ids::{
         MonoTime,
@@ -58,8 +63,7 @@
 use crate::{
     exposition::{
         ForwardingEnd,
-        RequestEnd,
-        RetryReason, //
+        RequestEnd, //
     },
     http::{
         client::{
@@ -69,16 +73,22 @@
             SendOptions, //
         },
         received::read_whole,
-        unread::UnreadGuard,
     },
 };
 
 /// Secret of the entry to which a request is forwarded.
 const KEY: HeaderName = HeaderName::from_static("sesamebeam-peer-key");
 
-/// Number of backend servers to which the request was already sent.
+/// Number of backend servers to which the request was already sent, of a request, of a refusal
+/// to serve it and of the head of a stream.
 const SENDS: HeaderName = HeaderName::from_static("sesamebeam-sends");
 
+/// Whether the first send of the accepting entry is free for the retry budget.
+const FREE_SEND: HeaderName = HeaderName::from_static("sesamebeam-free-send");
+
+/// Whether a request that was declined counts for the retry budget of the accepting entry.
+const COUNTED: HeaderName = HeaderName::from_static("sesamebeam-counted");
+
 /// Milliseconds since the forwarding entry read the request, if it counts for the retry budget
 /// of the accepting one.
 const READ_AGE: HeaderName = HeaderName::from_static("sesamebeam-read-age-ms");
@@ -87,6 +97,10 @@
 /// entry may serve it.
 const DECLINED: HeaderName = HeaderName::from_static("sesamebeam-declined");
 
+/// Values of headers that are flags.
+const YES: HeaderValue = HeaderValue::from_static("1");
+const NO: HeaderValue = HeaderValue::from_static("0");
+
 /// Why an entry declines a request of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Decline {
@@ -100,6 +114,8 @@
     Overloaded,
     /// It serves as many requests of other entries as it may.
     Full,
+    /// Its retry budget does not allow to send what was sent before.
+    OverBudget,
 }
 
 impl Decline {
@@ -108,6 +124,7 @@
         HeaderValue::from_static(match self {
             Self::Busy => "busy",
             Self::Isolated => "isolated",
+            Self::OverBudget => "over-budget",
             Self::Stopping | Self::Overloaded | Self::Full => "1",
         })
     }
@@ -120,6 +137,7 @@
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded by callers",
             Self::Full => "serving too many requests of other entries",
+            Self::OverBudget => "retry budget spent",
         }
     }
 }
@@ -186,9 +204,6 @@
         if !self.needs_peer() {
             return ControlFlow::Continue(self);
         }
-        if !self.try_spend_retry(RetryReason::Forwarded) {
-            return ControlFlow::Continue(self);
-        }
         match self.offer_to_peers(self.req.head.resume_after).await {
             Forwarded::Answered(answer) => ControlFlow::Break(self.pass_on(*answer).await),
             Forwarded::Declined => ControlFlow::Continue(self),
@@ -209,10 +224,11 @@
         is_isolated || self.unsent + self.refused > 0 && !self.found_full_server
     }
 
-    /// Offers the request to other entries until one answers.
+    /// Offers the request to other entries until one answers, or may have sent it without an
+    /// answer: it may send it later too, and nobody knows how often it has.
     pub(super) async fn offer_to_peers(&mut self, resume_after: Option<u64>) -> Forwarded {
         let mut tried = Vec::new();
-        while tried.len() < MAX_PEERS_TRIED && Instant::now() < self.req.deadline {
+        while tried.len() < MAX_PEERS_TRIED && self.has_time_and_sends_left() {
             let now = self.gateway.now();
             let chosen = self.gateway.router().choose_peer(now, &self.plan, &tried);
             let Some(offer) = chosen else {
@@ -223,22 +239,17 @@
                 addr: offer.addr,
             };
             tried.push(offer.addr);
-            let counts_there =
-                self.sends == 0 && self.gateway.router().record_offered(now, &self.plan);
-            let unsettled = self.retries.begin_peer_send();
-            let guard: UnreadGuard = Box::new(Arc::clone(&unsettled));
-            let read_age = counts_there.then(|| now.saturating_sub(self.plan.read_at));
-            let sent = self
-                .send_to_peer(&offer, resume_after, read_age, guard)
-                .await;
-            let why = match sent {
+            let Some(handover) = self.hand_over() else {
+                break;
+            };
+            let why = match self.send_to_peer(&offer, resume_after, &handover).await {
                 Ok((response, lease)) if response.headers().contains_key(DECLINED) => {
-                    unsettled.withdraw();
-                    self.handle_declined(now, &offer, response.headers().get(DECLINED));
+                    let headers = response.headers();
+                    self.handle_declined(now, &offer, headers.get(DECLINED));
+                    let declined = declined_request(headers);
+                    self.sends = self.sends.max(declined.sends);
+                    self.retries.take_back(&handover, &declined);
                     lease.release();
-                    if counts_there {
-                        self.gateway.router().record_declined(&self.plan);
-                    }
                     continue;
                 }
                 Ok((response, lease)) => {
@@ -258,23 +269,19 @@
                     "answer to another request, or a success without a mark".to_owned()
                 }
                 Err(e) if e.is_unsent() => {
-                    unsettled.withdraw();
                     self.record_forwarding(&offer, ForwardingEnd::Unreachable, &e.to_string());
-                    let mut router = self.gateway.router();
-                    router.record_peer_unavailable(now, offer.addr);
-                    if counts_there {
-                        router.record_declined(&self.plan);
-                    }
+                    let declined = Declined::unreached(&handover);
+                    self.retries.take_back(&handover, &declined);
+                    self.gateway
+                        .router()
+                        .record_peer_unavailable(now, offer.addr);
                     continue;
                 }
                 Err(e) => e.to_string(),
             };
             self.record_forwarding(&offer, ForwardingEnd::Lost, &why);
             self.may_have_run = true;
-            self.sends += 1;
-            if !self.may_forward() || !self.try_spend_retry(RetryReason::LostAtPeer) {
-                return Forwarded::Lost;
-            }
+            return Forwarded::Lost;
         }
         Forwarded::Declined
     }
@@ -286,18 +293,15 @@
         offer: &ForwardingOffer,
         reason: Option<&HeaderValue>,
     ) {
-        let [is_busy, is_isolated] =
-            [Decline::Busy, Decline::Isolated].map(|why| reason == Some(&why.value()));
-        let why = match (is_busy, is_isolated) {
-            (true, _) => "no free slot there",
-            (_, true) => "no backend server there",
-            _ => "declined",
-        };
-        self.record_forwarding(offer, ForwardingEnd::Declined, why);
+        let known = [Decline::Busy, Decline::Isolated, Decline::OverBudget];
+        let why = known.into_iter().find(|why| reason == Some(&why.value()));
+        let text = why.map_or("declined", Decline::why);
+        self.record_forwarding(offer, ForwardingEnd::Declined, text);
         let mut router = self.gateway.router();
-        match (is_busy, is_isolated) {
-            (true, _) => router.record_peer_busy(now, offer.addr, &self.plan),
-            (_, true) => router.record_peer_isolated(now, offer.addr, &self.plan),
+        match why {
+            Some(Decline::Busy) => router.record_peer_busy(now, offer.addr, &self.plan),
+            Some(Decline::Isolated) => router.record_peer_isolated(now, offer.addr, &self.plan),
+            Some(Decline::OverBudget) => {}
             _ => router.record_peer_unavailable(now, offer.addr),
         }
     }
@@ -306,8 +310,7 @@
         &self,
         offer: &ForwardingOffer,
         resume_after: Option<u64>,
-        read_age: Option<Duration>,
-        guard: UnreadGuard,
+        handover: &Handover,
     ) -> Result<(Response<Incoming>, ConnectionGuard), ClientError> {
         let remaining = self.req.deadline.saturating_duration_since(Instant::now());
         let mut headers = self.req.parts.headers.clone();
@@ -315,9 +318,10 @@
         let protocol = &self.gateway.protocol;
         protocol.prepare_forwarded_headers(&mut headers, remaining, resume_after);
         set(&mut headers, KEY, &format!("{:032x}", offer.key));
-        set(&mut headers, SENDS, &self.sends.to_string());
+        set(&mut headers, SENDS, &handover.sends.to_string());
+        set_flag(&mut headers, FREE_SEND, handover.has_free);
         headers.remove(READ_AGE);
-        if let Some(age) = read_age {
+        if let Some(age) = handover.counted_age {
             set(&mut headers, READ_AGE, &age.as_millis().to_string());
         }
         let mut request = Request::new(Full::new(self.req.body.clone()));
@@ -329,10 +333,7 @@
             header_timeout: remaining,
             send_by: None,
         };
-        self.gateway
-            .client
-            .send_guarded(offer.addr, request, options, Some(guard))
-            .await
+        self.gateway.client.send(offer.addr, request, options).await
     }
 
     /// Passes the answer of another entry on to the caller.
@@ -363,9 +364,18 @@
         lease.release();
         self.record_end(RequestEnd::Answered);
         strip_hop_by_hop(&mut headers);
+        headers.remove(SENDS);
         response::whole(status, headers, body)
     }
 
+    /// Takes from the head of another entry's stream how often the request was sent. If it does
+    /// not say so, no send is left.
+    pub(super) fn take_sends(&mut self, headers: &mut HeaderMap) {
+        let sends = sends_of(headers).unwrap_or(u32::MAX);
+        headers.remove(SENDS);
+        self.sends = self.sends.max(sends);
+    }
+
     /// Records what became of a request that was offered to another entry.
     fn record_forwarding(&self, offer: &ForwardingOffer, end: ForwardingEnd, why: &str) {
         self.gateway.metrics.record_forwarding(end);
@@ -379,11 +389,12 @@
 
 /// Handles a request that another entry forwards.
 pub(super) async fn handle(gateway: Arc<Gateway>, mut req: Request<Incoming>) -> CallerResponse {
-    let Some(forwarded) = authorize(&gateway, req.headers_mut()) else {
+    let Some(handover) = authorize(&gateway, req.headers_mut()) else {
         log::warn!("forwarded request without the key of this entry");
         return response::empty_and_close(StatusCode::FORBIDDEN);
     };
-    let decline = |why| decline(&gateway, None, why, forwarded.sends);
+    let declined = Declined::unreached(&handover);
+    let decline = |why| decline(&gateway, None, why, declined);
     if gateway.stopping.is_cancelled() {
         return decline(Decline::Stopping);
     }
@@ -393,9 +404,14 @@
     match Arc::clone(&gateway.accepted).try_acquire_owned() {
         Ok(permit) => {
             let now = gateway.now();
+            // Without a time since the start of this process it can't count here.
+            let counted_read_at = handover.counted_age.and_then(|age| now.checked_sub(age));
             let origin = Origin::Peer {
-                sends: forwarded.sends,
-                counted_read_at: forwarded.read_age.and_then(|age| now.checked_sub(age)),
+                handover: Handover {
+                    counted_age: handover.counted_age.filter(|_| counted_read_at.is_some()),
+                    ..handover
+                },
+                counted_read_at,
                 _permit: permit,
             };
             admission::handle(gateway, req, origin).await
@@ -404,44 +420,60 @@
     }
 }
 
-/// What the headers of a forwarded request say that concern only entries.
-struct PeerHeaders {
-    /// Number of earlier sends.
-    sends: u32,
-    /// How long ago it was read, if it counts for the retry budget here.
-    read_age: Option<Duration>,
-}
-
 /// Checks the key of a forwarded request, and removes and returns what concerns only entries.
-fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<PeerHeaders> {
+/// What is not said counts against the retry budget.
+fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<Handover> {
     let key = headers.remove(KEY)?;
     let sends = headers.remove(SENDS)?;
+    let has_free = headers.remove(FREE_SEND).is_some_and(|value| value == YES);
     let read_age = headers.remove(READ_AGE);
     let own = format!("{:032x}", gateway.forwarding_key);
     if !bool::from(own.as_bytes().ct_eq(key.as_bytes())) {
         return None;
     }
-    let number = |value: &HeaderValue| value.to_str().ok()?.parse().ok();
-    Some(PeerHeaders {
+    Some(Handover {
         sends: u32::try_from(number(&sends)?).ok()?,
-        read_age: read_age
+        has_free,
+        counted_age: read_age
             .as_ref()
             .and_then(number)
             .map(Duration::from_millis),
     })
 }
 
-/// Declines a request of another entry, which may name its id, after a number of sends.
+/// Returns what an entry that has declined a request says of it. What it does not say counts
+/// against the retry budget and the limit of sends.
+fn declined_request(headers: &HeaderMap) -> Declined {
+    Declined {
+        sends: sends_of(headers).unwrap_or(u32::MAX),
+        is_counted: headers.get(COUNTED).is_none_or(|value| value != NO),
+    }
+}
+
+/// Returns the number of sends that an answer of another entry names.
+fn sends_of(headers: &HeaderMap) -> Option<u32> {
+    let sends = headers.get(SENDS).and_then(number)?;
+    u32::try_from(sends).ok()
+}
+
+/// Declines a request of another entry, which may name its id.
 pub(super) fn decline(
     gateway: &Gateway,
     id: Option<&str>,
     why: Decline,
-    sends: u32,
+    declined: Declined,
 ) -> CallerResponse {
-    log::info!(id = id.unwrap_or_default(), why = why.why(), sends = sends; "forwarded request declined");
+    let Declined { sends, is_counted } = declined;
+    log::info!(
+        id = id.unwrap_or_default(), why = why.why(), sends = sends, counted = is_counted;
+        "forwarded request declined"
+    );
     gateway.metrics.record_accepted(false);
     let mut response = response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
-    response.headers_mut().insert(DECLINED, why.value());
+    let headers = response.headers_mut();
+    headers.insert(DECLINED, why.value());
+    set(headers, SENDS, &sends.to_string());
+    set_flag(headers, COUNTED, is_counted);
     if gateway.stopping.is_cancelled() {
         response::set_connection_close(response.headers_mut());
     }
@@ -454,22 +486,19 @@
         matches!(self, Self::Caller)
     }
 
-    /// Returns whether another entry sent the request, and left it to this one to count it.
-    pub(super) fn counts_here(&self) -> bool {
-        matches!(
-            self,
-            Self::Peer {
-                counted_read_at: Some(_),
-                ..
-            }
-        )
-    }
-
     /// Returns the number of backend servers to which another entry has sent the request.
     pub(super) fn sends(&self) -> u32 {
         match self {
             Self::Caller => 0,
-            Self::Peer { sends, .. } => *sends,
+            Self::Peer { handover, .. } => handover.sends,
+        }
+    }
+
+    /// Returns the sends of a request that this entry has not sent.
+    pub(super) fn request_sends(&self) -> RequestSends {
+        match self {
+            Self::Caller => RequestSends::default(),
+            Self::Peer { handover, .. } => RequestSends::handed_over(handover),
         }
     }
 }
@@ -479,9 +508,22 @@
     path.map_or_else(Uri::default, |path| Uri::from(path.clone()))
 }
 
-/// Sets a header of entries, whose values are all numbers.
+/// Sets how often a stream for another entry was sent, which goes on with it if it breaks off.
+pub(super) fn set_sends(response: &mut CallerResponse, sends: u32) {
+    set(response.headers_mut(), SENDS, &sends.to_string());
+}
+
+/// Sets a header of entries, whose values are numbers or flags.
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     if let Ok(value) = value.parse() {
         headers.insert(name, value);
     }
 }
+
+fn set_flag(headers: &mut HeaderMap, name: HeaderName, value: bool) {
+    headers.insert(name, if value { YES } else { NO });
+}
+
+fn number(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.parse().ok()
+}
--- a/sesamebeam/src/gateway/retries.rs
+++ b/sesamebeam/src/gateway/retries.rs
@@ -11,7 +11,11 @@
 
 use sesamebeam_core::gateway::{
     directory::ServerId,
-    request_sends::RequestSends,
+    request_sends::{
+        Declined,
+        Handover,
+        RequestSends, //
+    },
     retry_budget::RetryUsage,
     router::Plan, //
 };
@@ -48,36 +52,55 @@
 }
 
 impl Retries {
-    /// Creates the retries of a request of which nothing was sent from here. Its first send
-    /// is free.
-    pub(super) fn new(gateway: Arc<Gateway>, plan: Arc<Plan>) -> Self {
+    /// Creates the retries of a request of which nothing was sent from here.
+    pub(super) fn new(gateway: Arc<Gateway>, plan: Arc<Plan>, sends: RequestSends) -> Self {
         Self(Arc::new(Charges {
             gateway,
             plan,
-            sends: Mutex::default(),
+            sends: Mutex::new(sends),
         }))
     }
 
     /// Records that a send to a backend server begins.
     pub(super) fn begin_send(&self, server: &ServerId) -> Arc<UnsettledSend> {
         let is_limited = self.0.gateway.router().record_unread(server);
-        self.begin(is_limited.then(|| server.clone()))
-    }
-
-    /// Records that a send to another entry begins.
-    pub(super) fn begin_peer_send(&self) -> Arc<UnsettledSend> {
-        self.begin(None)
-    }
-
-    fn begin(&self, limited: Option<ServerId>) -> Arc<UnsettledSend> {
         self.0.sends().begin();
         Arc::new(UnsettledSend {
             charges: Arc::clone(&self.0),
             is_withdrawn: AtomicBool::new(false),
-            limited,
+            limited: is_limited.then(|| server.clone()),
         })
     }
 
+    /// Counts the request for the retry budget, if it counts here and was not counted yet.
+    pub(super) fn count_request(&self) {
+        let begins = self.0.sends().begin_counting();
+        if begins {
+            self.0.gateway.router().record_accepted(&self.0.plan);
+        }
+    }
+
+    /// Returns whether the request counts here for the retry budget.
+    pub(super) fn is_counted(&self) -> bool {
+        self.0.sends().is_counted()
+    }
+
+    /// Takes back what was handed over to another entry that has declined the request.
+    pub(super) fn take_back(&self, handover: &Handover, declined: &Declined) {
+        let counts_again = self.0.sends().take_back(handover, declined);
+        if counts_again {
+            self.0.gateway.router().record_declined(&self.0.plan);
+        }
+    }
+
+    /// Gives back what was charged and not sent, if no send follows.
+    fn refund_unsent(&self) {
+        let unsent = self.0.sends().take_unsent();
+        for _ in 0..unsent {
+            self.0.gateway.router().refund_retry(&self.0.plan);
+        }
+    }
+
     /// Returns whether the next send was charged, or is free.
     pub(super) fn is_paid(&self) -> bool {
         self.0.sends().is_paid()
@@ -91,10 +114,7 @@
 
 impl Drop for Retries {
     fn drop(&mut self) {
-        let unsent = self.0.sends().take_unsent();
-        for _ in 0..unsent {
-            self.0.gateway.router().refund_retry(&self.0.plan);
-        }
+        self.refund_unsent();
     }
 }
 
@@ -135,18 +155,46 @@
         if self.retries.is_paid() {
             return true;
         }
+        self.retries.count_request();
+        let allowed = self.try_charge(reason);
+        if allowed {
+            self.retries.record_charge();
+        }
+        allowed
+    }
+
+    fn try_charge(&self, reason: RetryReason) -> bool {
         let now = self.gateway.now();
         let mut router = self.gateway.router();
         let usage = router.retry_usage(now, &self.plan);
         let allowed = router.try_retry(now, &self.plan);
         drop(router);
-        if allowed {
-            self.retries.record_charge();
-        }
         self.log_retry(reason, usage, allowed);
         allowed
     }
 
+    /// Has the request be sent by another entry, which charges its own sends. Returns `None` if a
+    /// send from here may be read after these and the budget does not allow to charge it.
+    pub(super) fn hand_over(&self) -> Option<Handover> {
+        let charges = &self.retries.0;
+        self.retries.refund_unsent();
+        let has_unread_free = charges.sends().has_unread_free();
+        if has_unread_free {
+            if !self.try_charge(RetryReason::Forwarded) {
+                return None;
+            }
+            let is_charged = charges.sends().charge_free();
+            if !is_charged {
+                self.gateway.router().refund_retry(&self.plan);
+            }
+        }
+        let now = self.gateway.now();
+        let is_withdrawn =
+            self.retries.is_counted() && self.gateway.router().record_offered(now, &self.plan);
+        let counted_age = is_withdrawn.then(|| now.saturating_sub(self.plan.read_at));
+        Some(charges.sends().hand_over(self.sends, counted_age))
+    }
+
     /// Records a retry that was allowed or refused together with another decision.
     pub(super) fn record_judged_retry(&self, reason: RetryReason, allowed: bool) {
         let now = self.gateway.now();
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -140,10 +140,12 @@
     pub(super) fn response_from_peer(dispatch: Dispatch, answer: PeerAnswer) -> CallerResponse {
         let PeerAnswer {
             send,
-            response,
+            mut response,
             head,
             lease,
         } = answer;
+        let mut dispatch = dispatch;
+        dispatch.take_sends(response.headers_mut());
         Self::respond(
             dispatch,
             Upstream::Peer { _send: send },
@@ -350,16 +352,14 @@
     /// Resumes the stream at another backend server, or through another entry, after the
     /// last complete event.
     async fn resume(&mut self) -> bool {
-        if !self.dispatch.plan.route.resumable {
+        // Another entry that this stream is for resumes it, as it knows how often it was sent.
+        if !self.dispatch.plan.route.resumable || !self.dispatch.origin.is_caller() {
             return false;
         }
-        while self.dispatch.has_attempts_left() {
+        while self.dispatch.has_attempts_left() && !self.dispatch.prefers_peer() {
             if !self.dispatch.try_spend_retry(RetryReason::Resumed) {
                 return false;
             }
-            if self.dispatch.prefers_peer() {
-                break;
-            }
             let mut chosen = self.dispatch.choose();
             if matches!(chosen, Err(ChooseError::NoFreeSlot)) {
                 chosen = self.dispatch.wait_for_slot(Elsewhere::Peer).await;
@@ -372,10 +372,10 @@
                 Resumption::Unsent | Resumption::Failed => {}
             }
         }
-        self.dispatch.retries.is_paid() && self.dispatch.needs_peer() && self.resume_at_peer().await
+        self.dispatch.needs_peer() && self.resume_at_peer().await
     }
 
-    /// Resumes the stream through another entry; the retry budget was already charged.
+    /// Resumes the stream through another entry.
     async fn resume_at_peer(&mut self) -> bool {
         let forwarded = self.dispatch.offer_to_peers(self.events.last_id()).await;
         let Forwarded::Answered(answer) = forwarded else {
@@ -383,10 +383,11 @@
         };
         let PeerAnswer {
             send,
-            response,
+            mut response,
             head,
             lease,
         } = *answer;
+        self.dispatch.take_sends(response.headers_mut());
         if !head.is_success() || !head.sealed {
             return false;
         }
