--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod fixtures;
 mod forwarding;
 mod group;
+mod handovers;
 mod isolation;
 mod joining;
 mod late_retries;
--- a/sesamebeam_core/tests/gateway/retry_windows.rs
+++ b/sesamebeam_core/tests/gateway/retry_windows.rs
@@ -21,19 +21,19 @@
 
 use crate::fixtures::ms;
 
-const SERVICE: &str = "pool";
+pub(crate) const SERVICE: &str = "pool";
 const RATIO: f64 = 0.9;
 const SLACK: f64 = 58.0;
 const WINDOW_MS: u64 = 10_000;
-const ENTRIES: usize = 4;
+pub(crate) const ENTRIES: usize = 4;
 
 /// Time before the first callers for which entries have run, in milliseconds.
-const UP_MS: u64 = 20_000;
+pub(crate) const UP_MS: u64 = 20_000;
 
 /// Delays up to which the bound holds, in milliseconds: of requests from callers to entries, and
 /// of retries from entries to backend servers.
 const REQUEST_DELAY_MS: u64 = 500;
-const RETRY_DELAY_MS: u64 = 2000;
+pub(crate) const RETRY_DELAY_MS: u64 = 2000;
 
 /// Sends of a request, and time after which one without an answer is given up, in milliseconds.
 const MAX_SENDS: u32 = 5;
@@ -41,19 +41,19 @@
 
 /// Callers that come at an even rate.
 #[derive(Clone, Debug)]
-struct Burst {
+pub(crate) struct Burst {
     /// Milliseconds from the first callers.
-    from: u64,
-    lasts: u64,
+    pub(crate) from: u64,
+    pub(crate) lasts: u64,
     /// Requests a second.
-    rate: u64,
+    pub(crate) rate: u64,
     /// How many of these callers use each entry, relative to the others.
     weights: [u64; ENTRIES],
-    fails_percent: u64,
+    pub(crate) fails_percent: u64,
 }
 
 impl Burst {
-    fn even(from: u64, lasts: u64, rate: u64, fails_percent: u64) -> Self {
+    pub(crate) fn even(from: u64, lasts: u64, rate: u64, fails_percent: u64) -> Self {
         Self {
             from,
             lasts,
@@ -62,6 +62,17 @@
             fails_percent,
         }
     }
+
+    /// Returns the entry to which the caller of a request comes.
+    pub(crate) fn entry_of(&self, request: usize) -> usize {
+        let mut place = draw(request as u64, self.weights.iter().sum());
+        let entry = self.weights.iter().position(|&weight| {
+            let is_here = place < weight;
+            place = place.saturating_sub(weight);
+            is_here
+        });
+        entry.unwrap_or(0)
+    }
 }
 
 /// What is due.
@@ -91,14 +102,14 @@
 }
 
 /// A process in the place of an entry.
-struct Entry {
-    life: u32,
-    started: u64,
-    budget: RetryBudget,
+pub(crate) struct Entry {
+    pub(crate) life: u32,
+    pub(crate) started: u64,
+    pub(crate) budget: RetryBudget,
 }
 
 impl Entry {
-    fn new(life: u32, started: u64) -> Self {
+    pub(crate) fn new(life: u32, started: u64) -> Self {
         let mut budget = RetryBudget::new(RetryBudgetConfig {
             ratio: RATIO,
             slack: SLACK,
@@ -127,7 +138,7 @@
 }
 
 /// Returns a number below a limit that looks random.
-fn draw(seed: u64, limit: u64) -> u64 {
+pub(crate) fn draw(seed: u64, limit: u64) -> u64 {
     let mixed = (seed + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     (mixed >> 33) % limit.max(1)
@@ -160,19 +171,13 @@
     }
 
     fn add_burst(&mut self, burst: &Burst, delay: u64) {
-        let total: u64 = burst.weights.iter().sum();
         for n in 0..burst.lasts * burst.rate / 1000 {
             let request = self.requests.len();
-            let mut place = draw(request as u64, total);
-            let entry = burst.weights.iter().position(|&weight| {
-                let is_here = place < weight;
-                place = place.saturating_sub(weight);
-                is_here
-            });
+            let entry = burst.entry_of(request);
             let sent = UP_MS + burst.from + n * 1000 / burst.rate;
             self.sent.push(sent);
             self.requests.push(Request {
-                entry: entry.unwrap_or(0),
+                entry,
                 life: 0,
                 sends: RequestSends::default(),
                 made: 0,
@@ -264,23 +269,36 @@
 
     /// Returns the share of the bound that is used in a window.
     fn share(&self, from: u64) -> f64 {
-        let most = [0, WINDOW_MS / 2, WINDOW_MS].map(|back| {
-            let window = from.saturating_sub(back)..(from + WINDOW_MS).saturating_sub(back);
-            count(&self.sent, window)
-        });
-        let bound = RATIO * most.into_iter().max().unwrap_or(0) as f64 + SLACK;
-        count(&self.retries, from..from + WINDOW_MS) as f64 / bound
+        share(&self.sent, &self.retries, from)
     }
 
     /// Returns the largest share of the bound that is used in any window.
     fn worst_share(&self) -> f64 {
-        let last = self.retries.last().copied().unwrap_or(0);
-        let steps = (0..last).step_by(50);
-        let windows = steps.chain(self.retries.iter().copied());
-        windows.map(|from| self.share(from)).fold(0.0, f64::max)
+        worst_share(&self.sent, &self.retries)
     }
 }
 
+/// Returns the share of the bound that is used in a window, by times of requests and retries in
+/// order.
+fn share(sent: &[u64], retries: &[u64], from: u64) -> f64 {
+    let most = [0, WINDOW_MS / 2, WINDOW_MS].map(|back| {
+        let window = from.saturating_sub(back)..(from + WINDOW_MS).saturating_sub(back);
+        count(sent, window)
+    });
+    let bound = RATIO * most.into_iter().max().unwrap_or(0) as f64 + SLACK;
+    count(retries, from..from + WINDOW_MS) as f64 / bound
+}
+
+/// Returns the largest share of the bound that is used in any window.
+pub(crate) fn worst_share(sent: &[u64], retries: &[u64]) -> f64 {
+    let last = retries.last().copied().unwrap_or(0);
+    let steps = (0..last).step_by(50);
+    let windows = steps.chain(retries.iter().copied());
+    windows
+        .map(|from| share(sent, retries, from))
+        .fold(0.0, f64::max)
+}
+
 /// Returns the number of times in a window, of times in order.
 fn count(times: &[u64], window: Range<u64>) -> usize {
     let [start, end] = [window.start, window.end].map(|at| times.partition_point(|&t| t < at));
@@ -335,7 +353,7 @@
     assert!((least..=1.0).contains(&share), "{share:.2} of the bound");
 }
 
-fn any_burst() -> impl Strategy<Value = Burst> {
+pub(crate) fn any_burst() -> impl Strategy<Value = Burst> {
     let weights = [0..4u64, 0..4u64, 0..4u64, 1..4u64];
     let times = (0..30_000u64, 200..8000u64, 3..300u64);
     let burst = (times, weights, 0..=150u64);
