Refuse unsent what a planned stop would cut (LOST)

What callers saw: in a planned stop, requests that came late in the grace period were passed on and cut without an answer as the process ended, among them some that may not be repeated.

Cause: an entry took plain requests until 2 s before its exit, whatever time they need, and left what still ran at the exit without an answer.

Now the deadline decides for a request that may run only once, and the longest recent response to its route for others; a stream is not sent if its forecast outlasts the process. What has no answer 0.3 s before the exit gets a 504.

--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -37,6 +37,8 @@
 use rand::RngExt;
 use sesamebeam_core::{
     gateway::router::{
+        Choice,
+        Plan,
         Router,
         RouterConfig, //
     },
@@ -112,8 +114,10 @@
     stopping: CancellationToken,
     /// Cancelled during shutdown when idle connections are closed.
     closing_idle: CancellationToken,
-    /// Cancelled shortly before the process exits, when no further request is accepted.
-    rejecting: CancellationToken,
+    /// Cancelled shortly before the process exits: requests that have no answer yet get one.
+    ending: CancellationToken,
+    /// When that happens, once shutdown is requested.
+    answer_by: OnceLock<Instant>,
 }
 
 impl Gateway {
@@ -133,10 +137,30 @@
         applied.is_some_and(|at| at.elapsed() < STARTUP_WINDOW)
     }
 
-    /// Returns whether shutdown has advanced so far that it would interrupt a new
-    /// request.
-    fn rejects_while_stopping(&self, streaming: bool) -> bool {
-        self.rejecting.is_cancelled() || streaming && self.closing_idle.is_cancelled()
+    /// Returns the time in which answers must end, if shutdown was requested.
+    fn time_to_answer(&self) -> Option<Duration> {
+        let answer_by = self.answer_by.get()?;
+        Some(answer_by.saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns whether a new request would outlast this process, given its deadline.
+    fn outlasts_shutdown(&self, plan: &Plan, deadline: Instant) -> bool {
+        let Some(time) = self.time_to_answer() else {
+            return false;
+        };
+        if plan.route.streaming {
+            return self.closing_idle.is_cancelled();
+        }
+        let deadline = deadline.saturating_duration_since(Instant::now());
+        !self.router().ends_within(time, plan, deadline)
+    }
+
+    /// Returns whether a send is expected to outlast this process.
+    fn send_outlasts_shutdown(&self, choice: &Choice) -> bool {
+        let time = self.time_to_answer();
+        let forecast = choice.forecast;
+        time.zip(forecast)
+            .is_some_and(|(time, forecast)| forecast.completion > time)
     }
 
     /// Returns whether the load balancer may send new callers to this entry.
@@ -174,7 +198,8 @@
         first_config_at: OnceLock::new(),
         stopping,
         closing_idle: CancellationToken::new(),
-        rejecting: CancellationToken::new(),
+        ending: CancellationToken::new(),
+        answer_by: OnceLock::new(),
     });
     let halt = CancellationToken::new();
     tokio::spawn(control_connections::run(
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -143,10 +143,6 @@
     if gateway.has_just_started() {
         delay_by_startup_jitter(&head).await;
     }
-    if gateway.rejects_while_stopping(plan.route.streaming) {
-        log::info!(id:% = head.id; "request refused while stopping");
-        return response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
-    }
     let limits = plan.table.config().limits;
     let body = match read_body(body, &limits).await {
         Ok(body) => body,
@@ -172,6 +168,10 @@
         gateway.caller_load.record_deadline(caller_timeout);
     }
     let deadline = received_at + caller_timeout.min(plan.route.timeout);
+    if gateway.outlasts_shutdown(&plan, deadline) {
+        log::info!(id:% = head.id; "request refused while stopping");
+        return response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let req = BufferedRequest {
         head,
         parts,
@@ -179,7 +179,16 @@
         received_at,
         deadline,
     };
-    Dispatch::new(gateway, req, plan, origin).run().await
+    let ending = gateway.ending.clone();
+    let id = req.head.id.clone();
+    let dispatch = Dispatch::new(gateway, req, plan, origin);
+    match ending.run_until_cancelled(dispatch.run()).await {
+        Some(response) => response,
+        None => {
+            log::info!(id:% = id; "request ended by the end of the process");
+            response::empty(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
 }
 
 /// Makes the routing decisions for a request, waiting for the first configuration if
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -226,6 +226,10 @@
                 chosen = self.wait_for_slot(Elsewhere::Nowhere).await;
             }
             let choice = match chosen {
+                Ok(choice) if self.gateway.send_outlasts_shutdown(&choice) => {
+                    log::info!(id:% = self.req.head.id; "not sent while stopping");
+                    break;
+                }
                 Ok(choice) => choice,
                 Err(error) => {
                     log::info!(id:% = self.req.head.id, why:% = error; "not sent");
@@ -682,6 +686,9 @@
             "answered"
         );
         self.record_end(RequestEnd::Answered);
+        self.gateway
+            .router()
+            .record_response_time(&self.plan, self.req.received_at.elapsed());
         strip_hop_by_hop(&mut headers);
         let response = Box::new(response::whole(status, headers, body));
         if failed && self.is_repeatable() {
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -62,9 +62,9 @@
 /// How long before the end of the grace period the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
-/// How long before the exit new requests are rejected: the 99th percentile of the
-/// response time of plain services.
-const LAST_REQUEST_MARGIN: Duration = Duration::from_millis(2000);
+/// How long before the exit requests that have no answer yet get one, which has to reach
+/// their callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 
 /// Interval at which the number of open connections is checked during shutdown.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -179,13 +179,14 @@
     gateway.stopping.cancelled().await;
     log::info!(open = open.load(Ordering::Relaxed); "stopping");
     let exit_at = Instant::now() + gateway.settings.shutdown_grace.saturating_sub(EXIT_MARGIN);
+    let answer_by = exit_at.checked_sub(ANSWER_MARGIN).unwrap_or(exit_at);
+    gateway.answer_by.get_or_init(|| answer_by);
     sleep(BALANCER_DETECTION_TIME.min(gateway.settings.shutdown_grace / 2)).await;
     gateway.closing_idle.cancel();
-    let reject_at = exit_at.checked_sub(LAST_REQUEST_MARGIN).unwrap_or(exit_at);
-    while open.load(Ordering::Relaxed) > 0 && Instant::now() < reject_at {
+    while open.load(Ordering::Relaxed) > 0 && Instant::now() < answer_by {
         sleep(POLL_INTERVAL).await;
     }
-    gateway.rejecting.cancel();
+    gateway.ending.cancel();
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < exit_at {
         sleep(POLL_INTERVAL).await;
     }
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod request;
 pub mod request_sends;
 mod response_counts;
+pub mod response_times;
 pub mod retry_budget;
 mod retry_delay;
 pub mod rollout;
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -83,6 +83,7 @@
         CountKey,
         ResponseCounts, //
     },
+    response_times::ResponseTimes,
     retry_budget::{
         RetryBudget,
         RetryBudgetConfig, //
@@ -307,6 +308,7 @@
     engines: Engines,
     fairness: Fairness,
     budget: RetryBudget,
+    response_times: ResponseTimes,
     cascade: Cascade,
     response_counts: ResponseCounts,
     quarantine: Quarantine,
@@ -322,6 +324,7 @@
     pub fn new(cfg: RouterConfig) -> Self {
         Self {
             budget: RetryBudget::new(cfg.budget),
+            response_times: ResponseTimes::default(),
             sessions: Sessions::new(cfg.session_pause, cfg.exposure_share * CANARY_PART),
             cold: ColdServers::new(cfg.name.clone()),
             limits: ServerLimits::new(cfg.name.clone()),
@@ -384,6 +387,8 @@
             .retain_services(|name| config.service(name).is_some_and(|s| s.engine.is_some()));
         self.fairness.retain(&config);
         self.isolation.retain(|name| config.service(name).is_some());
+        self.response_times
+            .retain(|name| config.routes.iter().any(|route| route.name == *name));
         self.table = Some(RouteTable::new(config));
         true
     }
@@ -737,6 +742,17 @@
         took.div_f64(slowdown.filter(|_| is_on).unwrap_or(1.0))
     }
 
+    /// Records the time from the arrival of a non-streaming request to the end of its answer.
+    pub fn record_response_time(&mut self, plan: &Plan, took: Duration) {
+        self.response_times.record(&plan.route.name, took);
+    }
+
+    /// Returns whether a non-streaming request ends within a time, given the time until its
+    /// deadline.
+    pub fn ends_within(&self, time: Duration, plan: &Plan, deadline: Duration) -> bool {
+        self.response_times.ends_within(time, &plan.route, deadline)
+    }
+
     /// Records the answer to a non-streaming request.
     pub fn record_answer(&mut self, plan: &Plan, took: Duration, load: Option<Load>) {
         let target = plan.route.target;
