Tell an entry that follows another replica how many entries there are

Cause: a control replica tells its followers when the number has changed. An entry that has followed another one until then is told when it connects and never again, so that it may assume too few and take too large a part of the slack of the retry budget, of rate limits and of cold backend servers. By reading and in the core; not seen with processes. The proof of the retry budget assumes that each entry knows the number.

publisher::entry_count_for_a_follower failed before: nothing was sent.

--- a/sesamebeam_core/src/gateway/coordinator/publisher.rs
+++ b/sesamebeam_core/src/gateway/coordinator/publisher.rs
@@ -175,8 +175,13 @@
         self.publisher
             .entry_counter
             .record_reported(sync_state.entries);
-        self.request_update(entry, sync_state);
         let this_entry = Recipients::Only(vec![entry]);
+        // Changes are sent to those who follow at the time.
+        if self.publisher.entry_counter.published() > sync_state.entries {
+            let fleet = self.fleet_message();
+            self.push(this_entry.clone(), fleet);
+        }
+        self.request_update(entry, sync_state);
         self.send_quarantine(entry);
         let doubts = self.outliers.doubts().to_vec();
         self.push(this_entry.clone(), ToEntry::Doubts(doubts));
--- a/sesamebeam_core/src/gateway/entry_count.rs
+++ b/sesamebeam_core/src/gateway/entry_count.rs
@@ -27,7 +27,7 @@
     since: Option<MonoTime>,
     /// Whether an entry has reported a number.
     reported: bool,
-    /// Number last returned by `take_changed`.
+    /// Number last published, by `take_changed`.
     last_returned: u32,
 }
 
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Returns the number last returned as changed; 0 if there is none.
+    pub fn published(&self) -> u32 {
+        self.last_returned
+    }
+
     /// Returns whether the number has changed since the last call.
     pub fn take_changed(&mut self, now: MonoTime) -> bool {
         let count = self.count(now);
--- a/sesamebeam_core/tests/gateway/publisher.rs
+++ b/sesamebeam_core/tests/gateway/publisher.rs
@@ -352,6 +352,33 @@
     assert_eq!(sent, Some(usize::from(SERVERS) - 1));
 }
 
+/// Guards against entries that assume too few others after they have followed another replica,
+/// which had told its followers of them before.
+#[test]
+fn entry_count_for_a_follower() {
+    let mut core = coordinator();
+    for entry in 1..=9 {
+        core.handle(ms(entry), Event::EntryConnected(entry));
+    }
+    for at in (300..2000).step_by(10) {
+        core.handle(ms(at), Event::Tick);
+    }
+    let follow = |core: &mut Coordinator, entries| {
+        let sync_state = SyncState {
+            entries,
+            ..SyncState::default()
+        };
+        let actions = core.handle(ms(2100), Event::EntryFollows(1, sync_state));
+        let counts = pushes(&actions).into_iter().filter_map(|(_, m)| match m {
+            ToEntry::Fleet { entries, .. } => Some(*entries),
+            _ => None,
+        });
+        counts.collect::<Vec<u32>>()
+    };
+    assert_eq!(follow(&mut core, 5), [9]);
+    assert_eq!(follow(&mut core, 9), [], "it knows them");
+}
+
 #[test]
 fn entry_count_in_a_partition() {
     // A control replica restarts inside a network partition and counts only the three of
