Soak: count retries of every service as the rule does

Only the service that fails requests was counted. Now plain requests, streams that go on elsewhere, larger models, refusals, forwarded and declined requests of all services count, as backend servers read them, whatever they make of them.

--- a/sesamebeam_soak/src/books.rs
+++ b/sesamebeam_soak/src/books.rs
@@ -21,6 +21,10 @@
 
 use crate::{
     brittle,
+    retry_counts::{
+        RETRY_SLACK,
+        RetryCounts, //
+    },
     schedule::{
         CONTACT_MS,
         ENTRIES, //
@@ -151,6 +155,8 @@
     crashes: Vec<u64>,
     /// Entries that sent requests with it later than that is allowed.
     late_fatal: Vec<Option<usize>>,
+    /// Requests and retries of each service.
+    arrivals: BTreeMap<&'static str, RetryCounts>,
     answered: u64,
     failed: u64,
     broken: Vec<String>,
@@ -207,6 +213,11 @@
 }
 
 impl Inner {
+    fn arrivals_of(&mut self, service: &'static str) -> &mut RetryCounts {
+        let new = || RetryCounts::new(RETRY_SLACK);
+        self.arrivals.entry(service).or_insert_with(new)
+    }
+
     /// Returns a line for each organisation whose callers got much less than others.
     fn starved(&self) -> Vec<String> {
         let answered = |name: &str| self.served.get(name).map_or(0, |s| s.answered) as f64;
@@ -238,6 +249,18 @@
 }
 
 impl Books {
+    /// Notes that a caller sends a request to a service.
+    pub fn sent(&self, service: &'static str) {
+        let now_ms = self.now_ms();
+        self.lock().arrivals_of(service).record_sent(now_ms);
+    }
+
+    /// Notes that a backend server of a service has read a request, whatever it makes of it.
+    pub fn read(&self, service: &'static str, id: &str) {
+        let now_ms = self.now_ms();
+        self.lock().arrivals_of(service).record_read(now_ms, id);
+    }
+
     /// Notes that a request that may not be repeated begins to run.
     pub fn ran(&self, id: &str) {
         *self.lock().runs.entry(id.to_owned()).or_default() += 1;
@@ -545,6 +568,9 @@
             }
         }
         broken.extend(inner.starved());
+        for (service, counts) in &inner.arrivals {
+            broken.extend(counts.broken(service));
+        }
         if inner.late_fatal.len() > MAX_LATE_FATAL {
             broken.push(format!(
                 "requests with a fatal part reached backend servers late, sent by {:?}; crashes \
--- a/sesamebeam_soak/src/brittle.rs
+++ b/sesamebeam_soak/src/brittle.rs
@@ -133,6 +133,7 @@
         let value = req.headers().get(name).and_then(|v| v.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
+    books.read(operator::BRITTLE_POOL, &text("request-id"));
     if text("expect-instance") != life.id {
         return server::misdirected();
     }
@@ -196,6 +197,7 @@
         let Ok(req) = built else {
             return;
         };
+        books.sent(operator::BRITTLE_POOL);
         let options = SendOptions {
             reuse: Reuse::Any,
             header_timeout: PATIENCE,
--- a/sesamebeam_soak/src/callers.rs
+++ b/sesamebeam_soak/src/callers.rs
@@ -35,6 +35,7 @@
 
 use crate::{
     books::Books,
+    operator::POOL,
     server::{
         EVENTS,
         LEAVING_HEADER,
@@ -108,6 +109,7 @@
     let Some(req) = request(kind, id, books.now_ms()) else {
         return false;
     };
+    books.sent(POOL);
     let terms = SendOptions {
         reuse: Reuse::Any,
         header_timeout: PATIENCE,
--- a/sesamebeam_soak/src/engines.rs
+++ b/sesamebeam_soak/src/engines.rs
@@ -37,6 +37,7 @@
 
 use crate::{
     books::Books,
+    operator::MODELS_POOL,
     server::{
         self,
         Body, //
@@ -217,6 +218,7 @@
         value.unwrap_or_default().to_owned()
     };
     let id = text("request-id");
+    books.read(MODELS_POOL, &id);
     if text("expect-instance") != engine.id {
         return server::misdirected();
     }
--- a/sesamebeam_soak/src/failing.rs
+++ b/sesamebeam_soak/src/failing.rs
@@ -50,7 +50,10 @@
         self,
         Mode, //
     },
-    retry_counts::RetryCounts,
+    retry_counts::{
+        RETRY_SLACK,
+        RetryCounts, //
+    },
     schedule::Burst,
     server::{
         self,
@@ -64,9 +67,6 @@
 /// Time that callers wait.
 const DEADLINE: Duration = Duration::from_secs(3);
 
-/// Retries of all entries together that are allowed beyond a share of the requests.
-const SLACK: f64 = 60.0;
-
 /// Requests and retries of these backend servers, in milliseconds of the run.
 #[derive(Debug)]
 pub struct Failing {
@@ -88,7 +88,7 @@
         Self {
             began: Instant::now(),
             fails_percent: AtomicU64::new(0),
-            counts: Mutex::new(RetryCounts::new(SLACK)),
+            counts: Mutex::new(RetryCounts::new(RETRY_SLACK)),
         }
     }
 
@@ -117,13 +117,7 @@
 
     /// Returns a line if more retries were read in a window than its requests allow.
     pub fn broken(&self) -> Option<String> {
-        let worst = self.counts().worst()?;
-        (worst.share() > 1.0).then(|| {
-            format!(
-                "{} retries were read in 10 s from {} ms on, {:.0} are allowed",
-                worst.retries, worst.from_ms, worst.allowed
-            )
-        })
+        self.counts().broken(FAILING_POOL)
     }
 
     fn now_ms(&self) -> u64 {
--- a/sesamebeam_soak/src/fleet.rs
+++ b/sesamebeam_soak/src/fleet.rs
@@ -41,6 +41,7 @@
         EntryLinks, //
     },
     narrow_link::NarrowLink,
+    retry_counts::RETRY_SLACK,
     schedule::{
         ENTRIES,
         REPLICAS,
@@ -382,7 +383,7 @@
              contracts = {contracts}\n\
              data_dir = \"{}\"\n[listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n\
              [bounds]\ngrace_s = {GRACE_S}\nretry_budget_ratio = 0.9\nbudget_window_s = 10\n\
-             budget_slack = 60\nexposure_share = 0.15\nsession_s = 5\n",
+             budget_slack = {RETRY_SLACK}\nexposure_share = 0.15\nsession_s = 5\n",
             seeds.join(", "),
             data.display()
         )
--- a/sesamebeam_soak/src/fragile.rs
+++ b/sesamebeam_soak/src/fragile.rs
@@ -151,6 +151,7 @@
         let value = req.headers().get(name).and_then(|v| v.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
+    books.read(operator::FRAGILE_POOL, &text("request-id"));
     let is_fatal = text("prompt-prefix").contains(FATAL);
     if is_fatal {
         books.reached_fatal(fleet::entry_at(from));
@@ -208,6 +209,7 @@
         let Ok(req) = built else {
             return;
         };
+        books.sent(operator::FRAGILE_POOL);
         let options = SendOptions {
             reuse: Reuse::Any,
             header_timeout: PATIENCE,
--- a/sesamebeam_soak/src/retry_counts.rs
+++ b/sesamebeam_soak/src/retry_counts.rs
@@ -9,6 +9,9 @@
 const RATIO: f64 = 0.9;
 const WINDOW_MS: u64 = 10_000;
 
+/// Retries of all entries of a run together beyond a share of the requests.
+pub const RETRY_SLACK: f64 = 60.0;
+
 /// Step at which windows are tried, in milliseconds.
 const STEP_MS: usize = 50;
 
@@ -17,6 +20,7 @@
 pub struct RetryCounts {
     /// Retries of all entries together beyond a share of the requests.
     slack: f64,
+    /// In order, as the retries below.
     sent: Vec<u64>,
     /// Times that each request was read.
     reads: BTreeMap<String, u32>,
@@ -55,7 +59,7 @@
 
     /// Records that a caller sends a request.
     pub fn record_sent(&mut self, now_ms: u64) {
-        self.sent.push(now_ms);
+        insert_in_order(&mut self.sent, now_ms);
     }
 
     /// Records that a backend server has read a request. Returns how many were read so far.
@@ -63,7 +67,7 @@
         let reads = self.reads.entry(id.to_owned()).or_default();
         *reads += 1;
         if *reads > 1 {
-            self.retries.push(now_ms);
+            insert_in_order(&mut self.retries, now_ms);
         }
         (self.reads.len() + self.retries.len()) as u64
     }
@@ -89,14 +93,31 @@
         }
     }
 
+    /// Returns a line if more retries were read in a window than the requests to a service allow.
+    pub fn broken(&self, service: &str) -> Option<String> {
+        let worst = self.worst()?;
+        (worst.share() > 1.0).then(|| {
+            format!(
+                "{} retries at {service} were read in 10 s from {} ms on, {:.0} are allowed",
+                worst.retries, worst.from_ms, worst.allowed
+            )
+        })
+    }
+
     /// Returns the window in which most of the bound is used.
     pub fn worst(&self) -> Option<WindowCount> {
-        let end = self.retries.iter().max()?;
+        let end = self.retries.last()?;
         let windows = (0..=*end).step_by(STEP_MS).map(|from| self.window(from));
         windows.max_by(|a, b| a.share().total_cmp(&b.share()))
     }
 }
 
+fn insert_in_order(times: &mut Vec<u64>, at: u64) {
+    let place = times.partition_point(|time| *time <= at);
+    times.insert(place, at);
+}
+
 fn count_in(times: &[u64], window: &Range<u64>) -> usize {
-    times.iter().filter(|at| window.contains(at)).count()
+    let [start, end] = [window.start, window.end].map(|at| times.partition_point(|t| *t < at));
+    end.saturating_sub(start)
 }
--- a/sesamebeam_soak/src/server.rs
+++ b/sesamebeam_soak/src/server.rs
@@ -44,7 +44,8 @@
 use crate::{
     books::Books,
     callers,
-    fleet, //
+    fleet,
+    operator::POOL, //
 };
 
 /// Backend server whose failure domain is evacuated at times.
@@ -181,6 +182,7 @@
     };
     let (id, after) = (text("request-id"), text("last-event-id"));
     let path = req.uri().path().to_owned();
+    books.read(POOL, &id);
     if text("expect-instance") != life.id {
         return misdirected();
     }
--- a/sesamebeam_soak/src/stream_callers.rs
+++ b/sesamebeam_soak/src/stream_callers.rs
@@ -38,6 +38,7 @@
         EVENTS,
         event, //
     },
+    operator::MODELS_POOL,
 };
 
 /// Organisations, their keys and how many callers each has at every entry.
@@ -130,6 +131,7 @@
             books.broke(format!("request {id} cannot be made"));
             return End::Unreachable;
         };
+        books.sent(MODELS_POOL);
         let terms = SendOptions {
             reuse: Reuse::Any,
             header_timeout: PATIENCE,
