Count no request that an entry which stood still reads late (BUDGET)

What callers saw: retries of a service beyond what is allowed, beside entries that stood still.

Cause: a request counts when its entry reads it. An entry that stood still for seconds counts requests in windows in which the rule doesn't, beside the requests that other entries have read there. The proof assumed that none does.

Now an entry gives signs of life every 50 ms. After a gap of a fortieth of the window what it reads in the next tenth counts for nothing, and neither does what other entries forward to it then.

--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -46,10 +46,13 @@
     policy::round_trips::CONNECT_TIMEOUT, //
 };
 use smol_str::SmolStr;
-use tokio::sync::{
-    Notify,
-    Semaphore,
-    watch, //
+use tokio::{
+    sync::{
+        Notify,
+        Semaphore,
+        watch, //
+    },
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -69,6 +72,9 @@
 /// How long after the first configuration new requests are assumed to have waited for it.
 const STARTUP_WINDOW: Duration = Duration::from_millis(50);
 
+/// Interval of an entry's signs of life, by which it notices that it stood still.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -169,6 +175,17 @@
     }
 }
 
+/// Gives signs of life until cancelled.
+async fn record_alive(gateway: Arc<Gateway>, halt: CancellationToken) {
+    while halt
+        .run_until_cancelled(sleep(ALIVE_INTERVAL))
+        .await
+        .is_some()
+    {
+        gateway.router().record_alive(gateway.now());
+    }
+}
+
 /// Runs an entry until shutdown is requested and its requests have ended, or the grace
 /// period is nearly over.
 ///
@@ -208,6 +225,7 @@
         halt.clone(),
     ));
     tokio::spawn(probes::run(Arc::clone(&gateway), halt.clone()));
+    tokio::spawn(record_alive(Arc::clone(&gateway), halt.clone()));
     let result = listener::run(gateway, halt.clone()).await;
     halt.cancel();
     result
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -404,11 +404,14 @@
     match Arc::clone(&gateway.accepted).try_acquire_owned() {
         Ok(permit) => {
             let now = gateway.now();
-            // Without a time since the start of this process it can't count here.
-            let counted_read_at = handover.counted_age.and_then(|age| now.checked_sub(age));
+            // Without a time since the start of this process it can't count here, nor if it may
+            // have waited.
+            let reads_late = gateway.router().reads_late(now);
+            let counted_age = handover.counted_age.filter(|_| !reads_late);
+            let counted_read_at = counted_age.and_then(|age| now.checked_sub(age));
             let origin = Origin::Peer {
                 handover: Handover {
-                    counted_age: handover.counted_age.filter(|_| counted_read_at.is_some()),
+                    counted_age: counted_age.filter(|_| counted_read_at.is_some()),
                     ..handover
                 },
                 counted_read_at,
--- a/sesamebeam_core/src/gateway/retry_budget.rs
+++ b/sesamebeam_core/src/gateway/retry_budget.rs
@@ -18,6 +18,9 @@
 //! read any more. Only then it is settled, and counts in the windows that hold that moment.
 //! [`RequestSends`](super::request_sends::RequestSends) tells which sends settle a retry.
 //!
+//! A request counts when it is read, soon after it was sent. An entry that stood still reads later
+//! what came meanwhile, and can't tell when: these requests don't count.
+//!
 //! An entry that starts doesn't know what the process before it has spent, or which entry has
 //! left for it to join. Its part of the slack counts as spent until every window that may hold
 //! retries of another process in its place has ended.
@@ -35,7 +38,10 @@
     config::ServiceId,
     entry_count::KnownEntryCount, //
 };
-use crate::ids::MonoTime;
+use crate::{
+    ids::MonoTime,
+    policy::stalls::Stalls, //
+};
 
 /// Number of buckets in the window. More buckets take more time; fewer ones leave more of the
 /// bound unused, as requests expire early and retries late, each by up to a bucket's width.
@@ -50,6 +56,16 @@
 /// fewer by then.
 const RETRY_DELAY: usize = BUCKETS / 5;
 
+/// Longest gap between signs of life of an entry that reads requests within [`REQUEST_DELAY`]. It
+/// leaves as much for the rest of their way.
+const MAX_GAP: usize = REQUEST_DELAY / 2;
+
+/// Buckets after a longer gap in which an entry reads what came meanwhile.
+const CATCH_UP: usize = BUCKETS / 10;
+
+/// Least such gap, for windows that are short beside the interval of the signs.
+const MIN_GAP: Duration = Duration::from_millis(200);
+
 /// Buckets of requests that are kept: those of the window and of the one before it.
 const KEPT_REQUESTS: usize = 2 * BUCKETS;
 
@@ -194,15 +210,18 @@
     cfg: RetryBudgetConfig,
     /// Number of entries that share the slack.
     entries: KnownEntryCount,
+    stalls: Stalls,
     services: HashMap<ServiceId, ServiceCounts>,
 }
 
 impl RetryBudget {
     /// Creates a budget with an unknown number of entries.
     pub fn new(cfg: RetryBudgetConfig) -> Self {
+        let buckets = |count: usize| cfg.window * count as u32 / BUCKETS as u32;
         Self {
             cfg,
             entries: KnownEntryCount::default(),
+            stalls: Stalls::new(buckets(MAX_GAP).max(MIN_GAP), buckets(CATCH_UP)),
             services: HashMap::new(),
         }
     }
@@ -217,8 +236,27 @@
         self.entries.max()
     }
 
-    /// Counts a request that was read at a time.
+    /// Records a sign of life of the entry, one of a series.
+    pub fn record_alive(&mut self, now: MonoTime) {
+        self.stalls.record_alive(now);
+    }
+
+    /// Records that the entry does anything.
+    pub fn record_activity(&mut self, now: MonoTime) {
+        self.stalls.record_activity(now);
+    }
+
+    /// Returns whether what was read at a time may have come long before.
+    pub fn is_late(&self, read_at: MonoTime) -> bool {
+        self.stalls.is_late(read_at)
+    }
+
+    /// Counts a request that was read at a time. One that may have been sent long before counts
+    /// for nothing, as the windows that it belongs to aren't known.
     pub fn record_request(&mut self, read_at: MonoTime, service: &ServiceId) {
+        if self.is_late(read_at) {
+            return;
+        }
         let number = self.bucket(read_at);
         *self.counts(service).requests.count(number) += 1;
     }
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -514,6 +514,7 @@
         // of entries that start at the same time all went to the same backend server.
         let seed = hash::name(head.id.as_bytes());
         let service = table.service(route, seed).clone();
+        self.budget.record_activity(now);
         if is_counted {
             self.budget.record_request(read_at, &service);
         }
--- a/sesamebeam_core/src/gateway/router/isolated.rs
+++ b/sesamebeam_core/src/gateway/router/isolated.rs
@@ -180,6 +180,17 @@
         self.peers.record_busy(now, peer, &plan.service);
     }
 
+    /// Records a sign of life of this entry, one of a series.
+    pub fn record_alive(&mut self, now: MonoTime) {
+        self.budget.record_alive(now);
+    }
+
+    /// Returns whether a request that is read now may have been sent long before.
+    pub fn reads_late(&mut self, now: MonoTime) -> bool {
+        self.budget.record_activity(now);
+        self.budget.is_late(now)
+    }
+
     /// Records that a request that was not sent yet is offered to another entry. Returns whether
     /// it counts for the retry budget there, if that one sends it: counted at both, it would
     /// allow twice the retries, also if the answer of the other entry is lost. It goes on to
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -24,6 +24,7 @@
 pub mod round_trips;
 pub mod servers;
 pub mod slot_window;
+pub mod stalls;
 pub mod suspects;
 pub mod virtual_times;
 
--- a/sesamebeam_core/tests/gateway/retry_windows.rs
+++ b/sesamebeam_core/tests/gateway/retry_windows.rs
@@ -35,6 +35,9 @@
 const REQUEST_DELAY_MS: u64 = 500;
 pub(crate) const RETRY_DELAY_MS: u64 = 2000;
 
+/// Interval of signs of life, in milliseconds.
+const ALIVE_EVERY_MS: u64 = 50;
+
 /// Sends of a request, and time after which one without an answer is given up, in milliseconds.
 const MAX_SENDS: u32 = 5;
 const GIVEN_UP_MS: u64 = 400;
@@ -80,6 +83,8 @@
 enum Event {
     /// An entry is killed, and another process starts in its place.
     Restart { entry: usize },
+    /// An entry gives a sign of life.
+    Alive { entry: usize },
     /// A request reaches its entry.
     Arrives { request: usize },
     /// A send is read, or closed by its backend server.
@@ -165,6 +170,26 @@
         play
     }
 
+    /// Has an entry stand still for a time, and then read all that came.
+    fn pause(mut self, entry: usize, from: u64, lasts: u64) -> Self {
+        let span = UP_MS + from..UP_MS + from + lasts;
+        for at in (0..span.start).chain(span.end..span.end + WINDOW_MS) {
+            if at.is_multiple_of(ALIVE_EVERY_MS) {
+                self.push(at, Event::Alive { entry });
+            }
+        }
+        for (&key, event) in &self.due.clone() {
+            if let Event::Arrives { request } = *event
+                && self.requests[request].entry == entry
+                && span.contains(&key.0)
+            {
+                self.due.remove(&key);
+                self.push(span.end, *event);
+            }
+        }
+        self
+    }
+
     fn push(&mut self, at: u64, event: Event) {
         self.due.insert((at, self.pushed), event);
         self.pushed += 1;
@@ -204,11 +229,16 @@
                 let life = self.entries[entry].life + 1;
                 self.entries[entry] = Entry::new(life, now);
             }
+            Event::Alive { entry } => {
+                let entry = &mut self.entries[entry];
+                entry.budget.record_alive(ms(now - entry.started));
+            }
             Event::Arrives { request } => {
                 let req = &mut self.requests[request];
                 let entry = &mut self.entries[req.entry];
                 req.life = entry.life;
                 let at = ms(now - entry.started);
+                entry.budget.record_activity(at);
                 entry.budget.record_request(at, &SERVICE.into());
                 self.send(now, request);
             }
@@ -338,6 +368,24 @@
     assert!(share <= 1.0, "{share:.2} of the bound");
 }
 
+/// Guards against retries that are allowed by requests that an entry which stood still reads late.
+#[parameterized(
+    long = { 4000, 12_500, 12_500, 1200 },
+    shorter = { 2000, 9500, 7500, 2400 },
+)]
+fn paused_entries(lasts: u64, second: u64, paused_for: u64, second_lasts: u64) {
+    let bursts = [
+        Burst::even(0, lasts, 150, 100),
+        Burst::even(second, second_lasts, 150, 100),
+    ];
+    let mut play = Play::new(&bursts, &[], (0, 5));
+    for entry in 0..ENTRIES - 1 {
+        play = play.pause(entry, 0, paused_for);
+    }
+    let share = play.run().worst_share();
+    assert!(share <= 1.0, "{share:.2} of the bound");
+}
+
 /// Guards against a budget that leaves much of the bound unused.
 #[parameterized(
     steady = { &[Burst::even(0, 30_000, 150, 100)], 14_000, 0.85 },
