Decline what is forwarded with the key of an earlier process

Cause: an entry that starts at the address of another one refused requests that were forwarded with that one's key with 403, which the forwarding entry took for the answer and passed on to its caller. By reading; not seen with processes.

Now the refusal says that it declines, after how many sends, so that another entry is asked. forwarding::needs_key has both answers; it failed before.

--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -116,6 +116,8 @@
     Full,
     /// Its retry budget does not allow to send what was sent before.
     OverBudget,
+    /// It has another key: an earlier process at its address had made the offer.
+    OutdatedKey,
 }
 
 impl Decline {
@@ -125,7 +127,7 @@
             Self::Busy => "busy",
             Self::Isolated => "isolated",
             Self::OverBudget => "over-budget",
-            Self::Stopping | Self::Overloaded | Self::Full => "1",
+            Self::Stopping | Self::Overloaded | Self::Full | Self::OutdatedKey => "1",
         })
     }
 
@@ -138,6 +140,7 @@
             Self::Overloaded => "overloaded by callers",
             Self::Full => "serving too many requests of other entries",
             Self::OverBudget => "retry budget spent",
+            Self::OutdatedKey => "key of another process",
         }
     }
 }
@@ -389,12 +392,18 @@
 
 /// Handles a request that another entry forwards.
 pub(super) async fn handle(gateway: Arc<Gateway>, mut req: Request<Incoming>) -> CallerResponse {
-    let Some(handover) = authorize(&gateway, req.headers_mut()) else {
-        log::warn!("forwarded request without the key of this entry");
+    let Some((key, handover)) = take_peer_headers(req.headers_mut()) else {
+        log::warn!("request without a key where other entries forward theirs");
         return response::empty_and_close(StatusCode::FORBIDDEN);
     };
     let declined = Declined::unreached(&handover);
     let decline = |why| decline(&gateway, None, why, declined);
+    if !is_own_key(&gateway, &key) {
+        let mut response = decline(Decline::OutdatedKey);
+        *response.status_mut() = StatusCode::FORBIDDEN;
+        response::set_connection_close(response.headers_mut());
+        return response;
+    }
     if gateway.stopping.is_cancelled() {
         return decline(Decline::Stopping);
     }
@@ -423,25 +432,28 @@
     }
 }
 
-/// Checks the key of a forwarded request, and removes and returns what concerns only entries.
-/// What is not said counts against the retry budget.
-fn authorize(gateway: &Gateway, headers: &mut HeaderMap) -> Option<Handover> {
+/// Returns whether a request is forwarded to this process, in constant time.
+fn is_own_key(gateway: &Gateway, key: &HeaderValue) -> bool {
+    let own = format!("{:032x}", gateway.forwarding_key);
+    own.as_bytes().ct_eq(key.as_bytes()).into()
+}
+
+/// Removes from a forwarded request and returns its key and what else concerns only entries. What
+/// is not said counts against the retry budget.
+fn take_peer_headers(headers: &mut HeaderMap) -> Option<(HeaderValue, Handover)> {
     let key = headers.remove(KEY)?;
     let sends = headers.remove(SENDS)?;
     let has_free = headers.remove(FREE_SEND).is_some_and(|value| value == YES);
     let read_age = headers.remove(READ_AGE);
-    let own = format!("{:032x}", gateway.forwarding_key);
-    if !bool::from(own.as_bytes().ct_eq(key.as_bytes())) {
-        return None;
-    }
-    Some(Handover {
+    let handover = Handover {
         sends: u32::try_from(number(&sends)?).ok()?,
         has_free,
         counted_age: read_age
             .as_ref()
             .and_then(number)
             .map(Duration::from_millis),
-    })
+    };
+    Some((key, handover))
 }
 
 /// Returns what an entry that has declined a request says of it. What it does not say counts
