--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -152,6 +152,11 @@
     end: SendEnd,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CrashCheckLabels {
+    finding: &'static str,
+}
+
 /// Direction of a message between a control replica and an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum MessageDirection {
@@ -211,6 +216,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     sends: Family<SendLabels, Counter>,
+    crash_checks: Family<CrashCheckLabels, Counter>,
     retries: Family<RetryLabels, Counter>,
     given_up: Histogram,
     moves: Counter,
@@ -255,6 +261,7 @@
             registry: Registry::with_prefix("sesamebeam"),
             requests: Family::default(),
             sends: Family::default(),
+            crash_checks: Family::default(),
             retries: Family::default(),
             given_up: histogram(),
             moves: Counter::default(),
@@ -317,6 +324,12 @@
         self.slot_refusals.inc();
     }
 
+    /// Counts a check of a backend server whose connection broke, by what it found.
+    pub fn record_crash_check(&self, finding: &'static str) {
+        let labels = CrashCheckLabels { finding };
+        self.crash_checks.get_or_create(&labels).inc();
+    }
+
     /// Records a finished send.
     pub fn record_send(&self, end: SendEnd) {
         self.sends.get_or_create(&SendLabels { end }).inc();
@@ -469,6 +482,11 @@
             self.requests.clone(),
         );
         registry.register("sends", "Sends by how they ended", self.sends.clone());
+        registry.register(
+            "crash_checks",
+            "Checks of backend servers whose connections broke, by what they found",
+            self.crash_checks.clone(),
+        );
         registry.register(
             "retries",
             "Sends of a request beyond its first by their reason, and whether the budget allowed them",
--- a/sesamebeam/src/gateway/crash_check.rs
+++ b/sesamebeam/src/gateway/crash_check.rs
@@ -37,6 +37,27 @@
 const REPLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const REPLACEMENT_CHECKS: usize = 20;
 
+/// What tells that a backend server crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Finding {
+    /// It refuses connections.
+    Refused,
+    /// Another incarnation has announced itself at its address.
+    Replaced,
+    /// Nothing.
+    None,
+}
+
+impl Finding {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+            Self::None => "none",
+        }
+    }
+}
+
 impl Dispatch {
     /// Checks whether a backend server whose connection has just ended crashed, and records
     /// the request as a suspect if so.
@@ -47,11 +68,19 @@
         let (plan, choice) = (Arc::clone(&self.plan), Choice::clone(choice));
         let (id, prompt) = (self.req.head.id.clone(), self.req.head.prompt.clone());
         tokio::spawn(async move {
-            let Some(round_trip) = gateway.check_server(&choice).await else {
+            let (finding, round_trip) = gateway.check_server(&choice).await;
+            gateway.metrics.record_crash_check(finding.label());
+            if finding == Finding::None {
+                log::info!(
+                    id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt,
+                    waited_ms = gateway.now().saturating_sub(noticed_at).as_millis() as u64;
+                    "no crash found"
+                );
                 return;
-            };
+            }
             log::info!(
                 id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt,
+                finding = finding.label(),
                 ran_ms = noticed_at.saturating_sub(sent_at).as_millis() as u64,
                 round_trip_us = round_trip.as_micros() as u64;
                 "backend server went down"
@@ -69,29 +98,31 @@
 }
 
 impl Gateway {
-    /// Returns the round-trip time to a backend server whose connection has just ended, if it
-    /// crashed.
+    /// Looks whether a backend server whose connection has just ended crashed. Returns what was
+    /// found, and the round-trip time.
     ///
     /// A terminated process refuses connections, while one that only closed the connection
     /// accepts them. One that is back so soon announces itself as another incarnation.
-    async fn check_server(&self, choice: &Choice) -> Option<Duration> {
+    async fn check_server(&self, choice: &Choice) -> (Finding, Duration) {
         let mut round_trip = CONNECT_TIMEOUT;
         for _ in 0..CONNECT_ATTEMPTS {
             let started = Instant::now();
             let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.addr)).await;
             round_trip = started.elapsed();
             match connected {
-                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Some(round_trip),
+                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                    return (Finding::Refused, round_trip);
+                }
                 Ok(Ok(_)) => break,
                 Ok(Err(_)) | Err(_) => {}
             }
         }
         for _ in 0..REPLACEMENT_CHECKS {
             if self.router().is_replaced(choice) {
-                return Some(round_trip);
+                return (Finding::Replaced, round_trip);
             }
             sleep(REPLACEMENT_CHECK_INTERVAL).await;
         }
-        None
+        (Finding::None, round_trip)
     }
 }
