--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -225,6 +225,7 @@
         halt.clone(),
     ));
     tokio::spawn(probes::run(Arc::clone(&gateway), halt.clone()));
+    tokio::spawn(crash_check::run(Arc::clone(&gateway), halt.clone()));
     tokio::spawn(record_alive(Arc::clone(&gateway), halt.clone()));
     let result = listener::run(gateway, halt.clone()).await;
     halt.cancel();
--- a/sesamebeam/src/gateway/crash_check.rs
+++ b/sesamebeam/src/gateway/crash_check.rs
@@ -1,4 +1,4 @@
-//! Detection of backend servers that crashed while they ran a request.
+//! Looks at backend servers whose connections ended, for the router's check whether they crashed.
 
 use std::{
     io::ErrorKind,
@@ -10,17 +10,22 @@
 };
 
 use sesamebeam_core::gateway::{
-    quarantine::FailedSend,
+    crash_watch::ConnectionEnd,
     request::AnswerStage,
-    router::Choice, //
+    router::{
+        Choice,
+        Ended, //
+    },
 };
 use tokio::{
+    io::AsyncReadExt,
     net::TcpStream,
     time::{
         sleep,
         timeout, //
     },
 };
+use tokio_util::sync::CancellationToken;
 
 use super::{
     Gateway,
@@ -28,101 +33,126 @@
     in_flight::InFlightSend, //
 };
 
-/// Timeout of each connection attempt, and the number of attempts.
+/// Timeout of each connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-const CONNECT_ATTEMPTS: usize = 3;
 
-/// Interval and number of checks whether another incarnation has announced itself at the
-/// address of a backend server that accepts connections.
-const REPLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-const REPLACEMENT_CHECKS: usize = 20;
+/// Pause before the second connection attempt, and the longest one; each is twice the one before.
+const FIRST_PAUSE: Duration = Duration::from_millis(1);
+const MAX_PAUSE: Duration = Duration::from_millis(250);
 
-/// What tells that a backend server crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Finding {
-    /// It refuses connections.
-    Refused,
-    /// Another incarnation has announced itself at its address.
-    Replaced,
-    /// Nothing.
-    None,
-}
+/// Interval of looks at what else is known of a backend server while a connection to it is open.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-impl Finding {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Refused => "refused",
-            Self::Replaced => "replaced",
-            Self::None => "none",
-        }
-    }
+/// Interval at which ended checks are logged.
+const LOG_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How a connection to a backend server ended on which nothing was sent.
+enum Attempt {
+    /// It was refused, after this time.
+    Refused(Duration),
+    /// It was not established, or was closed by the backend server.
+    Closed,
+    /// It is open as long as it was looked at.
+    Open,
 }
 
 impl Dispatch {
-    /// Checks whether a backend server whose connection has just ended crashed, and records
-    /// the request as a suspect if so.
+    /// Has the router find out whether a backend server whose connection has just broken
+    /// crashed. The request is a suspect if so.
     pub(super) fn check_for_crash(&self, choice: &InFlightSend, stage: AnswerStage) {
-        let gateway = Arc::clone(&self.gateway);
-        let noticed_at = gateway.now();
-        let sent_at = noticed_at.saturating_sub(choice.elapsed());
-        let (plan, choice) = (Arc::clone(&self.plan), Choice::clone(choice));
-        let (id, prompt) = (self.req.head.id.clone(), self.req.head.prompt.clone());
-        tokio::spawn(async move {
-            let (finding, round_trip) = gateway.check_server(&choice).await;
-            gateway.metrics.record_crash_check(finding.label());
-            if finding == Finding::None {
-                log::info!(
-                    id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt,
-                    waited_ms = gateway.now().saturating_sub(noticed_at).as_millis() as u64;
-                    "no crash found"
-                );
-                return;
-            }
-            log::info!(
-                id:% = id, server:% = choice.id, answer:? = stage, prompt:? = prompt,
-                finding = finding.label(),
-                ran_ms = noticed_at.saturating_sub(sent_at).as_millis() as u64,
-                round_trip_us = round_trip.as_micros() as u64;
-                "backend server went down"
-            );
-            let failed = FailedSend {
-                sent_at,
-                stage,
-                round_trip,
-            };
-            gateway
-                .router()
-                .record_crash(noticed_at, &plan, &choice, failed);
-        });
+        let id = &self.req.head.id;
+        log::info!(
+            id:% = id, server:% = choice.id, answer:? = stage, prompt:? = self.req.head.prompt,
+            ran_ms = choice.elapsed().as_millis() as u64;
+            "connection to backend server broke"
+        );
+        if !self.record_connection_end(choice, stage, ConnectionEnd::Broken) {
+            return;
+        }
+        let (gateway, choice) = (Arc::clone(&self.gateway), Choice::clone(choice));
+        tokio::spawn(async move { gateway.look_at_server(&choice).await });
+    }
+
+    fn record_connection_end(
+        &self,
+        choice: &InFlightSend,
+        stage: AnswerStage,
+        end: ConnectionEnd,
+    ) -> bool {
+        let now = self.gateway.now();
+        let ended = Ended {
+            sent_at: now.saturating_sub(choice.elapsed()),
+            stage,
+            end,
+        };
+        let mut router = self.gateway.router();
+        router.record_connection_end(now, &self.plan, choice, ended)
     }
 }
 
 impl Gateway {
-    /// Looks whether a backend server whose connection has just ended crashed. Returns what was
-    /// found, and the round-trip time.
+    /// Opens connections to a backend server until it refuses one, keeps one open, or the router
+    /// knows enough.
     ///
-    /// A terminated process refuses connections, while one that only closed the connection
-    /// accepts them. One that is back so soon announces itself as another incarnation.
-    async fn check_server(&self, choice: &Choice) -> (Finding, Duration) {
-        let mut round_trip = CONNECT_TIMEOUT;
-        for _ in 0..CONNECT_ATTEMPTS {
-            let started = Instant::now();
-            let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.addr)).await;
-            round_trip = started.elapsed();
-            match connected {
-                Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
-                    return (Finding::Refused, round_trip);
+    /// What is accepted for a process that has ended is closed with its listener.
+    async fn look_at_server(&self, choice: &Choice) {
+        let until = Instant::now() + self.silence_timeout();
+        let mut pause = FIRST_PAUSE;
+        while self.router().is_crash_open(choice) && Instant::now() < until {
+            match self.attempt_connection(choice, until).await {
+                Attempt::Refused(round_trip) => {
+                    let now = self.now();
+                    self.router().record_refused(now, choice, Some(round_trip));
                 }
-                Ok(Ok(_)) => break,
-                Ok(Err(_)) | Err(_) => {}
+                Attempt::Open => return,
+                Attempt::Closed => {}
             }
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_PAUSE);
         }
-        for _ in 0..REPLACEMENT_CHECKS {
-            if self.router().is_replaced(choice) {
-                return (Finding::Replaced, round_trip);
+    }
+
+    async fn attempt_connection(&self, choice: &Choice, until: Instant) -> Attempt {
+        let started = Instant::now();
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(choice.addr)).await;
+        let round_trip = started.elapsed();
+        let mut stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                return Attempt::Refused(round_trip);
             }
-            sleep(REPLACEMENT_CHECK_INTERVAL).await;
+            Ok(Err(_)) | Err(_) => return Attempt::Closed,
+        };
+        self.router().record_accepted_since(choice, round_trip);
+        while self.router().is_crash_open(choice) && Instant::now() < until {
+            if timeout(LOOK_INTERVAL, stream.read_u8()).await.is_ok() {
+                return Attempt::Closed;
+            }
+        }
+        Attempt::Open
+    }
+}
+
+/// Logs what checks of backend servers have come to, until cancelled.
+pub(super) async fn run(gateway: Arc<Gateway>, halt: CancellationToken) {
+    while halt
+        .run_until_cancelled(sleep(LOG_INTERVAL))
+        .await
+        .is_some()
+    {
+        let checks = gateway.router().take_crash_checks(gateway.now());
+        for check in checks {
+            let finding = check.sign.map_or("none", |sign| sign.label());
+            let message = match check.sign {
+                Some(_) => "backend server went down",
+                None => "no crash found",
+            };
+            gateway.metrics.record_crash_check(finding);
+            log::info!(
+                server:% = check.server.id, finding, sends = check.sends,
+                age_ms = check.age.as_millis() as u64;
+                "{message}"
+            );
         }
-        (Finding::None, round_trip)
     }
 }
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -212,8 +212,14 @@
         }
         self.record_limit(choice, sent_at, &head);
         self.record_max_rejections(choice, sent_at, &head);
-        self.router()
-            .record_response(self.now(), &choice.id, head.load);
+        let now = self.now();
+        let mut router = self.router();
+        router.record_response(now, &choice.id, head.load);
+        // One that was misdirected was answered by another process.
+        if !head.misdirected {
+            router.record_answered_since(now, choice, sent_at);
+        }
+        drop(router);
         let took = self.now().saturating_sub(sent_at);
         self.caller_load.record_answered(took);
         self.metrics.record_first_byte(took);
--- a/sesamebeam_core/src/gateway.rs
+++ b/sesamebeam_core/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod connections;
 pub mod coordinator;
+pub mod crash_watch;
 pub mod crashes;
 pub mod digests;
 pub mod directory;
--- a/sesamebeam_core/src/gateway/directory.rs
+++ b/sesamebeam_core/src/gateway/directory.rs
@@ -322,14 +322,19 @@
         self.examined_records
     }
 
-    /// Returns whether another backend server has announced itself at the address of one.
-    pub fn is_replaced(&self, id: &ServerId, addr: SocketAddr) -> bool {
+    /// Returns whether another incarnation has announced itself in place of one: under the same
+    /// id, or at its address.
+    pub fn is_replaced(&self, server: &ServerIncarnation, addr: SocketAddr) -> bool {
+        let known = self.servers.get(&server.id);
+        if known.is_some_and(|k| k.announcement.started_at > server.started_at) {
+            return true;
+        }
         let is_gone = |id: &ServerId| {
             let record = self.servers.get(id);
             record.is_none_or(|k| k.announcement.state == ServerState::Gone)
         };
-        let others = self.index.by_address(addr).iter().filter(|o| *o != id);
-        is_gone(id) && others.into_iter().any(|other| !is_gone(other))
+        let others = self.index.by_address(addr).iter();
+        is_gone(&server.id) && others.filter(|o| **o != server.id).any(|o| !is_gone(o))
     }
 
     /// Returns whether an incarnation that started later is at the same address.
--- a/sesamebeam_core/src/gateway/router.rs
+++ b/sesamebeam_core/src/gateway/router.rs
@@ -11,6 +11,7 @@
 mod moving;
 mod quarantined;
 mod retry_after;
+mod watching;
 
 use std::{
     net::SocketAddr,
@@ -25,7 +26,11 @@
     choosing::MAX_CANDIDATES,
     isolated::Probe,
     leased::Elsewhere,
-    moving::CurrentSend, //
+    moving::CurrentSend,
+    watching::{
+        CrashCheck,
+        Ended, //
+    },
 };
 use super::{
     backoff::Backoffs,
@@ -46,6 +51,7 @@
         RouteConfig,
         ServiceId, //
     },
+    crash_watch::CrashWatch,
     directory::{
         Announcement,
         Directory,
@@ -312,6 +318,9 @@
     cascade: Cascade,
     response_counts: ResponseCounts,
     quarantine: Quarantine,
+    crash_watch: CrashWatch,
+    /// Ended checks that are still to be logged.
+    crash_checks: Vec<CrashCheck>,
     sessions: Sessions,
     prompt_lengths: PromptLengths,
     prefill_times: PrefillTimes,
@@ -345,6 +354,8 @@
             cascade: Cascade::default(),
             response_counts: ResponseCounts::default(),
             quarantine: Quarantine::default(),
+            crash_watch: CrashWatch::default(),
+            crash_checks: Vec::new(),
             prompt_lengths: PromptLengths::default(),
             prefill_times: PrefillTimes::default(),
             cleanup_at: MonoTime::ZERO,
@@ -442,6 +453,9 @@
             self.limits.forget(&id);
             self.backoffs.forget(&id);
         }
+        if before != after {
+            self.settle_replaced(now);
+        }
         changed
     }
 
@@ -787,6 +801,11 @@
         self.record_slot_use(now, choice, outcome);
         self.record_reachability(&plan.service, &choice.id, outcome);
         self.record_session(now, plan, choice);
+        match outcome {
+            Outcome::Down => self.record_refused(now, choice, None),
+            Outcome::Silent => self.record_silent(now, choice),
+            _ => {}
+        }
         self.response_counts
             .record_outcome(&plan.sender(choice), outcome);
     }
@@ -796,6 +815,7 @@
     pub fn mark_replaced(&mut self, now: MonoTime, choice: &Choice) {
         self.directory
             .mark_gone(now, &choice.id, Some(choice.started_at));
+        self.record_replaced(now, choice);
     }
 
     /// Returns whether the chosen incarnation is still the current one of its backend
--- a/sesamebeam_core/src/gateway/router/quarantined.rs
+++ b/sesamebeam_core/src/gateway/router/quarantined.rs
@@ -2,7 +2,6 @@
 //! refuses.
 
 use super::{
-    Choice,
     Plan,
     Refusal,
     Router, //
@@ -13,7 +12,6 @@
             FatalParts,
             PartSuspicion, //
         },
-        quarantine::FailedSend,
         request::{
             AnswerProgress,
             PartId, //
@@ -94,22 +92,4 @@
         self.quarantine
             .record_progress(now, &plan.subject, progress);
     }
-
-    /// Returns whether another backend server has announced itself at the address of the
-    /// chosen one.
-    pub fn is_replaced(&self, choice: &Choice) -> bool {
-        self.directory.is_replaced(&choice.id, choice.addr)
-    }
-
-    /// Records that a request was running when its backend server crashed.
-    pub fn record_crash(
-        &mut self,
-        now: MonoTime,
-        plan: &Plan,
-        choice: &Choice,
-        failed: FailedSend,
-    ) {
-        self.quarantine
-            .record_crash(now, &plan.subject, choice.incarnation(), failed);
-    }
 }
--- a/sesamebeam_core/tests/gateway/main.rs
+++ b/sesamebeam_core/tests/gateway/main.rs
@@ -42,3 +42,4 @@
 mod shortage;
 mod subscription;
 mod table;
+mod watching;
