Take an answer that its connection ends as complete once its backend server lives (BUDGET)

What callers saw: the same, where answers have neither length nor chunks: each crash in the middle of one cleared the parts that it should have counted against, so that there was never a verdict.

Cause: the end of the connection ends such an answer, whether the process closed it or crashed.

Streams that came from another entry are recorded there alone, where it is known how they ended.

--- a/sesamebeam/src/gateway/crash_check.rs
+++ b/sesamebeam/src/gateway/crash_check.rs
@@ -73,6 +73,12 @@
         tokio::spawn(async move { gateway.look_at_server(&choice).await });
     }
 
+    /// Records that an answer was complete when its connection ended, unless its backend server
+    /// turns out to have crashed.
+    pub(super) fn record_until_closed(&self, choice: &InFlightSend, stage: AnswerStage) {
+        self.record_connection_end(choice, stage, ConnectionEnd::MaybeComplete);
+    }
+
     fn record_connection_end(
         &self,
         choice: &InFlightSend,
--- a/sesamebeam/src/gateway/dispatch.rs
+++ b/sesamebeam/src/gateway/dispatch.rs
@@ -70,7 +70,10 @@
             ClientError,
             ConnectionGuard, //
         },
-        received::read_whole,
+        received::{
+            is_success_until_closed,
+            read_whole, //
+        },
     },
 };
 
@@ -458,6 +461,12 @@
         !self.plan.route.runs_at_most_once()
     }
 
+    /// Records that an answer to the request is complete.
+    pub(super) fn record_completion(&self) {
+        let now = self.gateway.now();
+        self.gateway.router().record_completion(now, &self.plan);
+    }
+
     /// Counts a send that was made.
     pub(super) fn record_send(&mut self) {
         self.sends += 1;
@@ -641,6 +650,7 @@
             lease,
         } = pending;
         let (status, mut headers) = (response.status(), response.headers().clone());
+        let is_until_closed = is_success_until_closed(&response);
         let reading = read_whole(response, MAX_RESPONSE_BYTES, lease.long_answers());
         let body = match timeout_at(self.req.deadline.into(), reading).await {
             Ok(Ok(body)) => body,
@@ -672,10 +682,14 @@
         if !failed {
             let mut router = self.gateway.router();
             router.record_first_byte(&self.plan, &choice, None, choice.elapsed());
-            if head.is_success() {
-                router.record_completion(self.gateway.now(), &self.plan);
+            drop(router);
+            if head.is_success() && !is_until_closed {
+                self.record_completion();
             }
         }
+        if is_until_closed {
+            self.record_until_closed(&choice, AnswerStage::Begun);
+        }
         choice.record_outcome(outcome);
         log::info!(
             id:% = self.req.head.id, server:% = choice.id, candidates = choice.candidates,
--- a/sesamebeam/src/gateway/stream.rs
+++ b/sesamebeam/src/gateway/stream.rs
@@ -98,7 +98,9 @@
     body: Incoming,
     head: ResponseHead,
     lease: Option<ConnectionGuard>,
-    /// Whether the end of the connection, which ends the stream, is no sound end yet.
+    /// Whether the end of the connection ends the stream.
+    is_until_closed: bool,
+    /// Whether that is no sound end yet.
     awaits_event: bool,
 }
 
@@ -175,6 +177,7 @@
                 body,
                 head,
                 lease: Some(lease),
+                is_until_closed: awaits_event,
                 awaits_event,
             }),
         };
@@ -222,6 +225,14 @@
         gateway.router().record_events(gateway.now(), plan, events);
     }
 
+    /// Returns how far the answer of the current run has come.
+    fn stage(&self) -> AnswerStage {
+        match self.events_of_run() {
+            0 => AnswerStage::Begun,
+            events => AnswerStage::UnderWay { events },
+        }
+    }
+
     /// Returns the number of events that the current run has sent.
     fn events_of_run(&self) -> u32 {
         let events = self.events.count().saturating_sub(self.events_before_run);
@@ -291,16 +302,19 @@
         if let Some(lease) = source.lease.take() {
             self.dispatch.return_connection(lease, &source.head);
         }
-        if let Upstream::Server(choice) = &mut source.upstream {
-            self.record_event_interval(choice);
-            choice.record_outcome(Outcome::Good);
-        }
         let dispatch = &self.dispatch;
-        let now = dispatch.gateway.now();
-        dispatch
-            .gateway
-            .router()
-            .record_completion(now, &dispatch.plan);
+        match &mut source.upstream {
+            Upstream::Server(choice) => {
+                self.record_event_interval(choice);
+                choice.record_outcome(Outcome::Good);
+                match source.is_until_closed {
+                    true => dispatch.record_until_closed(choice, self.stage()),
+                    false => dispatch.record_completion(),
+                }
+            }
+            // The entry that sent it knows whether its backend server lives.
+            Upstream::Peer { .. } => {}
+        }
         self.dispatch.record_end(RequestEnd::StreamComplete);
         self.log("stream complete");
     }
@@ -338,12 +352,7 @@
             self.dispatch.gateway.client.retire(choice.addr);
         }
         if outcome == Outcome::Failed {
-            let stage = match self.events_of_run() {
-                0 => AnswerStage::Begun,
-                events => AnswerStage::UnderWay { events },
-            };
-            let dispatch = &self.dispatch;
-            dispatch.check_for_crash(&choice, stage);
+            self.dispatch.check_for_crash(&choice, self.stage());
         }
         choice.record_outcome(outcome);
         self.dispatch.tried.push(choice.id.clone());
@@ -391,9 +400,11 @@
         if !head.is_success() || !head.sealed {
             return false;
         }
+        let is_until_closed = is_success_until_closed(&response);
         self.source = Some(Source {
             upstream: Upstream::Peer { _send: send },
-            awaits_event: is_success_until_closed(&response),
+            is_until_closed,
+            awaits_event: is_until_closed,
             body: response.into_body(),
             head,
             lease: Some(lease),
@@ -430,9 +441,11 @@
                     max_rejections:? = head.max_rejections;
                     "stream goes on"
                 );
+                let is_until_closed = is_success_until_closed(&response);
                 self.source = Some(Source {
                     upstream: Upstream::Server(choice),
-                    awaits_event: is_success_until_closed(&response),
+                    is_until_closed,
+                    awaits_event: is_until_closed,
                     body: response.into_body(),
                     head: *head,
                     lease: Some(lease),
