--- a/sesamebeam_core/src/gateway/coordinator/crash_reports.rs
+++ b/sesamebeam_core/src/gateway/coordinator/crash_reports.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Coordinator,
+    CoordinatorMessage,
     EntryId,
     LogEvent,
     Recipients, //
@@ -30,8 +31,9 @@
             self.part_crashes
                 .record_refusals(self.now, &refusals.parts, refusals.count);
         }
-        if !report.crashes.is_empty() {
-            changed |= self.part_crashes.judge(self.now);
+        if !report.crashes.is_empty() && self.part_crashes.judge(self.now) {
+            changed = true;
+            self.report_verdicts();
         }
         if changed {
             self.publish_fatal_parts();
@@ -55,11 +57,25 @@
         self.part_crashes.expire(self.now);
         self.part_crashes.set_server_count(self.directory.count());
         let is_found = self.part_crashes.judge_pending(self.now);
+        if is_found {
+            self.report_verdicts();
+        }
         if self.part_crashes.take_changed() || is_found {
             self.publish_fatal_parts();
         }
     }
 
+    /// Tells the other replicas of the fatal parts. One that restarted after the first crashes
+    /// has not enough of them to find out by itself.
+    fn report_verdicts(&mut self) {
+        let verdicts = self.part_crashes.verdicts().iter();
+        let report = Report {
+            fatal_parts: verdicts.map(|v| v.message(self.now)).collect(),
+            ..Report::default()
+        };
+        self.broadcast(&CoordinatorMessage::Report(Box::new(report)));
+    }
+
     fn publish_fatal_parts(&mut self) {
         let verdicts = self.part_crashes.verdicts();
         let fatal: Vec<FatalParts> = verdicts.iter().map(|v| v.message(self.now)).collect();
--- a/sesamebeam_core/tests/gateway/crash_reports.rs
+++ b/sesamebeam_core/tests/gateway/crash_reports.rs
@@ -107,6 +107,31 @@
     }
 }
 
+#[test]
+fn replica_restarts_between() {
+    // Guards against entries that go on because their replica had restarted between the crashes
+    // that the others hold against a part.
+    let mut group = followed_group();
+    for number in 1..=2 {
+        group.event(1, Event::EntryReported(crash(number)));
+        group.run(300);
+    }
+    let disk = group.kill(3);
+    group.run(100);
+    group.restart(3, disk);
+    group.run(TOLD_IN);
+    follow(&mut group, 3);
+    group.event(1, Event::EntryReported(crash(3)));
+    group.run(TOLD_IN);
+    for node in 1..=3 {
+        assert_eq!(
+            told(&group, node),
+            Some(vec![vec![FATAL]]),
+            "replica {node}"
+        );
+    }
+}
+
 #[test]
 fn verdict_ends_everywhere() {
     // Guards against entries that refuse what another entry has an answer to.
