Bound the memory that request bodies take together

What operators saw: a process ended, out of memory, as clients sent many large bodies, whole, in pieces or in chunks, and stopped short of their end.

Cause: each body was collected by itself, up to the limit of one, and nothing bounded all of them. Chunks were kept as they came, so that one byte took the place of many; a replica's connections buffered up to 400 KB each before that. A length above the limit was read up to the limit before it was refused.

Change: one mechanism for entries and replicas (intake::Bodies over the core's body_room): a quarter of the instance's memory, which its settings state, for the bodies of all requests until these end. It is taken as bytes come, into one buffer. When it is taken, those make room from which no byte has come for a second, then the largest, which may be the one that asks; they get 503, and nothing of them has run. A length above the limit is refused from the head, and a body may not take longer than its caller waits.

Weighed: refusing newcomers when the memory is taken (a crowd that stops short of its end keeps ordinary callers out until it times out); giving small bodies a part of their own (bounds what the others may take, and small ones that stop fill it).

--- a/sesamebeam/src/gateway.rs
+++ b/sesamebeam/src/gateway.rs
@@ -63,6 +63,10 @@
 use crate::{
     exposition::Exposition,
     http::client::Client,
+    intake::{
+        Bodies,
+        Resources, //
+    },
     listen::{
         ListenError,
         paced::CallerLoad, //
@@ -90,6 +94,8 @@
     pub control_port: u16,
     /// Time between the termination signal and the forced kill.
     pub shutdown_grace: Duration,
+    /// Memory and descriptors of the instance.
+    pub resources: Resources,
     /// Configuration of the router.
     pub router: RouterConfig,
 }
@@ -107,6 +113,8 @@
     /// Permits to serve requests of other entries.
     accepted: Arc<Semaphore>,
     metrics: Arc<Exposition>,
+    /// Bodies of requests.
+    bodies: Bodies,
     /// How callers load this entry.
     caller_load: CallerLoad,
     start: Instant,
@@ -205,6 +213,7 @@
         forwarding_key: rand::rng().random(),
         forwarding_addr: OnceLock::new(),
         accepted: Arc::new(Semaphore::new(forwarding::MAX_ACCEPTED)),
+        bodies: Bodies::new(settings.resources.body_bytes()),
         caller_load: CallerLoad::default(),
         start: Instant::now(),
         settings,
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -8,12 +8,6 @@
     },
 };
 
-use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::{
     Request,
     StatusCode,
@@ -23,7 +17,6 @@
 use rand::RngExt;
 use sesamebeam_core::{
     gateway::{
-        config::Limits,
         request::Head,
         request_sends::{
             Declined,
@@ -40,7 +33,6 @@
     sync::OwnedSemaphorePermit,
     time::{
         sleep,
-        timeout,
         timeout_at, //
     },
 };
@@ -63,6 +55,7 @@
 };
 use crate::{
     exposition::RequestEnd,
+    intake::BodyError,
     listen::paced::FirstRead, //
 };
 
@@ -144,19 +137,20 @@
         delay_by_startup_jitter(&head).await;
     }
     let limits = plan.table.config().limits;
-    let body = match read_body(body, &limits).await {
+    let max_time = limits
+        .idle_timeout
+        .min(head.deadline.unwrap_or(DEFAULT_DEADLINE));
+    let reading = gateway.bodies.read(body, limits.max_body, max_time);
+    let body = match reading.await {
         Ok(body) => body,
-        Err(status) => {
-            log::info!(id:% = head.id, status = status.as_u16(); "body refused");
-            return response::empty_and_close(status);
-        }
+        Err(error) => return reject_body(&head.id, &error),
     };
     if let Some(took) = FirstRead::finish(&mut parts.extensions) {
         gateway.metrics.record_first_read(took);
     } else if origin.is_caller() && !gateway.caller_load.take_further() {
         return reject(&gateway, &head.id, Refusal::LinkFull);
     }
-    plan.identify(send::fingerprint(&head, &body));
+    plan.identify(send::fingerprint(&head, body.bytes()));
     // A guard in the condition of an `if let` lives until the end of its body, where
     // `reject` takes the same lock. Without this binding, the whole entry deadlocks.
     let checked = gateway.router().check_quarantine(&plan);
@@ -282,17 +276,17 @@
     }
 }
 
-/// Reads a request body within the configured limits.
-///
-/// # Errors
-///
-/// Returns the response status if the body is too large, too slow or broken.
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
-    let reading = Limited::new(body, limits.max_body).collect();
-    match timeout(limits.idle_timeout, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+/// Refuses a request whose body could not be read. Nothing of it has run.
+fn reject_body(id: &str, error: &BodyError) -> CallerResponse {
+    log::info!(id = id, why:% = error; "body refused");
+    match error {
+        BodyError::TooLarge => response::empty_and_close(StatusCode::PAYLOAD_TOO_LARGE),
+        BodyError::Broken(_) => response::empty_and_close(StatusCode::BAD_REQUEST),
+        BodyError::TooSlow => response::empty_and_close(StatusCode::REQUEST_TIMEOUT),
+        BodyError::NoRoom => {
+            let mut response = response::retry_later(StatusCode::SERVICE_UNAVAILABLE);
+            response::set_connection_close(response.headers_mut());
+            response
+        }
     }
 }
--- a/sesamebeam/src/gateway/forwarding.rs
+++ b/sesamebeam/src/gateway/forwarding.rs
@@ -327,7 +327,7 @@
         if let Some(age) = handover.counted_age {
             set(&mut headers, READ_AGE, &age.as_millis().to_string());
         }
-        let mut request = Request::new(Full::new(self.req.body.clone()));
+        let mut request = Request::new(Full::new(self.req.body.bytes().clone()));
         *request.method_mut() = self.req.parts.method.clone();
         *request.uri_mut() = path_of(&self.req);
         *request.headers_mut() = headers;
--- a/sesamebeam/src/gateway/send.rs
+++ b/sesamebeam/src/gateway/send.rs
@@ -44,14 +44,17 @@
     hop_by_hop::strip_hop_by_hop,
     retries::Retries, //
 };
-use crate::http::{
-    client::{
-        ClientError,
-        ConnectionGuard,
-        Reuse,
-        SendOptions, //
+use crate::{
+    http::{
+        client::{
+            ClientError,
+            ConnectionGuard,
+            Reuse,
+            SendOptions, //
+        },
+        unread::UnreadGuard,
     },
-    unread::UnreadGuard,
+    intake::WholeBody,
 };
 
 /// Factor for the delay of the link, which may rise while a send is under way.
@@ -83,7 +86,7 @@
     /// Request head as received.
     pub(super) parts: request::Parts,
     /// Request body.
-    pub(super) body: Bytes,
+    pub(super) body: WholeBody,
     /// When the request was received.
     pub(super) received_at: Instant,
     /// Deadline: the earlier of the caller's and that of the route.
@@ -306,7 +309,7 @@
         strip_hop_by_hop(&mut headers);
         self.protocol.prepare_request_headers(&mut headers, out);
         let path = req.parts.uri.path_and_query()?.clone();
-        let mut request = Request::new(Full::new(req.body.clone()));
+        let mut request = Request::new(Full::new(req.body.bytes().clone()));
         *request.method_mut() = req.parts.method.clone();
         *request.uri_mut() = Uri::from(path);
         *request.headers_mut() = headers;
--- a/sesamebeam/src/group.rs
+++ b/sesamebeam/src/group.rs
@@ -89,6 +89,7 @@
     },
     disk::DiskError,
     exposition::Exposition,
+    intake::Resources,
     listen::ListenError,
 };
 
@@ -106,6 +107,8 @@
     pub name: String,
     /// Failure domain of the replica.
     pub domain: DomainId,
+    /// Memory and descriptors of the instance.
+    pub resources: Resources,
     /// Listen address for API requests of operators and backend servers.
     pub control_addr: SocketAddr,
     /// Listen address for entries and other control replicas.
--- a/sesamebeam/src/group/http.rs
+++ b/sesamebeam/src/group/http.rs
@@ -7,18 +7,18 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     Method,
     Request,
     Response,
     StatusCode,
     body::Incoming,
-    header::LOCATION,
+    header::{
+        CONNECTION,
+        HeaderValue,
+        LOCATION, //
+    },
     server::conn::http1,
     service::service_fn, //
 };
@@ -44,11 +44,20 @@
     Inputs,
     control_addr_of, //
 };
-use crate::listen;
+use crate::{
+    intake::{
+        Bodies,
+        BodyError, //
+    },
+    listen,
+};
 
 /// Maximum size of a request body: enough for a configuration of 10,000 routes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Maximum size of a request head.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Timeout for reading a request body. Clients give up after a second, or later for large
 /// bodies.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -91,6 +100,7 @@
 /// State shared by all connections.
 struct Context {
     settings: GroupSettings,
+    bodies: Bodies,
     protocol: Arc<dyn ControlProtocol>,
     inputs: Inputs,
 }
@@ -103,7 +113,9 @@
     halt: CancellationToken,
 ) -> Result<(), GroupError> {
     let listener = listen::bind(settings.control_addr).await?;
+    let resources = settings.resources;
     let cx = Arc::new(Context {
+        bodies: Bodies::new(resources.body_bytes()),
         settings: settings.clone(),
         protocol,
         inputs,
@@ -123,6 +135,7 @@
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         () = halt.cancelled() => {}
@@ -141,13 +154,15 @@
         .path_and_query()
         .map_or("/", |p| p.as_str())
         .to_owned();
-    let reading = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = match timeout(READ_TIMEOUT, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) => return reject(StatusCode::BAD_REQUEST, &e.to_string()),
-        Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body not read in time"),
+    let reading = cx.bodies.read(body, MAX_BODY_BYTES, READ_TIMEOUT);
+    let body = match reading.await {
+        Ok(body) => body,
+        Err(e) => return reject_body(&e),
     };
-    let request = match cx.protocol.decode_request(&head.method, &path, body) {
+    let request = match cx
+        .protocol
+        .decode_request(&head.method, &path, body.bytes().clone())
+    {
         Ok(request) => request,
         Err(ApiRequestError::Unknown) => return reject(StatusCode::NOT_FOUND, "no such call"),
         Err(ApiRequestError::Invalid(why)) => {
@@ -187,6 +202,20 @@
     response
 }
 
+/// Refuses a request whose body could not be read. Nothing of it has been carried out.
+fn reject_body(error: &BodyError) -> Response<Full<Bytes>> {
+    let status = match error {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::Broken(_) => StatusCode::BAD_REQUEST,
+    };
+    let mut response = reject(status, &error.to_string());
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 fn reject(status: StatusCode, why: &str) -> Response<Full<Bytes>> {
     let body = serde_json::json!({ "error": why }).to_string();
     let mut response = Response::new(Full::new(body.into()));
--- a/sesamebeam/src/lib.rs
+++ b/sesamebeam/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod group;
 pub mod http;
+pub mod intake;
 pub mod keys;
 pub mod limit;
 pub mod link;
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod balance;
+pub mod body_room;
 pub mod burn;
 pub mod connections;
 pub mod exposure;
--- a/sesamebeam_core/tests/policy/main.rs
+++ b/sesamebeam_core/tests/policy/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod bad_input;
 mod balance;
+mod body_room;
 mod burn;
 mod connections;
 mod exposure;
