Bound the connections that clients keep open

What operators saw: nothing yet; found by the tests of clients that do not behave. An instance had no descriptor left for backend servers, other entries or replicas, and heads of up to 400 KB a connection at the readiness and metrics addresses took its memory.

Cause: only callers' connections of the own interface were counted. No other listener bounded how many are open, and the two for the platform's services had neither a timeout nor a bound for heads.

Change: one bound for all listeners (intake::Connections over the core's open_connections), from the memory and descriptors that the settings state. A connection that comes when there are too many takes the place of the one that has waited longest without a whole request: idle, or sending slowly. One with a request that may be running is not closed for others; where all have one, the new connection is closed unread. A process that has said who it is on the internal address stays. Callers and calls of replicas: half of the sockets, and at most 32 KiB each of a quarter of the memory; other entries: an eighth; the platform's services: 32.

An idle one that is closed costs its client a connection.

--- a/sesamebeam/src/exposition.rs
+++ b/sesamebeam/src/exposition.rs
@@ -21,7 +21,6 @@
         CONTENT_TYPE,
         HeaderValue, //
     },
-    server::conn::http1,
     service::service_fn, //
 };
 use hyper_util::rt::TokioIo;
@@ -45,9 +44,15 @@
 use sesamebeam_core::gateway::engines::escalation::Step;
 use tokio_util::sync::CancellationToken;
 
-use crate::listen::{
-    self,
-    ListenError, //
+use crate::{
+    intake::{
+        Connections,
+        Resources, //
+    },
+    listen::{
+        self,
+        ListenError, //
+    },
 };
 
 /// Content type of the text format.
@@ -455,22 +460,29 @@
     pub async fn serve(
         self: Arc<Self>,
         addr: SocketAddr,
+        resources: Resources,
         halt: CancellationToken,
     ) -> Result<(), ListenError> {
         let listener = listen::bind(addr).await?;
-        tokio::spawn(listen::accept(listener, halt, move |stream| {
-            let exposition = Arc::clone(&self);
-            async move {
-                let service = service_fn(|_: Request<Incoming>| {
-                    let response = respond(exposition.to_text());
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                // A scraper whose connection fails scrapes again later.
-                let _ = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-            }
-        }));
+        let scrapers = Connections::new(resources.service_connections());
+        tokio::spawn(listen::accept(
+            listener,
+            scrapers,
+            halt,
+            move |stream, _| {
+                let exposition = Arc::clone(&self);
+                async move {
+                    let service = service_fn(|_: Request<Incoming>| {
+                        let response = respond(exposition.to_text());
+                        async move { Ok::<_, Infallible>(response) }
+                    });
+                    // A scraper whose connection fails scrapes again later.
+                    let _ = listen::service_http()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                }
+            },
+        ));
         Ok(())
     }
 
--- a/sesamebeam/src/gateway/admission.rs
+++ b/sesamebeam/src/gateway/admission.rs
@@ -140,7 +140,9 @@
     let max_time = limits
         .idle_timeout
         .min(head.deadline.unwrap_or(DEFAULT_DEADLINE));
-    let reading = gateway.bodies.read(body, limits.max_body, max_time);
+    let reading = gateway
+        .bodies
+        .read(&parts.extensions, body, limits.max_body, max_time);
     let body = match reading.await {
         Ok(body) => body,
         Err(error) => return reject_body(&head.id, &error),
--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -46,11 +46,18 @@
     forwarding,
     response::CallerResponse, //
 };
-use crate::listen::{
-    self, ListenError,
-    paced::{
-        PacedListener,
-        TakenConnection, //
+use crate::{
+    intake::{
+        Connections,
+        OpenConnection, //
+    },
+    limit::LogLimit,
+    listen::{
+        self, ListenError,
+        paced::{
+            PacedListener,
+            TakenConnection, //
+        },
     },
 };
 
@@ -74,16 +81,16 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
 /// Guard that counts an open connection until it is dropped.
-struct OpenConnection(Arc<AtomicUsize>);
+struct CountGuard(Arc<AtomicUsize>);
 
-impl OpenConnection {
+impl CountGuard {
     fn new(count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(count))
     }
 }
 
-impl Drop for OpenConnection {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
@@ -97,9 +104,13 @@
     let open = Arc::new(AtomicUsize::new(0));
     accept_from_peers(&gateway, &open, halt.clone()).await;
     let shared = Arc::clone(&gateway);
-    tokio::spawn(listen::accept(ready, halt.clone(), move |stream| {
-        serve_readiness(Arc::clone(&shared), stream)
-    }));
+    let checks = Connections::new(gateway.settings.resources.service_connections());
+    tokio::spawn(listen::accept(
+        ready,
+        checks,
+        halt.clone(),
+        move |stream, _| serve_readiness(Arc::clone(&shared), stream),
+    ));
     let accepting = accept_callers(&gateway, callers, &open, halt);
     tokio::select! {
         () = accepting => {}
@@ -115,6 +126,8 @@
     open: &Arc<AtomicUsize>,
     halt: CancellationToken,
 ) {
+    let connections = Connections::new(gateway.settings.resources.connections());
+    let refused = LogLimit::default();
     let mut counted = listener.turned_away();
     while let Some(taken) = halt.run_until_cancelled(listener.accept()).await {
         let turned_away = listener.turned_away();
@@ -123,7 +136,11 @@
             turned_away.expired - counted.expired,
         );
         counted = turned_away;
-        let guard = OpenConnection::new(open);
+        let Some(connection) = connections.admit() else {
+            listen::log_refused(&refused);
+            continue;
+        };
+        let guard = CountGuard::new(open);
         let gateway = Arc::clone(gateway);
         let TakenConnection {
             stream,
@@ -131,13 +148,15 @@
             first_read,
         } = taken;
         tokio::spawn(async move {
+            let attached = connection.clone();
             let answer = move |gateway: Arc<Gateway>, mut req: Request<Incoming>| {
+                attached.attach(req.extensions_mut());
                 if first_read.attach(req.extensions_mut()) {
                     gateway.metrics.record_connection_wait(came_at.elapsed());
                 }
                 admission::handle(gateway, req, Origin::Caller)
             };
-            serve(gateway, stream, answer).await;
+            connection.run(serve(gateway, stream, answer)).await;
             drop(guard);
         });
     }
@@ -163,14 +182,20 @@
     // Set here alone, once.
     let _ = gateway.forwarding_addr.set(addr);
     let (gateway, open) = (Arc::clone(gateway), Arc::clone(open));
-    tokio::spawn(listen::accept(listener, halt, move |stream| {
-        let guard = OpenConnection::new(&open);
+    let connections = Connections::new(gateway.settings.resources.peer_connections());
+    let serve_peer = move |stream, connection: OpenConnection| {
+        let guard = CountGuard::new(&open);
         let gateway = Arc::clone(&gateway);
         async move {
-            serve(gateway, stream, forwarding::handle).await;
+            let answer = move |gateway: Arc<Gateway>, mut req: Request<Incoming>| {
+                connection.attach(req.extensions_mut());
+                forwarding::handle(gateway, req)
+            };
+            serve(gateway, stream, answer).await;
             drop(guard);
         }
-    }));
+    };
+    tokio::spawn(listen::accept(listener, connections, halt, serve_peer));
 }
 
 /// Waits for the termination signal, then until the last connection has ended or the time
@@ -237,7 +262,7 @@
         async move { Ok::<_, Infallible>(readiness(ready)) }
     });
     // A load balancer that loses this connection checks again.
-    let _ = http1::Builder::new()
+    let _ = listen::service_http()
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
--- a/sesamebeam/src/group/http.rs
+++ b/sesamebeam/src/group/http.rs
@@ -47,7 +47,9 @@
 use crate::{
     intake::{
         Bodies,
-        BodyError, //
+        BodyError,
+        Connections,
+        OpenConnection, //
     },
     listen,
 };
@@ -121,14 +123,19 @@
         inputs,
     });
     let cancel = halt.clone();
-    tokio::spawn(listen::accept(listener, halt, move |stream| {
-        serve(stream, Arc::clone(&cx), cancel.clone())
-    }));
+    let connections = Connections::new(resources.connections());
+    tokio::spawn(listen::accept(
+        listener,
+        connections,
+        halt,
+        move |stream, open| serve(stream, open, Arc::clone(&cx), cancel.clone()),
+    ));
     Ok(())
 }
 
-async fn serve(stream: TcpStream, cx: Arc<Context>, halt: CancellationToken) {
-    let service = service_fn(|req| {
+async fn serve(stream: TcpStream, open: OpenConnection, cx: Arc<Context>, halt: CancellationToken) {
+    let service = service_fn(|mut req: Request<Incoming>| {
+        open.attach(req.extensions_mut());
         let cx = Arc::clone(&cx);
         async move { Ok::<_, Infallible>(handle(req, &cx).await) }
     });
@@ -154,7 +161,9 @@
         .path_and_query()
         .map_or("/", |p| p.as_str())
         .to_owned();
-    let reading = cx.bodies.read(body, MAX_BODY_BYTES, READ_TIMEOUT);
+    let reading = cx
+        .bodies
+        .read(&head.extensions, body, MAX_BODY_BYTES, READ_TIMEOUT);
     let body = match reading.await {
         Ok(body) => body,
         Err(e) => return reject_body(&e),
--- a/sesamebeam/src/group/internal_server.rs
+++ b/sesamebeam/src/group/internal_server.rs
@@ -45,6 +45,10 @@
         Receiver,
         Sender, //
     },
+    intake::{
+        Connections,
+        OpenConnection, //
+    },
     listen,
 };
 
@@ -61,29 +65,35 @@
 ) -> Result<(), GroupError> {
     let listener = listen::bind(settings.internal_addr).await?;
     let cancel = halt.clone();
-    tokio::spawn(listen::accept(listener, halt, move |stream| {
+    let connections = Connections::new(settings.resources.connections());
+    let serve_peer = move |stream, open: OpenConnection| {
         let (inputs, heartbeat, halt) = (inputs.clone(), heartbeat.clone(), cancel.clone());
         async move {
             tokio::select! {
                 () = halt.cancelled() => {}
-                ended = serve(stream, inputs, heartbeat) => {
+                ended = serve(stream, open, inputs, heartbeat) => {
                     if let Err(e) = ended {
                         log::debug!(error:% = e; "internal connection ended");
                     }
                 }
             }
         }
-    }));
+    };
+    tokio::spawn(listen::accept(listener, connections, halt, serve_peer));
     Ok(())
 }
 
 async fn serve(
     stream: TcpStream,
+    open: OpenConnection,
     inputs: Inputs,
     heartbeat: watch::Receiver<Bytes>,
 ) -> Result<(), FrameError> {
     let (sender, mut rx) = frames::split(stream)?;
-    match rx.next::<Hello>().await? {
+    let hello = rx.next::<Hello>().await?;
+    // One that has said who it is stays, however seldom it has anything to say.
+    let _in_use = open.begin_request();
+    match hello {
         Hello::Entry { id, name } => serve_entry(sender, rx, inputs, heartbeat, id, name).await,
         Hello::Replica { node } => serve_replica(sender, rx, inputs, node).await,
         Hello::NonMember => serve_non_member(sender, rx, inputs).await,
--- a/sesamebeam/src/intake.rs
+++ b/sesamebeam/src/intake.rs
@@ -1,13 +1,31 @@
-//! Bounds on what clients of all listeners may make a process hold: the bodies of their requests.
+//! Bounds on what clients of all listeners may make a process hold: connections, and the bodies
+//! of their requests.
 
 mod bodies;
+mod connections;
 
-pub(crate) use self::bodies::{
-    Bodies,
-    BodyError,
-    WholeBody, //
+pub(crate) use self::{
+    bodies::{
+        Bodies,
+        BodyError,
+        WholeBody, //
+    },
+    connections::{
+        Connections,
+        OpenConnection, //
+    },
 };
 
+/// Memory that an open connection takes while a head is read, in bytes: the buffer of the HTTP
+/// library, and what it parses from it.
+const CONNECTION_BYTES: usize = 32 << 10;
+
+/// Descriptors that are not for connections.
+const OTHER_DESCRIPTORS: usize = 200;
+
+/// Connections to listeners that only the platform's own services use.
+const SERVICE_CONNECTIONS: usize = 32;
+
 /// Memory and descriptors of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resources {
@@ -32,4 +50,25 @@
     pub fn body_bytes(&self) -> usize {
         self.memory / 4
     }
+
+    /// Returns the most connections of callers, or of those who call a control replica.
+    pub fn connections(&self) -> usize {
+        let by_descriptors = self.sockets() / 2;
+        let by_memory = self.memory / 4 / CONNECTION_BYTES;
+        by_descriptors.min(by_memory)
+    }
+
+    /// Returns the most connections of other entries.
+    pub fn peer_connections(&self) -> usize {
+        (self.sockets() / 8).max(1)
+    }
+
+    /// Returns the most connections to a listener that only the platform's own services use.
+    pub fn service_connections(&self) -> usize {
+        SERVICE_CONNECTIONS.min(self.sockets() / 8).max(1)
+    }
+
+    fn sockets(&self) -> usize {
+        self.descriptors.saturating_sub(OTHER_DESCRIPTORS).max(8)
+    }
 }
--- a/sesamebeam/src/intake/bodies.rs
+++ b/sesamebeam/src/intake/bodies.rs
@@ -19,9 +19,12 @@
     BytesMut, //
 };
 use http_body_util::BodyExt;
-use hyper::body::{
-    Body,
-    Incoming, //
+use hyper::{
+    body::{
+        Body,
+        Incoming, //
+    },
+    http::Extensions,
 };
 use sesamebeam_core::{
     ids::MonoTime,
@@ -35,6 +38,11 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use super::connections::{
+    InProgress,
+    OpenConnection, //
+};
+
 /// First size of the buffer of a body, in bytes.
 const FIRST_BUFFER: usize = 4 << 10;
 
@@ -77,6 +85,7 @@
 pub(crate) struct WholeBody {
     bytes: Bytes,
     _held: HeldBody,
+    _in_progress: Option<InProgress>,
 }
 
 impl WholeBody {
@@ -113,7 +122,8 @@
         }))
     }
 
-    /// Reads a body of at most this many bytes to its end.
+    /// Reads a body of at most this many bytes to its end. The extensions are those of its
+    /// request.
     ///
     /// # Errors
     ///
@@ -121,6 +131,7 @@
     /// connection can't be used again.
     pub(crate) async fn read(
         &self,
+        extensions: &Extensions,
         body: Incoming,
         max: usize,
         max_time: Duration,
@@ -141,7 +152,13 @@
         if !self.complete(held.id) {
             return Err(BodyError::NoRoom);
         }
-        Ok(WholeBody { bytes, _held: held })
+        Ok(WholeBody {
+            bytes,
+            _held: held,
+            _in_progress: extensions
+                .get::<OpenConnection>()
+                .map(OpenConnection::begin_request),
+        })
     }
 
     fn begin(&self, given_up: CancellationToken) -> HeldBody {
--- a/sesamebeam/src/listen.rs
+++ b/sesamebeam/src/listen.rs
@@ -8,6 +8,8 @@
     time::Duration, //
 };
 
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioTimer;
 use thiserror::Error;
 use tokio::{
     net::{
@@ -19,10 +21,23 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::{
+    intake::{
+        Connections,
+        OpenConnection, //
+    },
+    limit::LogLimit,
+};
+
 /// Delay after a failed accept. The usual cause is that the process has no free file
 /// descriptors, and some will be closed soon.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Timeout of a request head of the platform's own services, including the time since the request
+/// before, and the largest head that the HTTP library can be set to, in bytes.
+const SERVICE_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+const SERVICE_HEAD_BYTES: usize = 8 << 10;
+
 /// Connections that the system keeps until they are accepted. It drops the opening packets of
 /// others, and their callers try again only after a second.
 const BACKLOG: u32 = 1024;
@@ -61,14 +76,17 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until cancelled, and serves each one in its own task.
+/// Accepts connections until cancelled, and serves each one in its own task. One for which there
+/// is no room is closed.
 pub(crate) async fn accept<F>(
     listener: TcpListener,
+    connections: Connections,
     halt: CancellationToken,
-    serve: impl Fn(TcpStream) -> F,
+    serve: impl Fn(TcpStream, OpenConnection) -> F,
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
+    let refused = LogLimit::default();
     loop {
         let accepted = tokio::select! {
             () = halt.cancelled() => return,
@@ -77,7 +95,12 @@
         match accepted {
             Ok((stream, _)) => {
                 set_nodelay(&stream);
-                tokio::spawn(serve(stream));
+                let Some(open) = connections.admit() else {
+                    log_refused(&refused);
+                    continue;
+                };
+                let serving = serve(stream, open.clone());
+                tokio::spawn(async move { open.run(serving).await });
             }
             Err(e) => {
                 log::warn!(error:% = e; "failed to accept a connection");
@@ -87,6 +110,22 @@
     }
 }
 
+/// Returns how HTTP is served to the platform's own services, whose heads are short.
+pub(crate) fn service_http() -> http1::Builder {
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
+        .header_read_timeout(SERVICE_HEAD_TIMEOUT)
+        .max_buf_size(SERVICE_HEAD_BYTES);
+    http
+}
+
+/// Logs that a connection is closed because too many others have requests in progress.
+pub(crate) fn log_refused(limit: &LogLimit) {
+    if let Some(suppressed) = limit.allow() {
+        log::warn!(suppressed; "connection closed, too many are open");
+    }
+}
+
 /// Sets TCP_NODELAY, without which responses are only slower.
 fn set_nodelay(stream: &TcpStream) {
     if let Err(e) = stream.set_nodelay(true) {
--- a/sesamebeam_core/src/policy.rs
+++ b/sesamebeam_core/src/policy.rs
@@ -17,6 +17,7 @@
 pub mod hash;
 pub mod link_load;
 pub mod link_rate;
+pub mod open_connections;
 pub mod plan;
 pub mod quality;
 pub mod queue_delay;
--- a/sesamebeam_core/tests/policy/main.rs
+++ b/sesamebeam_core/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod exposure;
 mod fixtures;
 mod link_load;
+mod open_connections;
 mod plan;
 mod quality;
 mod retries;
