Bound bodies and connections of the own interface by the same means

What operators saw: nothing yet; the same faults as of the platform's entries, by a test of its own.

Cause: callers' bodies and those of announcements were collected one by one without a bound for all; the listener for announcements bounded connections by a constant and slept when there were too many, and took heads of 400 KB; callers above limits.connections were turned away while others kept idle connections.

Change: intake::Bodies and intake::Connections as on the platform, from the new setting limits.memory_bytes; announcements go through listen::accept.

--- a/sesamebeam/src/entry.rs
+++ b/sesamebeam/src/entry.rs
@@ -59,6 +59,7 @@
 };
 use crate::{
     http::client::Client,
+    intake::Bodies,
     keys::{
         Credentials,
         KeyError, //
@@ -188,12 +189,15 @@
             announcements: bound_addr(&announce_listener, settings.listen.announcements)?,
             link,
         };
-        let callers = CallerServer::new(context, TokenSigner::new(secret), settings.limits.clone());
+        let bodies = Bodies::new(settings.limits.held_body_bytes());
+        let signer = TokenSigner::new(secret);
+        let callers = CallerServer::new(context, signer, settings.limits.clone(), bodies.clone());
         tokio::spawn(announce::serve(
             announce_listener,
             Arc::clone(&hub),
             settings.announce_key_sha256.clone(),
             settings.limits.clone(),
+            bodies,
             halt.clone(),
         ));
         let load = CallerLoad::default();
--- a/sesamebeam/src/entry/announce.rs
+++ b/sesamebeam/src/entry/announce.rs
@@ -6,10 +6,6 @@
     time::Duration, //
 };
 
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::{
     Method,
     Request,
@@ -28,9 +24,9 @@
 };
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
-use tokio::{
-    net::TcpListener,
-    sync::Semaphore, //
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
 };
 use tokio_util::sync::CancellationToken;
 
@@ -40,63 +36,75 @@
         self,
         ResponseBody, //
     },
+    intake::{
+        Bodies,
+        Connections,
+        OpenConnection, //
+    },
     keys::sha256_hex,
+    listen,
     settings::EntryLimits,
 };
 
-/// Maximum number of open connections from backend servers.
-const MAX_CONNECTIONS: usize = 4096;
+/// Minimum size of the read buffer: the HTTP library accepts no less.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 
 /// Maximum time to receive the body of an announcement.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What all connections share.
+struct Context {
+    hub: Arc<Hub>,
+    key_sha256: SmolStr,
+    limits: EntryLimits,
+    bodies: Bodies,
+}
+
 /// Accepts announcements until cancelled.
 pub(crate) async fn serve(
     listener: TcpListener,
     hub: Arc<Hub>,
     key_sha256: SmolStr,
     limits: EntryLimits,
+    bodies: Bodies,
     cancel: CancellationToken,
 ) {
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let accepted = tokio::select! {
-            () = cancel.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let (Ok((stream, _)), Ok(permit)) =
-            (accepted, Arc::clone(&connections).try_acquire_owned())
-        else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let (hub, key, cancel) = (Arc::clone(&hub), key_sha256.clone(), cancel.clone());
-        let max = limits.announcement_bytes;
-        let head_timeout = limits.header_timeout;
-        tokio::spawn(async move {
-            let service = service_fn(|req| {
-                let (hub, key) = (Arc::clone(&hub), key.clone());
-                async move { Ok::<_, Infallible>(take(req, &hub, &key, max).await) }
-            });
-            let conn = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(head_timeout)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::select! {
-                _ = conn => {}
-                () = cancel.cancelled() => {}
-            }
-            drop(permit);
-        });
-    }
+    let connections = Connections::new(limits.announcing_connections());
+    let cx = Arc::new(Context {
+        hub,
+        key_sha256,
+        limits,
+        bodies,
+    });
+    let halt = cancel.clone();
+    let serve = move |stream, open| serve_connection(stream, open, Arc::clone(&cx), halt.clone());
+    listen::accept(listener, connections, cancel, serve).await;
 }
 
-async fn take(
-    req: Request<Incoming>,
-    hub: &Hub,
-    key_sha256: &str,
-    max: usize,
-) -> Response<ResponseBody> {
+async fn serve_connection(
+    stream: TcpStream,
+    open: OpenConnection,
+    cx: Arc<Context>,
+    cancel: CancellationToken,
+) {
+    let service = service_fn(|mut req: Request<Incoming>| {
+        open.attach(req.extensions_mut());
+        let cx = Arc::clone(&cx);
+        async move { Ok::<_, Infallible>(take(req, &cx).await) }
+    });
+    let conn = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(cx.limits.header_timeout)
+        .max_buf_size(cx.limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    // A backend server whose connection fails announces itself again.
+    let _ = cancel.run_until_cancelled(conn).await;
+}
+
+async fn take(req: Request<Incoming>, cx: &Context) -> Response<ResponseBody> {
+    let Context {
+        hub, key_sha256, ..
+    } = cx;
     if req.method() != Method::POST || req.uri().path() != "/announce" {
         return problem::invalid_request(404, "no-such-path", "Only POST /announce is taken here.");
     }
@@ -114,15 +122,14 @@
             "The announcement key is not right.",
         );
     }
-    let body = Limited::new(req.into_body(), max).collect();
-    let Ok(Ok(body)) = tokio::time::timeout(BODY_TIMEOUT, body).await else {
-        return problem::invalid_request(
-            400,
-            "bad-announcement",
-            "The announcement did not arrive whole.",
-        );
+    let (parts, body) = req.into_parts();
+    let max = cx.limits.announcement_bytes;
+    let reading = cx.bodies.read(&parts.extensions, body, max, BODY_TIMEOUT);
+    let body = match reading.await {
+        Ok(body) => body,
+        Err(e) => return problem::unread_body(&e),
     };
-    let announcement: Announcement = match serde_json::from_slice(&body.to_bytes()) {
+    let announcement: Announcement = match serde_json::from_slice(body.bytes()) {
         Ok(announcement) => announcement,
         Err(e) => return problem::invalid_request(400, "bad-announcement", &e.to_string()),
     };
--- a/sesamebeam/src/entry/callers.rs
+++ b/sesamebeam/src/entry/callers.rs
@@ -15,8 +15,6 @@
 use futures::stream::unfold;
 use http_body_util::{
     BodyExt,
-    LengthLimitError,
-    Limited,
     StreamBody, //
 };
 use hyper::{
@@ -30,6 +28,7 @@
         Incoming, //
     },
     header,
+    http::Extensions,
     service::service_fn, //
 };
 use hyper_util::rt::{
@@ -58,11 +57,7 @@
     message::record::Completed,
 };
 use smol_str::SmolStr;
-use tokio::{
-    sync::Semaphore,
-    task::JoinSet,
-    time::timeout, //
-};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -90,12 +85,21 @@
         },
         sse, //
     },
+    intake::{
+        Bodies,
+        Connections,
+        OpenConnection,
+        WholeBody, //
+    },
     keys::sha256_hex,
     limit::LogLimit,
-    listen::paced::{
-        FirstRead,
-        PacedListener,
-        TakenConnection, //
+    listen::{
+        self,
+        paced::{
+            FirstRead,
+            PacedListener,
+            TakenConnection, //
+        },
     },
     settings::EntryLimits,
 };
@@ -111,6 +115,7 @@
     context: DriverContext,
     signer: TokenSigner,
     limits: EntryLimits,
+    bodies: Bodies,
     /// Readiness reported to the load balancer; false once a planned stop has
     /// started.
     ready: AtomicBool,
@@ -122,11 +127,13 @@
         context: DriverContext,
         signer: TokenSigner,
         limits: EntryLimits,
+        bodies: Bodies,
     ) -> Arc<Self> {
         Arc::new(Self {
             context,
             signer,
             limits,
+            bodies,
             ready: AtomicBool::new(true),
         })
     }
@@ -144,28 +151,28 @@
         mut listener: PacedListener,
         closing: CancellationToken,
     ) {
-        let connections = Arc::new(Semaphore::new(self.limits.connections));
+        let connections = Connections::new(self.limits.caller_connections());
         let refused = LogLimit::default();
         let mut tasks = JoinSet::new();
         while let Some(taken) = closing.run_until_cancelled(listener.accept()).await {
             while tasks.try_join_next().is_some() {}
-            let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
-                if let Some(suppressed) = refused.allow() {
-                    log::warn!(suppressed; "connection closed, too many are open");
-                }
+            let Some(open) = connections.admit() else {
+                listen::log_refused(&refused);
                 continue;
             };
-            let (callers, closing) = (Arc::clone(&self), closing.clone());
-            tasks.spawn(async move {
-                callers.serve_connection(taken, closing).await;
-                drop(permit);
-            });
+            let serving = Arc::clone(&self).serve_connection(taken, open.clone(), closing.clone());
+            tasks.spawn(async move { open.run(serving).await });
         }
         drop(listener);
         while tasks.join_next().await.is_some() {}
     }
 
-    async fn serve_connection(self: Arc<Self>, taken: TakenConnection, closing: CancellationToken) {
+    async fn serve_connection(
+        self: Arc<Self>,
+        taken: TakenConnection,
+        open: OpenConnection,
+        closing: CancellationToken,
+    ) {
         let callers = Arc::clone(&self);
         let TakenConnection {
             stream, first_read, ..
@@ -173,6 +180,7 @@
         let service = service_fn(move |mut req: Request<Incoming>| {
             let callers = Arc::clone(&callers);
             first_read.attach(req.extensions_mut());
+            open.attach(req.extensions_mut());
             async move { Ok::<_, std::convert::Infallible>(callers.answer(req).await) }
         });
         let conn = hyper::server::conn::http1::Builder::new()
@@ -215,12 +223,12 @@
             Err(answer) => return *answer,
         };
         let (mut parts, body) = req.into_parts();
-        let body = match self.read_body(body).await {
-            Ok(body) => body,
+        let whole = match self.read_body(&parts.extensions, body).await {
+            Ok(whole) => whole,
             Err(answer) => return *answer,
         };
         FirstRead::finish(&mut parts.extensions);
-        let chat = match ChatRequest::parse(&body) {
+        let chat = match ChatRequest::parse(whole.bytes()) {
             Ok(chat) => chat,
             Err(e) => return problem::invalid_request(400, "bad-request", &e.to_string()),
         };
@@ -237,14 +245,16 @@
             wanted: chat.wanted(),
             session: meta.session,
             key: meta.key,
-            digest: xxhash_rust::xxh3::xxh3_128(&body),
+            digest: xxhash_rust::xxh3::xxh3_128(whole.bytes()),
             safe_method: false,
             streamed,
             prefix: chat.prefix,
             prompt_tokens: chat.prompt_tokens,
             max_tokens: chat.max_tokens,
         };
-        let driver = self.start_driver(arrival, UpstreamRequest::Chat(chat.fields), chat.prompt);
+        let outgoing = UpstreamRequest::Chat(chat.fields);
+        let mut driver = self.start_driver(arrival, outgoing, chat.prompt);
+        driver.hold(whole);
         if streamed {
             self.streamed_response(driver).await
         } else {
@@ -265,8 +275,8 @@
                 "The path names no plain service.",
             );
         };
-        let body = match self.read_body(body).await {
-            Ok(body) => body,
+        let whole = match self.read_body(&parts.extensions, body).await {
+            Ok(whole) => whole,
             Err(answer) => return *answer,
         };
         FirstRead::finish(&mut parts.extensions);
@@ -281,7 +291,7 @@
             wanted: Wanted::Service(pool),
             session: None,
             key: meta.key.clone(),
-            digest: parse::service_call_digest(&parts.method, &path, &body),
+            digest: parse::service_call_digest(&parts.method, &path, whole.bytes()),
             safe_method: parts.method.is_safe(),
             streamed: false,
             prefix: 0,
@@ -292,10 +302,11 @@
             method: parts.method,
             path,
             content_type: header_text(&parts.headers, header::CONTENT_TYPE.as_str()),
-            body,
+            body: whole.bytes().clone(),
             key: meta.key,
         };
-        let driver = self.start_driver(arrival, outgoing, "".into());
+        let mut driver = self.start_driver(arrival, outgoing, "".into());
+        driver.hold(whole);
         self.unstreamed_response(driver).await
     }
 
@@ -479,20 +490,20 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Box<Response<ResponseBody>>> {
-        let read = Limited::new(body, self.limits.body_bytes).collect();
-        let bad =
-            |status, name, detail| Err(Box::new(problem::invalid_request(status, name, detail)));
-        match timeout(self.limits.body_timeout, read).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => bad(
-                413,
-                "body-too-large",
-                "The body is larger than this entry takes.",
-            ),
-            Ok(Err(_)) => bad(400, "body-broken", "The body did not arrive whole."),
-            Err(_) => bad(408, "body-too-slow", "The body did not arrive in time."),
-        }
+    async fn read_body(
+        &self,
+        extensions: &Extensions,
+        body: Incoming,
+    ) -> Result<WholeBody, Box<Response<ResponseBody>>> {
+        let EntryLimits {
+            body_bytes,
+            body_timeout,
+            ..
+        } = self.limits;
+        let reading = self.bodies.read(extensions, body, body_bytes, body_timeout);
+        reading
+            .await
+            .map_err(|e| Box::new(problem::unread_body(&e)))
     }
 
     fn parse_headers(
--- a/sesamebeam/src/entry/driver.rs
+++ b/sesamebeam/src/entry/driver.rs
@@ -65,9 +65,12 @@
         UpstreamRequest, //
     },
 };
-use crate::http::{
-    client::Client,
-    sse, //
+use crate::{
+    http::{
+        client::Client,
+        sse, //
+    },
+    intake::WholeBody,
 };
 
 /// Content type of a streamed answer.
@@ -123,6 +126,8 @@
     headers: ResponseHeaders,
     /// Part of the prompt that is sent to the rating service.
     prompt: Arc<str>,
+    /// The caller's body, which `outgoing` may share.
+    _body: Option<WholeBody>,
     /// Body of the current answer, if it is to be recorded.
     buffer: AnswerBuffer,
     /// Most recent events, which contain the token usage at the end of an answer.
@@ -164,6 +169,7 @@
             upstreams: Vec::new(),
             headers: ResponseHeaders::default(),
             prompt,
+            _body: None,
             buffer: AnswerBuffer::new(max_record_bytes),
             last_events: Bytes::new(),
             held: BytesMut::new(),
@@ -174,6 +180,11 @@
         }
     }
 
+    /// Keeps the memory of the caller's body counted until the request has ended.
+    pub(crate) fn hold(&mut self, body: WholeBody) {
+        self._body = Some(body);
+    }
+
     /// Returns the header values of the answer, known with its first part.
     pub(crate) fn headers(&self) -> &ResponseHeaders {
         &self.headers
@@ -460,6 +471,7 @@
             upstreams: std::mem::take(&mut self.upstreams),
             headers: ResponseHeaders::default(),
             prompt: Arc::clone(&self.prompt),
+            _body: self._body.take(),
             buffer: std::mem::replace(&mut self.buffer, AnswerBuffer::new(0)),
             last_events: std::mem::take(&mut self.last_events),
             held: std::mem::take(&mut self.held),
--- a/sesamebeam/src/http/problem.rs
+++ b/sesamebeam/src/http/problem.rs
@@ -14,6 +14,11 @@
 use serde::Serialize;
 use sesamebeam_core::entry::refusal::Refusal;
 
+use crate::intake::BodyError;
+
+/// Seconds after which a body may find room: by then those without progress have been given up.
+const NO_ROOM_RETRY_AFTER: &str = "1";
+
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -85,6 +90,34 @@
     answer
 }
 
+/// Builds the response to a request whose body could not be read, which never ran. Its connection
+/// can't be used again.
+pub(crate) fn unread_body(error: &BodyError) -> Response<ResponseBody> {
+    let mut answer = match error {
+        BodyError::TooLarge => invalid_request(
+            413,
+            "body-too-large",
+            "The body is larger than this entry takes.",
+        ),
+        BodyError::Broken(_) => {
+            invalid_request(400, "body-broken", "The body did not arrive whole.")
+        }
+        BodyError::TooSlow => {
+            invalid_request(408, "body-too-slow", "The body did not arrive in time.")
+        }
+        BodyError::NoRoom => {
+            let mut answer =
+                invalid_request(503, "no-room-for-body", "Other bodies take all memory.");
+            let after = header::HeaderValue::from_static(NO_ROOM_RETRY_AFTER);
+            answer.headers_mut().insert(header::RETRY_AFTER, after);
+            answer
+        }
+    };
+    let close = header::HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+    answer
+}
+
 /// Creates a body of known length.
 pub fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
     Full::new(bytes.into())
--- a/sesamebeam/src/intake.rs
+++ b/sesamebeam/src/intake.rs
@@ -53,9 +53,12 @@
 
     /// Returns the most connections of callers, or of those who call a control replica.
     pub fn connections(&self) -> usize {
-        let by_descriptors = self.sockets() / 2;
-        let by_memory = self.memory / 4 / CONNECTION_BYTES;
-        by_descriptors.min(by_memory)
+        (self.sockets() / 2).min(self.connections_by_memory())
+    }
+
+    /// Returns how many connections there is memory for.
+    pub fn connections_by_memory(&self) -> usize {
+        self.memory / 4 / CONNECTION_BYTES
     }
 
     /// Returns the most connections of other entries.
--- a/sesamebeam/src/intake/connections.rs
+++ b/sesamebeam/src/intake/connections.rs
@@ -22,6 +22,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::limit::LogLimit;
+
 /// The bound on the open connections of a listener.
 #[derive(Clone, Debug)]
 pub(crate) struct Connections(Arc<SharedConnections>);
@@ -29,6 +31,8 @@
 #[derive(Debug)]
 struct SharedConnections {
     start: Instant,
+    /// Of lines about connections that were closed for others.
+    closed: LogLimit,
     state: Mutex<ConnectionState>,
 }
 
@@ -60,6 +64,7 @@
     pub(crate) fn new(limit: usize) -> Self {
         Self(Arc::new(SharedConnections {
             start: Instant::now(),
+            closed: LogLimit::default(),
             state: Mutex::new(ConnectionState {
                 open: OpenConnections::new(limit),
                 tokens: HashMap::new(),
@@ -76,6 +81,9 @@
         };
         if let Some(token) = closes.and_then(|id| state.tokens.remove(&id)) {
             token.cancel();
+            if let Some(suppressed) = self.0.closed.allow() {
+                log::info!(open = state.open.count(), suppressed; "waiting connection closed for another");
+            }
         }
         let closing = CancellationToken::new();
         state.tokens.insert(id, closing.clone());
--- a/sesamebeam/src/settings/entry.rs
+++ b/sesamebeam/src/settings/entry.rs
@@ -36,6 +36,7 @@
     resolve_path, //
 };
 use crate::{
+    intake::Resources,
     keys::Role,
     toml_file::FileError, //
 };
@@ -104,6 +105,9 @@
     /// Timeout for receiving a request body.
     #[serde(with = "humantime_serde")]
     pub body_timeout: Duration,
+    /// Memory that the instance has in bytes: request bodies may take a quarter of it at a
+    /// time, and open connections another.
+    pub memory_bytes: usize,
     /// Maximum number of open connections from callers.
     pub connections: usize,
     /// Maximum number of admitted requests that are not yet answered.
@@ -126,6 +130,31 @@
     pub workers: usize,
 }
 
+impl EntryLimits {
+    /// Returns the most open connections of callers, for which there is also memory.
+    pub(crate) fn caller_connections(&self) -> usize {
+        self.connections
+            .min(self.resources().connections_by_memory())
+    }
+
+    /// Returns the most open connections of backend servers that announce themselves.
+    pub(crate) fn announcing_connections(&self) -> usize {
+        self.caller_connections() / 2
+    }
+
+    /// Returns the most bytes of all request bodies together.
+    pub(crate) fn held_body_bytes(&self) -> usize {
+        self.resources().body_bytes()
+    }
+
+    fn resources(&self) -> Resources {
+        Resources {
+            memory: self.memory_bytes,
+            ..Resources::default()
+        }
+    }
+}
+
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
@@ -133,6 +162,7 @@
             body_bytes: 4 << 20,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
+            memory_bytes: 256 << 20,
             connections: 8192,
             in_flight: 4096,
             queued: 4096,
--- a/sesamebeam/tests/real/fleet.rs
+++ b/sesamebeam/tests/real/fleet.rs
@@ -147,10 +147,15 @@
 
     /// Sends a signal to a process.
     pub(crate) fn signal(&self, name: &str, signal: Signal) {
-        let pid = Pid::from_child(&self.children[name]);
+        let pid = Pid::from_raw(self.pid(name) as i32).expect("a process");
         kill_process(pid, signal).expect("the process is there");
     }
 
+    /// Returns the id of a process.
+    pub(crate) fn pid(&self, name: &str) -> u32 {
+        self.children[name].id()
+    }
+
     /// Kills a process and waits until it has exited.
     pub(crate) fn kill(&mut self, name: &str) {
         let mut child = self.children.remove(name).expect("it runs");
