Blame no request for a crash that came after an answer, nor for a cut

What callers would see: sound requests suspected.

Cause: a refused connection ended the watch of a backend server with all that had broken before, also where it had answered a later request; and silence counted as a crash at an entry that is cut off, whose connections hang.

Change: after an answer only what ended since is a suspect; silence counts only where a connection was accepted since the one that broke.

Evidence: watching::refused_after_answer and ::cut_off fail on the code of the commit before (run), pass now.

--- a/sesamebeam_core/src/gateway/crash_watch.rs
+++ b/sesamebeam_core/src/gateway/crash_watch.rs
@@ -89,7 +89,8 @@
     since: MonoTime,
     /// Whether an answer was broken off.
     is_broken: bool,
-    round_trip: Duration,
+    /// Round-trip time to it, once it has accepted a connection since.
+    round_trip: Option<Duration>,
     /// When it first answered a request that was sent since.
     answered_at: Option<MonoTime>,
     sends: Vec<EndedSend>,
@@ -143,7 +144,7 @@
             addr,
             since: send.at,
             is_broken: false,
-            round_trip: UNKNOWN_ROUND_TRIP,
+            round_trip: None,
             answered_at: None,
             sends: Vec::new(),
         });
@@ -180,7 +181,7 @@
     /// Records that a backend server accepted a connection, and how long that took.
     pub(super) fn record_accepted(&mut self, server: &ServerIncarnation, round_trip: Duration) {
         if let Some(watch) = self.watches.get_mut(server) {
-            watch.round_trip = round_trip;
+            watch.round_trip = Some(round_trip);
         }
     }
 
@@ -190,29 +191,35 @@
         server: &ServerIncarnation,
         round_trip: Option<Duration>,
     ) -> Option<Settled> {
-        let known = self.watches.get(server)?.round_trip;
-        self.crashed(server, CrashSign::Refused, round_trip.unwrap_or(known))
+        let watch = self.watches.get_mut(server)?;
+        if watch.answered_at.is_some() {
+            // It lived after these.
+            watch.sends.retain(|s| s.end != ConnectionEnd::Broken);
+        }
+        if watch.sends.is_empty() {
+            return self.settle(server, Verdict::Lives);
+        }
+        self.crashed(server, CrashSign::Refused, round_trip)
     }
 
     /// Records that another incarnation answered in place of a backend server.
     pub(super) fn record_replaced(&mut self, server: &ServerIncarnation) -> Option<Settled> {
-        let round_trip = self.watches.get(server)?.round_trip;
-        self.crashed(server, CrashSign::Replaced, round_trip)
+        self.crashed(server, CrashSign::Replaced, None)
     }
 
     /// Records that a backend server left a request without an answer for long. It last
-    /// answered anything at a certain time.
+    /// answered anything at a certain time. One that accepts no connections either may be cut off.
     pub(super) fn record_silent(
         &mut self,
         server: &ServerIncarnation,
         last_response_at: MonoTime,
     ) -> Option<Settled> {
         let watch = self.watches.get(server)?;
-        if !watch.is_broken || last_response_at > watch.since {
+        let is_silent = last_response_at <= watch.since && watch.answered_at.is_none();
+        if !watch.is_broken || !is_silent || watch.round_trip.is_none() {
             return None;
         }
-        let round_trip = watch.round_trip;
-        self.crashed(server, CrashSign::Silent, round_trip)
+        self.crashed(server, CrashSign::Silent, None)
     }
 
     /// Records that a backend server answered a request. Returns the answers that are therefore
@@ -269,8 +276,10 @@
         &mut self,
         server: &ServerIncarnation,
         sign: CrashSign,
-        round_trip: Duration,
+        round_trip: Option<Duration>,
     ) -> Option<Settled> {
+        let known = self.watches.get(server)?.round_trip;
+        let round_trip = round_trip.or(known).unwrap_or(UNKNOWN_ROUND_TRIP);
         self.settle(server, Verdict::Crashed { sign, round_trip })
     }
 
--- a/sesamebeam_core/tests/gateway/watching.rs
+++ b/sesamebeam_core/tests/gateway/watching.rs
@@ -150,12 +150,36 @@
     assert!(sent.router.take_report(ms(2200)).crashes.is_empty());
 }
 
+#[test]
+fn refused_after_answer() {
+    // Guards against a faulty answer that counts as the cause of a later crash.
+    let mut sent = Sent::new();
+    sent.end(20, ConnectionEnd::Broken);
+    sent.answer(60, 30);
+    sent.router.record_refused(ms(500), &sent.choice, None);
+    assert_eq!(sent.signs(500), [None]);
+    assert!(sent.router.take_report(ms(500)).crashes.is_empty());
+}
+
+#[test]
+fn cut_off() {
+    // Guards against a backend server that is held to have crashed because this entry is cut off
+    // from it: it accepts no connection either.
+    let mut sent = Sent::new();
+    sent.end(20, ConnectionEnd::Broken);
+    let (plan, choice) = (&sent.plan, &sent.choice);
+    sent.router
+        .record_outcome(ms(4000), plan, choice, Outcome::Silent);
+    assert!(sent.signs(4000).is_empty());
+}
+
 #[test]
 fn silent_after_answer() {
     // Guards against a slow backend server that is held to have crashed because of a faulty
     // answer.
     let mut sent = Sent::new();
     sent.end(20, ConnectionEnd::Broken);
+    sent.router.record_accepted_since(&sent.choice, ms(1));
     sent.router.record_response(ms(50), &sent.choice.id, None);
     let (plan, choice) = (&sent.plan, &sent.choice);
     sent.router
