Keep memory for small bodies beside large ones that were read whole

What callers would see: ordinary requests refused with 503 for as long as large bodies that were read whole wait for their answers. Found by reading.

Cause: a body that was read whole is not given up, and such bodies could have all memory.

Change: a quarter of it is for bodies of 64 KiB or less.

--- a/sesamebeam_core/src/policy/body_room.rs
+++ b/sesamebeam_core/src/policy/body_room.rs
@@ -15,6 +15,11 @@
 /// again by then.
 const STALLED_AFTER: Duration = Duration::from_millis(1000);
 
+/// Size up to which a body is small, in bytes, and the share of the memory that is kept for
+/// small bodies, so that these are read while large ones that were read whole take the rest.
+const MAX_SMALL: usize = 64 << 10;
+const SMALL_SHARE: usize = 4;
+
 /// Identifies a body.
 pub type BodyId = u64;
 
@@ -90,7 +95,11 @@
         };
         let more = bytes.saturating_sub(held);
         let mut evicted = Vec::new();
-        while self.taken + more > self.capacity {
+        let most = match bytes <= MAX_SMALL {
+            true => self.capacity,
+            false => self.capacity - self.capacity / SMALL_SHARE,
+        };
+        while self.taken + more > most {
             match self.victim(now, id, bytes) {
                 Some(victim) if victim != id => {
                     self.end(victim);
