Let a replica take the connections that others leave behind

What callers would see: announcements of backend servers that need a connection each, where replicas are lost on the largest deployments.

Cause: calls and internal connections of a replica had the bound of callers.

Change: five eighths of the sockets for operators and backend servers, a quarter for entries and replicas; 24 KiB are reckoned a connection, as heads have 16 KiB at most.

The crowds, their bounds and tests are unchanged.

--- a/sesamebeam/src/gateway/listener.rs
+++ b/sesamebeam/src/gateway/listener.rs
@@ -126,7 +126,7 @@
     open: &Arc<AtomicUsize>,
     halt: CancellationToken,
 ) {
-    let connections = Connections::new(gateway.settings.resources.connections());
+    let connections = Connections::new(gateway.settings.resources.caller_connections());
     let refused = LogLimit::default();
     let mut counted = listener.turned_away();
     while let Some(taken) = halt.run_until_cancelled(listener.accept()).await {
--- a/sesamebeam/src/group/http.rs
+++ b/sesamebeam/src/group/http.rs
@@ -123,7 +123,7 @@
         inputs,
     });
     let cancel = halt.clone();
-    let connections = Connections::new(resources.connections());
+    let connections = Connections::new(resources.control_connections());
     tokio::spawn(listen::accept(
         listener,
         connections,
--- a/sesamebeam/src/group/internal_server.rs
+++ b/sesamebeam/src/group/internal_server.rs
@@ -65,7 +65,7 @@
 ) -> Result<(), GroupError> {
     let listener = listen::bind(settings.internal_addr).await?;
     let cancel = halt.clone();
-    let connections = Connections::new(settings.resources.connections());
+    let connections = Connections::new(settings.resources.internal_connections());
     let serve_peer = move |stream, open: OpenConnection| {
         let (inputs, heartbeat, halt) = (inputs.clone(), heartbeat.clone(), cancel.clone());
         async move {
--- a/sesamebeam/src/intake.rs
+++ b/sesamebeam/src/intake.rs
@@ -18,7 +18,7 @@
 
 /// Memory that an open connection takes while a head is read, in bytes: the buffer of the HTTP
 /// library, and what it parses from it.
-const CONNECTION_BYTES: usize = 32 << 10;
+const CONNECTION_BYTES: usize = 24 << 10;
 
 /// Descriptors that are not for connections.
 const OTHER_DESCRIPTORS: usize = 200;
@@ -51,11 +51,22 @@
         self.memory / 4
     }
 
-    /// Returns the most connections of callers, or of those who call a control replica.
-    pub fn connections(&self) -> usize {
+    /// Returns the most connections of callers of an entry.
+    pub fn caller_connections(&self) -> usize {
         (self.sockets() / 2).min(self.connections_by_memory())
     }
 
+    /// Returns the most connections of operators and backend servers to a control replica. Those
+    /// that are left by other replicas come to it as well.
+    pub fn control_connections(&self) -> usize {
+        (self.sockets() * 5 / 8).min(self.connections_by_memory())
+    }
+
+    /// Returns the most connections of entries and other replicas to a control replica.
+    pub fn internal_connections(&self) -> usize {
+        self.sockets() / 4
+    }
+
     /// Returns how many connections there is memory for.
     pub fn connections_by_memory(&self) -> usize {
         self.memory / 4 / CONNECTION_BYTES
