--- a/sesamebeam_core/src/gateway/crash_watch.rs
+++ b/sesamebeam_core/src/gateway/crash_watch.rs
@@ -98,7 +98,7 @@
 
 /// The outcome of a watch.
 #[derive(Clone, Debug)]
-pub(super) enum Verdict {
+pub(super) enum Finding {
     /// The backend server crashed.
     Crashed {
         /// What shows it.
@@ -114,7 +114,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Settled {
     pub(super) server: ServerIncarnation,
-    pub(super) verdict: Verdict,
+    pub(super) finding: Finding,
     /// Whether an answer was broken off.
     pub(super) is_broken: bool,
     pub(super) since: MonoTime,
@@ -169,7 +169,7 @@
         }
         let oldest = self.watches.iter().min_by_key(|(_, w)| w.since);
         let server = oldest.map(|(server, _)| server.clone())?;
-        self.settle(&server, Verdict::Lives)
+        self.settle(&server, Finding::Lives)
     }
 
     /// Returns whether a backend server is still to be looked at.
@@ -197,7 +197,7 @@
             watch.sends.retain(|s| s.end != ConnectionEnd::Broken);
         }
         if watch.sends.is_empty() {
-            return self.settle(server, Verdict::Lives);
+            return self.settle(server, Finding::Lives);
         }
         self.crashed(server, CrashSign::Refused, round_trip)
     }
@@ -268,7 +268,7 @@
         };
         let over = self.watches.iter().filter(|(_, w)| is_over(w));
         let over: Vec<ServerIncarnation> = over.map(|(server, _)| server.clone()).collect();
-        let settled = over.iter().filter_map(|s| self.settle(s, Verdict::Lives));
+        let settled = over.iter().filter_map(|s| self.settle(s, Finding::Lives));
         settled.collect()
     }
 
@@ -280,14 +280,14 @@
     ) -> Option<Settled> {
         let known = self.watches.get(server)?.round_trip;
         let round_trip = round_trip.or(known).unwrap_or(UNKNOWN_ROUND_TRIP);
-        self.settle(server, Verdict::Crashed { sign, round_trip })
+        self.settle(server, Finding::Crashed { sign, round_trip })
     }
 
-    fn settle(&mut self, server: &ServerIncarnation, verdict: Verdict) -> Option<Settled> {
+    fn settle(&mut self, server: &ServerIncarnation, finding: Finding) -> Option<Settled> {
         let watch = self.watches.remove(server)?;
         Some(Settled {
             server: server.clone(),
-            verdict,
+            finding,
             is_broken: watch.is_broken,
             since: watch.since,
             sends: watch.sends,
--- a/sesamebeam_core/src/gateway/router/watching.rs
+++ b/sesamebeam_core/src/gateway/router/watching.rs
@@ -14,8 +14,8 @@
             ConnectionEnd,
             CrashSign,
             EndedSend,
+            Finding, //
             Settled,
-            Verdict, //
         },
         directory::ServerIncarnation,
         request::AnswerStage,
@@ -134,9 +134,9 @@
 
     fn settle(&mut self, now: MonoTime, settled: impl IntoIterator<Item = Settled>) {
         for watch in settled {
-            let sign = match watch.verdict {
-                Verdict::Crashed { sign, .. } => Some(sign),
-                Verdict::Lives => None,
+            let sign = match watch.finding {
+                Finding::Crashed { sign, .. } => Some(sign),
+                Finding::Lives => None,
             };
             if (watch.is_broken || sign.is_some()) && self.crash_checks.len() < MAX_UNLOGGED {
                 self.crash_checks.push(CrashCheck {
@@ -146,15 +146,15 @@
                     sends: watch.sends.len(),
                 });
             }
-            match watch.verdict {
-                Verdict::Crashed { round_trip, .. } => {
+            match watch.finding {
+                Finding::Crashed { round_trip, .. } => {
                     for send in &watch.sends {
                         let (server, failed) = (watch.server.clone(), send.failed(round_trip));
                         self.quarantine
                             .record_crash(send.at, &send.subject, server, failed);
                     }
                 }
-                Verdict::Lives => self.record_complete(watch.sends),
+                Finding::Lives => self.record_complete(watch.sends),
             }
         }
     }
